--- /dev/null
+++ b/src/hickorylead/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fair shares, deadlines and the retry budget."""
--- /dev/null
+++ b/src/hickorylead/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/hickorylead/commands/roles.py
@@ -0,0 +1,122 @@
+"""The commands that run a role until it is stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import os
+from typing import TYPE_CHECKING, Any
+
+from hickorylead import errors
+from hickorylead.settings import options as options_module
+from hickorylead.settings import roles
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+_LEVELS = ("debug", "info", "warning", "error")
+
+
+def make_entry_command() -> Callable[..., None]:
+    """Returns the command that runs an entry."""
+    return _make_command(
+        "entry",
+        "Run an entry: callers, backend servers and operators speak to it.",
+        roles.ENTRY_OPTIONS,
+        _run_entry,
+    )
+
+
+def make_control_command() -> Callable[..., None]:
+    """Returns the command that runs a control process."""
+    return _make_command(
+        "control",
+        "Run a control process: configuration, placement and claims.",
+        roles.CONTROL_OPTIONS,
+        _run_control,
+    )
+
+
+def _make_command(
+    name: str,
+    summary: str,
+    options: Sequence[options_module.Option],
+    run: Callable[[Mapping[str, Any]], None],
+) -> Callable[..., None]:
+    """Returns a function whose signature and doc comment are the options.
+
+    All values are taken as text, so that every error is found by one check
+    and shown at once, instead of the first one only.
+    """
+
+    def command(**flags: str | None) -> None:
+        settings = options_module.read_settings(options, flags, os.environ)
+        if settings["log_level"] not in _LEVELS:
+            raise errors.SettingsError(
+                "--log-level (HICKORYLEAD_LOG_LEVEL) is none of"
+                f" {', '.join(_LEVELS)}"
+            )
+        run(settings)
+
+    command.__name__ = name
+    command.__doc__ = "\n".join(
+        [
+            summary,
+            "",
+            "Args:",
+            *(f"    {o.name}: {o.describe()}" for o in options),
+        ]
+    )
+    command.__signature__ = inspect.Signature(  # type: ignore[attr-defined]
+        [
+            inspect.Parameter(
+                option.name,
+                inspect.Parameter.KEYWORD_ONLY,
+                default=None,
+                annotation=str | None,
+            )
+            for option in options
+        ]
+    )
+    command.__annotations__ = {o.name: str | None for o in options}
+    return command
+
+
+# A role's libraries are imported once its settings are known to be right:
+# a process pays memory only for the role that it has.
+
+
+def _run_entry(settings: Mapping[str, Any]) -> None:
+    from hickorylead.runtime import entry
+    from hickorylead.telemetry import logs
+
+    logs.start_logs(
+        settings["log_level"],
+        role="entry",
+        zone=settings["zone"],
+        vm=settings["vm"],
+    )
+    _run_loop(entry.EntryShell, settings)
+
+
+def _run_control(settings: Mapping[str, Any]) -> None:
+    from hickorylead.runtime import control
+    from hickorylead.telemetry import logs
+
+    logs.start_logs(
+        settings["log_level"],
+        role="control",
+        zone=settings["zone"],
+        vm=settings["vm"],
+    )
+    _run_loop(control.ControlShell, settings)
+
+
+def _run_loop(shell: Callable[..., Any], settings: Mapping[str, Any]) -> None:
+    async def run() -> None:
+        await shell(settings).run()
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        raise errors.SettingsError(f"cannot start: {error}") from error
--- /dev/null
+++ b/src/hickorylead/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Services, presets and the changes operators make to them."""
--- /dev/null
+++ b/src/hickorylead/configuration/follower.py
@@ -0,0 +1,86 @@
+"""A process that follows the configuration without a vote and without disk."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorylead.configuration import messages, model
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+POLL_PERIOD_S = 1.0
+
+
+class Follower:
+    """The version that one process holds; it never falls.
+
+    A version counts as in force in a zone once a majority of the zone's
+    control processes holds it. A process that restarted without a disk has
+    forgotten what it held, so before it is ready it must hear from enough of
+    them to meet every such majority, or from the leader of the voters.
+    """
+
+    def __init__(
+        self, *, node: str, controls: Sequence[str], is_control: bool
+    ) -> None:
+        """Makes a follower that holds nothing.
+
+        Args:
+            node: Name of this process.
+            controls: Control processes of the zone, this one too if it is
+                one.
+            is_control: Whether this process is one of them.
+        """
+        self._node = node
+        self._others = tuple(name for name in controls if name != node)
+        majority = len(controls) // 2 + 1
+        if is_control:
+            # A majority may have held it only thanks to this process.
+            self._needed = len(controls) - majority + 1
+        else:
+            self._needed = majority
+        self._heard: set[str] = set()
+        self._next_poll = 0.0
+        self.ready = False
+        self.leader = ""
+        self.configuration = model.Configuration()
+
+    @property
+    def version(self) -> int:
+        """The version held."""
+        return self.configuration.version
+
+    def adopt(self, configuration: model.Configuration) -> bool:
+        """Takes a document if it is newer; says whether it was."""
+        if configuration.version <= self.version:
+            # Late or from a process that is behind: going back would bring a
+            # replaced preset in force again.
+            return False
+        self.configuration = configuration
+        return True
+
+    def receive(self, update: messages.ConfigurationUpdate) -> bool:
+        """Takes an update; says whether the version rose."""
+        if update.leader:
+            self.leader = update.leader
+        rose = self.adopt(update.configuration)
+        if self.ready or update.version > self.version:
+            return rose
+        if update.ready and update.sender in self._others:
+            self._heard.add(update.sender)
+        self.ready = update.from_leader or len(self._heard) >= self._needed
+        return rose
+
+    def poll(self, now: float) -> list[messages.Send]:
+        """Asks for news when it is due."""
+        if now < self._next_poll:
+            return []
+        self._next_poll = now + POLL_PERIOD_S
+        request = messages.ConfigurationRequest(self._node, self.version)
+        nodes = dict.fromkeys([*self._others, self.leader])
+        return [
+            messages.Send(node, request)
+            for node in nodes
+            if node and node != self._node
+        ]
--- /dev/null
+++ b/src/hickorylead/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log that orders changes of the configuration."""
--- /dev/null
+++ b/src/hickorylead/consensus/log.py
@@ -0,0 +1,104 @@
+"""The log of a voter in memory, above its snapshot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorylead.configuration import changes, model
+from hickorylead.consensus import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+EMPTY = messages.Snapshot(0, 0, (), model.Configuration())
+
+
+class Log:
+    """Entries by index, starting right after a snapshot."""
+
+    def __init__(self) -> None:
+        """Makes an empty log with an empty snapshot."""
+        self.snapshot = EMPTY
+        self._entries: list[messages.LogEntry] = []
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the snapshot."""
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, or of the snapshot."""
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    def __len__(self) -> int:
+        """Returns how many entries stand above the snapshot."""
+        return len(self._entries)
+
+    def get_term(self, index: int) -> int | None:
+        """Returns the term at an index; None where it is not known."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        entry = self.get_entry(index)
+        return entry.term if entry else None
+
+    def get_entry(self, index: int) -> messages.LogEntry | None:
+        """Returns the entry at an index, if it is above the snapshot."""
+        place = index - self.snapshot.index - 1
+        if 0 <= place < len(self._entries):
+            return self._entries[place]
+        return None
+
+    def list_from(
+        self, index: int, limit: int
+    ) -> tuple[messages.LogEntry, ...]:
+        """Returns up to `limit` entries from an index on."""
+        place = max(0, index - self.snapshot.index - 1)
+        return tuple(self._entries[place : place + limit])
+
+    def append(self, entries: Iterable[messages.LogEntry]) -> None:
+        """Adds entries that follow the last one."""
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise ValueError(
+                    f"entry {entry.index} does not follow {self.last_index}"
+                )
+            self._entries.append(entry)
+
+    def truncate(self, index: int) -> None:
+        """Drops the entries from an index on."""
+        del self._entries[max(0, index - self.snapshot.index - 1) :]
+
+    def install(self, snapshot: messages.Snapshot) -> None:
+        """Replaces everything up to the snapshot's index by it."""
+        if self.get_term(snapshot.index) == snapshot.term:
+            kept = self._entries[snapshot.index - self.snapshot.index :]
+        else:
+            kept = []
+        self.snapshot = snapshot
+        self._entries = kept
+
+    def find_voters(self) -> tuple[str, ...]:
+        """Returns the members that vote, by the newest entry that says so.
+
+        A set of voters counts from when it is appended, committed or not: a
+        leader that waited for the commit could count a majority of the old
+        set after the new one had already chosen another leader.
+        """
+        for entry in reversed(self._entries):
+            match entry.change.operation:
+                case changes.SetVoters(voters):
+                    return voters
+        return self.snapshot.voters
+
+    def replay(self, record: messages.Record) -> None:
+        """Applies a journal record that concerns the log."""
+        match record:
+            case messages.TruncateLog(index):
+                self.truncate(index)
+            case messages.AppendLog(entries):
+                self.append(entries)
+            case messages.InstallSnapshot(snapshot):
+                self.install(snapshot)
+            case messages.HardState():
+                pass
--- /dev/null
+++ b/src/hickorylead/consensus/voter.py
@@ -0,0 +1,649 @@
+"""One voter of the configuration log, as a reducer.
+
+A leader is elected by a majority of the voters and appends changes; a change
+is committed once a majority has synced it, and only then answered. Times are
+seconds of a monotonic clock, given with each call.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Literal
+
+import attrs
+
+from hickorylead.configuration import changes, model
+from hickorylead.consensus import log as log_module
+from hickorylead.consensus import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    import random
+
+HEARTBEAT_S = 0.5
+ELECTION_MIN_S = 2.0
+ELECTION_MAX_S = 4.0
+JOIN_PERIOD_S = 1.0
+MAX_ENTRIES_PER_APPEND = 64
+SNAPSHOT_EVERY = 256
+REMEMBERED_OUTCOMES = 8192
+
+Role = Literal["follower", "candidate", "leader"]
+
+
+@attrs.define
+class Progress:
+    """What a leader knows about one other member."""
+
+    next_index: int
+    match_index: int = 0
+    heard_at: float = 0.0
+
+
+class Voter:
+    """State of one voter; every method returns effects in order."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: str,
+        peers: tuple[str, ...],
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Makes a voter that knows nothing yet.
+
+        Args:
+            node: Name of this control process.
+            peers: Names of the other control processes, members or not.
+            incarnation: Name of the data folder's present life.
+            rng: Source of the spread of election timeouts.
+            now: Present time.
+        """
+        self.member = f"{node}#{incarnation}"
+        self.role: Role = "follower"
+        self.leader = ""
+        self.log = log_module.Log()
+        self.commit = 0
+        self.configuration = model.Configuration()
+        self._hard = messages.HardState(cluster="", term=0)
+        self._peers = peers
+        self._rng = rng
+        self._outcomes: collections.OrderedDict[str, changes.Outcome] = (
+            collections.OrderedDict()
+        )
+        self._applied = 0
+        self._votes: set[str] = set()
+        self._trial = False
+        self._progress: dict[str, Progress] = {}
+        self._pending: dict[int, str] = {}
+        self._heard_leader_at = now
+        self._deadline = now
+        self._next_heartbeat = now
+        self._next_join = now
+        self._reset_deadline(now)
+
+    @property
+    def term(self) -> int:
+        """The present term."""
+        return self._hard.term
+
+    @property
+    def cluster(self) -> str:
+        """Id of the cluster; empty until this voter belongs to one."""
+        return self._hard.cluster
+
+    @property
+    def voters(self) -> tuple[str, ...]:
+        """The members that vote, as this voter knows them."""
+        return self.log.find_voters()
+
+    def restore(self, records: Iterable[messages.Record]) -> None:
+        """Replays the journal; to be called once, before anything else."""
+        for record in records:
+            if isinstance(record, messages.HardState):
+                self._hard = record
+            self.log.replay(record)
+        self._load_snapshot()
+
+    def export(self) -> list[messages.Record]:
+        """Returns the records that amount to all this voter must keep."""
+        rest = self.log.list_from(self.log.snapshot.index + 1, len(self.log))
+        records: list[messages.Record] = [
+            self._hard,
+            messages.InstallSnapshot(self.log.snapshot),
+        ]
+        return [*records, messages.AppendLog(rest)] if rest else records
+
+    def found(self, cluster: str, voters: tuple[str, ...]) -> list:
+        """Starts a cluster; an answer of no effects means there is one."""
+        if self.cluster:
+            return []
+        snapshot = attrs.evolve(log_module.EMPTY, voters=voters)
+        self.log.install(snapshot)
+        self._deadline = self._heard_leader_at
+        return [
+            *self._set_hard(cluster=cluster),
+            messages.Persist(messages.InstallSnapshot(snapshot)),
+        ]
+
+    def has_leader(self, now: float) -> bool:
+        """Says whether a leader with a majority was heard of lately."""
+        if self.role == "leader":
+            return self._has_majority(now)
+        return (
+            self.leader != "" and now - self._heard_leader_at < ELECTION_MAX_S
+        )
+
+    def leads(self, now: float) -> bool:
+        """Says whether this voter leads and knows all that is committed.
+
+        A new leader holds every committed entry, but only an entry of its own
+        term shows it which ones they are.
+        """
+        return (
+            self.role == "leader"
+            and self._has_majority(now)
+            and self.log.get_term(self.commit) == self.term
+        )
+
+    def tick(self, now: float) -> list[messages.Effect]:
+        """Lets time pass; to be called several times a second."""
+        if self.role == "leader":
+            return self._tick_leader(now)
+        if self.cluster and self.member in self.voters:
+            return self._start_election(now) if now >= self._deadline else []
+        if now >= self._next_join:
+            self._next_join = now + JOIN_PERIOD_S
+            join = messages.JoinRequest(self.member)
+            return [messages.Send(node, join) for node in self._peers]
+        return []
+
+    def propose(
+        self, change: changes.Change, now: float
+    ) -> list[messages.Effect]:
+        """Appends a change; only a leader with a majority may be asked."""
+        known = self._outcomes.get(change.change_id)
+        if known is not None:
+            return [messages.Answer(known)]
+        if change.change_id in self._pending.values():
+            return []
+        entry = messages.LogEntry(self.log.last_index + 1, self.term, change)
+        self._pending[entry.index] = change.change_id
+        return [*self._append([entry]), *self._replicate(now)]
+
+    def receive(
+        self, message: messages.Message, now: float
+    ) -> list[messages.Effect]:
+        """Handles a message of another voter."""
+        match message:
+            case messages.VoteRequest():
+                return self._receive_vote_request(message, now)
+            case messages.VoteReply():
+                return self._receive_vote_reply(message, now)
+            case messages.AppendRequest():
+                return self._receive_append(message, now)
+            case messages.SnapshotRequest():
+                return self._receive_snapshot(message, now)
+            case messages.AppendReply():
+                return self._receive_append_reply(message, now)
+            case messages.JoinRequest(member):
+                return self._receive_join(member, now)
+
+    # Elections.
+
+    def _start_election(self, now: float) -> list[messages.Effect]:
+        # A voter that was cut off would come back with a high term and depose
+        # a working leader. A trial vote, which changes nobody's term, is
+        # refused while a leader is heard, so it never gets that far.
+        self._reset_deadline(now)
+        self.role = "candidate"
+        self.leader = ""
+        self._trial = True
+        self._votes = {self.member}
+        return self._ask_votes(self.term + 1) or self._count_votes(now)
+
+    def _ask_votes(self, term: int) -> list[messages.Effect]:
+        return [
+            messages.Send(
+                messages.get_node(voter),
+                messages.VoteRequest(
+                    cluster=self.cluster,
+                    recipient=voter,
+                    candidate=self.member,
+                    term=term,
+                    last_index=self.log.last_index,
+                    last_term=self.log.last_term,
+                    trial=self._trial,
+                ),
+            )
+            for voter in self.voters
+            if voter != self.member
+        ]
+
+    def _count_votes(self, now: float) -> list[messages.Effect]:
+        if not self._is_majority(self._votes):
+            return []
+        if self._trial:
+            self._trial = False
+            self._votes = {self.member}
+            effects = self._set_hard(term=self.term + 1, voted_for=self.member)
+            return [
+                *effects,
+                *self._ask_votes(self.term),
+                *self._count_votes(now),
+            ]
+        return self._become_leader(now)
+
+    def _receive_vote_request(
+        self, request: messages.VoteRequest, now: float
+    ) -> list[messages.Effect]:
+        if request.recipient != self.member or not self._accepts_cluster(
+            request.cluster
+        ):
+            return []
+        up_to_date = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        effects: list[messages.Effect] = []
+        if request.trial:
+            granted = (
+                up_to_date
+                and request.term > self.term
+                and not self.has_leader(now)
+            )
+        else:
+            effects += self._join_cluster(request.cluster)
+            if request.term > self.term:
+                effects += self._step_down(request.term, now)
+            granted = (
+                up_to_date
+                and request.term == self.term
+                and self._hard.voted_for in ("", request.candidate)
+            )
+            if granted:
+                effects += self._set_hard(voted_for=request.candidate)
+                self._reset_deadline(now)
+        reply = messages.VoteReply(
+            self.member, self.term, granted, request.trial
+        )
+        node = messages.get_node(request.candidate)
+        return [*effects, messages.Send(node, reply)]
+
+    def _receive_vote_reply(
+        self, reply: messages.VoteReply, now: float
+    ) -> list[messages.Effect]:
+        if reply.term > self.term:
+            return self._step_down(reply.term, now)
+        if (
+            self.role != "candidate"
+            or reply.trial != self._trial
+            or not reply.granted
+            or (not reply.trial and reply.term != self.term)
+        ):
+            return []
+        self._votes.add(reply.voter)
+        return self._count_votes(now)
+
+    def _become_leader(self, now: float) -> list[messages.Effect]:
+        self.role = "leader"
+        self.leader = self.member
+        self._progress = {
+            voter: Progress(self.log.last_index + 1, heard_at=now)
+            for voter in self.voters
+            if voter != self.member
+        }
+        # Entries of earlier terms count as committed only below an entry of
+        # this term: a majority that holds them could still be overruled.
+        no_change = changes.Change("", -1, changes.NoChange())
+        entry = messages.LogEntry(self.log.last_index + 1, self.term, no_change)
+        return [*self._append([entry]), *self._replicate(now)]
+
+    def _step_down(self, term: int, now: float) -> list[messages.Effect]:
+        effects: list[messages.Effect] = []
+        if term > self.term:
+            effects += self._set_hard(term=term, voted_for="")
+        if self.role == "leader":
+            effects += [
+                messages.Abandon(change_id)
+                for change_id in self._pending.values()
+                if change_id
+            ]
+            self._pending.clear()
+            self._reset_deadline(now)
+        self.role = "follower"
+        self.leader = ""
+        return effects
+
+    # The leader's side of replication.
+
+    def _tick_leader(self, now: float) -> list[messages.Effect]:
+        # A leader that is cut off silently still believes that it leads. Its
+        # callers would wait for ever, and its reads would be old. It stops
+        # once it has not heard a majority for the shortest election timeout,
+        # before anyone else can have been elected.
+        if not self._has_majority(now):
+            return self._step_down(self.term, now)
+        return self._replicate(now) if now >= self._next_heartbeat else []
+
+    def _has_majority(self, now: float) -> bool:
+        heard = {
+            member
+            for member, progress in self._progress.items()
+            if now - progress.heard_at < ELECTION_MIN_S
+        }
+        return self._is_majority(heard | {self.member})
+
+    def _replicate(self, now: float) -> list[messages.Effect]:
+        self._next_heartbeat = now + HEARTBEAT_S
+        effects = self._advance_commit(now)
+        for member in sorted(self._progress):
+            effects += self._send_entries(member)
+        return effects
+
+    def _send_entries(self, member: str) -> list[messages.Effect]:
+        progress = self._progress[member]
+        previous = progress.next_index - 1
+        term = self.log.get_term(previous)
+        node = messages.get_node(member)
+        if term is None:
+            snapshot = self._make_snapshot()
+            return [
+                messages.Send(
+                    node,
+                    messages.SnapshotRequest(
+                        self.cluster, member, self.member, self.term, snapshot
+                    ),
+                )
+            ]
+        entries = self.log.list_from(
+            progress.next_index, MAX_ENTRIES_PER_APPEND
+        )
+        return [
+            messages.Send(
+                node,
+                messages.AppendRequest(
+                    cluster=self.cluster,
+                    recipient=member,
+                    leader=self.member,
+                    term=self.term,
+                    previous_index=previous,
+                    previous_term=term,
+                    entries=entries,
+                    commit=self.commit,
+                ),
+            )
+        ]
+
+    def _receive_append_reply(
+        self, reply: messages.AppendReply, now: float
+    ) -> list[messages.Effect]:
+        if reply.term > self.term:
+            return self._step_down(reply.term, now)
+        progress = self._progress.get(reply.member)
+        if self.role != "leader" or reply.term != self.term or not progress:
+            return []
+        progress.heard_at = now
+        if not reply.matched:
+            progress.next_index = max(
+                1, min(progress.next_index - 1, reply.index + 1)
+            )
+            return self._send_entries(reply.member)
+        progress.match_index = max(progress.match_index, reply.index)
+        progress.next_index = max(progress.next_index, reply.index + 1)
+        effects = self._advance_commit(now)
+        if self.role == "leader" and progress.next_index <= (
+            self.log.last_index
+        ):
+            effects += self._send_entries(reply.member)
+        return [*effects, *self._admit_learner(reply.member, now)]
+
+    def _advance_commit(self, now: float) -> list[messages.Effect]:
+        for index in range(self.log.last_index, self.commit, -1):
+            if self.log.get_term(index) != self.term:
+                break
+            holders = {
+                member
+                for member, progress in self._progress.items()
+                if progress.match_index >= index
+            }
+            if self._is_majority(holders | {self.member}):
+                return self._commit_to(index, now)
+        return []
+
+    # Changes of the set of voters, one at a time.
+
+    def _receive_join(self, member: str, now: float) -> list[messages.Effect]:
+        if self.role != "leader" or member in self.voters:
+            return []
+        if self._is_changing_voters():
+            return []
+        node = messages.get_node(member)
+        lost = [v for v in self.voters if messages.get_node(v) == node]
+        if lost:
+            # The old incarnation goes first: two sets that differ by one
+            # member always share a majority, two that swap one do not.
+            remaining = [v for v in self.voters if v not in lost]
+            self._progress.pop(lost[0], None)
+            return self._propose_voters(remaining, now)
+        if member not in self._progress:
+            self._progress[member] = Progress(
+                self.log.last_index + 1, heard_at=now
+            )
+        return self._send_entries(member)
+
+    def _admit_learner(self, member: str, now: float) -> list[messages.Effect]:
+        if member in self.voters or self._is_changing_voters():
+            return []
+        if self._progress[member].match_index < self.commit:
+            return []
+        return self._propose_voters([*self.voters, member], now)
+
+    def _propose_voters(
+        self, voters: list[str], now: float
+    ) -> list[messages.Effect]:
+        change = changes.Change(
+            "", -1, changes.SetVoters(tuple(sorted(voters)))
+        )
+        entry = messages.LogEntry(self.log.last_index + 1, self.term, change)
+        return [*self._append([entry]), *self._replicate(now)]
+
+    def _is_changing_voters(self) -> bool:
+        # Until an entry of this term is committed, a change of voters that
+        # an earlier leader began could still be in some log.
+        if self.log.get_term(self.commit) != self.term:
+            return True
+        rest = self.log.list_from(self.commit + 1, len(self.log))
+        return any(
+            isinstance(entry.change.operation, changes.SetVoters)
+            for entry in rest
+        )
+
+    # The follower's side of replication.
+
+    def _follow(
+        self, cluster: str, leader: str, term: int, now: float
+    ) -> list[messages.Effect]:
+        effects = self._join_cluster(cluster)
+        if term > self.term or self.role != "follower":
+            effects += self._step_down(term, now)
+        self.leader = leader
+        self._heard_leader_at = now
+        self._reset_deadline(now)
+        return effects
+
+    def _receive_append(
+        self, request: messages.AppendRequest, now: float
+    ) -> list[messages.Effect]:
+        if request.recipient != self.member or not self._accepts_cluster(
+            request.cluster
+        ):
+            return []
+        node = messages.get_node(request.leader)
+        if request.term < self.term:
+            stale = messages.AppendReply(self.member, self.term, False, 0)
+            return [messages.Send(node, stale)]
+        effects = self._follow(
+            request.cluster, request.leader, request.term, now
+        )
+        known = self.log.get_term(request.previous_index)
+        if request.previous_index < self.log.snapshot.index:
+            # All of it up to the snapshot is committed, so it agrees.
+            known = request.previous_term
+        if known != request.previous_term:
+            hint = min(self.log.last_index, request.previous_index - 1)
+            reply = messages.AppendReply(self.member, self.term, False, hint)
+            return [*effects, messages.Send(node, reply)]
+        effects += self._merge_entries(request.entries)
+        agreed = request.previous_index + len(request.entries)
+        effects += self._commit_to(min(request.commit, agreed), now)
+        reply = messages.AppendReply(self.member, self.term, True, agreed)
+        return [*effects, messages.Send(node, reply)]
+
+    def _merge_entries(
+        self, entries: tuple[messages.LogEntry, ...]
+    ) -> list[messages.Effect]:
+        effects: list[messages.Effect] = []
+        for place, entry in enumerate(entries):
+            if entry.index <= self.log.snapshot.index:
+                continue
+            known = self.log.get_term(entry.index)
+            if known == entry.term:
+                continue
+            if known is not None:
+                self.log.truncate(entry.index)
+                effects.append(
+                    messages.Persist(messages.TruncateLog(entry.index))
+                )
+            return [*effects, *self._append(entries[place:])]
+        return effects
+
+    def _receive_snapshot(
+        self, request: messages.SnapshotRequest, now: float
+    ) -> list[messages.Effect]:
+        if request.recipient != self.member or not self._accepts_cluster(
+            request.cluster
+        ):
+            return []
+        if request.term < self.term:
+            return []
+        effects = self._follow(
+            request.cluster, request.leader, request.term, now
+        )
+        snapshot = request.snapshot
+        if snapshot.index > self.commit:
+            self.log.install(snapshot)
+            effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
+            self._load_snapshot()
+            effects.append(messages.Apply(self.configuration))
+        reply = messages.AppendReply(
+            self.member, self.term, True, max(self.commit, snapshot.index)
+        )
+        node = messages.get_node(request.leader)
+        return [*effects, messages.Send(node, reply)]
+
+    # What all roles share.
+
+    def _append(
+        self, entries: Iterable[messages.LogEntry]
+    ) -> list[messages.Effect]:
+        added = tuple(entries)
+        self.log.append(added)
+        return [messages.Persist(messages.AppendLog(added))]
+
+    def _commit_to(self, index: int, now: float) -> list[messages.Effect]:
+        if index <= self.commit:
+            return []
+        self.commit = index
+        effects: list[messages.Effect] = []
+        before = self.configuration.version
+        while self._applied < self.commit:
+            entry = self.log.get_entry(self._applied + 1)
+            assert entry is not None, "a committed entry is in the log"
+            effects += self._apply(entry)
+        if self.configuration.version != before:
+            effects.append(messages.Apply(self.configuration))
+        if self.role == "leader" and self.member not in self.voters:
+            effects += self._step_down(self.term, now)
+        if len(self.log) >= 2 * SNAPSHOT_EVERY:
+            snapshot = self._make_snapshot()
+            self.log.install(snapshot)
+            effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
+        return effects
+
+    def _apply(self, entry: messages.LogEntry) -> list[messages.Effect]:
+        self._applied = entry.index
+        self._pending.pop(entry.index, None)
+        change = entry.change
+        if isinstance(change.operation, changes.NoChange | changes.SetVoters):
+            return []
+        outcome = self._outcomes.get(change.change_id)
+        if outcome is None:
+            self.configuration, outcome = changes.apply_change(
+                self.configuration, change
+            )
+            self._outcomes[change.change_id] = outcome
+            # An answer that was forgotten is no danger: the resend names an
+            # old version, so it loses instead of taking effect twice.
+            while len(self._outcomes) > REMEMBERED_OUTCOMES:
+                self._outcomes.popitem(last=False)
+        return [messages.Answer(outcome)]
+
+    def _make_snapshot(self) -> messages.Snapshot:
+        index = self._applied
+        term = self.log.get_term(index)
+        assert term is not None, "the last applied entry is known"
+        voters = self.log.snapshot.voters
+        for entry in self.log.list_from(
+            self.log.snapshot.index + 1, index - self.log.snapshot.index
+        ):
+            match entry.change.operation:
+                case changes.SetVoters(newer):
+                    voters = newer
+        return messages.Snapshot(
+            index=index,
+            term=term,
+            voters=voters,
+            configuration=self.configuration,
+            outcomes=tuple(self._outcomes.values()),
+        )
+
+    def _load_snapshot(self) -> None:
+        snapshot = self.log.snapshot
+        self.commit = self._applied = snapshot.index
+        self.configuration = snapshot.configuration
+        self._outcomes = collections.OrderedDict(
+            (outcome.change_id, outcome) for outcome in snapshot.outcomes
+        )
+
+    def _accepts_cluster(self, cluster: str) -> bool:
+        return cluster != "" and self.cluster in ("", cluster)
+
+    def _join_cluster(self, cluster: str) -> list[messages.Effect]:
+        if self.cluster:
+            return []
+        return self._set_hard(cluster=cluster)
+
+    def _set_hard(
+        self,
+        *,
+        cluster: str | None = None,
+        term: int | None = None,
+        voted_for: str | None = None,
+    ) -> list[messages.Effect]:
+        old = self._hard
+        self._hard = messages.HardState(
+            cluster=old.cluster if cluster is None else cluster,
+            term=old.term if term is None else term,
+            voted_for=old.voted_for if voted_for is None else voted_for,
+        )
+        return [] if old == self._hard else [messages.Persist(self._hard)]
+
+    def _is_majority(self, members: set[str]) -> bool:
+        voters = set(self.voters)
+        return 2 * len(members & voters) > len(voters)
+
+    def _reset_deadline(self, now: float) -> None:
+        self._deadline = now + self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
--- /dev/null
+++ b/src/hickorylead/errors.py
@@ -0,0 +1,41 @@
+"""The family of errors that end a command, and their exit codes."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+
+class HickoryleadError(Exception):
+    """Base of all errors that end a command with a plain message."""
+
+    exit_code: ClassVar[int] = 1
+
+
+class SettingsError(HickoryleadError):
+    """Settings are missing or out of range; nothing was started."""
+
+    exit_code = 2
+
+
+class ConflictError(HickoryleadError):
+    """A change lost against another one made from the same version."""
+
+    exit_code = 3
+
+
+class RefusedError(HickoryleadError):
+    """The system refused a change or a question; the message says why."""
+
+    exit_code = 4
+
+
+class UnreachableError(HickoryleadError):
+    """No entry answered, or the answer was lost on the way."""
+
+    exit_code = 5
+
+
+class DataFolderError(HickoryleadError):
+    """The data folder is corrupt, or belongs to another VM."""
+
+    exit_code = 6
--- /dev/null
+++ b/src/hickorylead/lease/__init__.py
@@ -0,0 +1,1 @@
+"""The lease that picks one placement process for each zone."""
--- /dev/null
+++ b/src/hickorylead/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend servers are present, by their own announcements."""
--- /dev/null
+++ b/src/hickorylead/membership/listener.py
@@ -0,0 +1,101 @@
+"""The entry's side: servers announce to it, it reports only the edges."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.membership import announcements, messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+SILENCE_S = 3.5
+DIGEST_PERIOD_S = 1.0
+
+
+@attrs.define
+class Heard:
+    """The last announcement of one server."""
+
+    announcement: announcements.Announcement
+    at: float
+
+
+def hash_states(states: Iterable[announcements.ServerState]) -> int:
+    """Returns a hash over states that does not depend on their order."""
+    total = 0
+    for state in states:
+        digest = hashlib.blake2b(repr(state).encode(), digest_size=7)
+        total ^= int.from_bytes(digest.digest(), "big")
+    return total
+
+
+class Listener:
+    """Announcements that one entry hears."""
+
+    def __init__(self, *, entry: str, controls: tuple[str, ...]) -> None:
+        """Makes a listener that has heard nobody.
+
+        Args:
+            entry: Name of this entry.
+            controls: Control processes of the zone, which are told.
+        """
+        self._entry = entry
+        self._controls = controls
+        self._heard: dict[str, Heard] = {}
+        self._next_digest = 0.0
+
+    def list_states(self) -> list[announcements.ServerState]:
+        """Returns the state of each server heard."""
+        return [h.announcement.state for h in self._heard.values()]
+
+    def hear(
+        self, announcement: announcements.Announcement, now: float
+    ) -> list[messages.Send]:
+        """Takes an announcement; tells of it only if the state changed."""
+        vm = announcement.state.vm
+        before = self._heard.get(vm)
+        self._heard[vm] = Heard(announcement, now)
+        if before and before.announcement.state == announcement.state:
+            return []
+        return self._tell(messages.Edge(self._entry, announcement.state))
+
+    def tick(self, now: float, configuration: int) -> list[messages.Send]:
+        """Drops servers that fell silent, and sends the digest when due."""
+        silent = [vm for vm, h in self._heard.items() if now - h.at > SILENCE_S]
+        effects: list[messages.Send] = []
+        for vm in silent:
+            del self._heard[vm]
+            effects += self._tell(messages.Gone(self._entry, vm))
+        if now >= self._next_digest:
+            self._next_digest = now + DIGEST_PERIOD_S
+            effects += self._tell(self._make_digest(configuration))
+        return effects
+
+    def resend(self, control: str) -> list[messages.Send]:
+        """Tells one control process everything, as edges."""
+        return [
+            messages.Send(control, messages.Edge(self._entry, state))
+            for state in self.list_states()
+        ]
+
+    def _make_digest(self, configuration: int) -> messages.Digest:
+        states = self.list_states()
+        loads = tuple(
+            messages.LeaderLoad(vm, h.announcement.load)
+            for vm, h in sorted(self._heard.items())
+            if h.announcement.state.rank == 0 and h.announcement.state.service
+        )
+        return messages.Digest(
+            entry=self._entry,
+            count=len(states),
+            check=hash_states(states),
+            loads=loads,
+            configuration=configuration,
+        )
+
+    def _tell(self, message: messages.Message) -> list[messages.Send]:
+        return [messages.Send(node, message) for node in self._controls]
--- /dev/null
+++ b/src/hickorylead/placement/groups.py
@@ -0,0 +1,102 @@
+"""Replica groups as the holder of the zone lease knows them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.membership import announcements
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from hickorylead.membership import registry
+
+
+@attrs.define
+class Group:
+    """One replica group.
+
+    Attributes:
+        name: Unique in the deployment; never used again.
+        service: Service it runs.
+        weights: Weights its members hold or load.
+        domain: Fabric domain of all members.
+        generation: Rises each time the member list changes.
+        vms: Members by rank; empty names are members that are lost.
+        broken_since: Since when a member is lost; None if none is.
+        draining_since: Since when it takes no new work; None if it does.
+        was_whole: Whether it has served.
+    """
+
+    name: str
+    service: str
+    weights: str
+    domain: str
+    generation: int
+    vms: list[str]
+    broken_since: float | None = None
+    draining_since: float | None = None
+    was_whole: bool = False
+
+    @property
+    def size(self) -> int:
+        """VMs the group needs."""
+        return len(self.vms)
+
+
+def is_whole(group: Group, members: Mapping[str, registry.Member]) -> bool:
+    """Says whether every VM of a group is present and ready to serve.
+
+    Only what the VMs announce counts: an order may have been lost, refused,
+    or overtaken by an older one, and the group must not serve then.
+    """
+    for rank, vm in enumerate(group.vms):
+        member = members.get(vm)
+        if member is None:
+            return False
+        state = member.state
+        if (
+            state.phase != announcements.PHASE_READY
+            or state.group != group.name
+            or state.generation != group.generation
+            or state.rank != rank
+            or state.size != group.size
+            or state.domain != group.domain
+        ):
+            return False
+    return group.size > 0
+
+
+def adopt_groups(members: Mapping[str, registry.Member]) -> dict[str, Group]:
+    """Returns the groups that the present servers say they belong to.
+
+    A new holder of the lease takes these over instead of building its own:
+    what runs goes on running.
+    """
+    newest: dict[str, int] = {}
+    for member in members.values():
+        state = member.state
+        if state.group:
+            known = newest.get(state.group, 0)
+            newest[state.group] = max(known, state.generation)
+    groups: dict[str, Group] = {}
+    for vm, member in sorted(members.items()):
+        state = member.state
+        if not state.group or state.generation != newest[state.group]:
+            continue
+        group = groups.setdefault(
+            state.group,
+            Group(
+                name=state.group,
+                service=state.service,
+                weights=state.weights,
+                domain=state.domain,
+                generation=state.generation,
+                vms=[""] * state.size,
+            ),
+        )
+        if state.rank < group.size and not group.vms[state.rank]:
+            group.vms[state.rank] = vm
+    return groups
--- /dev/null
+++ b/src/hickorylead/placement/orders.py
@@ -0,0 +1,58 @@
+"""Orders to backend servers, as the published interface has them."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+
+@attrs.frozen
+class Assign:
+    """Makes a server a member of a replica group.
+
+    A server that belongs to another group refuses it: it must be released
+    first. So no order, however late, puts a VM into two groups.
+
+    Attributes:
+        vm: Server ordered.
+        address: Its `ip:port`.
+        fence: Fencing number of the holder of the zone lease.
+        group: Replica group.
+        generation: Generation of the member list.
+        rank: The server's place in the group.
+        members: Addresses of all members, by rank.
+        service: Service that the group runs.
+        weights: Weights to load, as `Service.weights` names them.
+    """
+
+    vm: str
+    address: str
+    fence: int
+    group: str
+    generation: int
+    rank: int
+    members: tuple[str, ...]
+    service: str
+    weights: str
+
+
+@attrs.frozen
+class Release:
+    """Takes a server out of a replica group."""
+
+    vm: str
+    address: str
+    fence: int
+    group: str
+    generation: int
+
+
+Order: TypeAlias = Assign | Release
+
+
+@attrs.frozen
+class Give:
+    """Effect: give an order to its server, unless the lease has ended."""
+
+    order: Order
--- /dev/null
+++ b/src/hickorylead/placement/planner.py
@@ -0,0 +1,465 @@
+"""The holder's decisions: form groups, repair them, drain them, release VMs.
+
+The planner sees the present servers and the configuration, and gives orders.
+What it believes is soft: a new holder rebuilds it from announcements.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.membership import announcements
+from hickorylead.placement import groups as groups_module
+from hickorylead.placement import orders
+
+if TYPE_CHECKING:
+    from hickorylead.configuration import model
+    from hickorylead.membership import registry
+    from hickorylead.placement.groups import Group
+
+ORDER_RETRY_S = 3.0
+# Entries hear within two seconds that a group drains; until then they may
+# still send it work, so it is not released before.
+DRAIN_MIN_S = 5.0
+
+
+@attrs.frozen
+class Policy:
+    """The trade between group downtime and stranded accelerators.
+
+    Attributes:
+        spares: Free VMs to keep in each fabric domain when a service that
+            already has a serving group asks for one more.
+        hold_broken_s: How long a broken group may hold its survivors while
+            no spare is free, in seconds.
+        max_loads: Groups of one zone that may load weights at a time.
+    """
+
+    spares: int = 1
+    hold_broken_s: float = 30.0
+    max_loads: int = 8
+
+
+@attrs.define
+class Pending:
+    """An order given, not yet seen in an announcement."""
+
+    order: orders.Order
+    given_at: float
+
+
+class Planner:
+    """Placement in one zone, by the process that holds its lease."""
+
+    def __init__(self, *, zone: str, policy: Policy) -> None:
+        """Makes a planner that knows no group.
+
+        Args:
+            zone: The zone it decides for.
+            policy: The trade that the operators chose.
+        """
+        self._zone = zone
+        self._policy = policy
+        self._pending: dict[str, Pending] = {}
+        self._counter = 0
+        self.groups: dict[str, Group] = {}
+        self._members: dict[str, registry.Member] = {}
+        self._drained: frozenset[str] = frozenset()
+        self._ranks: dict[str, int] = {}
+        self._fence = 0
+        self._now = 0.0
+        self._given: list[orders.Give] = []
+
+    def adopt(self, members: dict[str, registry.Member]) -> None:
+        """Takes over what runs; to be called when the lease is new."""
+        self._pending.clear()
+        self.groups = groups_module.adopt_groups(members)
+
+    def plan(
+        self,
+        *,
+        members: dict[str, registry.Member],
+        configuration: model.Configuration,
+        fence: int,
+        now: float,
+    ) -> list[orders.Give]:
+        """Returns the orders that the present state asks for."""
+        self._members = members
+        self._drained = frozenset(configuration.drained)
+        self._fence = fence
+        self._now = now
+        self._given = []
+        self._forget_done_orders()
+        self._check_groups()
+        self._repair_groups()
+        shares = configuration.list_shares(self._zone)
+        self._ranks = {s.name: s.rank for s in configuration.services}
+        self._balance_services(shares)
+        self._release_drained()
+        self._release_strays()
+        return self._given
+
+    def is_serving(self, group: Group) -> bool:
+        """Says whether entries may send new work to a group."""
+        return group.draining_since is None and groups_module.is_whole(
+            group, self._members
+        )
+
+    def count_stranded(self) -> int:
+        """Returns how many healthy VMs sit in no serving group."""
+        serving = {
+            vm
+            for group in self.groups.values()
+            if groups_module.is_whole(group, self._members)
+            for vm in group.vms
+        }
+        return sum(
+            1
+            for vm, member in self._members.items()
+            if member.state.kind == announcements.KIND_ENGINE
+            and vm not in serving
+        )
+
+    # What the announcements say.
+
+    def _forget_done_orders(self) -> None:
+        for vm, pending in list(self._pending.items()):
+            member = self._members.get(vm)
+            if member is None or _is_done(pending.order, member.state):
+                del self._pending[vm]
+
+    def _check_groups(self) -> None:
+        for group in list(self.groups.values()):
+            for rank, vm in enumerate(group.vms):
+                if vm and not self._belongs(group, rank, vm):
+                    group.vms[rank] = ""
+            if groups_module.is_whole(group, self._members):
+                group.was_whole = True
+            if all(group.vms):
+                group.broken_since = None
+            elif group.broken_since is None:
+                group.broken_since = self._now
+            if not any(group.vms):
+                del self.groups[group.name]
+
+    def _belongs(self, group: Group, rank: int, vm: str) -> bool:
+        member = self._members.get(vm)
+        if member is None:
+            return False
+        state = member.state
+        if state.phase == announcements.PHASE_LEAVING:
+            # It finishes what it has; the group drains, see below.
+            return state.group == group.name
+        if vm in self._pending:
+            return True
+        return (
+            state.group == group.name
+            and state.generation == group.generation
+            and state.rank == rank
+        )
+
+    # Repair.
+
+    def _repair_groups(self) -> None:
+        for group in list(self.groups.values()):
+            if group.broken_since is None:
+                if any(self._is_unwanted(vm) for vm in group.vms):
+                    self._drain(group)
+                continue
+            self._repair(group)
+
+    def _is_unwanted(self, vm: str) -> bool:
+        state = self._members[vm].state
+        return vm in self._drained or (
+            state.phase == announcements.PHASE_LEAVING
+        )
+
+    def _repair(self, group: Group) -> None:
+        if group.draining_since is not None:
+            self._disband(group)
+            return
+        lost = [rank for rank, vm in enumerate(group.vms) if not vm]
+        spares = self._list_free(group.domain, group.weights)
+        if len(spares) >= len(lost):
+            for rank, vm in zip(lost, spares, strict=False):
+                group.vms[rank] = vm
+            group.generation += 1
+            group.broken_since = None
+            self._assign_all(group)
+            return
+        assert group.broken_since is not None
+        held_s = self._now - group.broken_since
+        # Survivors that wait for a spare serve nobody. They are given back at
+        # once where a whole group can be formed from free VMs elsewhere, and
+        # in any case after the time the operators chose.
+        if held_s >= self._policy.hold_broken_s or self._find_domain(
+            group.size, group.weights, self._policy.spares
+        ):
+            self._disband(group)
+
+    def _disband(self, group: Group) -> None:
+        del self.groups[group.name]
+        for vm in group.vms:
+            if vm:
+                self._release(vm, group.name, group.generation)
+
+    # What is wanted against what there is.
+
+    def _balance_services(
+        self, shares: list[tuple[model.Service, int]]
+    ) -> None:
+        """Brings up what is missing first, then drains what is too many.
+
+        Where free VMs do not suffice, surplus groups are drained at once, as
+        nothing else can make room.
+        """
+        missing = short = False
+        for service, wanted in shares:
+            current, old = self._list_live(service)
+            while len(current) < wanted:
+                # The weight store is rate-limited: many loads at once would
+                # all be late. Services come in the order of their rank, so
+                # the first loads are the most urgent.
+                if self._count_loading() >= self._policy.max_loads:
+                    break
+                group = self._form(service, has_group=bool(current))
+                if group is None:
+                    short = True
+                    self._make_room(service, old)
+                    break
+                current.append(group)
+            serving = sum(1 for g in current if self.is_serving(g))
+            missing = missing or serving < wanted
+        if short or not missing:
+            self._drain_surplus(shares)
+
+    def _list_live(
+        self, service: model.Service
+    ) -> tuple[list[Group], list[Group]]:
+        """Returns a service's undrained groups: as wanted now, and older."""
+        current: list[Group] = []
+        old: list[Group] = []
+        for group in self.groups.values():
+            if group.service != service.name or (
+                group.draining_since is not None
+            ):
+                continue
+            fits = (
+                group.weights == service.weights
+                and group.size == service.group_size
+            )
+            (current if fits else old).append(group)
+        return current, old
+
+    def _drain_surplus(self, shares: list[tuple[model.Service, int]]) -> None:
+        names = {service.name for service, wanted in shares if wanted}
+        for group in self.groups.values():
+            if group.service not in names:
+                self._drain(group)
+        for service, wanted in shares:
+            current, old = self._list_live(service)
+            serving = sum(1 for g in current if self.is_serving(g))
+            keep_old = max(0, wanted - serving)
+            surplus = self._order_surplus(old)[: max(0, len(old) - keep_old)]
+            too_many = max(0, len(current) - wanted)
+            surplus += self._order_surplus(current)[:too_many]
+            for group in surplus:
+                self._drain(group)
+
+    def _order_surplus(self, groups: list[Group]) -> list[Group]:
+        """Returns groups, first those whose end costs least."""
+
+        def weigh(group: Group) -> tuple[bool, int, str]:
+            member = self._members.get(group.vms[0])
+            load = member.load if member else announcements.Load()
+            busy = load.running + load.queued
+            return (self.is_serving(group), busy, group.name)
+
+        return sorted(groups, key=weigh)
+
+    def _make_room(self, service: model.Service, old: list[Group]) -> None:
+        """Drains one group so that a wanted one can be formed.
+
+        The old version of the same service goes first. Only then is a group
+        of a lower rank taken, and only for a service with nothing serving:
+        otherwise a shortage would be moved around, and each move costs a
+        load.
+        """
+        if any(g.draining_since is not None for g in self.groups.values()):
+            return
+        if old:
+            self._drain(self._order_surplus(old)[0])
+            return
+        if any(
+            self.is_serving(g) or g.broken_since is None
+            for g in self.groups.values()
+            if g.service == service.name
+        ):
+            return
+        lower = [
+            g
+            for g in self.groups.values()
+            if self._ranks.get(g.service, 0) > service.rank
+            and g.size >= service.group_size
+        ]
+        if lower:
+            self._drain(self._order_surplus(lower)[0])
+
+    def _form(self, service: model.Service, has_group: bool) -> Group | None:
+        spares = self._policy.spares if has_group else 0
+        domain = self._find_domain(service.group_size, service.weights, spares)
+        if domain is None:
+            return None
+        vms = self._list_free(domain, service.weights)[: service.group_size]
+        self._counter += 1
+        group = groups_module.Group(
+            name=f"{service.name}/{self._zone}/{self._fence}-{self._counter}",
+            service=service.name,
+            weights=service.weights,
+            domain=domain,
+            generation=1,
+            vms=vms,
+        )
+        self.groups[group.name] = group
+        self._assign_all(group)
+        return group
+
+    def _count_loading(self) -> int:
+        return sum(
+            1
+            for g in self.groups.values()
+            if g.draining_since is None
+            and g.broken_since is None
+            and not groups_module.is_whole(g, self._members)
+        )
+
+    def _find_domain(self, size: int, weights: str, spares: int) -> str | None:
+        """Returns the domain with room for a group, best filled first.
+
+        A domain that already holds the weights comes first; among the others
+        the fullest one that still fits, so that large groups find room later.
+        """
+        free: dict[str, list[str]] = collections.defaultdict(list)
+        for vm in self._list_free(None, weights):
+            free[self._members[vm].state.domain].append(vm)
+        fitting = [d for d, vms in free.items() if len(vms) >= size + spares]
+        if not fitting:
+            return None
+
+        def weigh(domain: str) -> tuple[int, int, str]:
+            holders = sum(
+                1
+                for vm in free[domain]
+                if self._members[vm].state.weights == weights
+            )
+            return (-min(holders, size), len(free[domain]), domain)
+
+        return min(fitting, key=weigh)
+
+    def _list_free(self, domain: str | None, weights: str) -> list[str]:
+        """Returns free VMs, those that hold the weights first."""
+        taken = {vm for g in self.groups.values() for vm in g.vms}
+        free = [
+            (m.state.weights != weights, vm)
+            for vm, m in self._members.items()
+            if m.state.kind == announcements.KIND_ENGINE
+            and m.state.phase != announcements.PHASE_LEAVING
+            and not m.state.group
+            and vm not in taken
+            and vm not in self._pending
+            and vm not in self._drained
+            and m.unheard_since is None
+            and (domain is None or m.state.domain == domain)
+        ]
+        return [vm for _, vm in sorted(free)]
+
+    # Ends of groups.
+
+    def _drain(self, group: Group) -> None:
+        if group.draining_since is None:
+            group.draining_since = self._now
+
+    def _release_drained(self) -> None:
+        for group in list(self.groups.values()):
+            if group.draining_since is None:
+                continue
+            if self._now - group.draining_since < DRAIN_MIN_S:
+                continue
+            member = self._members.get(group.vms[0])
+            load = member.load if member else announcements.Load()
+            if load.running + load.queued == 0:
+                self._disband(group)
+
+    def _release_strays(self) -> None:
+        """Frees VMs that announce a group they are not part of.
+
+        They come back from a pause after their group was repaired, or took
+        an order that a former holder gave late.
+        """
+        listed = {
+            vm: group
+            for group in self.groups.values()
+            for vm in group.vms
+            if vm
+        }
+        for vm, member in self._members.items():
+            state = member.state
+            group = listed.get(vm)
+            if not state.group or (group and group.name == state.group):
+                continue
+            if vm not in self._pending or self._is_late(vm):
+                self._release(vm, state.group, state.generation)
+        for vm, pending in list(self._pending.items()):
+            if vm in listed and self._is_late(vm):
+                self._give(pending.order)
+
+    def _is_late(self, vm: str) -> bool:
+        return self._now - self._pending[vm].given_at >= ORDER_RETRY_S
+
+    # Orders.
+
+    def _assign_all(self, group: Group) -> None:
+        addresses = tuple(self._members[vm].state.address for vm in group.vms)
+        for rank, vm in enumerate(group.vms):
+            self._give(
+                orders.Assign(
+                    vm=vm,
+                    address=addresses[rank],
+                    fence=self._fence,
+                    group=group.name,
+                    generation=group.generation,
+                    rank=rank,
+                    members=addresses,
+                    service=group.service,
+                    weights=group.weights,
+                )
+            )
+
+    def _release(self, vm: str, group: str, generation: int) -> None:
+        member = self._members.get(vm)
+        if member is None:
+            return
+        self._give(
+            orders.Release(
+                vm, member.state.address, self._fence, group, generation
+            )
+        )
+
+    def _give(self, order: orders.Order) -> None:
+        order = attrs.evolve(order, fence=self._fence)
+        self._pending[order.vm] = Pending(order, self._now)
+        self._given.append(orders.Give(order))
+
+
+def _is_done(order: orders.Order, state: announcements.ServerState) -> bool:
+    match order:
+        case orders.Assign():
+            return (
+                state.group == order.group
+                and state.generation == order.generation
+            )
+        case orders.Release():
+            return state.group != order.group
--- /dev/null
+++ b/src/hickorylead/rendezvous.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing: a stable choice among names for a key."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def score_name(key: str, name: str) -> int:
+    """Returns the weight of a name for a key; the highest one is chosen."""
+    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Returns the names, the first choice for the key first.
+
+    When a name is removed only the keys that chose it move, and they spread
+    over all the names that remain.
+    """
+    return sorted(names, key=lambda name: (-score_name(key, name), name))
--- /dev/null
+++ b/src/hickorylead/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The top reducers of the long-running roles, and their seam."""
--- /dev/null
+++ b/src/hickorylead/roles/control.py
@@ -0,0 +1,387 @@
+"""The reducer of a control process.
+
+It holds claims, takes part in its zone's lease, follows the configuration,
+and votes on it if it has a data folder.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.claims import holder as claim_holder
+from hickorylead.claims import messages as claim_messages
+from hickorylead.configuration import changes, follower, messages
+from hickorylead.consensus import messages as consensus_messages
+from hickorylead.consensus import voter as voter_module
+from hickorylead.lease import messages as lease_messages
+from hickorylead.lease import zone as lease_zone
+from hickorylead.membership import messages as member_messages
+from hickorylead.membership import registry as registry_module
+from hickorylead.placement import planner
+from hickorylead.roles import nodes, seam, status, zoneholder
+from hickorylead.routing import messages as routing_messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+    import random
+
+
+@attrs.frozen
+class Identity:
+    """Who a control process is.
+
+    Attributes:
+        node: Its name.
+        controls: All control processes of all zones, by the settings.
+        incarnation: Name of the data folder's present life; empty without a
+            data folder.
+    """
+
+    node: str
+    controls: tuple[str, ...]
+    incarnation: str = ""
+
+
+class Control:
+    """State of one control process."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        policy: planner.Policy,
+        max_skew_s: float,
+        records: Sequence[consensus_messages.Record],
+        rng: random.Random,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Makes a control process that has just started.
+
+        Args:
+            identity: Who it is.
+            policy: Trade between downtime and stranded accelerators.
+            max_skew_s: Largest difference between any two clocks.
+            records: Its journal, if it has a data folder.
+            rng: Source of the spread of timeouts.
+            now: Monotonic time.
+            wall: Wall-clock time, in Unix seconds.
+        """
+        self._identity = identity
+        self._zone = nodes.get_zone(identity.node)
+        by_zone = nodes.group_by_zone(identity.controls)
+        zone_controls = by_zone[self._zone]
+        self._voter: voter_module.Voter | None = None
+        self._follower = follower.Follower(
+            node=identity.node, controls=zone_controls, is_control=True
+        )
+        if identity.incarnation:
+            others = [n for n in identity.controls if n != identity.node]
+            self._voter = voter_module.Voter(
+                node=identity.node,
+                incarnation=identity.incarnation,
+                peers=tuple(others),
+                rng=rng,
+                now=now,
+            )
+            self._voter.restore(records)
+            self._follower.adopt(self._voter.configuration)
+        self._lease = lease_zone.Lease(
+            node=identity.node, nodes=zone_controls, rng=rng, now=now
+        )
+        self._registry = registry_module.Registry()
+        self._holder = zoneholder.ZoneHolder(
+            node=identity.node,
+            controls=identity.controls,
+            registry=self._registry,
+            lease=self._lease,
+            policy=policy,
+        )
+        self._claims = claim_holder.Holder(
+            node=identity.node, started_at=wall, max_skew_s=max_skew_s
+        )
+        self._askers: dict[str, str] = {}
+        self._identities: dict[str, messages.IdentityReply] = {}
+        self._founding: messages.FoundRequest | None = None
+
+    @property
+    def version(self) -> int:
+        """Configuration version that it holds."""
+        return self._follower.version
+
+    @property
+    def voter(self) -> voter_module.Voter | None:
+        """Its vote on the configuration, if it has a data folder."""
+        return self._voter
+
+    def may_order(self, now: float) -> bool:
+        """Says whether an order may be given; asked right before each one."""
+        return self._holder.may_order(now)
+
+    def reduce(
+        self, event: seam.ControlEvent, now: float
+    ) -> list[seam.ControlEffect]:
+        """Handles one event and returns what is to be done."""
+        match event:
+            case seam.Tick():
+                return self._tick(now)
+            case seam.MessageArrived(sender, message, wall):
+                return self._receive(sender, message, now, wall)
+
+    def _tick(self, now: float) -> list[seam.ControlEffect]:
+        effects: list[seam.ControlEffect] = []
+        if self._voter is not None:
+            effects += self._wrap_votes(self._voter.tick(now), now)
+            if self._voter.leads(now):
+                self._follower.ready = True
+        self._registry.tick(now)
+        for member in self._registry.members.values():
+            self._lease.observe(member.state.fence)
+        effects += _wrap(self._lease.tick(now))
+        effects += _wrap(self._follower.poll(now))
+        for effect in self._holder.tick(self._follower.configuration, now):
+            effects += _wrap([effect])
+        return effects
+
+    def _receive(
+        self, sender: str, message: seam.Message, now: float, wall: float
+    ) -> list[seam.ControlEffect]:
+        match message:
+            case (
+                member_messages.Edge()
+                | member_messages.Gone()
+                | member_messages.Digest()
+                | member_messages.ResendRequest()
+            ):
+                return _wrap(self._registry.receive(message, now))
+            case (
+                claim_messages.ClaimRequest()
+                | claim_messages.ClaimReply()
+                | claim_messages.ClaimRelease()
+                | claim_messages.ClaimFinish()
+            ):
+                return _wrap(self._claims.receive(message, wall))
+            case lease_messages.LeaseRequest() | lease_messages.LeaseReply():
+                return _wrap(self._lease.receive(message, now))
+            case (
+                routing_messages.TableUpdate() | routing_messages.TableRequest()
+            ):
+                return _wrap(self._holder.receive(message, sender, now))
+            case (
+                consensus_messages.VoteRequest()
+                | consensus_messages.VoteReply()
+                | consensus_messages.AppendRequest()
+                | consensus_messages.AppendReply()
+                | consensus_messages.SnapshotRequest()
+                | consensus_messages.JoinRequest()
+            ):
+                if self._voter is None:
+                    return []
+                return self._wrap_votes(self._voter.receive(message, now), now)
+            case status.StatusRequest(entry, token):
+                reply = status.StatusReply(token, self.describe(now))
+                return [seam.Send(entry, reply)]
+            case status.ExplainRequest(_, _, request_id):
+                entry_node = nodes.find_entry(request_id)
+                if entry_node not in self._registry.entries:
+                    return []
+                return [seam.Send(entry_node, message)]
+            case status.StatusReply() | status.ExplainReply():
+                return []
+            case _:
+                return self._receive_configuration(message, now)
+
+    # The configuration.
+
+    def _receive_configuration(
+        self, message: messages.Message, now: float
+    ) -> list[seam.ControlEffect]:
+        match message:
+            case messages.ConfigurationRequest(node, version):
+                return [seam.Send(node, self._make_update(version, now))]
+            case messages.ConfigurationUpdate():
+                rose = self._follower.receive(message)
+                return self._tell_entries(now) if rose else []
+            case messages.ChangeRequest(entry, change):
+                return self._take_change(entry, change, now)
+            case messages.IdentityRequest(node):
+                member = self._voter.member if self._voter else ""
+                cluster = self._voter.cluster if self._voter else ""
+                identity = messages.IdentityReply(
+                    self._identity.node, member, cluster
+                )
+                return [seam.Send(node, identity)]
+            case messages.FoundRequest():
+                self._founding = message
+                self._identities = {}
+                ask = messages.IdentityRequest(self._identity.node)
+                return [seam.Send(n, ask) for n in self._identity.controls]
+            case messages.IdentityReply():
+                return self._found(message, now)
+            case messages.ChangeReply() | messages.FoundReply():
+                return []
+
+    def _make_update(
+        self, known_version: int, now: float
+    ) -> messages.ConfigurationUpdate:
+        update = messages.ConfigurationUpdate(
+            sender=self._identity.node,
+            ready=self._follower.ready,
+            from_leader=bool(self._voter and self._voter.leads(now)),
+            leader=self._find_leader(now),
+            version=self._follower.version,
+        )
+        if self._follower.version <= known_version:
+            return update
+        return attrs.evolve(update, configuration=self._follower.configuration)
+
+    def _find_leader(self, now: float) -> str:
+        """Returns the control process that leads the log, if it is known."""
+        if self._voter is None:
+            return self._follower.leader
+        if not self._voter.has_leader(now):
+            return ""
+        return consensus_messages.get_node(self._voter.leader)
+
+    def _take_change(
+        self, entry: str, change: changes.Change, now: float
+    ) -> list[seam.ControlEffect]:
+        voter = self._voter
+        if voter and voter.role == "leader" and voter.has_leader(now):
+            self._askers[change.change_id] = entry
+            return self._wrap_votes(voter.propose(change, now), now)
+        leader = self._find_leader(now)
+        if leader == self._identity.node:
+            leader = ""
+        outcome = changes.Outcome(
+            change.change_id,
+            accepted=False,
+            version=self._follower.version,
+            reason="no_leader",
+            detail="no leader with a majority of the voters is known here",
+        )
+        return [
+            seam.Send(
+                entry, messages.ChangeReply(outcome, False, leader=leader)
+            )
+        ]
+
+    def _wrap_votes(
+        self, effects: Iterable[consensus_messages.Effect], now: float
+    ) -> list[seam.ControlEffect]:
+        wrapped: list[seam.ControlEffect] = []
+        for effect in effects:
+            match effect:
+                case consensus_messages.Send(node, message):
+                    wrapped.append(seam.Send(node, message))
+                case consensus_messages.Persist():
+                    wrapped.append(effect)
+                case consensus_messages.Apply(configuration):
+                    if self._follower.adopt(configuration):
+                        wrapped += self._tell_controls(now)
+                        wrapped += self._tell_entries(now)
+                case consensus_messages.Answer(outcome):
+                    wrapped += self._answer(outcome, final=True)
+                case consensus_messages.Abandon(change_id):
+                    outcome = changes.Outcome(
+                        change_id,
+                        accepted=False,
+                        version=self._follower.version,
+                        reason="leader_lost",
+                        detail="the leader lost its majority",
+                    )
+                    wrapped += self._answer(outcome, final=False)
+        return wrapped
+
+    def _answer(
+        self, outcome: changes.Outcome, *, final: bool
+    ) -> list[seam.ControlEffect]:
+        entry = self._askers.pop(outcome.change_id, None)
+        if entry is None:
+            return []
+        reply = messages.ChangeReply(outcome, final, lost=not final)
+        return [seam.Send(entry, reply)]
+
+    def _tell_controls(self, now: float) -> list[seam.ControlEffect]:
+        if self._voter is None or self._voter.role != "leader":
+            return []
+        update = self._make_update(-1, now)
+        return [
+            seam.Send(node, update)
+            for node in self._identity.controls
+            if node != self._identity.node
+        ]
+
+    def _tell_entries(self, now: float) -> list[seam.ControlEffect]:
+        update = self._make_update(-1, now)
+        return [
+            seam.Send(entry, update) for entry in sorted(self._registry.entries)
+        ]
+
+    # The start of a cluster.
+
+    def _found(
+        self, reply: messages.IdentityReply, now: float
+    ) -> list[seam.ControlEffect]:
+        """Starts the cluster once every control process has answered.
+
+        All must answer, because one that is not asked could belong to a
+        cluster already, and its accepted changes would be lost from sight.
+        """
+        founding, voter = self._founding, self._voter
+        if founding is None or voter is None:
+            return []
+        self._identities[reply.node] = reply
+        if reply.cluster:
+            self._founding = None
+            detail = f"{reply.node} belongs to cluster {reply.cluster}"
+            done = reply.cluster == founding.cluster
+            refused = messages.FoundReply(founding.cluster, done, detail)
+            return [seam.Send(founding.entry, refused)]
+        if set(self._identities) != set(self._identity.controls):
+            return []
+        self._founding = None
+        members = [r.member for r in self._identities.values() if r.member]
+        detail = f"started with {len(members)} voters"
+        done_reply = messages.FoundReply(founding.cluster, True, detail)
+        voters = tuple(sorted(members))
+        effects = self._wrap_votes(voter.found(founding.cluster, voters), now)
+        return [*effects, seam.Send(founding.entry, done_reply)]
+
+    # Status.
+
+    def describe(self, now: float) -> status.ControlStatus:
+        """Returns the status of this process and, as holder, of its zone."""
+        is_holder = self._lease.is_held(now)
+        return status.ControlStatus(
+            node=self._identity.node,
+            zone=self._zone,
+            version=self._follower.version,
+            preset=self._follower.configuration.preset,
+            leader=self._find_leader(now),
+            is_leader=bool(self._voter and self._voter.leads(now)),
+            is_holder=is_holder,
+            fence=self._lease.number if is_holder else 0,
+            members=len(self._registry.members),
+            largest_domain=self._holder.find_largest_domain(),
+            stranded=self._holder.count_stranded() if is_holder else 0,
+            downtime_s=round(self._holder.downtime_s, 3),
+            services=self._holder.services if is_holder else (),
+            groups=self._holder.describe_groups() if is_holder else (),
+            entries=tuple(
+                status.EntryStatus(name, record.configuration)
+                for name, record in sorted(self._registry.entries.items())
+            ),
+        )
+
+
+def _wrap(effects: Iterable) -> list[seam.ControlEffect]:
+    """Returns the effects of the parts as effects of the role."""
+    return [
+        effect
+        if isinstance(effect, planner.orders.Give)
+        else seam.Send(effect.node, effect.message)
+        for effect in effects
+    ]
--- /dev/null
+++ b/src/hickorylead/roles/nodes.py
@@ -0,0 +1,43 @@
+"""Names of processes: `zone/vm/role`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+ENTRY = "entry"
+CONTROL = "control"
+
+
+def name_node(zone: str, vm: str, role: str) -> str:
+    """Returns the name of a process."""
+    return f"{zone}/{vm}/{role}"
+
+
+def get_zone(node: str) -> str:
+    """Returns the zone of a process."""
+    return node.partition("/")[0]
+
+
+def group_by_zone(nodes: Iterable[str]) -> dict[str, tuple[str, ...]]:
+    """Returns the nodes of each zone, sorted."""
+    zones: dict[str, list[str]] = {}
+    for node in sorted(nodes):
+        zones.setdefault(get_zone(node), []).append(node)
+    return {zone: tuple(names) for zone, names in zones.items()}
+
+
+def name_request(entry: str, boot: int, count: int) -> str:
+    """Returns a request id, which tells which entry took the request."""
+    zone, vm, _ = entry.split("/")
+    return f"{zone}.{vm}.{boot:x}-{count:x}"
+
+
+def find_entry(request_id: str) -> str | None:
+    """Returns the entry that took a request, by its id."""
+    parts = request_id.split(".")
+    if len(parts) != 3 or not all(parts):
+        return None
+    return name_node(parts[0], parts[1], ENTRY)
--- /dev/null
+++ b/src/hickorylead/roles/seam.py
@@ -0,0 +1,185 @@
+"""The seam between the reducers and whatever runs them.
+
+A role is `reduce(event, now) -> effects`. Nothing below this seam reads a
+clock, a socket, a disk or unseeded random numbers, so that hundreds of nodes
+can be built inside one process with time and the network given from outside.
+Effects are to be carried out in their order; `Persist` must be on disk before
+the next one.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+from hickorylead.claims import messages as claim_messages
+from hickorylead.configuration import changes
+from hickorylead.configuration import messages as config_messages
+from hickorylead.consensus import messages as consensus_messages
+from hickorylead.lease import messages as lease_messages
+from hickorylead.membership import announcements
+from hickorylead.membership import messages as member_messages
+from hickorylead.placement import orders
+from hickorylead.requests import events as request_events
+from hickorylead.roles import status
+from hickorylead.routing import messages as routing_messages
+
+Message: TypeAlias = (
+    claim_messages.Message
+    | config_messages.Message
+    | consensus_messages.Message
+    | lease_messages.Message
+    | member_messages.Message
+    | routing_messages.Message
+    | status.Message
+)
+
+
+@attrs.frozen
+class Tick:
+    """Event: time has passed; to be given about every TICK_S.
+
+    Attributes:
+        wall: Wall-clock time, in Unix seconds.
+    """
+
+    wall: float
+
+
+TICK_S = 0.1
+
+
+@attrs.frozen
+class MessageArrived:
+    """Event: a message of another process of the system.
+
+    Attributes:
+        sender: Its node name.
+        message: The message.
+        wall: Wall-clock time, in Unix seconds.
+    """
+
+    sender: str
+    message: Message
+    wall: float
+
+
+@attrs.frozen
+class AnnouncementArrived:
+    """Event: a backend server announced itself to this entry."""
+
+    announcement: announcements.Announcement
+
+
+@attrs.frozen
+class ChangeSubmitted:
+    """Event: an operator submitted a change to this entry."""
+
+    change: changes.Change
+
+
+@attrs.frozen
+class StatusAsked:
+    """Event: an operator asked this entry for the status."""
+
+    token: str
+
+
+@attrs.frozen
+class ExplainAsked:
+    """Event: an operator asked this entry about a request."""
+
+    token: str
+    request_id: str
+
+
+@attrs.frozen
+class FoundingAsked:
+    """Event: an operator asked this entry to start a cluster."""
+
+    cluster: str
+
+
+@attrs.frozen
+class StopAsked:
+    """Event: this process is asked to stop gracefully."""
+
+
+EntryEvent: TypeAlias = (
+    Tick
+    | MessageArrived
+    | AnnouncementArrived
+    | ChangeSubmitted
+    | StatusAsked
+    | ExplainAsked
+    | FoundingAsked
+    | StopAsked
+    | request_events.Event
+)
+ControlEvent: TypeAlias = Tick | MessageArrived
+
+
+@attrs.frozen
+class Send:
+    """Effect: send a message to a node; it may be lost."""
+
+    node: str
+    message: Message
+
+
+@attrs.frozen
+class AnswerChange:
+    """Effect: answer an operator's change.
+
+    Attributes:
+        change_id: The change.
+        outcome: The answer; None if there is none.
+        may_apply: Whether it may still take effect, if there is no answer.
+    """
+
+    change_id: str
+    outcome: changes.Outcome | None
+    may_apply: bool = False
+
+
+@attrs.frozen
+class AnswerStatus:
+    """Effect: answer an operator's question for the status."""
+
+    token: str
+    controls: tuple[status.ControlStatus, ...]
+
+
+@attrs.frozen
+class AnswerExplain:
+    """Effect: answer an operator's question about a request."""
+
+    token: str
+    reply: status.ExplainReply
+
+
+@attrs.frozen
+class AnswerFounding:
+    """Effect: answer an operator's request to start a cluster."""
+
+    cluster: str
+    done: bool
+    detail: str
+
+
+@attrs.frozen
+class Stopped:
+    """Effect: everything in flight has ended; the process may leave."""
+
+
+EntryEffect: TypeAlias = (
+    Send
+    | AnswerChange
+    | AnswerStatus
+    | AnswerExplain
+    | AnswerFounding
+    | Stopped
+    | request_events.Effect
+)
+ControlEffect: TypeAlias = Send | consensus_messages.Persist | orders.Give
--- /dev/null
+++ b/src/hickorylead/roles/zoneholder.py
@@ -0,0 +1,208 @@
+"""What the holder of a zone lease does: plan, order, tell the entries."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, TypeAlias
+
+from hickorylead.placement import groups, orders
+from hickorylead.placement import planner as planner_module
+from hickorylead.roles import nodes, status
+from hickorylead.routing import messages
+from hickorylead.routing import publisher as publisher_module
+from hickorylead.routing import table as table_module
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from hickorylead.configuration import model
+    from hickorylead.lease import zone as lease_zone
+    from hickorylead.membership import registry as registry_module
+
+Effect: TypeAlias = orders.Give | messages.Send
+
+PLAN_PERIOD_S = 0.5
+# After this without news of another zone its replicas are not offered: their
+# entries are cut off, and so probably are they.
+REMOTE_SILENCE_S = 10.0
+
+
+class ZoneHolder:
+    """Placement and replica table of one zone, while the lease is held."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        controls: Sequence[str],
+        registry: registry_module.Registry,
+        lease: lease_zone.Lease,
+        policy: planner_module.Policy,
+    ) -> None:
+        """Makes the part of a process that does not hold the lease yet.
+
+        Args:
+            node: Name of this control process.
+            controls: All control processes of all zones.
+            registry: Present servers of the zone.
+            lease: The zone lease.
+            policy: Trade between downtime and stranded accelerators.
+        """
+        self._zone = nodes.get_zone(node)
+        self._node = node
+        self._registry = registry
+        self._lease = lease
+        self._others = tuple(
+            name for name in controls if nodes.get_zone(name) != self._zone
+        )
+        self._planner = planner_module.Planner(zone=self._zone, policy=policy)
+        self._publisher = publisher_module.Publisher(zone=self._zone)
+        self._remote = table_module.Table()
+        self._adopted_fence = 0
+        self._next_plan = 0.0
+        self._planned_at = 0.0
+        self._downtime_s = 0.0
+        self._services: tuple[status.ServiceStatus, ...] = ()
+
+    def tick(
+        self, configuration: model.Configuration, now: float
+    ) -> list[Effect]:
+        """Plans and publishes, if the lease allows it."""
+        for zone, remote in list(self._remote.zones.items()):
+            if now - remote.heard_at > REMOTE_SILENCE_S:
+                self._remote.forget_zone(zone)
+        if now < self._next_plan:
+            return []
+        self._next_plan = now + PLAN_PERIOD_S
+        if not self._lease.may_order(now):
+            self._adopted_fence = 0
+            return []
+        effects: list[Effect] = []
+        if not self._adopted_fence:
+            # What was believed when the lease was last held is old.
+            self._planner.adopt(self._registry.members)
+            self._planned_at = now
+        self._adopted_fence = self._lease.number
+        effects += self._planner.plan(
+            members=self._registry.members,
+            configuration=configuration,
+            fence=self._lease.number,
+            now=now,
+        )
+        self._measure(configuration, now)
+        effects += self._publisher.publish(
+            replicas=publisher_module.build_table(
+                self._registry.members, self._planner
+            ),
+            members=self._registry.members,
+            listeners=[*sorted(self._registry.entries), *self._others],
+            fence=self._lease.number,
+            now=now,
+        )
+        return effects
+
+    def receive(
+        self, message: messages.Message, sender: str, now: float
+    ) -> list[messages.Send]:
+        """Takes a table of another zone, or gives a whole one."""
+        match message:
+            case messages.TableUpdate(zone):
+                if zone == self._zone:
+                    return []
+                effects: list[messages.Send] = []
+                if self._remote.update(message, now):
+                    request = messages.TableRequest(self._node, zone)
+                    effects.append(messages.Send(sender, request))
+                if self._lease.is_held(now):
+                    effects += [
+                        messages.Send(entry, message)
+                        for entry in sorted(self._registry.entries)
+                    ]
+                return effects
+            case messages.TableRequest(node, zone):
+                return self._give_table(node, zone, now)
+
+    def may_order(self, now: float) -> bool:
+        """Says whether an order may be given at this moment."""
+        return self._lease.may_order(now)
+
+    def describe_groups(self) -> tuple[status.GroupStatus, ...]:
+        """Returns all groups, for `status`."""
+        return tuple(
+            status.GroupStatus(
+                group.name,
+                group.service,
+                group.domain,
+                self._describe_state(group),
+                tuple(group.vms),
+            )
+            for _, group in sorted(self._planner.groups.items())
+        )
+
+    @property
+    def services(self) -> tuple[status.ServiceStatus, ...]:
+        """What was wanted and what served, when it last planned."""
+        return self._services
+
+    @property
+    def downtime_s(self) -> float:
+        """Replica seconds lost while this process held the lease."""
+        return self._downtime_s
+
+    def count_stranded(self) -> int:
+        """Returns how many healthy VMs sit in no serving group."""
+        return self._planner.count_stranded()
+
+    def find_largest_domain(self) -> int:
+        """Returns the VMs of the largest fabric domain of the zone."""
+        sizes = collections.Counter(
+            member.state.domain
+            for member in self._registry.members.values()
+            if member.state.kind == "engine"
+        )
+        return max(sizes.values(), default=0)
+
+    def _give_table(
+        self, node: str, zone: str, now: float
+    ) -> list[messages.Send]:
+        if not self._lease.is_held(now):
+            return []
+        if zone == self._zone:
+            if not self._adopted_fence:
+                return []
+            full = self._publisher.make_full(self._registry.members)
+            return [messages.Send(node, full)]
+        remote = self._remote.zones.get(zone)
+        if remote is None or not remote.complete:
+            return []
+        full = messages.TableUpdate(
+            zone=zone,
+            fence=remote.fence,
+            sequence=remote.sequence,
+            full=True,
+            added=tuple(remote.replicas.values()),
+        )
+        return [messages.Send(node, full)]
+
+    def _measure(self, configuration: model.Configuration, now: float) -> None:
+        elapsed_s = now - self._planned_at
+        self._planned_at = now
+        rows = []
+        for service, wanted in configuration.list_shares(self._zone):
+            serving = sum(
+                1
+                for group in self._planner.groups.values()
+                if group.service == service.name
+                and groups.is_whole(group, self._registry.members)
+            )
+            rows.append(status.ServiceStatus(service.name, wanted, serving))
+            self._downtime_s += max(0, wanted - serving) * elapsed_s
+        self._services = tuple(rows)
+
+    def _describe_state(self, group: groups.Group) -> str:
+        if group.draining_since is not None:
+            return "draining"
+        if group.broken_since is not None:
+            return "broken"
+        whole = groups.is_whole(group, self._registry.members)
+        return "serving" if whole else "loading"
--- /dev/null
+++ b/src/hickorylead/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of a replica for a request."""
--- /dev/null
+++ b/src/hickorylead/routing/health.py
@@ -0,0 +1,113 @@
+"""What one entry has seen of each replica by its own requests."""
+
+from __future__ import annotations
+
+import statistics
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+EJECT_MIN_S = 1.0
+EJECT_MAX_S = 30.0
+SMOOTHING = 0.2
+# Beyond this a straggler gets as little as one that is twice as slow again:
+# it must keep a little traffic, or its recovery would not be seen.
+MAX_SLOWNESS = 8.0
+
+
+@attrs.define
+class Health:
+    """One replica as this entry sees it.
+
+    Attributes:
+        inflight: Requests of this entry that run there.
+        gap_s: Smoothed time between two frames; 0 before the first.
+        failures: Failures in a row.
+        ejected_until: No new work before this time.
+        sent: When each request since the last load report was sent.
+        done: When each request since the last load report ended.
+    """
+
+    inflight: int = 0
+    gap_s: float = 0.0
+    failures: int = 0
+    ejected_until: float = -1e9
+    sent: list[float] = attrs.field(factory=list)
+    done: list[float] = attrs.field(factory=list)
+
+
+class HealthBook:
+    """Health of all replicas, by group."""
+
+    def __init__(self) -> None:
+        """Makes an empty book."""
+        self._by_group: dict[str, Health] = {}
+        self._median_gap_s = 0.0
+
+    def get(self, group: str) -> Health:
+        """Returns the health of a group; a new one is well."""
+        health = self._by_group.get(group)
+        if health is None:
+            health = self._by_group[group] = Health()
+        return health
+
+    def count_start(self, group: str, now: float) -> None:
+        """Counts a request sent to a group."""
+        health = self.get(group)
+        health.inflight += 1
+        health.sent.append(now)
+
+    def count_end(self, group: str, now: float) -> None:
+        """Counts a request that ended there, well or not."""
+        health = self.get(group)
+        health.inflight = max(0, health.inflight - 1)
+        health.done.append(now)
+
+    def note_gap(self, group: str, gap_s: float) -> None:
+        """Takes the time between two frames of one stream."""
+        health = self.get(group)
+        if health.gap_s == 0.0:
+            health.gap_s = gap_s
+        else:
+            health.gap_s += SMOOTHING * (gap_s - health.gap_s)
+        health.failures = 0
+
+    def note_failure(self, group: str, now: float) -> None:
+        """Takes a failure: no new work for a while, longer each time."""
+        health = self.get(group)
+        health.failures += 1
+        pause_s = min(EJECT_MAX_S, EJECT_MIN_S * 2 ** (health.failures - 1))
+        health.ejected_until = now + pause_s
+
+    def refresh(self, groups: Iterable[str]) -> None:
+        """Drops groups that are gone, and finds the usual frame gap."""
+        known = set(groups)
+        for group in list(self._by_group):
+            if group not in known and not self._by_group[group].inflight:
+                del self._by_group[group]
+        gaps = [h.gap_s for h in self._by_group.values() if h.gap_s > 0]
+        self._median_gap_s = statistics.median(gaps) if gaps else 0.0
+
+    def get_slowness(self, group: str) -> float:
+        """Returns how many times slower than usual a group is, at least 1."""
+        gap_s = self.get(group).gap_s
+        if not self._median_gap_s or not gap_s:
+            return 1.0
+        return min(MAX_SLOWNESS, max(1.0, gap_s / self._median_gap_s))
+
+    def estimate_load(
+        self, group: str, reported: int, reported_at: float
+    ) -> int:
+        """Returns the load of a group, corrected for the report's lag.
+
+        A report says nothing of what this entry sent after it was made. What
+        is older than the report is in it, and is forgotten here.
+        """
+        health = self.get(group)
+        health.sent = [at for at in health.sent if at > reported_at]
+        health.done = [at for at in health.done if at > reported_at]
+        corrected = reported + len(health.sent) - len(health.done)
+        return max(health.inflight, corrected)
--- /dev/null
+++ b/src/hickorylead/routing/table.py
@@ -0,0 +1,108 @@
+"""The replicas known to one process, kept up to date by updates."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.routing import messages
+
+
+@attrs.define
+class ZoneTable:
+    """Replicas of one zone."""
+
+    fence: int = 0
+    sequence: int = -1
+    heard_at: float = -1e9
+    complete: bool = False
+    replicas: dict[str, messages.Replica] = attrs.field(factory=dict)
+
+
+@attrs.define
+class ReportedLoad:
+    """A load as reported.
+
+    Attributes:
+        requests: Requests that run or wait there.
+        at: When the report came.
+    """
+
+    requests: int
+    at: float
+
+
+class Table:
+    """Replicas of all zones."""
+
+    def __init__(self) -> None:
+        """Makes an empty table."""
+        self.zones: dict[str, ZoneTable] = {}
+        self.loads: dict[str, ReportedLoad] = {}
+        self._by_service: dict[str, list[messages.Replica]] | None = None
+
+    def update(self, update: messages.TableUpdate, now: float) -> bool:
+        """Takes an update; says whether the whole table must be asked for."""
+        zone = self.zones.setdefault(update.zone, ZoneTable())
+        if update.fence < zone.fence:
+            # From a holder that was replaced and does not know it yet.
+            return False
+        if update.full:
+            if update.fence == zone.fence and update.sequence < zone.sequence:
+                return False
+            zone.replicas = {}
+            zone.complete = True
+        elif update.fence != zone.fence or update.sequence not in (
+            zone.sequence,
+            zone.sequence + 1,
+        ):
+            # An update was lost; without the whole table a replica that is
+            # gone would be kept for ever. The fence is taken at once, so
+            # that the old holder is not believed meanwhile.
+            zone.complete = False
+            zone.heard_at = now
+            return True
+        elif update.sequence == zone.sequence and (
+            update.added or update.removed
+        ):
+            return False
+        zone.fence, zone.sequence = update.fence, update.sequence
+        zone.heard_at = now
+        for group in update.removed:
+            zone.replicas.pop(group, None)
+            self.loads.pop(group, None)
+        for replica in update.added:
+            zone.replicas[replica.group] = replica
+        self._take_loads(zone, update.loads, now)
+        if update.full or update.added or update.removed:
+            self._by_service = None
+        return not zone.complete
+
+    def _take_loads(self, zone: ZoneTable, loads: bytes, now: float) -> None:
+        if len(loads) != len(zone.replicas):
+            return
+        for (group, replica), value in zip(
+            sorted(zone.replicas.items()), loads, strict=True
+        ):
+            requests = round(value * replica.slots / messages.LOAD_STEPS)
+            self.loads[group] = ReportedLoad(requests, now)
+
+    def forget_zone(self, zone: str) -> None:
+        """Drops the replicas of a zone that was not heard for long."""
+        if self.zones.pop(zone, None) is not None:
+            self._by_service = None
+
+    def list_replicas(self, service: str) -> list[messages.Replica]:
+        """Returns the replicas of a service, in a stable order."""
+        if self._by_service is None:
+            self._by_service = {}
+            for _, zone in sorted(self.zones.items()):
+                for _, replica in sorted(zone.replicas.items()):
+                    self._by_service.setdefault(replica.service, []).append(
+                        replica
+                    )
+        return self._by_service.get(service, [])
+
+    def has_replica(self, replica: messages.Replica) -> bool:
+        """Says whether exactly this replica still takes requests."""
+        zone = self.zones.get(replica.zone)
+        return zone is not None and zone.replicas.get(replica.group) == replica
--- /dev/null
+++ b/src/hickorylead/runtime/backends.py
@@ -0,0 +1,246 @@
+"""Attempts on backend servers over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import orjson
+
+from hickorylead import verdict as verdict_module
+from hickorylead.requests import events, model
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorylead.telemetry import traces
+
+Verdict = verdict_module.Verdict
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_LINE_BYTES = 1024 * 1024
+
+
+class Backends:
+    """All attempts of one entry that are under way."""
+
+    def __init__(
+        self, *, deliver: Callable[[events.Event], None], tracer: traces.Tracer
+    ) -> None:
+        """Makes the connections of an entry to backend servers.
+
+        Args:
+            deliver: Called with each event of an attempt.
+            tracer: Makes a span for each attempt.
+        """
+        self._deliver = deliver
+        self._tracer = tracer
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._cancels: set[asyncio.Task[None]] = set()
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        )
+        self._pooled = aiohttp.ClientSession(
+            timeout=timeout,
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            read_bufsize=MAX_LINE_BYTES,
+        )
+        # A kept connection may have been closed or lost track of meanwhile;
+        # then it cannot be told whether the call ran. Calls that may run only
+        # once, and streams that are joined again, take a new one.
+        self._fresh = aiohttp.ClientSession(
+            timeout=timeout,
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            read_bufsize=MAX_LINE_BYTES,
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        tasks = [*self._tasks.values(), *self._cancels]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._pooled.close()
+        await self._fresh.close()
+
+    def open(self, attempt: events.OpenAttempt) -> None:
+        """Starts an attempt."""
+        task = asyncio.create_task(self._run(attempt))
+        self._tasks[attempt.attempt_id] = task
+        task.add_done_callback(
+            lambda _: self._tasks.pop(attempt.attempt_id, None)
+        )
+
+    def cancel(self, effect: events.CancelAttempt) -> None:
+        """Closes an attempt's connection and tells the server to stop."""
+        task = self._tasks.get(effect.attempt_id)
+        if task is not None:
+            task.cancel()
+        if effect.stop and effect.replica.keepalive_s:
+            stop = asyncio.create_task(self._stop(effect))
+            self._cancels.add(stop)
+            stop.add_done_callback(self._cancels.discard)
+
+    async def _stop(self, effect: events.CancelAttempt) -> None:
+        url = f"http://{effect.replica.address}/v1/cancel"
+        body = orjson.dumps({"request_id": effect.request_id})
+        try:
+            async with self._fresh.post(
+                url, data=body, timeout=aiohttp.ClientTimeout(total=2)
+            ):
+                pass
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # The server is gone, or it notices the closed connection.
+            pass
+
+    async def _run(self, attempt: events.OpenAttempt) -> None:
+        span = self._tracer.start("attempt", attempt.request.traceparent)
+        span.set_field("hickorylead.attempt", attempt.attempt_id)
+        span.set_field("hickorylead.replica", attempt.replica.group)
+        try:
+            if attempt.replica.keepalive_s:
+                event = await self._run_stream(attempt, span.traceparent)
+            else:
+                event = await self._run_call(attempt, span.traceparent)
+        except aiohttp.ClientConnectorError:
+            event = _fail(attempt, Verdict.NOT_RUN, "unreachable")
+        except aiohttp.ConnectionTimeoutError:
+            event = _fail(attempt, Verdict.NOT_RUN, "connect_timeout")
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            reason = f"broken_{type(error).__name__}"
+            event = _fail(attempt, Verdict.MAY_HAVE_RUN, reason)
+        except (orjson.JSONDecodeError, ValueError, KeyError, TypeError):
+            event = _fail(attempt, Verdict.MAY_HAVE_RUN, "bad_answer")
+        finally:
+            span.end()
+        if event is not None:
+            self._deliver(event)
+
+    async def _run_stream(
+        self, attempt: events.OpenAttempt, traceparent: str
+    ) -> events.Event | None:
+        request = attempt.request
+        path = "attach" if attempt.attach else "run"
+        session = self._fresh if attempt.attach else self._pooled
+        if request.key:
+            session = self._fresh
+        body = {
+            "request_id": request.request_id,
+            "attempt_id": attempt.attempt_id,
+            "service": request.service,
+            "group": attempt.replica.group,
+            "generation": attempt.replica.generation,
+            "position": attempt.position,
+            "text": attempt.text,
+            "urgency": request.urgency,
+            "max_tokens": request.max_tokens,
+            "request": orjson.Fragment(request.body),
+        }
+        async with session.post(
+            f"http://{attempt.replica.address}/v1/{path}",
+            data=orjson.dumps(body),
+            headers=_make_headers(traceparent),
+        ) as response:
+            if response.status != 200:
+                return await _read_refusal(attempt, response)
+            async for line in response.content:
+                frame = _read_frame(attempt.attempt_id, line)
+                self._deliver(frame)
+                if frame.finish_reason:
+                    return None
+        return _fail(attempt, Verdict.MAY_HAVE_RUN, "stream_ended")
+
+    async def _run_call(
+        self, attempt: events.OpenAttempt, traceparent: str
+    ) -> events.Event:
+        request = attempt.request
+        headers = _make_headers(traceparent)
+        headers["Content-Type"] = request.content_type
+        headers["Request-Id"] = request.request_id
+        if request.key:
+            headers["Idempotency-Key"] = request.key
+        session = self._fresh if request.key else self._pooled
+        async with session.request(
+            request.method,
+            f"http://{attempt.replica.address}/{request.path}",
+            data=request.body,
+            headers=headers,
+        ) as response:
+            if response.status == 503:
+                return await _read_refusal(attempt, response)
+            body = await response.content.read(MAX_ANSWER_BYTES + 1)
+            while not response.content.at_eof():
+                body += await response.content.read(MAX_ANSWER_BYTES)
+                if len(body) > MAX_ANSWER_BYTES:
+                    return _fail(attempt, Verdict.RAN, "answer_too_large")
+            return events.AnswerArrived(
+                attempt.attempt_id,
+                response.headers.get("Request-Id", request.request_id),
+                response.status,
+                response.headers.get("Content-Type", ""),
+                body,
+            )
+
+
+def _make_headers(traceparent: str) -> dict[str, str]:
+    headers = {"Content-Type": "application/json"}
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
+
+
+def _read_frame(attempt_id: str, line: bytes) -> events.FrameArrived:
+    found: dict[str, Any] = orjson.loads(line)
+    usage = found.get("usage") or {}
+    return events.FrameArrived(
+        attempt_id=attempt_id,
+        request_id=str(found["request_id"]),
+        position=int(found["position"]),
+        tokens=int(found["tokens"]),
+        text=str(found["text"]),
+        finish_reason=str(found.get("finish_reason") or ""),
+        usage=model.Usage(
+            prompt_tokens=int(usage.get("prompt_tokens", 0)),
+            completion_tokens=int(usage.get("completion_tokens", 0)),
+            cached_tokens=int(usage.get("cached_tokens", 0)),
+        ),
+    )
+
+
+async def _read_refusal(
+    attempt: events.OpenAttempt, response: aiohttp.ClientResponse
+) -> events.AttemptFailed:
+    """Returns the verdict on an attempt that the server refused.
+
+    Only a refusal that the server signed with its own VM name proves that it
+    did not run; anything in between could have made up the rest.
+    """
+    body = await response.content.read(MAX_LINE_BYTES)
+    try:
+        found = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        found = {}
+    if not isinstance(found, dict):
+        found = {}
+    is_signed = found.get("vm") == attempt.replica.vm
+    if is_signed and found.get("verdict") == Verdict.NOT_RUN.value:
+        reason = str(found.get("reason", "refused"))[:64]
+        retry_after = found.get("retry_after_s")
+        retry_after_s = (
+            float(retry_after) if isinstance(retry_after, int | float) else None
+        )
+        return events.AttemptFailed(
+            attempt.attempt_id, Verdict.NOT_RUN, reason, retry_after_s
+        )
+    reason = f"status_{response.status}"
+    return _fail(attempt, Verdict.MAY_HAVE_RUN, reason)
+
+
+def _fail(
+    attempt: events.OpenAttempt,
+    verdict: verdict_module.Verdict,
+    reason: str,
+) -> events.AttemptFailed:
+    return events.AttemptFailed(attempt.attempt_id, verdict, reason)
--- /dev/null
+++ b/src/hickorylead/runtime/control.py
@@ -0,0 +1,204 @@
+"""The shell of a control process."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import orjson
+from starlette import applications, responses, routing
+
+from hickorylead import errors
+from hickorylead.consensus import messages as consensus_messages
+from hickorylead.placement import orders, planner
+from hickorylead.roles import control as control_role
+from hickorylead.roles import nodes, seam
+from hickorylead.runtime import (
+    clock,
+    process,
+)
+from hickorylead.runtime import (
+    peers as peers_module,
+)
+from hickorylead.runtime import (
+    server as server_module,
+)
+from hickorylead.telemetry import logs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from starlette import requests
+
+    from hickorylead.storage import folder as folder_module
+
+ORDER_TIMEOUT_S = 1.5
+
+
+class ControlShell:
+    """Runs one control process."""
+
+    def __init__(self, settings: Mapping[str, Any]) -> None:
+        """Makes a control process; `run` starts it.
+
+        Args:
+            settings: Checked values of `settings.roles.CONTROL_OPTIONS`.
+
+        Raises:
+            errors.DataFolderError: The data folder cannot be used.
+            errors.SettingsError: The list of controls does not name this one.
+        """
+        self.settings = settings
+        self.node = nodes.name_node(
+            settings["zone"], settings["vm"], nodes.CONTROL
+        )
+        controls = settings["controls"]
+        if self.node not in controls:
+            raise errors.SettingsError(
+                f"--controls (HICKORYLEAD_CONTROLS) does not name"
+                f" {settings['zone']}/{settings['vm']}"
+            )
+        self._folder = _open_folder(settings["data_folder"], self.node)
+        self.role = control_role.Control(
+            control_role.Identity(
+                node=self.node,
+                controls=tuple(sorted(controls)),
+                incarnation=self._folder.incarnation if self._folder else "",
+            ),
+            policy=planner.Policy(
+                spares=settings["spares"],
+                hold_broken_s=settings["hold_broken_s"],
+                max_loads=settings["max_loads"],
+            ),
+            max_skew_s=settings["clock_skew_s"],
+            records=self._folder.records if self._folder else [],
+            rng=random.Random(f"{self.node} {clock.read_wall()}"),
+            now=clock.read_monotonic(),
+            wall=clock.read_wall(),
+        )
+        self.log = logs.Log(lambda: self.role.version)
+        self._orders: set[asyncio.Task[None]] = set()
+        self._peers = peers_module.Peers(
+            node=self.node,
+            address=f"{settings['address']}:{settings['peer_port']}",
+            known=controls,
+            deliver=self._receive,
+            log=self.log,
+        )
+
+    async def run(self) -> None:
+        """Serves until the process is asked to stop."""
+        timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        http = server_module.HttpServer(
+            self._make_app(),
+            self.settings["address"],
+            self.settings["http_port"],
+        )
+        await self._peers.start()
+        await http.start()
+        self.log.info("started", node=self.node)
+        ticking = asyncio.create_task(self._tick())
+        await process.wait_for_stop()
+        ticking.cancel()
+        await http.close()
+        await self._peers.close()
+        for task in self._orders:
+            task.cancel()
+        await self._session.close()
+        if self._folder is not None:
+            self._folder.close()
+        self.log.info("stopped")
+
+    def apply(self, event: seam.ControlEvent) -> None:
+        """Gives an event to the reducer and carries out its effects."""
+        for effect in self.role.reduce(event, clock.read_monotonic()):
+            match effect:
+                case seam.Send(node, message):
+                    self._peers.send(node, message)
+                case consensus_messages.Persist(record):
+                    assert self._folder is not None
+                    # The loop waits for the disk: an answer may only leave
+                    # after the sync, and changes are few.
+                    self._folder.persist(record)
+                case orders.Give(order):
+                    self._give(order)
+        if self._folder is not None and self._folder.is_long():
+            assert self.role.voter is not None
+            self._folder.rewrite(self.role.voter.export())
+
+    def _receive(self, sender: str, message: seam.Message) -> None:
+        self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
+
+    async def _tick(self) -> None:
+        while True:
+            self.apply(seam.Tick(clock.read_wall()))
+            await asyncio.sleep(seam.TICK_S)
+
+    def _give(self, order: orders.Order) -> None:
+        # The process may have been paused since the reducer decided; then
+        # the lease is over and the order belongs to the past.
+        if not self.role.may_order(clock.read_monotonic()):
+            return
+        task = asyncio.create_task(self._post(order))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _post(self, order: orders.Order) -> None:
+        kind = type(order).__name__.lower()
+        body = orjson.dumps({"kind": kind, **_dump_order(order)})
+        url = f"http://{order.address}/v1/orders"
+        try:
+            async with self._session.post(url, data=body) as response:
+                if response.status >= 300:
+                    self.log.warn(
+                        "order refused",
+                        vm=order.vm,
+                        group=order.group,
+                        status=response.status,
+                    )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self.log.warn(
+                "order lost", vm=order.vm, group=order.group, detail=str(error)
+            )
+
+    def _make_app(self) -> applications.Starlette:
+        # Imported here: only this process's scrape needs it.
+        from hickorylead.telemetry import metrics as metrics_module
+
+        metrics = metrics_module.ControlMetrics()
+
+        async def tell_health(_: requests.Request) -> responses.Response:
+            return responses.PlainTextResponse("ok\n")
+
+        async def tell_metrics(
+            request: requests.Request,
+        ) -> responses.Response:
+            metrics.set_status(self.role.describe(clock.read_monotonic()))
+            accept = request.headers.get("accept", "text/plain")
+            body, found = metrics.render([accept])
+            return responses.Response(body, headers=found)
+
+        return applications.Starlette(
+            routes=[
+                routing.Route("/healthz", tell_health),
+                routing.Route("/metrics", tell_metrics),
+            ]
+        )
+
+
+def _open_folder(path: str, node: str) -> folder_module.DataFolder | None:
+    if not path:
+        return None
+    from hickorylead.storage import folder
+
+    return folder.DataFolder(pathlib.Path(path), node)
+
+
+def _dump_order(order: orders.Order) -> dict[str, Any]:
+    from hickorylead.runtime import documents
+
+    return documents.dump(order)
--- /dev/null
+++ b/src/hickorylead/runtime/documents.py
@@ -0,0 +1,183 @@
+"""JSON documents of the published interfaces, to and from typed messages."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs import strategies
+import cattrs.gen
+import orjson
+from returns import result
+
+from hickorylead.configuration import changes, model
+from hickorylead.membership import announcements
+
+T = TypeVar("T")
+
+_OPERATION_KINDS = {
+    changes.ApplyService: "apply_service",
+    changes.DeleteService: "delete_service",
+    changes.ApplyPreset: "apply_preset",
+    changes.SwitchPreset: "switch_preset",
+    changes.DrainVm: "drain_vm",
+}
+
+
+def _make_strict() -> cattrs.Converter:
+    """Returns a converter for operators' input: a misspelt field is an error.
+
+    Taken silently, it would leave the default in force.
+    """
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    _require_types(converter)
+    strategies.configure_tagged_union(
+        changes.ApplyService
+        | changes.DeleteService
+        | changes.ApplyPreset
+        | changes.SwitchPreset
+        | changes.DrainVm,
+        converter,
+        tag_generator=lambda cls: _OPERATION_KINDS[cls],
+        tag_name="kind",
+    )
+    return converter
+
+
+def _make_lenient() -> cattrs.Converter:
+    """Returns a converter for servers' input, which may know newer fields."""
+    converter = cattrs.Converter()
+    _require_types(converter)
+    return converter
+
+
+def _require_types(converter: cattrs.Converter) -> None:
+    def require(kind: type, allowed: tuple[type, ...]) -> None:
+        def check(value: Any, _: type) -> Any:
+            if type(value) not in allowed:
+                raise ValueError(
+                    f"{value!r:.40} is not of type {kind.__name__}"
+                )
+            return kind(value)
+
+        converter.register_structure_hook(kind, check)
+
+    require(int, (int,))
+    require(str, (str,))
+    require(bool, (bool,))
+    require(float, (int, float))
+
+
+_STRICT = _make_strict()
+_LENIENT = _make_lenient()
+_PLAIN = cattrs.Converter()
+
+_Submittable = (
+    changes.ApplyService
+    | changes.DeleteService
+    | changes.ApplyPreset
+    | changes.SwitchPreset
+    | changes.DrainVm
+)
+
+
+def read_announcement(
+    data: bytes,
+) -> result.Result[announcements.Announcement, str]:
+    """Returns a backend server's announcement, or what is wrong with it."""
+    match _read(_LENIENT, data, announcements.Announcement):
+        case result.Success(found):
+            problems = announcements.check_state(found.state)
+            if problems:
+                return result.Failure("; ".join(problems))
+            return result.Success(found)
+        case result.Failure(problem):
+            return result.Failure(problem)
+    raise AssertionError("a result is a success or a failure")
+
+
+def read_change(data: bytes) -> result.Result[changes.Change, str]:
+    """Returns an operator's change, or what is wrong with it."""
+    match _load(data):
+        case result.Failure(problem):
+            return result.Failure(problem)
+        case result.Success(found):
+            pass
+    try:
+        operation: Any = _STRICT.structure(
+            found.get("operation"),
+            _Submittable,  # type: ignore[arg-type]
+        )
+        change_id, expected = found["change_id"], found["expected_version"]
+    except KeyError as error:
+        return result.Failure(f"{error.args[0]} is missing")
+    except Exception as error:  # noqa: BLE001 - the library raises many kinds
+        return result.Failure(_explain(error))
+    if not isinstance(change_id, str) or not 8 <= len(change_id) <= 64:
+        return result.Failure("change_id is not a text of 8 to 64 characters")
+    if type(expected) is not int or expected < 0:
+        return result.Failure("expected_version is not a number from 0 up")
+    return result.Success(changes.Change(change_id, expected, operation))
+
+
+def read_service(found: Any) -> result.Result[model.Service, str]:
+    """Returns the service in a JSON object."""
+    return _structure(_STRICT, found, model.Service)
+
+
+def read_preset(found: Any) -> result.Result[model.Preset, str]:
+    """Returns the preset in a JSON object."""
+    return _structure(_STRICT, found, model.Preset)
+
+
+def read_configuration(
+    found: Any,
+) -> result.Result[model.Configuration, str]:
+    """Returns the configuration in a JSON object."""
+    return _structure(_LENIENT, found, model.Configuration)
+
+
+def dump(value: Any) -> Any:
+    """Returns a typed value as JSON objects."""
+    return _PLAIN.unstructure(value)
+
+
+def dump_operation(operation: changes.Operation) -> Any:
+    """Returns an operation as the JSON object that `read_change` takes."""
+    kind = _OPERATION_KINDS[type(operation)]
+    return {"kind": kind, **_PLAIN.unstructure(operation)}
+
+
+def _read(
+    converter: cattrs.Converter, data: bytes, cls: type[T]
+) -> result.Result[T, str]:
+    match _load(data):
+        case result.Success(found):
+            return _structure(converter, found, cls)
+        case result.Failure(problem):
+            return result.Failure(problem)
+    raise AssertionError("a result is a success or a failure")
+
+
+def _load(data: bytes) -> result.Result[dict[str, Any], str]:
+    try:
+        found = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        return result.Failure(f"not JSON: {error}")
+    if not isinstance(found, dict):
+        return result.Failure("not a JSON object")
+    return result.Success(found)
+
+
+def _structure(
+    converter: cattrs.Converter, found: Any, cls: type[T]
+) -> result.Result[T, str]:
+    try:
+        return result.Success(converter.structure(found, cls))
+    except Exception as error:  # noqa: BLE001 - the library raises many kinds
+        return result.Failure(_explain(error))
+
+
+def _explain(error: Exception) -> str:
+    lines = cattrs.transform_error(error)
+    return "; ".join(line.replace("$.", "") for line in lines)
--- /dev/null
+++ b/src/hickorylead/runtime/entry.py
@@ -0,0 +1,223 @@
+"""The shell of an entry: its sockets, its clock, and its reducer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from hickorylead import verdict as verdict_module
+from hickorylead.requests import events
+from hickorylead.roles import entry as entry_role
+from hickorylead.roles import nodes, seam
+from hickorylead.runtime import (
+    backends as backends_module,
+)
+from hickorylead.runtime import (
+    callers,
+    clock,
+    operators,
+    process,
+    waiters,
+)
+from hickorylead.runtime import (
+    peers as peers_module,
+)
+from hickorylead.runtime import (
+    server as server_module,
+)
+from hickorylead.telemetry import logs, traces
+from hickorylead.telemetry import metrics as metrics_module
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+Verdict = verdict_module.Verdict
+
+
+@attrs.define
+class Answering:
+    """The caller's side of one request.
+
+    Attributes:
+        service: Service asked.
+        effects: What the reducer decided, in order.
+    """
+
+    service: str
+    effects: asyncio.Queue[events.Effect] = attrs.field(factory=asyncio.Queue)
+
+
+class EntryShell:
+    """Runs one entry."""
+
+    def __init__(self, settings: Mapping[str, Any]) -> None:
+        """Makes an entry; `run` starts it.
+
+        Args:
+            settings: Checked values of `settings.roles.ENTRY_OPTIONS`.
+        """
+        self.settings = settings
+        self.node = nodes.name_node(
+            settings["zone"], settings["vm"], nodes.ENTRY
+        )
+        controls = settings["controls"]
+        self.role = entry_role.Entry(
+            entry_role.Identity(self.node, tuple(sorted(controls))),
+            rng=random.Random(f"{self.node} {clock.read_wall()}"),
+        )
+        self.log = logs.Log(lambda: self.role.configuration.version)
+        self.metrics = metrics_module.EntryMetrics()
+        self.tracer = traces.make_tracer(
+            settings["trace_endpoint"],
+            {"zone": settings["zone"], "vm": settings["vm"]},
+        )
+        self.changes: waiters.Waiters[seam.AnswerChange] = waiters.Waiters()
+        self.statuses: waiters.Waiters[seam.AnswerStatus] = waiters.Waiters()
+        self.explains: waiters.Waiters[seam.AnswerExplain] = waiters.Waiters()
+        self.foundings: waiters.Waiters[seam.AnswerFounding] = waiters.Waiters()
+        self._answering: dict[str, Answering] = {}
+        self._boot = int(clock.read_wall() * 1000)
+        self._count = 0
+        self._stopped = asyncio.Event()
+        self._peers = peers_module.Peers(
+            node=self.node,
+            address=f"{settings['address']}:{settings['peer_port']}",
+            known=controls,
+            deliver=self._receive,
+            log=self.log,
+        )
+
+    async def run(self) -> None:
+        """Serves until the process is asked to stop, then drains."""
+        self._backends = backends_module.Backends(
+            deliver=self.apply, tracer=self.tracer
+        )
+        http = server_module.HttpServer(
+            callers.make_app(self, operators.make_routes(self)),
+            self.settings["address"],
+            self.settings["caller_port"],
+        )
+        await self._peers.start()
+        await http.start()
+        self.log.info("started", node=self.node)
+        tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(
+                process.export_traces(
+                    self.tracer, self.settings["trace_endpoint"]
+                )
+            ),
+        ]
+        await process.wait_for_stop()
+        self.log.info("stopping", open=self.role.dispatcher.count_open())
+        http.stop_listening()
+        self.apply(seam.StopAsked())
+        try:
+            async with asyncio.timeout(self.settings["drain_s"]):
+                await self._stopped.wait()
+        except TimeoutError:
+            self.log.warn(
+                "requests cut by the end of the drain time",
+                open=self.role.dispatcher.count_open(),
+            )
+        await http.close()
+        for task in tasks:
+            task.cancel()
+        await self._peers.close()
+        await self._backends.close()
+        self.log.info("stopped")
+
+    def name_request(self) -> str:
+        """Returns an id for a new request."""
+        self._count += 1
+        return nodes.name_request(self.node, self._boot, self._count)
+
+    def open_answer(self, request_id: str, service: str) -> Answering:
+        """Makes the place where a request's effects arrive."""
+        answering = self._answering[request_id] = Answering(service)
+        return answering
+
+    def close_answer(self, request_id: str) -> None:
+        """Forgets a request; if it had no final answer, its caller left."""
+        if self._answering.pop(request_id, None) is not None:
+            self.apply(events.CallerLeft(request_id))
+
+    def apply(self, event: seam.EntryEvent) -> None:
+        """Gives an event to the reducer and carries out its effects."""
+        for effect in self.role.reduce(event, clock.read_monotonic()):
+            self._carry_out(effect)
+
+    def _receive(self, sender: str, message: seam.Message) -> None:
+        self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
+
+    async def _tick(self) -> None:
+        while True:
+            self.apply(seam.Tick(clock.read_wall()))
+            await asyncio.sleep(seam.TICK_S)
+
+    def _carry_out(self, effect: seam.EntryEffect) -> None:
+        match effect:
+            case events.EmitText(request_id):
+                self._give(request_id, effect)
+            case seam.Send(node, message):
+                self._peers.send(node, message)
+            case events.OpenAttempt():
+                if effect.number > 1:
+                    self.metrics.count_retry(effect.request.service)
+                self._backends.open(effect)
+            case events.CancelAttempt():
+                self._backends.cancel(effect)
+            case events.FinishStream(request_id, _, usage):
+                tokens = usage.completion_tokens
+                self._end(request_id, Verdict.RAN, effect, tokens=tokens)
+            case events.GiveAnswer(request_id):
+                self._end(request_id, Verdict.RAN, effect)
+            case events.Refuse(request_id, problem):
+                answering = self._answering.get(request_id)
+                if answering is not None:
+                    self.metrics.count_refusal(answering.service, problem)
+                self._end(
+                    request_id, problem.verdict, effect, reason=problem.code
+                )
+            case seam.AnswerChange(change_id):
+                self.changes.answer(change_id, effect)
+            case seam.AnswerStatus(token):
+                self.statuses.answer(token, effect)
+            case seam.AnswerExplain(token):
+                self.explains.answer(token, effect)
+            case seam.AnswerFounding(cluster):
+                self.foundings.answer(cluster, effect)
+            case seam.Stopped():
+                self._stopped.set()
+
+    def _give(self, request_id: str, effect: events.Effect) -> None:
+        answering = self._answering.get(request_id)
+        if answering is not None:
+            answering.effects.put_nowait(effect)
+
+    def _end(
+        self,
+        request_id: str,
+        verdict: verdict_module.Verdict,
+        effect: events.Effect,
+        *,
+        tokens: int = 0,
+        reason: str = "",
+    ) -> None:
+        answering = self._answering.pop(request_id, None)
+        service = answering.service if answering else ""
+        self.metrics.count_end(service, verdict)
+        if tokens:
+            self.metrics.count_tokens(service, tokens)
+        self.log.info(
+            "request ended",
+            request_id=request_id,
+            service=service,
+            verdict=verdict.value,
+            **({"reason": reason} if reason else {}),
+        )
+        if answering is not None:
+            answering.effects.put_nowait(effect)
--- /dev/null
+++ b/src/hickorylead/runtime/server.py
@@ -0,0 +1,67 @@
+"""The HTTP server of a process, inside the process's own loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Any
+
+import uvicorn
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leaves signals to the process: a stop is graceful first."""
+        yield
+
+
+class HttpServer:
+    """Serves one application on one port."""
+
+    def __init__(self, app: Any, ip: str, port: int) -> None:
+        """Makes a server; `start` opens its port.
+
+        Args:
+            app: The ASGI application.
+            ip: IP number.
+            port: TCP port.
+        """
+        # uvloop carries io_uring code, which is ruled out on these machines.
+        config = uvicorn.Config(
+            app,
+            host=ip,
+            port=port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            timeout_graceful_shutdown=5,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Opens the port; returns once it takes connections."""
+        self._task = asyncio.create_task(self._server.serve())
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+                raise OSError("the HTTP server did not start")
+            await asyncio.sleep(0.01)
+
+    def stop_listening(self) -> None:
+        """Takes no new connections; the open ones go on."""
+        for server in self._server.servers:
+            server.close()
+
+    async def close(self) -> None:
+        """Ends the open connections and the server."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/src/hickorylead/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from flags and environment variables, checked at start."""
--- /dev/null
+++ b/src/hickorylead/settings/options.py
@@ -0,0 +1,176 @@
+"""Settings: each is a flag and an environment variable, checked at start."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from typing import TYPE_CHECKING, Any, Literal
+
+import attrs
+from returns import result
+
+from hickorylead import errors
+from hickorylead.roles import nodes
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+Kind = Literal["name", "text", "ip", "int", "float", "controls", "tokens"]
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]*")
+PREFIX = "HICKORYLEAD_"
+
+
+@attrs.frozen
+class Option:
+    """One setting.
+
+    Attributes:
+        name: Name as a Python word; the flag and the variable follow from it.
+        kind: How its text is read.
+        help: A sentence for people.
+        default: Text taken if nothing is given; None if it must be given.
+        unit: Unit of a number.
+        low: Least number allowed.
+        high: Largest number allowed.
+    """
+
+    name: str
+    kind: Kind
+    help: str
+    default: str | None = None
+    unit: str = ""
+    low: float = 0
+    high: float = math.inf
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return PREFIX + self.name.upper()
+
+    @property
+    def flag(self) -> str:
+        """The flag."""
+        return "--" + self.name.replace("_", "-")
+
+    def describe(self) -> str:
+        """Returns the help text with unit, default and variable."""
+        default = (
+            "required"
+            if self.default is None
+            else (f"default: {self.default or 'none'}")
+        )
+        unit = f"{self.unit}; " if self.unit else ""
+        return f"{self.help} [{unit}{default}; {self.variable}]"
+
+
+def read_settings(
+    options: Sequence[Option],
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> dict[str, Any]:
+    """Returns the value of every option; a flag goes before a variable.
+
+    Raises:
+        errors.SettingsError: Some are missing or wrong; it names all of them.
+    """
+    values: dict[str, Any] = {}
+    problems: list[str] = []
+    for option in options:
+        text = flags.get(option.name)
+        if text is None:
+            text = environment.get(option.variable, option.default)
+        if text is None:
+            problems.append(f"{_name(option)} is required")
+            continue
+        match _read_value(option, text):
+            case result.Success(value):
+                values[option.name] = value
+            case result.Failure(problem):
+                problems.append(f"{_name(option)}: {problem}")
+    if problems:
+        raise errors.SettingsError("\n".join(problems))
+    return values
+
+
+def _name(option: Option) -> str:
+    return f"{option.flag} ({option.variable})"
+
+
+def _read_value(option: Option, text: str) -> result.Result[Any, str]:
+    match option.kind:
+        case "text":
+            return result.Success(text)
+        case "name":
+            if _NAME.fullmatch(text):
+                return result.Success(text)
+            return result.Failure(f"{text!r} is not a name of [A-Za-z0-9_-]")
+        case "ip":
+            return _read_ip(text)
+        case "int" | "float":
+            return _read_number(option, text)
+        case "controls":
+            return _read_controls(text)
+        case "tokens":
+            return _read_tokens(text)
+
+
+def _read_ip(text: str) -> result.Result[str, str]:
+    try:
+        return result.Success(str(ipaddress.ip_address(text)))
+    except ValueError:
+        return result.Failure(f"{text!r} is not an IP number")
+
+
+def _read_number(option: Option, text: str) -> result.Result[int | float, str]:
+    try:
+        number = int(text) if option.kind == "int" else float(text)
+    except ValueError:
+        return result.Failure(f"{text!r} is not a number")
+    if not option.low <= number <= option.high:
+        return result.Failure(
+            f"{text} is not within {option.low:g}..{option.high:g}"
+        )
+    return result.Success(number)
+
+
+def _read_controls(text: str) -> result.Result[dict[str, str], str]:
+    """Reads `zone/vm=ip:port,...` into addresses by node name."""
+    found: dict[str, str] = {}
+    for item in filter(None, text.split(",")):
+        place, _, address = item.strip().partition("=")
+        zone, _, vm = place.partition("/")
+        ip, _, port = address.rpartition(":")
+        if not (_NAME.fullmatch(zone) and _NAME.fullmatch(vm)):
+            return result.Failure(f"{item!r} is not zone/vm=ip:port")
+        try:
+            ipaddress.ip_address(ip.strip("[]"))
+            number = int(port)
+        except ValueError:
+            return result.Failure(f"{item!r} is not zone/vm=ip:port")
+        if not 1 <= number <= 65535:
+            return result.Failure(f"port of {item!r} is not within 1..65535")
+        node = nodes.name_node(zone, vm, nodes.CONTROL)
+        if node in found:
+            return result.Failure(f"{place} is named twice")
+        found[node] = address
+    if not found:
+        return result.Failure("it names no control process")
+    return result.Success(found)
+
+
+def _read_tokens(text: str) -> result.Result[dict[str, str], str]:
+    """Reads `token=workspace,...` into workspaces by token."""
+    found: dict[str, str] = {}
+    for item in filter(None, text.split(",")):
+        token, _, workspace = item.strip().partition("=")
+        if len(token) < 8 or not _NAME.fullmatch(workspace):
+            # The token itself is not repeated: errors end up in logs.
+            return result.Failure(
+                "an item is not token=workspace with a token of 8 characters"
+                " or more"
+            )
+        found[token] = workspace
+    if not found:
+        return result.Failure("it names no token")
+    return result.Success(found)
--- /dev/null
+++ b/src/hickorylead/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Files under the data folder: journal, snapshot and identity."""
--- /dev/null
+++ b/src/hickorylead/storage/folder.py
@@ -0,0 +1,110 @@
+"""The data folder of a voter: whose it is, its incarnation, its journal."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import TYPE_CHECKING
+import uuid
+
+from returns import result
+
+from hickorylead import errors
+from hickorylead.consensus import messages
+from hickorylead.storage import journal
+from hickorylead.wire import codec
+
+if TYPE_CHECKING:
+    import pathlib
+
+_IDENTITY_FILE = "identity.json"
+_JOURNAL_FILE = "journal"
+# A snapshot replaces the journal when it has grown to this many records.
+REWRITE_EVERY = 1024
+
+
+class DataFolder:
+    """The files of one voter under its data folder."""
+
+    def __init__(self, path: pathlib.Path, node: str) -> None:
+        """Opens a data folder, or makes a new one.
+
+        Args:
+            path: The folder.
+            node: Name of the control process it must belong to.
+
+        Raises:
+            errors.DataFolderError: It is damaged, belongs to another VM, or
+                cannot be written.
+        """
+        try:
+            path.mkdir(parents=True, exist_ok=True)
+            self.incarnation = _open_identity(path, node)
+            self._journal = journal.Journal(path / _JOURNAL_FILE)
+        except OSError as error:
+            raise errors.DataFolderError(
+                f"data folder {path}: {error.strerror or error}"
+            ) from error
+        self.records = [
+            _decode(payload, path) for payload in self._journal.payloads
+        ]
+        self._count = len(self.records)
+
+    def persist(self, record: messages.Record) -> None:
+        """Writes a record; it is on disk when this returns."""
+        self._journal.append(codec.encode_record(record))
+        self._count += 1
+
+    def is_long(self) -> bool:
+        """Says whether the journal should be replaced by what it amounts to."""
+        return self._count >= REWRITE_EVERY
+
+    def rewrite(self, records: list[messages.Record]) -> None:
+        """Replaces the journal by records that amount to the same."""
+        self._journal.rewrite(codec.encode_record(r) for r in records)
+        self._count = len(records)
+
+    def close(self) -> None:
+        """Closes the files."""
+        self._journal.close()
+
+
+def _open_identity(path: pathlib.Path, node: str) -> str:
+    file = path / _IDENTITY_FILE
+    if not file.exists():
+        if (path / _JOURNAL_FILE).exists():
+            raise errors.DataFolderError(
+                f"data folder {path} has a journal but no {_IDENTITY_FILE}"
+            )
+        return _make_identity(file, node)
+    try:
+        found = json.loads(file.read_text(encoding="utf-8"))
+        owner, incarnation = str(found["node"]), str(found["incarnation"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.DataFolderError(f"{file} is damaged: {error}") from error
+    if owner != node:
+        raise errors.DataFolderError(
+            f"data folder {path} belongs to {owner}, not to {node}"
+        )
+    return incarnation
+
+
+def _make_identity(file: pathlib.Path, node: str) -> str:
+    incarnation = uuid.uuid4().hex[:12]
+    replacement = file.with_suffix(".new")
+    with open(replacement, "w", encoding="utf-8") as target:
+        json.dump({"node": node, "incarnation": incarnation}, target)
+        target.flush()
+        os.fsync(target.fileno())
+    os.replace(replacement, file)
+    journal.sync_folder(file.parent)
+    return incarnation
+
+
+def _decode(payload: bytes, path: pathlib.Path) -> messages.Record:
+    match codec.decode_record(payload):
+        case result.Success(record):
+            return record
+        case result.Failure(problem):
+            raise errors.DataFolderError(f"journal in {path}: {problem}")
+    raise AssertionError("a result is a success or a failure")
--- /dev/null
+++ b/src/hickorylead/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/hickorylead/telemetry/logs.py
@@ -0,0 +1,75 @@
+"""Logs as JSON lines on standard error."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any
+
+import logbook
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes each record as one JSON object."""
+
+    def __init__(self, level: str, common: dict[str, str]) -> None:
+        """Makes a handler.
+
+        Args:
+            level: Least level written.
+            common: Fields of every line: role, zone, VM.
+        """
+        super().__init__(sys.stderr, level=level.upper())
+        self._common = common
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Returns the line of a record."""
+        line = {
+            "time": record.time.isoformat(timespec="milliseconds"),
+            "level": record.level_name.lower(),
+            **self._common,
+            "message": record.message,
+            **record.extra,
+        }
+        if record.formatted_exception:
+            line["exception"] = record.formatted_exception
+        return json.dumps(line, default=str)
+
+
+class Log:
+    """Writes lines with the fields that change, such as the version."""
+
+    def __init__(self, get_version: Callable[[], int]) -> None:
+        """Makes a log.
+
+        Args:
+            get_version: Returns the configuration version now in force here.
+        """
+        self._logger = logbook.Logger("hickorylead")
+        self._get_version = get_version
+
+    def info(self, message: str, **fields: Any) -> None:
+        """Writes a line about normal work."""
+        self._logger.info(message, extra=self._add_version(fields))
+
+    def warn(self, message: str, **fields: Any) -> None:
+        """Writes a line about trouble that was handled."""
+        self._logger.warning(message, extra=self._add_version(fields))
+
+    def error(self, message: str, **fields: Any) -> None:
+        """Writes a line about a fault."""
+        self._logger.error(message, extra=self._add_version(fields))
+
+    def _add_version(self, fields: dict[str, Any]) -> dict[str, Any]:
+        return {"version": self._get_version(), **fields}
+
+
+def start_logs(level: str, *, role: str, zone: str, vm: str) -> None:
+    """Sends all log lines of this process to standard error."""
+    common = {"role": role, "zone": zone, "vm": vm}
+    JsonHandler(level, common).push_application()
--- /dev/null
+++ b/src/hickorylead/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The codec and framing between processes of the system."""
--- /dev/null
+++ b/src/hickorylead/wire/codec.py
@@ -0,0 +1,188 @@
+"""Turns messages into packed Cap'n Proto bytes and back.
+
+The reader of the library is lazy: a damaged message may only show when a field
+is read. So a whole message is read here, and any trouble is one error.
+"""
+
+from __future__ import annotations
+
+import functools
+import typing
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import capnp
+from returns import result
+
+from hickorylead.wire import catalogue, schema
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorylead.consensus import messages as consensus
+    from hickorylead.roles import seam
+
+# A packed message may unpack to much more than its size; this bounds it.
+MAX_TRAVERSED_WORDS = 8 * 1024 * 1024
+_MAX_NESTING = 32
+_SCALARS = (int, float, bool, str, bytes)
+
+
+@attrs.frozen
+class Envelope:
+    """A message with who sent it.
+
+    Attributes:
+        sender: Node name of the sender.
+        address: `ip:port` on which the sender takes messages.
+        message: The message.
+    """
+
+    sender: str
+    address: str
+    message: seam.Message
+
+
+@functools.cache
+def _load_schema() -> Any:
+    capnp.remove_import_hook()
+    return capnp.load(str(schema.SCHEMA_FILE))
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Returns the bytes of an envelope."""
+    message = _pack_union(catalogue.MESSAGES)(envelope.message)
+    builder = _load_schema().Envelope.new_message(
+        sender=envelope.sender, address=envelope.address, message=message
+    )
+    return builder.to_bytes_packed()
+
+
+def decode_envelope(data: bytes) -> result.Result[Envelope, str]:
+    """Returns the envelope in some bytes, or why there is none."""
+
+    def read(reader: Any) -> Envelope:
+        unpack = _unpack_union(catalogue.MESSAGES)
+        return Envelope(reader.sender, reader.address, unpack(reader.message))
+
+    return _decode(_load_schema().Envelope, data, read)
+
+
+def encode_record(record: consensus.Record) -> bytes:
+    """Returns the bytes of a journal record."""
+    fields = _pack_union(catalogue.RECORDS)(record)
+    return _load_schema().Record.new_message(**fields).to_bytes_packed()
+
+
+def decode_record(data: bytes) -> result.Result[consensus.Record, str]:
+    """Returns the journal record in some bytes, or why there is none."""
+    unpack = _unpack_union(catalogue.RECORDS)
+    return _decode(_load_schema().Record, data, unpack)
+
+
+def _decode(
+    struct: Any, data: bytes, read: Callable[[Any], Any]
+) -> result.Result[Any, str]:
+    try:
+        reader = struct.from_bytes_packed(
+            data,
+            traversal_limit_in_words=MAX_TRAVERSED_WORDS,
+            nesting_limit=_MAX_NESTING,
+        )
+        return result.Success(read(reader))
+    except (
+        capnp.KjException,
+        UnicodeDecodeError,
+        ValueError,
+        MemoryError,
+        AttributeError,
+        KeyError,
+    ) as error:
+        reason = (str(error) or type(error).__name__).splitlines()[0]
+        return result.Failure(f"not a message: {reason}")
+
+
+# One converter for each type is built once, from the attributes' types.
+
+
+@functools.cache
+def _pack_struct(cls: type) -> Callable[[Any], dict[str, Any]]:
+    fields = [
+        (name, schema.name_field(name), _pack_type(hint))
+        for name, hint in schema.get_hints(cls).items()
+    ]
+
+    def pack(value: Any) -> dict[str, Any]:
+        return {
+            wire_name: convert(getattr(value, name))
+            for name, wire_name, convert in fields
+        }
+
+    return pack
+
+
+@functools.cache
+def _pack_union(variants: tuple[type, ...]) -> Callable[[Any], dict[str, Any]]:
+    names = {cls: schema.name_variant(cls) for cls in variants}
+
+    def pack(value: Any) -> dict[str, Any]:
+        cls = type(value)
+        return {names[cls]: _pack_struct(typing.cast("Any", cls))(value)}
+
+    return pack
+
+
+def _pack_type(hint: Any) -> Callable[[Any], Any]:
+    if hint in _SCALARS:
+        return _keep
+    if hint in catalogue.UNIONS:
+        return _pack_union(catalogue.UNIONS[hint][1])
+    if typing.get_origin(hint) is tuple:
+        convert = _pack_type(typing.get_args(hint)[0])
+        if convert is _keep:
+            return list
+        return lambda values: [convert(value) for value in values]
+    return _pack_struct(hint)
+
+
+@functools.cache
+def _unpack_struct(cls: type) -> Callable[[Any], Any]:
+    fields = [
+        (schema.name_field(name), _unpack_type(hint))
+        for name, hint in schema.get_hints(cls).items()
+    ]
+
+    def unpack(reader: Any) -> Any:
+        return cls(
+            *[convert(getattr(reader, name)) for name, convert in fields]
+        )
+
+    return unpack
+
+
+@functools.cache
+def _unpack_union(variants: tuple[type, ...]) -> Callable[[Any], Any]:
+    classes = {schema.name_variant(cls): cls for cls in variants}
+
+    def unpack(reader: Any) -> Any:
+        name = str(reader.which())
+        return _unpack_struct(classes[name])(getattr(reader, name))
+
+    return unpack
+
+
+def _unpack_type(hint: Any) -> Callable[[Any], Any]:
+    if hint in _SCALARS:
+        return _keep
+    if hint in catalogue.UNIONS:
+        return _unpack_union(catalogue.UNIONS[hint][1])
+    if typing.get_origin(hint) is tuple:
+        convert = _unpack_type(typing.get_args(hint)[0])
+        if convert is _keep:
+            return tuple
+        return lambda values: tuple(convert(value) for value in values)
+    return _unpack_struct(hint)
+
+
+def _keep(value: Any) -> Any:
+    return value
--- /dev/null
+++ b/src/hickorylead_standins/member.py
@@ -0,0 +1,84 @@
+"""A backend server's part in replica groups, in given time."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.membership import announcements
+from hickorylead.placement import orders
+
+
+class Member:
+    """What one VM was ordered to be, and what it says it is."""
+
+    def __init__(
+        self, state: announcements.ServerState, *, checks_fence: bool
+    ) -> None:
+        """Makes a server that belongs to no group.
+
+        Args:
+            state: Its name, place and address.
+            checks_fence: Whether it refuses orders with an old number.
+        """
+        self.state = attrs.evolve(state, checks_fence=checks_fence)
+        self._checks_fence = checks_fence
+
+    def take_order(self, order: orders.Order) -> str:
+        """Carries an order out; returns why not, or an empty text.
+
+        Members that start to load are in phase `loading` afterwards; whoever
+        runs them calls `finish_load`.
+        """
+        state = self.state
+        if self._checks_fence and order.fence < state.fence:
+            return "old_fence"
+        fence = max(state.fence, order.fence)
+        match order:
+            case orders.Release(group=group):
+                if state.group != group:
+                    return "not_a_member"
+                self.state = attrs.evolve(
+                    state,
+                    fence=fence,
+                    phase=announcements.PHASE_IDLE,
+                    group="",
+                    service="",
+                    generation=0,
+                    rank=0,
+                    size=0,
+                )
+            case orders.Assign(group=group, generation=generation):
+                if state.group and state.group != group:
+                    return "member_of_another_group"
+                if state.group == group and generation < state.generation:
+                    return "old_generation"
+                holds = state.weights == order.weights and (
+                    state.phase != announcements.PHASE_LOADING
+                )
+                self.state = attrs.evolve(
+                    state,
+                    fence=fence,
+                    phase=(
+                        announcements.PHASE_READY
+                        if holds
+                        else announcements.PHASE_LOADING
+                    ),
+                    group=group,
+                    service=order.service,
+                    generation=generation,
+                    rank=order.rank,
+                    size=len(order.members),
+                    weights=order.weights,
+                )
+        return ""
+
+    def finish_load(self) -> None:
+        """Marks the weights as loaded."""
+        if self.state.phase == announcements.PHASE_LOADING:
+            self.state = attrs.evolve(
+                self.state, phase=announcements.PHASE_READY
+            )
+
+    def leave(self) -> None:
+        """Marks the server as leaving: it takes no new work."""
+        self.state = attrs.evolve(self.state, phase=announcements.PHASE_LEAVING)
--- /dev/null
+++ b/src/hickorylead_standins/weights.py
@@ -0,0 +1,70 @@
+"""A stand-in weight store: it serves a limited number of loads a second."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+
+
+class WeightStore:
+    """Counts loads, and turns away what exceeds its rate."""
+
+    def __init__(self, *, loads_per_s: float, burst: int) -> None:
+        """Makes a store.
+
+        Args:
+            loads_per_s: Loads allowed for each second.
+            burst: Loads allowed at once.
+        """
+        self._rate = loads_per_s
+        self._burst = burst
+        self._saved = float(burst)
+        self._at = 0.0
+        self.served = 0
+
+    def try_load(self, now: float) -> bool:
+        """Says whether a load may be served at this time."""
+        elapsed_s = now - self._at
+        self._at = now
+        self._saved = min(self._burst, self._saved + elapsed_s * self._rate)
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        self.served += 1
+        return True
+
+
+def run_weights(
+    *,
+    address: str,
+    port: int,
+    loads_per_s: float = 50.0,
+    burst: int = 8,
+) -> None:
+    """Run a stand-in weight store until interrupted.
+
+    Args:
+        address: IP number.
+        port: TCP port.
+        loads_per_s: Loads allowed for each second.
+        burst: Loads allowed at once.
+    """
+
+    async def run() -> None:
+        store = WeightStore(loads_per_s=loads_per_s, burst=burst)
+        loop = asyncio.get_running_loop()
+
+        async def load(_: web.Request) -> web.Response:
+            if store.try_load(loop.time()):
+                return web.Response(body=b"weights")
+            return web.Response(status=429, headers={"Retry-After": "1"})
+
+        app = web.Application()
+        app.add_routes([web.get("/weights/{name}", load)])
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, address, port).start()
+        await asyncio.Event().wait()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, and checkers, shared by the tests."""
--- /dev/null
+++ b/tests/support/world.py
@@ -0,0 +1,566 @@
+"""Many nodes in one process, with given time and a fake network.
+
+The network delays, loses, reorders and cuts, also in one direction only.
+Disks keep what was persisted. Nothing here decides anything: the reducers of
+the product do.
+"""
+
+from __future__ import annotations
+
+import collections
+import heapq
+import random
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from hickorylead import rendezvous
+from hickorylead.consensus import messages as consensus_messages
+from hickorylead.membership import announcements
+from hickorylead.placement import orders, planner
+from hickorylead.requests import events, model
+from hickorylead.roles import control, entry, nodes, seam
+from hickorylead.verdict import Verdict
+from hickorylead_standins import batch
+from support import servers as servers_module
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+START_WALL = 1_800_000_000.0
+ZONES = ("buda-hall", "pest-hall", "csepel-hall")
+CONNECT_TIMEOUT_S = 2.0
+
+
+@attrs.define
+class Answer:
+    """What one caller has got."""
+
+    request: model.Request
+    entry: str
+    asked_at: float
+    text: str = ""
+    final: Any = None
+    ended_at: float | None = None
+
+    @property
+    def verdict(self) -> Verdict | None:
+        """The verdict; None while there is no final answer."""
+        if isinstance(self.final, events.Refuse):
+            return self.final.problem.verdict
+        return Verdict.RAN if self.final is not None else None
+
+    @property
+    def code(self) -> str:
+        """Code of the problem; empty if there is none."""
+        if isinstance(self.final, events.Refuse):
+            return self.final.problem.code
+        return ""
+
+
+class World:
+    """All nodes, servers, disks and wires."""
+
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        zones: tuple[str, ...] = ZONES,
+        vms: int = 3,
+        policy: planner.Policy = planner.Policy(spares=0),
+        max_skew_s: float = 1.0,
+    ) -> None:
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self.zones = zones
+        self.policy = policy
+        self.max_skew_s = max_skew_s
+        self.controls = tuple(
+            nodes.name_node(zone, f"vm{v + 1}", nodes.CONTROL)
+            for zone in zones
+            for v in range(vms)
+        )
+        self.entries = tuple(
+            nodes.name_node(zone, f"vm{v + 1}", nodes.ENTRY)
+            for zone in zones
+            for v in range(vms)
+        )
+        self.voters = tuple(n for n in self.controls if "/vm1/" in n)
+        self.roles: dict[str, Any] = {}
+        self.lives: collections.Counter[str] = collections.Counter()
+        self.disks: dict[str, list] = {}
+        self.disk_lives: collections.Counter[str] = collections.Counter()
+        self.paused: dict[str, float] = {}
+        self.skew: dict[str, float] = collections.defaultdict(float)
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.delay_s = 0.001
+        self.jitter_s = 0.0005
+        self.order_delay: Callable[[orders.Order], float] = lambda _: 0.002
+        self.servers: dict[str, servers_module.Server] = {}
+        self.answers: dict[str, Answer] = {}
+        self.outcomes: dict[str, seam.AnswerChange] = {}
+        self.statuses: dict[str, seam.AnswerStatus] = {}
+        self.foundings: dict[str, seam.AnswerFounding] = {}
+        self.stopped: set[str] = set()
+        self.applied: dict[str, int] = {}
+        self.in_force: dict[str, int] = collections.Counter()
+        self.checkers: list[Callable[[World], None]] = []
+        self.log: list[str] = []
+        self.steps = 0
+        self.sent = collections.Counter()
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._requests = 0
+        for name in (*self.controls, *self.entries):
+            self.start(name)
+
+    # Time.
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Does something at a time."""
+        self._sequence += 1
+        heapq.heappush(self._queue, (when, self._sequence, action))
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Does something after a delay."""
+        self.at(self.now + delay_s, action)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+            self.steps += 1
+            for check in self.checkers:
+                check(self)
+        self.now = end
+
+    def run_until(
+        self, check: Callable[[], Any], limit_s: float = 60.0
+    ) -> float:
+        """Lets time pass until a check is true; returns how long it took."""
+        start = self.now
+        while not check():
+            assert self.now - start < limit_s, (
+                f"not within {limit_s} s: {self.log[-5:]}"
+            )
+            self.run(0.05)
+        return self.now - start
+
+    def get_wall(self, node: str) -> float:
+        """Returns a node's wall clock."""
+        return START_WALL + self.now + self.skew[node]
+
+    # Nodes.
+
+    def start(self, node: str) -> None:
+        """Starts a process, for the first time or again."""
+        self.lives[node] += 1
+        life = self.lives[node]
+        rng = random.Random(f"{node} {life} {self.rng.random()}")
+        if node in self.entries:
+            identity = entry.Identity(node, self.controls)
+            self.roles[node] = entry.Entry(identity, rng=rng)
+        else:
+            incarnation = ""
+            if node in self.voters:
+                incarnation = f"i{self.disk_lives[node]}"
+            self.roles[node] = control.Control(
+                control.Identity(node, self.controls, incarnation),
+                policy=self.policy,
+                max_skew_s=self.max_skew_s,
+                records=list(self.disks.setdefault(node, [])),
+                rng=rng,
+                now=self.now,
+                wall=self.get_wall(node),
+            )
+        self.after(self.rng.random() * seam.TICK_S, self._tick(node, life))
+
+    def kill(self, node: str) -> None:
+        """Ends a process at once."""
+        self.roles.pop(node, None)
+        self.applied.pop(node, None)
+        for answer in self.answers.values():
+            if answer.entry == node and answer.final is None:
+                answer.final = "entry died"
+
+    def lose_disk(self, node: str) -> None:
+        """Ends a process and empties its disk."""
+        self.kill(node)
+        self.disks[node] = []
+        self.disk_lives[node] += 1
+
+    def pause(self, node: str, seconds: float) -> None:
+        """Stops a process for a time; it does not notice."""
+        self.paused[node] = self.now + seconds
+
+    def _tick(self, node: str, life: int) -> Callable[[], None]:
+        def tick() -> None:
+            if self.lives[node] != life or node not in self.roles:
+                return
+            self.give(node, seam.Tick(self.get_wall(node)))
+            self.after(seam.TICK_S, tick)
+
+        return tick
+
+    def give(self, node: str, event: Any) -> None:
+        """Gives an event to a node, once it is not paused."""
+        resume = self.paused.get(node, 0.0)
+        if self.now < resume:
+            self.at(resume, lambda: self.give(node, event))
+            return
+        role = self.roles.get(node)
+        if role is None:
+            return
+        for effect in role.reduce(event, self.now):
+            self._carry_out(node, effect)
+
+    def _carry_out(self, node: str, effect: Any) -> None:
+        match effect:
+            case seam.Send(to, message):
+                self.send(node, to, message)
+            case consensus_messages.Persist(record):
+                self.disks[node].append(record)
+            case orders.Give(order):
+                if self.roles[node].may_order(self.now):
+                    self.after(
+                        self.order_delay(order),
+                        lambda: self._order(node, order),
+                    )
+            case events.OpenAttempt():
+                self._open(node, effect)
+            case events.CancelAttempt(attempt_id, request_id, replica, stop):
+                server = self.servers.get(replica.vm)
+                if server and stop:
+                    server.batch.cancel(request_id)
+                if server:
+                    server.streams.pop(attempt_id, None)
+            case events.EmitText(request_id, text):
+                self.answers[request_id].text += text
+            case (
+                events.FinishStream(request_id)
+                | events.GiveAnswer(request_id)
+                | events.Refuse(request_id)
+            ):
+                answer = self.answers[request_id]
+                assert answer.final is None, "two final answers"
+                answer.final, answer.ended_at = effect, self.now
+            case seam.AnswerChange(change_id):
+                self.outcomes[change_id] = effect
+            case seam.AnswerStatus(token):
+                self.statuses[token] = effect
+            case seam.AnswerFounding(cluster):
+                self.foundings[cluster] = effect
+            case seam.Stopped():
+                self.stopped.add(node)
+
+    # The network.
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Says whether nothing gets from one place to another."""
+        pairs = (
+            (a, b)
+            for a in (source, nodes.get_zone(source))
+            for b in (target, nodes.get_zone(target))
+        )
+        return any(pair in self.cuts for pair in pairs)
+
+    def cut(self, one: str, other: str, *, one_way: bool = False) -> None:
+        """Cuts two nodes or zones from each other."""
+        self.cuts.add((one, other))
+        if not one_way:
+            self.cuts.add((other, one))
+
+    def cut_zone(self, zone: str) -> None:
+        """Cuts a zone from all others."""
+        for other in self.zones:
+            if other != zone:
+                self.cut(zone, other)
+
+    def heal(self) -> None:
+        """Mends all cuts."""
+        self.cuts.clear()
+
+    def _flight_s(self) -> float:
+        return self.delay_s + self.rng.random() * self.jitter_s
+
+    def send(self, source: str, target: str, message: Any) -> None:
+        """Puts a message on its way."""
+        self.sent[type(message).__name__] += 1
+        if source != target and (
+            self.is_cut(source, target) or self.rng.random() < self.loss
+        ):
+            return
+        self.after(
+            self._flight_s(),
+            lambda: self.give(
+                target,
+                seam.MessageArrived(source, message, self.get_wall(target)),
+            ),
+        )
+
+    # Backend servers.
+
+    def add_server(self, server: servers_module.Server) -> None:
+        """Starts a backend server."""
+        self.servers[server.state.vm] = server
+        self.after(self.rng.random(), lambda: self._announce(server))
+
+    def add_engines(
+        self, zone: str, count: int, *, domain_size: int, **options: Any
+    ) -> None:
+        """Starts engines in a zone, in fabric domains of one size."""
+        for number in range(count):
+            self.add_server(
+                servers_module.make_engine(
+                    zone,
+                    number,
+                    domain=f"{zone}-d{number // domain_size}",
+                    **options,
+                )
+            )
+
+    def kill_server(self, vm: str) -> None:
+        """Ends a backend server: its connections break."""
+        server = self.servers[vm]
+        server.alive = False
+        server.died_at = self.now
+        self._break_streams(server)
+        for other in self.servers.values():
+            if other.state.group and other.state.group == server.state.group:
+                # A replica dies with any of its members.
+                other.batch.clear()
+                self._break_streams(other)
+
+    def revive_server(self, vm: str) -> None:
+        """Starts a backend server again, empty."""
+        old = self.servers[vm]
+        state = attrs.evolve(
+            old.state,
+            boot=old.state.boot + 1,
+            phase=announcements.PHASE_IDLE,
+            group="",
+            service="",
+            generation=0,
+            rank=0,
+            size=0,
+            weights="",
+        )
+        old.member.state = state
+        old.batch = batch.Batch(old.batch.speed)
+        old.alive, old.died_at, old.stepping = True, None, False
+
+    def _break_streams(self, server: servers_module.Server) -> None:
+        for attempt_id, (node, _) in list(server.streams.items()):
+            failure = events.AttemptFailed(
+                attempt_id, Verdict.MAY_HAVE_RUN, "broken"
+            )
+            self.after(
+                self._flight_s(),
+                lambda n=node, f=failure: self.give(n, f),
+            )
+        server.streams.clear()
+
+    def _announce(self, server: servers_module.Server) -> None:
+        self.after(1.0, lambda: self._announce(server))
+        if not server.is_up(self.now):
+            return
+        if server.loaded_at is not None and self.now >= server.loaded_at:
+            server.loaded_at = None
+            server.member.finish_load()
+        zone = server.state.zone
+        own = [n for n in self.entries if nodes.get_zone(n) == zone]
+        for node in rendezvous.rank_names(server.state.vm, own):
+            is_up = node in self.roles and self.paused.get(node, 0) <= self.now
+            if is_up and not self.is_cut(server.state.vm, node):
+                load = announcements.Load(
+                    server.batch.running, server.batch.queued
+                )
+                announcement = announcements.Announcement(server.state, load)
+                event = seam.AnnouncementArrived(announcement)
+                self.give(node, event)
+                return
+
+    def _order(self, node: str, order: orders.Order) -> None:
+        server = self.servers.get(order.vm)
+        if server is None or not server.is_up(self.now):
+            return
+        if self.is_cut(node, order.vm):
+            return
+        before = (server.state.group, server.state.generation)
+        refusal = server.member.take_order(order)
+        self.log.append(
+            f"{self.now:.2f} {node} {type(order).__name__} {order.vm}"
+            f" {order.group} {refusal}"
+        )
+        if refusal:
+            return
+        if before != (server.state.group, server.state.generation):
+            server.batch.clear()
+            self._break_streams(server)
+        if server.state.phase == announcements.PHASE_LOADING:
+            server.loaded_at = self.now + server.load_s
+            self.at(server.loaded_at, lambda: self._finish_load(server))
+
+    def _finish_load(self, server: servers_module.Server) -> None:
+        if server.loaded_at is not None and self.now >= server.loaded_at:
+            server.loaded_at = None
+            server.member.finish_load()
+
+    # Requests.
+
+    def submit(
+        self,
+        node: str,
+        service: str,
+        *,
+        key: str = "",
+        key_age_s: float = 0.0,
+        max_tokens: int = 10,
+        **fields: Any,
+    ) -> Answer:
+        """Submits a request to an entry; returns where its answer comes."""
+        self._requests += 1
+        request_id = nodes.name_request(node, self.lives[node], self._requests)
+        fields.setdefault("body", f"prompt {self._requests}".encode())
+        fields.setdefault("workspace", "homeowners")
+        request = model.Request(
+            request_id=request_id,
+            service=service,
+            key=key,
+            key_made_at=START_WALL + self.now - key_age_s if key else 0.0,
+            max_tokens=max_tokens,
+            **fields,
+        )
+        answer = Answer(request, node, self.now)
+        self.answers[request_id] = answer
+        if node not in self.roles:
+            answer.final = "entry died"
+            return answer
+        self.give(node, events.Arrive(request, self.get_wall(node)))
+        return answer
+
+    def _open(self, node: str, attempt: events.OpenAttempt) -> None:
+        server = self.servers[attempt.replica.vm]
+        vm = server.state.vm
+        if self.is_cut(node, vm) or not server.alive:
+            delay_s = CONNECT_TIMEOUT_S if server.alive else self._flight_s()
+            failure = events.AttemptFailed(
+                attempt.attempt_id, Verdict.NOT_RUN, "unreachable"
+            )
+            self.after(delay_s, lambda: self.give(node, failure))
+            return
+        self.after(self._flight_s(), lambda: self._serve(node, attempt))
+
+    def _serve(self, node: str, attempt: events.OpenAttempt) -> None:
+        server = self.servers[attempt.replica.vm]
+        if not server.alive:
+            failure = events.AttemptFailed(
+                attempt.attempt_id, Verdict.MAY_HAVE_RUN, "broken"
+            )
+            self.after(self._flight_s(), lambda: self.give(node, failure))
+            return
+        if self.now < server.paused_until:
+            self.at(server.paused_until, lambda: self._serve(node, attempt))
+            return
+        request = attempt.request
+        if attempt.attach:
+            server.streams = {
+                a: s
+                for a, s in server.streams.items()
+                if s[1] != request.request_id
+            }
+            server.streams[attempt.attempt_id] = (node, request.request_id)
+            return
+        state = server.state
+        if not server.is_plain and (
+            state.phase != announcements.PHASE_READY
+            or state.rank != 0
+            or state.group != attempt.replica.group
+            or state.generation != attempt.replica.generation
+        ):
+            refusal = events.AttemptFailed(
+                attempt.attempt_id, Verdict.NOT_RUN, "wrong_group"
+            )
+            self.after(self._flight_s(), lambda: self.give(node, refusal))
+            return
+        server.runs.append(
+            servers_module.Run(
+                request.request_id, attempt.attempt_id, request.key, self.now
+            )
+        )
+        server.streams[attempt.attempt_id] = (node, request.request_id)
+        if server.is_plain:
+            self.after(
+                server.service_s, lambda: self._answer_plain(server, attempt)
+            )
+            return
+        server.batch.submit(
+            batch.Work(
+                request_id=request.request_id,
+                digest=batch.digest_body(request.body),
+                urgency=request.urgency,
+                prompt_tokens=request.prompt_tokens,
+                max_tokens=request.max_tokens,
+                prefixes=request.prefixes,
+                position=attempt.position,
+            )
+        )
+        self._step(server)
+
+    def _answer_plain(
+        self, server: servers_module.Server, attempt: events.OpenAttempt
+    ) -> None:
+        found = server.streams.pop(attempt.attempt_id, None)
+        if found is None or self.is_cut(server.state.vm, found[0]):
+            return
+        answer = events.AnswerArrived(
+            attempt.attempt_id,
+            attempt.request.request_id,
+            200,
+            "text/plain",
+            b"run for " + attempt.request.body,
+        )
+        self.after(self._flight_s(), lambda: self.give(found[0], answer))
+
+    def _step(self, server: servers_module.Server) -> None:
+        if server.stepping:
+            return
+        step_s = server.batch.begin_step()
+        if not step_s:
+            return
+        server.stepping = True
+        self.after(step_s, lambda: self._end_step(server))
+
+    def _end_step(self, server: servers_module.Server) -> None:
+        if self.now < server.paused_until:
+            self.at(server.paused_until, lambda: self._end_step(server))
+            return
+        server.stepping = False
+        if not server.alive:
+            return
+        by_request = {
+            request_id: (attempt_id, node)
+            for attempt_id, (node, request_id) in server.streams.items()
+        }
+        for frame in server.batch.end_step():
+            if frame.request_id not in by_request:
+                continue
+            attempt_id, node = by_request[frame.request_id]
+            if self.is_cut(server.state.vm, node):
+                continue
+            arrived = events.FrameArrived(
+                attempt_id,
+                frame.request_id,
+                frame.position,
+                1,
+                frame.text,
+                "length" if frame.is_last else "",
+            )
+            # One connection keeps its order, so there is no jitter here.
+            self.after(self.delay_s, lambda n=node, a=arrived: self.give(n, a))
+            if frame.is_last:
+                server.streams.pop(attempt_id, None)
+        self._step(server)
