Mend faults that generated failures showed

Causes, each found by random faults over all nodes in one process: - After a restart of a whole zone the control processes knew no fencing number. Entries still held the table of the highest one and ignored the new holder for half a minute. Digests now carry the number that entries saw, and the low bits of a number are drawn, so that no number is used twice. - A sign of life that followed a lost table change was taken for that change: an entry kept sending work to a group whose domain was dark. Changes and signs of life now expect different sequence numbers. - Two candidates for a lease refused each other for 12 s and more, each having promised the lease to itself. A failed round now ends after 0.25 s. - A group with a leaving member and a lost one was repaired with the leaving member in it. It is disbanded instead.

Ruled out: lost messages (the runs had none), a wrong fence order, clock skew.

--- a/src/hickorylead/lease/zone.py
+++ b/src/hickorylead/lease/zone.py
@@ -18,10 +18,14 @@
 # whose rates differ by up to a tenth never give two holders at once.
 HOLDER_SHARE = 0.9
 RENEW_S = 0.75
-RETRY_MIN_S = 0.3
-RETRY_MAX_S = 1.2
+ROUND_S = 0.25
+RETRY_MIN_S = 0.4
+RETRY_MAX_S = 1.6
 LONGEST_ORDER_S = 2.0
-NUMBER_STEP = 256
+# Numbers rise in steps of this; what is below a step is drawn at random. After
+# a restart of the whole zone nobody remembers which numbers were used, and two
+# holders with one number could not be told apart.
+NUMBER_STEP = 1 << 20
 
 
 class Lease:
@@ -85,16 +89,17 @@
         )
 
     def observe(self, number: int) -> None:
-        """Takes note of a fencing number that a backend server has seen.
+        """Takes note of a fencing number that a server or an entry has seen.
 
         After a restart of the whole zone the grantors know no number; the
-        servers still do. A holder with a lower one stops giving orders until
+        others still do. A holder with a lower one stops giving orders until
         it has a number above.
         """
         self._highest = max(self._highest, number)
 
     def tick(self, now: float) -> list[messages.Send]:
         """Lets time pass; renews the lease or tries to get it."""
+        self._end_failed_round(now)
         if now < self._next_try or now < self._silent_until:
             return []
         if not self.is_held(now) or self._number < self._highest:
@@ -130,6 +135,23 @@
                 self._count_reply(message, now)
                 return []
 
+    def _end_failed_round(self, now: float) -> None:
+        """Takes back the promise to itself when no majority followed it.
+
+        Two candidates that each promised the lease to themselves would refuse
+        each other for as long as both go on trying. Between its rounds a
+        candidate is free, so the other one's next round succeeds.
+        """
+        if (
+            self._promised_to == self._node
+            and not self.is_held(now)
+            and now - self._round_sent >= ROUND_S
+        ):
+            # Replies to that round may still come; they count no more.
+            self._round += 1
+            self._promised_to = ""
+            self._promised_until = now
+
     def _may_promise(self, candidate: str, now: float) -> bool:
         return self._promised_to == candidate or now >= self._promised_until
 
@@ -167,8 +189,8 @@
         self._held_until = self._round_sent + TERM_S * HOLDER_SHARE
 
     def _choose_number(self) -> int:
-        place = self._nodes.index(self._node)
-        return (self._highest // NUMBER_STEP + 1) * NUMBER_STEP + place
+        step = self._highest // NUMBER_STEP + 1
+        return step * NUMBER_STEP + self._rng.randrange(NUMBER_STEP)
 
     def _spread(self) -> float:
         return self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
--- a/src/hickorylead/membership/listener.py
+++ b/src/hickorylead/membership/listener.py
@@ -63,7 +63,9 @@
             return []
         return self._tell(messages.Edge(self._entry, announcement.state))
 
-    def tick(self, now: float, configuration: int) -> list[messages.Send]:
+    def tick(
+        self, now: float, *, configuration: int, fence: int
+    ) -> list[messages.Send]:
         """Drops servers that fell silent, and sends the digest when due."""
         silent = [vm for vm, h in self._heard.items() if now - h.at > SILENCE_S]
         effects: list[messages.Send] = []
@@ -72,7 +74,7 @@
             effects += self._tell(messages.Gone(self._entry, vm))
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_PERIOD_S
-            effects += self._tell(self._make_digest(configuration))
+            effects += self._tell(self._make_digest(configuration, fence))
         return effects
 
     def resend(self, control: str) -> list[messages.Send]:
@@ -82,7 +84,7 @@
             for state in self.list_states()
         ]
 
-    def _make_digest(self, configuration: int) -> messages.Digest:
+    def _make_digest(self, configuration: int, fence: int) -> messages.Digest:
         states = self.list_states()
         loads = tuple(
             messages.LeaderLoad(vm, h.announcement.load)
@@ -95,6 +97,7 @@
             check=hash_states(states),
             loads=loads,
             configuration=configuration,
+            fence=fence,
         )
 
     def _tell(self, message: messages.Message) -> list[messages.Send]:
--- a/src/hickorylead/membership/messages.py
+++ b/src/hickorylead/membership/messages.py
@@ -48,6 +48,7 @@
         check: Hash over the states of all of them.
         loads: Loads of those that take requests.
         configuration: Version of the configuration that the entry follows.
+        fence: Fencing number of the zone's replica table at the entry.
     """
 
     entry: str
@@ -55,6 +56,7 @@
     check: int
     loads: tuple[LeaderLoad, ...] = ()
     configuration: int = 0
+    fence: int = 0
 
 
 @attrs.frozen
--- a/src/hickorylead/placement/planner.py
+++ b/src/hickorylead/placement/planner.py
@@ -178,7 +178,10 @@
         )
 
     def _repair(self, group: Group) -> None:
-        if group.draining_since is not None:
+        if group.draining_since is not None or any(
+            vm and self._is_unwanted(vm) for vm in group.vms
+        ):
+            # A member that leaves must not be ordered to stay.
             self._disband(group)
             return
         lost = [rank for rank, vm in enumerate(group.vms) if not vm]
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -24,9 +24,11 @@
 from hickorylead.routing import messages as routing_messages
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
     import random
 
+    from hickorylead.placement import groups as groups_module
+
 
 @attrs.frozen
 class Identity:
@@ -116,6 +118,11 @@
         """Its vote on the configuration, if it has a data folder."""
         return self._voter
 
+    @property
+    def groups(self) -> Mapping[str, groups_module.Group]:
+        """Replica groups as this process last knew them as holder."""
+        return self._holder.groups
+
     def may_order(self, now: float) -> bool:
         """Says whether an order may be given; asked right before each one."""
         return self._holder.may_order(now)
@@ -155,6 +162,8 @@
                 | member_messages.Digest()
                 | member_messages.ResendRequest()
             ):
+                if isinstance(message, member_messages.Digest):
+                    self._lease.observe(message.fence)
                 return _wrap(self._registry.receive(message, now))
             case (
                 claim_messages.ClaimRequest()
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -159,7 +159,14 @@
 
     def _tick(self, now: float) -> list[seam.EntryEffect]:
         effects = _wrap(self._follower.poll(now))
-        effects += _wrap(self._listener.tick(now, self._follower.version))
+        own = self._table.zones.get(self._zone)
+        effects += _wrap(
+            self._listener.tick(
+                now,
+                configuration=self._follower.version,
+                fence=own.fence if own else 0,
+            )
+        )
         if now >= self._next_refresh:
             self._next_refresh = now + REFRESH_PERIOD_S
             effects += self._refresh(now)
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -13,7 +13,7 @@
 from hickorylead.routing import table as table_module
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from hickorylead.configuration import model
     from hickorylead.lease import zone as lease_zone
@@ -126,6 +126,11 @@
         """Says whether an order may be given at this moment."""
         return self._lease.may_order(now)
 
+    @property
+    def groups(self) -> Mapping[str, groups.Group]:
+        """Replica groups as this process last knew them."""
+        return self._planner.groups
+
     def describe_groups(self) -> tuple[status.GroupStatus, ...]:
         """Returns all groups, for `status`."""
         return tuple(
--- a/src/hickorylead/routing/table.py
+++ b/src/hickorylead/routing/table.py
@@ -46,25 +46,23 @@
         if update.fence < zone.fence:
             # From a holder that was replaced and does not know it yet.
             return False
+        has_changes = bool(update.added or update.removed)
+        expected = zone.sequence + 1 if has_changes else zone.sequence
         if update.full:
             if update.fence == zone.fence and update.sequence < zone.sequence:
                 return False
             zone.replicas = {}
             zone.complete = True
-        elif update.fence != zone.fence or update.sequence not in (
-            zone.sequence,
-            zone.sequence + 1,
-        ):
+        elif update.fence == zone.fence and update.sequence < expected:
+            # A change that is known already, delivered late.
+            return not zone.complete
+        elif update.fence != zone.fence or update.sequence != expected:
             # An update was lost; without the whole table a replica that is
-            # gone would be kept for ever. The fence is taken at once, so
-            # that the old holder is not believed meanwhile.
+            # gone would be kept for ever. A sign of life that follows a lost
+            # change shows it just as the next change does.
             zone.complete = False
             zone.heard_at = now
             return True
-        elif update.sequence == zone.sequence and (
-            update.added or update.removed
-        ):
-            return False
         zone.fence, zone.sequence = update.fence, update.sequence
         zone.heard_at = now
         for group in update.removed:
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -127,6 +127,7 @@
   check @2 :Int64;
   loads @3 :List(LeaderLoad);
   configuration @4 :Int64;
+  fence @5 :Int64;
 }
 
 struct DrainVm {
--- a/src/hickorylead_standins/member.py
+++ b/src/hickorylead_standins/member.py
@@ -37,10 +37,13 @@
             case orders.Release(group=group):
                 if state.group != group:
                     return "not_a_member"
+                is_leaving = state.phase == announcements.PHASE_LEAVING
                 self.state = attrs.evolve(
                     state,
                     fence=fence,
-                    phase=announcements.PHASE_IDLE,
+                    phase=state.phase
+                    if is_leaving
+                    else announcements.PHASE_IDLE,
                     group="",
                     service="",
                     generation=0,
@@ -48,6 +51,8 @@
                     size=0,
                 )
             case orders.Assign(group=group, generation=generation):
+                if state.phase == announcements.PHASE_LEAVING:
+                    return "leaving"
                 if state.group and state.group != group:
                     return "member_of_another_group"
                 if state.group == group and generation < state.generation:
--- a/tests/support/operator.py
+++ b/tests/support/operator.py
@@ -77,6 +77,7 @@
         plain: Whether there is a plain service `dispatch` as well, whose
             calls may run at most once.
     """
+    world.group_size = group_size
     found_cluster(world)
     apply(
         world,
--- a/tests/support/servers.py
+++ b/tests/support/servers.py
@@ -26,11 +26,11 @@
     batch: batch.Batch
     load_s: float
     alive: bool = True
+    paused_since: float = 0.0
     paused_until: float = 0.0
     loaded_at: float | None = None
     stepping: bool = False
     left_at: float | None = None
-    died_at: float | None = None
     runs: list[Run] = attrs.field(factory=list)
     streams: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     service_s: float = 0.05
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -93,6 +93,7 @@
         self.paused: dict[str, float] = {}
         self.skew: dict[str, float] = collections.defaultdict(float)
         self.cuts: set[tuple[str, str]] = set()
+        self.group_size = 2
         self.loss = 0.0
         self.delay_s = 0.001
         self.jitter_s = 0.0005
@@ -108,6 +109,15 @@
         self.checkers: list[Callable[[World], None]] = []
         self.log: list[str] = []
         self.steps = 0
+        # What the present step touched, for the checkers.
+        self.touched: list[str] = []
+        self.new_runs: list[tuple[servers_module.Server, Any]] = []
+        self.ended: list[Answer] = []
+        self.attempts: list[events.OpenAttempt] = []
+        self.run_ids: set[str] = set()
+        # When a member left a group: time, group, generation, rank.
+        self.departed: list[tuple[float, str, int, int]] = []
+        self.key_runs: collections.Counter[str] = collections.Counter()
         self.sent = collections.Counter()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -133,8 +143,13 @@
             self.now, _, action = heapq.heappop(self._queue)
             action()
             self.steps += 1
-            for check in self.checkers:
-                check(self)
+            if self.touched or self.new_runs:
+                for check in self.checkers:
+                    check(self)
+                self.touched.clear()
+                self.new_runs.clear()
+                self.attempts.clear()
+                self.ended.clear()
         self.now = end
 
     def run_until(
@@ -157,6 +172,7 @@
 
     def start(self, node: str) -> None:
         """Starts a process, for the first time or again."""
+        self.kill(node)
         self.lives[node] += 1
         life = self.lives[node]
         rng = random.Random(f"{node} {life} {self.rng.random()}")
@@ -214,6 +230,7 @@
         role = self.roles.get(node)
         if role is None:
             return
+        self.touched.append(node)
         for effect in role.reduce(event, self.now):
             self._carry_out(node, effect)
 
@@ -230,6 +247,7 @@
                         lambda: self._order(node, order),
                     )
             case events.OpenAttempt():
+                self.attempts.append(effect)
                 self._open(node, effect)
             case events.CancelAttempt(attempt_id, request_id, replica, stop):
                 server = self.servers.get(replica.vm)
@@ -247,6 +265,7 @@
                 answer = self.answers[request_id]
                 assert answer.final is None, "two final answers"
                 answer.final, answer.ended_at = effect, self.now
+                self.ended.append(answer)
             case seam.AnswerChange(change_id):
                 self.outcomes[change_id] = effect
             case seam.AnswerStatus(token):
@@ -326,7 +345,7 @@
         """Ends a backend server: its connections break."""
         server = self.servers[vm]
         server.alive = False
-        server.died_at = self.now
+        self._note_departure(server.state)
         self._break_streams(server)
         for other in self.servers.values():
             if other.state.group and other.state.group == server.state.group:
@@ -334,6 +353,30 @@
                 other.batch.clear()
                 self._break_streams(other)
 
+    def pause_server(self, vm: str, seconds: float) -> None:
+        """Stops a backend server for a time; it does not notice."""
+        server = self.servers[vm]
+        server.paused_since = self.now
+        server.paused_until = self.now + seconds
+
+    def _note_departure(self, state: announcements.ServerState) -> None:
+        if state.group:
+            self.departed.append(
+                (self.now, state.group, state.generation, state.rank)
+            )
+
+    def _is_whole(self, server: servers_module.Server) -> bool:
+        """Says whether a replica can compute: all its members work with it."""
+        state = server.state
+        ranks = {
+            other.state.rank
+            for other in self.servers.values()
+            if other.is_up(self.now)
+            and other.state.group == state.group
+            and other.state.generation == state.generation
+        }
+        return len(ranks) == state.size
+
     def revive_server(self, vm: str) -> None:
         """Starts a backend server again, empty."""
         old = self.servers[vm]
@@ -350,7 +393,7 @@
         )
         old.member.state = state
         old.batch = batch.Batch(old.batch.speed)
-        old.alive, old.died_at, old.stepping = True, None, False
+        old.alive, old.stepping = True, False
 
     def _break_streams(self, server: servers_module.Server) -> None:
         for attempt_id, (node, _) in list(server.streams.items()):
@@ -389,7 +432,8 @@
             return
         if self.is_cut(node, order.vm):
             return
-        before = (server.state.group, server.state.generation)
+        old = server.state
+        before = (old.group, old.generation)
         refusal = server.member.take_order(order)
         self.log.append(
             f"{self.now:.2f} {node} {type(order).__name__} {order.vm}"
@@ -398,6 +442,7 @@
         if refusal:
             return
         if before != (server.state.group, server.state.generation):
+            self._note_departure(old)
             server.batch.clear()
             self._break_streams(server)
         if server.state.phase == announcements.PHASE_LOADING:
@@ -486,11 +531,20 @@
             )
             self.after(self._flight_s(), lambda: self.give(node, refusal))
             return
-        server.runs.append(
-            servers_module.Run(
-                request.request_id, attempt.attempt_id, request.key, self.now
+        if not server.is_plain and not self._is_whole(server):
+            failure = events.AttemptFailed(
+                attempt.attempt_id, Verdict.MAY_HAVE_RUN, "broken"
             )
+            self.after(self._flight_s(), lambda: self.give(node, failure))
+            return
+        run = servers_module.Run(
+            request.request_id, attempt.attempt_id, request.key, self.now
         )
+        server.runs.append(run)
+        self.new_runs.append((server, run))
+        self.run_ids.add(request.request_id)
+        if request.key:
+            self.key_runs[request.key] += 1
         server.streams[attempt.attempt_id] = (node, request.request_id)
         if server.is_plain:
             self.after(
