Tell every voter who votes, and refuse changes of a cut-off zone for certain

A cut-off zone's entry sent changes to a leader it could no longer reach, and so could not say that they were not applied.

Ruled out: election timeouts too close together (no vote was ever asked).

Change: the founding voter appends the list as the first entry; a control process names a leader only if that leader answered it within 4 s; an entry asks its own zone first and counts the requests that got no answer.

--- a/src/hickorylead/configuration/follower.py
+++ b/src/hickorylead/configuration/follower.py
@@ -10,6 +10,8 @@
     from collections.abc import Sequence
 
 POLL_PERIOD_S = 1.0
+# A leader that has not answered for this long may be cut off from here.
+LEADER_SILENCE_S = 4.0
 
 
 class Follower:
@@ -42,6 +44,8 @@
             self._needed = majority
         self._heard: set[str] = set()
         self._next_poll = 0.0
+        self._is_control = is_control
+        self._leader_heard_at = -1e9
         self.ready = False
         self.leader = ""
         self.configuration = model.Configuration()
@@ -60,10 +64,20 @@
         self.configuration = configuration
         return True
 
-    def receive(self, update: messages.ConfigurationUpdate) -> bool:
+    def find_leader(self, now: float) -> str:
+        """Returns the leader of the voters, if it answered here lately."""
+        if now - self._leader_heard_at > LEADER_SILENCE_S:
+            return ""
+        return self.leader
+
+    def receive(
+        self, update: messages.ConfigurationUpdate, now: float
+    ) -> bool:
         """Takes an update; says whether the version rose."""
         if update.leader:
             self.leader = update.leader
+        if update.from_leader:
+            self._leader_heard_at = now
         rose = self.adopt(update.configuration)
         if self.ready or update.version > self.version:
             return rose
@@ -78,7 +92,8 @@
             return []
         self._next_poll = now + POLL_PERIOD_S
         request = messages.ConfigurationRequest(self._node, self.version)
-        nodes = dict.fromkeys([*self._others, self.leader])
+        leader = self.leader if self._is_control else ""
+        nodes = dict.fromkeys([*self._others, leader])
         return [
             messages.Send(node, request)
             for node in nodes
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -120,13 +120,12 @@
         """Starts a cluster; an answer of no effects means there is one."""
         if self.cluster:
             return []
-        snapshot = attrs.evolve(log_module.EMPTY, voters=voters)
-        self.log.install(snapshot)
         self._deadline = self._heard_leader_at
-        return [
-            *self._set_hard(cluster=cluster),
-            messages.Persist(messages.InstallSnapshot(snapshot)),
-        ]
+        # The first entry tells the others who votes; kept in a snapshot of
+        # this voter alone, they could elect nobody after its death.
+        change = changes.Change("", -1, changes.SetVoters(voters))
+        entry = messages.LogEntry(1, 0, change)
+        return [*self._set_hard(cluster=cluster), *self._append([entry])]
 
     def has_leader(self, now: float) -> bool:
         """Says whether a leader with a majority was heard of lately."""
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -211,7 +211,7 @@
             case messages.ConfigurationRequest(node, version):
                 return [seam.Send(node, self._make_update(version, now))]
             case messages.ConfigurationUpdate():
-                rose = self._follower.receive(message)
+                rose = self._follower.receive(message, now)
                 return self._tell_entries(now) if rose else []
             case messages.ChangeRequest(entry, change):
                 return self._take_change(entry, change, now)
@@ -249,7 +249,7 @@
     def _find_leader(self, now: float) -> str:
         """Returns the control process that leads the log, if it is known."""
         if self._voter is None:
-            return self._follower.leader
+            return self._follower.find_leader(now)
         if not self._voter.has_leader(now):
             return ""
         return consensus_messages.get_node(self._voter.leader)
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -204,10 +204,10 @@
             case member_messages.ResendRequest():
                 return _wrap(self._listener.resend(sender))
             case config_messages.ConfigurationUpdate():
-                self._follower.receive(message)
+                self._follower.receive(message, now)
                 return []
             case config_messages.ChangeReply():
-                return self._operations.receive_reply(message, now)
+                return self._operations.receive_reply(sender, message, now)
             case config_messages.IdentityReply():
                 return self._operations.receive_identity(message)
             case config_messages.FoundReply():
--- a/src/hickorylead/roles/operations.py
+++ b/src/hickorylead/roles/operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import attrs
@@ -31,8 +32,16 @@
     since: float
     next_send: float
     checked: bool
-    may_apply: bool = False
+    lost: bool = False
     target: str = ""
+    unanswered: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+
+    @property
+    def may_apply(self) -> bool:
+        """Whether some process may have taken it without saying so."""
+        return self.lost or any(self.unanswered.values())
 
 
 @attrs.define
@@ -68,6 +77,10 @@
         """
         self._node = node
         self._controls = tuple(controls)
+        zone = nodes.get_zone(node)
+        self._zone_controls = [
+            name for name in controls if nodes.get_zone(name) == zone
+        ]
         self._follower = follower
         self._trails = trails
         self._rotation = 0
@@ -113,7 +126,7 @@
         return self._push_change(pending, now)
 
     def receive_reply(
-        self, reply: messages.ChangeReply, now: float
+        self, sender: str, reply: messages.ChangeReply, now: float
     ) -> list[seam.EntryEffect]:
         """Takes a control process's reply to a change."""
         change_id = reply.outcome.change_id
@@ -123,11 +136,12 @@
         if reply.final:
             del self._changes[change_id]
             return [seam.AnswerChange(change_id, reply.outcome)]
+        pending.unanswered[sender] -= 1
         if reply.lost:
             # Appended, then the leader lost its majority. The next leader
             # may hold it or not; sending it again finds out, as the change
             # id is remembered in the log itself.
-            pending.may_apply = True
+            pending.lost = True
         pending.target = reply.leader
         if reply.leader:
             pending.next_send = now
@@ -151,14 +165,15 @@
         if now < pending.next_send:
             return []
         pending.next_send = now + RESEND_PERIOD_S
-        target = pending.target or self._follower.leader
-        if target:
-            # The leader may take it and its answer may be lost.
-            pending.may_apply = True
-        else:
+        target = pending.target
+        if not target:
+            # A control process of the zone knows whether a leader can be
+            # reached; what it refuses has certainly not been taken.
             self._rotation += 1
-            target = self._controls[self._rotation % len(self._controls)]
+            own = self._zone_controls
+            target = own[self._rotation % len(own)]
         pending.target = ""
+        pending.unanswered[target] += 1
         request = messages.ChangeRequest(self._node, pending.change)
         return [seam.Send(target, request)]
 
--- /dev/null
+++ b/tests/steps/world_steps.py
@@ -0,0 +1,108 @@
+"""Steps that set up a deployment in given time and let time pass."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from support import checkers, operator, servers, world
+
+from hickorylead.placement import planner
+from hickorylead.roles import nodes
+
+
+def build(context, *, engines=6, domain=6, replicas=2, size=2, **options):
+    engine_options = {
+        name: options.pop(name)
+        for name in ("checks_fence", "load_s", "speed")
+        if name in options
+    }
+    built = world.World(**options)
+    built.checkers = list(checkers.ALL)
+    for zone in built.zones:
+        built.add_engines(zone, engines, domain_size=domain, **engine_options)
+    for zone in built.zones[1:]:
+        built.add_server(servers.make_plain(zone, "dispatch"))
+    operator.set_up(built, replicas=replicas, group_size=size)
+    context.world = built
+    return built
+
+
+@given("a deployment in three zones")
+def _(context):
+    build(context)
+
+
+@given("a deployment whose engines ignore fencing numbers")
+def _(context):
+    build(context, checks_fence=False)
+
+
+@given("a deployment whose engines check fencing numbers")
+def _(context):
+    build(context, checks_fence=True)
+
+
+@given("a deployment with {count:d} engines a zone in domains of {size:d}")
+def _(context, count, size):
+    build(context, engines=count, domain=size)
+
+
+@given("a deployment that holds broken groups for {seconds:g} s")
+def _(context, seconds):
+    policy = planner.Policy(spares=0, hold_broken_s=seconds)
+    build(context, engines=4, domain=4, policy=policy)
+
+
+@given("no deployment yet, only its processes")
+def _(context):
+    context.world = world.World()
+    context.world.checkers = list(checkers.ALL)
+
+
+@when("{seconds:g} s pass")
+def _(context, seconds):
+    context.world.run(seconds)
+
+
+@when('zone "{zone}" is cut off')
+def _(context, zone):
+    context.world.cut_zone(zone)
+
+
+@when("all cuts are mended")
+def _(context):
+    context.world.heal()
+
+
+@when('all control processes of zone "{zone}" restart at once')
+def _(context, zone):
+    for node in context.world.controls:
+        if nodes.get_zone(node) == zone:
+            context.world.start(node)
+
+
+@then("within {seconds:g} s every entry may use {count:d} replicas")
+def _(context, seconds, count):
+    built = context.world
+    context.took_s = built.run_until(
+        lambda: all(
+            operator.count_replicas(built, node) >= count
+            for node in built.entries
+        ),
+        limit_s=seconds,
+    )
+
+
+@then(
+    'within {seconds:g} s the entries of "{zone}" may use {count:d} replicas'
+    " of their zone"
+)
+def _(context, seconds, zone, count):
+    built = context.world
+    context.took_s = built.run_until(
+        lambda: all(
+            operator.count_replicas(built, node, zone) == count
+            for node in built.entries
+            if nodes.get_zone(node) == zone
+        ),
+        limit_s=seconds,
+    )
