--- /dev/null
+++ b/tests/steps/lease_steps.py
@@ -0,0 +1,188 @@
+"""Steps about the zone lease and fencing numbers."""
+
+from __future__ import annotations
+
+from behave import then, when
+from support import operator, world as world_module
+
+from hickorylead.placement import orders
+from hickorylead.roles import nodes
+
+
+def get_holder(world, zone):
+    holders = operator.list_holders(world, zone)
+    assert len(holders) == 1, holders
+    return holders[0]
+
+
+def get_fence(world, node):
+    return world.roles[node].describe(world.now).fence
+
+
+@when('the holder of "{zone}" is paused for {seconds:g} s')
+def _(context, zone, seconds):
+    context.zone = zone
+    context.old = get_holder(context.world, zone)
+    context.world.pause(context.old, seconds)
+
+
+@then("another one gives orders within {seconds:g} s")
+def _(context, seconds):
+    world = context.world
+    context.took_s = world.run_until(
+        lambda: [
+            n
+            for n in operator.list_holders(world, context.zone)
+            if n != context.old
+        ],
+        limit_s=seconds,
+    )
+
+
+@then('one process gives orders in "{zone}"')
+def _(context, zone):
+    get_holder(context.world, zone)
+
+
+@when('two control processes of "{zone}" restart, not its holder')
+def _(context, zone):
+    world = context.world
+    context.holder = get_holder(world, zone)
+    for node in world.controls:
+        if nodes.get_zone(node) == zone and node != context.holder:
+            world.start(node)
+    context.restarted_at = world.now
+
+
+@then(
+    'the same process holds the lease of "{zone}" until {seconds:g} s have'
+    " passed"
+)
+def _(context, zone, seconds):
+    world = context.world
+    while world.now < context.restarted_at + seconds:
+        world.run(0.1)
+        others = set(operator.list_holders(world, zone)) - {context.holder}
+        assert not others, others
+    world.run(6)
+    get_holder(world, zone)
+
+
+@then("within {seconds:g} s one process holds a number above the old one")
+def _(context, seconds):
+    world = context.world
+    old = max(s.state.fence for s in world.servers.values())
+    zone = "buda-hall"
+    old = max(
+        s.state.fence for s in world.servers.values() if s.state.zone == zone
+    )
+    world.run_until(
+        lambda: any(
+            get_fence(world, n) > old
+            for n in operator.list_holders(world, zone)
+        ),
+        limit_s=seconds,
+    )
+
+
+@when('a member of a group of "{zone}" dies')
+def _(context, zone):
+    world = context.world
+    vm = next(
+        vm
+        for vm, s in sorted(world.servers.items())
+        if s.state.zone == zone and s.state.rank == 1
+    )
+    world.kill_server(vm)
+    context.dead = vm
+    world.run(6)
+
+
+@when('the holder of "{zone}" is killed')
+def _(context, zone):
+    context.order_count = len(context.world.log)
+    context.world.kill(get_holder(context.world, zone))
+
+
+@then('no order was given in "{zone}" since')
+def _(context, zone):
+    get_holder(context.world, zone)
+    given = [
+        line for line in context.world.log[context.order_count :] if zone in line
+    ]
+    assert not given, given
+
+
+@then("the lease moves within {limit:g} s, for {count:d} different random spreads")
+def _(context, limit, count):
+    worst = 0.0
+    for seed in range(count):
+        world = world_module.World(seed=seed, zones=("a",))
+        world.run_until(lambda w=world: operator.list_holders(w, "a"))
+        world.run(5)
+        old = get_holder(world, "a")
+        world.pause(old, 100)
+        took_s = world.run_until(
+            lambda w=world, o=old: [
+                n for n in operator.list_holders(w, "a") if n != o
+            ],
+            limit_s=limit,
+        )
+        worst = max(worst, took_s)
+    context.took_s = worst
+
+
+@when('a late order of a lost holder takes a free VM of "{zone}"')
+def _(context, zone):
+    world = context.world
+    holder = get_holder(world, zone)
+    context.vm = next(
+        vm
+        for vm, s in sorted(world.servers.items())
+        if s.state.zone == zone and not s.state.group and not s.is_plain
+    )
+    late = orders.Assign(
+        vm=context.vm,
+        address=context.vm,
+        fence=get_fence(world, holder),
+        group="assistant/late",
+        generation=1,
+        rank=0,
+        members=(context.vm,),
+        service="assistant",
+        weights="lead@1",
+    )
+    world.after(9, lambda: world._order(holder, late))
+    world.kill(holder)
+    world.run(9.5)
+    assert world.servers[context.vm].state.group == "assistant/late"
+
+
+@then("that VM is freed within {seconds:g} s and never served")
+def _(context, seconds):
+    server = context.world.servers[context.vm]
+    for node in context.world.entries:
+        for _ in range(5):
+            context.world.submit(node, "assistant")
+    context.world.run_until(lambda: not server.state.group, limit_s=seconds)
+    assert not server.runs
+
+
+@when('a server of "{zone}" has seen a higher number than an order carries')
+def _(context, zone):
+    context.server = next(
+        s
+        for s in context.world.servers.values()
+        if s.state.zone == zone and s.state.group
+    )
+    state = context.server.state
+    context.old_order = orders.Release(
+        state.vm, state.address, state.fence - 1, state.group, state.generation
+    )
+
+
+@then("it refuses that order")
+def _(context):
+    before = context.server.state
+    assert context.server.member.take_order(context.old_order) == "old_fence"
+    assert context.server.state == before
