Keep serving without a configuration, and withdraw leaving servers at once

Ruled out: shorter terms of the lease (they shorten the gap, not close it).

Change: without a configuration that is surely in force a holder repairs groups and neither forms nor drains any; every control process that hears of a leaving server withdraws its group at all entries, lease or not.

--- a/src/hickorylead/placement/planner.py
+++ b/src/hickorylead/placement/planner.py
@@ -82,22 +82,33 @@
         self,
         *,
         members: dict[str, registry.Member],
-        configuration: model.Configuration,
+        configuration: model.Configuration | None,
         fence: int,
         now: float,
     ) -> list[orders.Give]:
-        """Returns the orders that the present state asks for."""
+        """Returns the orders that the present state asks for.
+
+        Args:
+            members: Present servers, by VM.
+            configuration: What is wanted; None while this process does not
+                surely know what is in force. Then groups are repaired, but
+                none is formed or drained: taking an unknown configuration
+                for an empty one would stop every replica of the zone.
+            fence: Fencing number of the lease held.
+            now: Present time.
+        """
         self._members = members
-        self._drained = frozenset(configuration.drained)
+        drained = configuration.drained if configuration else ()
+        self._drained = frozenset(drained)
         self._fence = fence
         self._now = now
         self._given = []
         self._forget_done_orders()
         self._check_groups()
         self._repair_groups()
-        shares = configuration.list_shares(self._zone)
-        self._ranks = {s.name: s.rank for s in configuration.services}
-        self._balance_services(shares)
+        if configuration is not None:
+            self._ranks = {s.name: s.rank for s in configuration.services}
+            self._balance_services(configuration.list_shares(self._zone))
         self._release_drained()
         self._release_strays()
         return self._given
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -17,6 +17,7 @@
 from hickorylead.consensus import voter as voter_module
 from hickorylead.lease import messages as lease_messages
 from hickorylead.lease import zone as lease_zone
+from hickorylead.membership import announcements
 from hickorylead.membership import messages as member_messages
 from hickorylead.membership import registry as registry_module
 from hickorylead.placement import planner
@@ -148,9 +149,8 @@
             self._lease.observe(member.state.fence)
         effects += _wrap(self._lease.tick(now))
         effects += _wrap(self._follower.poll(now))
-        for effect in self._holder.tick(self._follower.configuration, now):
-            effects += _wrap([effect])
-        return effects
+        known = self._follower.configuration if self._follower.ready else None
+        return effects + _wrap(self._holder.tick(known, now))
 
     def _receive(
         self, sender: str, message: seam.Message, now: float, wall: float
@@ -164,7 +164,12 @@
             ):
                 if isinstance(message, member_messages.Digest):
                     self._lease.observe(message.fence)
-                return _wrap(self._registry.receive(message, now))
+                effects = _wrap(self._registry.receive(message, now))
+                if isinstance(message, member_messages.Edge) and (
+                    message.state.phase == announcements.PHASE_LEAVING
+                ):
+                    effects += _wrap(self._holder.withdraw(message.state))
+                return effects
             case (
                 claim_messages.ClaimRequest()
                 | claim_messages.ClaimReply()
@@ -175,7 +180,9 @@
             case lease_messages.LeaseRequest() | lease_messages.LeaseReply():
                 return _wrap(self._lease.receive(message, now))
             case (
-                routing_messages.TableUpdate() | routing_messages.TableRequest()
+                routing_messages.TableUpdate()
+                | routing_messages.TableRequest()
+                | routing_messages.Withdrawal()
             ):
                 return _wrap(self._holder.receive(message, sender, now))
             case (
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -199,6 +199,9 @@
                 if self._table.update(message, now):
                     effects += self._ask_table(zone)
                 return effects + _wrap(self._dispatcher.dispatch_all(now))
+            case routing_messages.Withdrawal():
+                self._table.withdraw(message)
+                return []
             case claim_messages.ClaimReply():
                 return _wrap(self._dispatcher.receive_claim(message, now))
             case member_messages.ResendRequest():
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -5,7 +5,8 @@
 import collections
 from typing import TYPE_CHECKING, TypeAlias
 
-from hickorylead.placement import groups, orders
+from hickorylead.placement import groups as groups_module
+from hickorylead.placement import orders
 from hickorylead.placement import planner as planner_module
 from hickorylead.roles import nodes, status
 from hickorylead.routing import messages
@@ -17,6 +18,7 @@
 
     from hickorylead.configuration import model
     from hickorylead.lease import zone as lease_zone
+    from hickorylead.membership import announcements
     from hickorylead.membership import registry as registry_module
 
 Effect: TypeAlias = orders.Give | messages.Send
@@ -58,6 +60,7 @@
         self._planner = planner_module.Planner(zone=self._zone, policy=policy)
         self._publisher = publisher_module.Publisher(zone=self._zone)
         self._remote = table_module.Table()
+        self._withdrawn: set[tuple[str, int, str]] = set()
         self._adopted_fence = 0
         self._next_plan = 0.0
         self._planned_at = 0.0
@@ -65,9 +68,16 @@
         self._services: tuple[status.ServiceStatus, ...] = ()
 
     def tick(
-        self, configuration: model.Configuration, now: float
+        self, configuration: model.Configuration | None, now: float
     ) -> list[Effect]:
-        """Plans and publishes, if the lease allows it."""
+        """Plans and publishes, if the lease allows it.
+
+        Args:
+            configuration: What is in force; None while it is not sure.
+            now: Present time.
+        """
+        present = self._registry.members
+        self._withdrawn = {w for w in self._withdrawn if w[0] in present}
         for zone, remote in list(self._remote.zones.items()):
             if now - remote.heard_at > REMOTE_SILENCE_S:
                 self._remote.forget_zone(zone)
@@ -89,7 +99,8 @@
             fence=self._lease.number,
             now=now,
         )
-        self._measure(configuration, now)
+        if configuration is not None:
+            self._measure(configuration, now)
         effects += self._publisher.publish(
             replicas=publisher_module.build_table(
                 self._registry.members, self._planner
@@ -121,13 +132,34 @@
                 return effects
             case messages.TableRequest(node, zone):
                 return self._give_table(node, zone, now)
+            case messages.Withdrawal(zone):
+                # From another zone; its own entries know it already.
+                return [
+                    messages.Send(entry, message)
+                    for entry in sorted(self._registry.entries)
+                    if zone != self._zone
+                ]
+
+    def withdraw(self, state: announcements.ServerState) -> list[messages.Send]:
+        """Tells everyone at once that a group with a leaving VM takes no work.
+
+        This does not wait for the holder of the lease, which may be lost at
+        this moment: to stop sending work somewhere needs no agreement.
+        """
+        key = (state.vm, state.boot, state.group)
+        if not state.group or key in self._withdrawn:
+            return []
+        self._withdrawn.add(key)
+        message = messages.Withdrawal(self._zone, state.group, state.generation)
+        nodes_to_tell = [*sorted(self._registry.entries), *self._others]
+        return [messages.Send(node, message) for node in nodes_to_tell]
 
     def may_order(self, now: float) -> bool:
         """Says whether an order may be given at this moment."""
         return self._lease.may_order(now)
 
     @property
-    def groups(self) -> Mapping[str, groups.Group]:
+    def groups(self) -> Mapping[str, groups_module.Group]:
         """Replica groups as this process last knew them."""
         return self._planner.groups
 
@@ -198,16 +230,16 @@
                 1
                 for group in self._planner.groups.values()
                 if group.service == service.name
-                and groups.is_whole(group, self._registry.members)
+                and groups_module.is_whole(group, self._registry.members)
             )
             rows.append(status.ServiceStatus(service.name, wanted, serving))
             self._downtime_s += max(0, wanted - serving) * elapsed_s
         self._services = tuple(rows)
 
-    def _describe_state(self, group: groups.Group) -> str:
+    def _describe_state(self, group: groups_module.Group) -> str:
         if group.draining_since is not None:
             return "draining"
         if group.broken_since is not None:
             return "broken"
-        whole = groups.is_whole(group, self._registry.members)
+        whole = groups_module.is_whole(group, self._registry.members)
         return "serving" if whole else "loading"
--- a/src/hickorylead/routing/messages.py
+++ b/src/hickorylead/routing/messages.py
@@ -71,7 +71,22 @@
     zone: str
 
 
-Message: TypeAlias = TableUpdate | TableRequest
+@attrs.frozen
+class Withdrawal:
+    """A replica takes no new work from now on: one of its VMs leaves.
+
+    Attributes:
+        zone: Zone of the replica.
+        group: The replica.
+        generation: Generation of its member list.
+    """
+
+    zone: str
+    group: str
+    generation: int
+
+
+Message: TypeAlias = TableUpdate | TableRequest | Withdrawal
 
 
 @attrs.frozen
--- a/src/hickorylead/routing/table.py
+++ b/src/hickorylead/routing/table.py
@@ -6,6 +6,9 @@
 
 from hickorylead.routing import messages
 
+# Withdrawals remembered; each is of use until the next update only.
+MAX_WITHDRAWN = 1000
+
 
 @attrs.define
 class ZoneTable:
@@ -38,6 +41,7 @@
         """Makes an empty table."""
         self.zones: dict[str, ZoneTable] = {}
         self.loads: dict[str, ReportedLoad] = {}
+        self._withdrawn: dict[tuple[str, int], None] = {}
         self._by_service: dict[str, list[messages.Replica]] | None = None
 
     def update(self, update: messages.TableUpdate, now: float) -> bool:
@@ -84,6 +88,14 @@
             requests = round(value * replica.slots / messages.LOAD_STEPS)
             self.loads[group] = ReportedLoad(requests, now)
 
+    def withdraw(self, withdrawal: messages.Withdrawal) -> None:
+        """Stops offering a replica, whatever updates still say of it."""
+        key = (withdrawal.group, withdrawal.generation)
+        self._withdrawn[key] = None
+        while len(self._withdrawn) > MAX_WITHDRAWN:
+            del self._withdrawn[next(iter(self._withdrawn))]
+        self._by_service = None
+
     def forget_zone(self, zone: str) -> None:
         """Drops the replicas of a zone that was not heard for long."""
         if self.zones.pop(zone, None) is not None:
@@ -95,6 +107,8 @@
             self._by_service = {}
             for _, zone in sorted(self.zones.items()):
                 for _, replica in sorted(zone.replicas.items()):
+                    if (replica.group, replica.generation) in self._withdrawn:
+                        continue
                     self._by_service.setdefault(replica.service, []).append(
                         replica
                     )
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -49,6 +49,7 @@
     status.StatusReply,
     status.ExplainRequest,
     status.ExplainReply,
+    routing.Withdrawal,
 )
 
 RECORDS: tuple[type, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -283,6 +283,7 @@
     statusReply @27 :StatusReply;
     explainRequest @28 :ExplainRequest;
     explainReply @29 :ExplainReply;
+    withdrawal @30 :Withdrawal;
   }
 }
 
@@ -451,6 +452,12 @@
   trial @6 :Bool;
 }
 
+struct Withdrawal {
+  zone @0 :Text;
+  group @1 :Text;
+  generation @2 :Int64;
+}
+
 struct Envelope {
   sender @0 :Text;
   address @1 :Text;
