--- a/src/hickorylead/configuration/follower.py
+++ b/src/hickorylead/configuration/follower.py
@@ -24,7 +24,11 @@
     """
 
     def __init__(
-        self, *, node: str, controls: Sequence[str], is_control: bool
+        self,
+        *,
+        node: str,
+        controls: Sequence[str],
+        all_controls: Sequence[str] = (),
     ) -> None:
         """Makes a follower that holds nothing.
 
@@ -32,19 +36,21 @@
             node: Name of this process.
             controls: Control processes of the zone, this one too if it is
                 one.
-            is_control: Whether this process is one of them.
+            all_controls: Control processes of all zones, if this process is
+                one: it looks for the leader among them.
         """
         self._node = node
         self._others = tuple(name for name in controls if name != node)
         majority = len(controls) // 2 + 1
-        if is_control:
+        if all_controls:
             # A majority may have held it only thanks to this process.
             self._needed = len(controls) - majority + 1
         else:
             self._needed = majority
         self._heard: set[str] = set()
         self._next_poll = 0.0
-        self._is_control = is_control
+        self._all_controls = tuple(all_controls)
+        self._rotation = 0
         self._leader_heard_at = -1e9
         self.ready = False
         self.leader = ""
@@ -72,7 +78,7 @@
 
     def receive(self, update: messages.ConfigurationUpdate, now: float) -> bool:
         """Takes an update; says whether the version rose."""
-        if update.leader:
+        if update.leader and (update.from_leader or not self.find_leader(now)):
             self.leader = update.leader
         if update.from_leader:
             self._leader_heard_at = now
@@ -90,10 +96,22 @@
             return []
         self._next_poll = now + POLL_PERIOD_S
         request = messages.ConfigurationRequest(self._node, self.version)
-        leader = self.leader if self._is_control else ""
-        nodes = dict.fromkeys([*self._others, leader])
+        nodes = dict.fromkeys([*self._others, *self._choose_sources(now)])
         return [
             messages.Send(node, request)
             for node in nodes
             if node and node != self._node
         ]
+
+    def _choose_sources(self, now: float) -> list[str]:
+        """Returns whom a control process asks besides those of its zone."""
+        if not self._all_controls:
+            return []
+        leader = self.find_leader(now)
+        if leader:
+            return [leader]
+        # The leader may be gone, and with it the only voter of this zone: then
+        # nobody here learns who leads now. Any other process may know.
+        self._rotation += 1
+        count = len(self._all_controls)
+        return [self.leader, self._all_controls[self._rotation % count]]
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -78,7 +78,9 @@
         zone_controls = by_zone[self._zone]
         self._voter: voter_module.Voter | None = None
         self._follower = follower.Follower(
-            node=identity.node, controls=zone_controls, is_control=True
+            node=identity.node,
+            controls=zone_controls,
+            all_controls=identity.controls,
         )
         if identity.incarnation:
             others = [n for n in identity.controls if n != identity.node]
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -66,7 +66,7 @@
         by_zone = nodes.group_by_zone(identity.controls)
         self._zone_controls = by_zone.get(self._zone, ())
         self._follower = follower_module.Follower(
-            node=identity.node, controls=self._zone_controls, is_control=False
+            node=identity.node, controls=self._zone_controls
         )
         self._listener = listener.Listener(
             entry=identity.node, controls=self._zone_controls
--- a/src/hickorylead/runtime/callers.py
+++ b/src/hickorylead/runtime/callers.py
@@ -350,6 +350,7 @@
     ) -> responses.Response:
         """Handles GET /metrics."""
         role, metrics = self._shell.role, self._shell.metrics
+        metrics.set_open(role.dispatcher.count_open())
         metrics.set_version(role.configuration.version)
         for zone, table in role.table.zones.items():
             metrics.set_replicas(zone, len(table.replicas))
--- a/src/hickorylead/telemetry/metrics.py
+++ b/src/hickorylead/telemetry/metrics.py
@@ -42,6 +42,9 @@
         self._queued = gauge(
             "hickorylead_queued_requests", "Requests waiting, by urgency."
         )
+        self._open = gauge(
+            "hickorylead_open_requests", "Requests without a final answer."
+        )
         self._version = gauge(
             "hickorylead_configuration_version", "Version in force here."
         )
@@ -69,6 +72,10 @@
         """Sets how many requests wait."""
         self._queued.set({"service": service, "urgency": str(urgency)}, count)
 
+    def set_open(self, count: int) -> None:
+        """Sets how many requests have no final answer yet."""
+        self._open.set({}, count)
+
     def set_version(self, version: int) -> None:
         """Sets the configuration version in force here."""
         self._version.set({}, version)
--- a/tests/consensus/voter.feature
+++ b/tests/consensus/voter.feature
@@ -17,6 +17,14 @@
     And the same change is sent again through another zone
     Then the resend gets the first answer and the version is the same
 
+  Scenario: A zone whose only voter died finds the next leader
+    The leader dies, and it was the only voter of its zone. The other control
+    processes there ask around until they find who leads now, or changes of
+    this zone's operators would be refused while others' are accepted.
+    Given a deployment in three zones
+    When the leader is killed
+    Then a change through its zone is accepted within 20 s
+
   Scenario: A zone without a majority refuses changes at once
     A zone is cut off. Its operator's change is refused as not applied, with a
     time to come back, and never takes effect later, because no process there
--- a/tests/steps/consensus_steps.py
+++ b/tests/steps/consensus_steps.py
@@ -335,3 +335,28 @@
     follow(context.world, context.version, seconds)
     for node in context.world.entries:
         assert "kept" in context.world.roles[node].configuration.drained
+
+
+@when("the leader is killed")
+def _(context):
+    context.killed = operator.find_leader(context.world)
+    context.world.kill(context.killed)
+
+
+@then("a change through its zone is accepted within {seconds:g} s")
+def _(context, seconds):
+    world = context.world
+    zone = nodes.get_zone(context.killed)
+    node = next(n for n in world.entries if nodes.get_zone(n) == zone)
+    end = world.now + seconds
+    number = 0
+    while world.now < end:
+        number += 1
+        change_id = operator.submit(
+            world, SWITCH, change_id=f"again-{number}", node=node
+        )
+        world.run_until(lambda c=change_id: c in world.outcomes)
+        outcome = world.outcomes[change_id].outcome
+        if outcome and outcome.accepted:
+            return
+    raise AssertionError("no change was accepted")
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -2,10 +2,34 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 
 import deployment as deployment_module
 
+TOKENS = {
+    "none": "",
+    "caller": "token-kahikatea",
+    "operator": deployment_module.OPERATOR_TOKEN,
+}
+CHAT = {
+    "model": "assistant",
+    "max_tokens": 5,
+    "messages": [{"role": "user", "content": "Is our line lead?"}],
+}
+
+
+def ask(vm, body=None, **headers):
+    """Sends a chat completion through an entry."""
+    return deployment_module.call(
+        "POST",
+        f"{vm.url}/v1/chat/completions",
+        token=TOKENS["caller"],
+        body=json.dumps(body or CHAT).encode(),
+        headers=headers,
+    )
+
+
 SERVICE = (
     *("service", "apply", "assistant", "--model-name", "lead"),
     *("--version", "1", "--replicas", "6", "--group-size", "2"),
