--- /dev/null
+++ b/bench/sizes.py
@@ -0,0 +1,242 @@
+"""Control costs at several sizes, from the real reducers and real frames.
+
+A whole deployment is built in one process, with given time. What each node
+sends is encoded by the real codec and counted; the processor time that each
+reducer takes is measured around the call.
+"""
+
+from __future__ import annotations
+
+import collections
+import gc
+import pathlib
+import sys
+import time
+import tracemalloc
+from typing import Any
+
+import attrs
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / "tests"))
+
+from support import operator, servers, world as world_module  # noqa: E402
+
+from hickorylead.configuration import changes, model  # noqa: E402
+from hickorylead.membership import announcements, registry  # noqa: E402
+from hickorylead.placement import planner  # noqa: E402
+from hickorylead.routing import publisher, table  # noqa: E402
+from hickorylead.wire import codec, frame  # noqa: E402
+
+MEASURED_S = 10.0
+FRAME_OVERHEAD = frame.HEADER.size
+
+
+@attrs.frozen
+class Size:
+    """One size of a deployment.
+
+    Attributes:
+        zones: Availability zones.
+        entries: Entries in each.
+        replicas: Replicas in each.
+        group_size: VMs of a replica.
+    """
+
+    zones: int
+    entries: int
+    replicas: int
+    group_size: int
+
+
+SIZES = (
+    Size(3, 3, 17, 2),
+    Size(3, 12, 17, 2),
+    Size(5, 18, 30, 2),
+    Size(5, 18, 30, 8),
+    Size(5, 36, 60, 8),
+    Size(5, 72, 120, 2),
+    Size(5, 72, 120, 8),
+)
+
+
+@attrs.define
+class Cost:
+    """What one node spent in the measured time."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    messages: int = 0
+    processor_s: float = 0.0
+
+
+class CountingWorld(world_module.World):
+    """A world that counts bytes and processor time of every node."""
+
+    def __init__(self, **options: Any) -> None:
+        self.costs: dict[str, Cost] = collections.defaultdict(Cost)
+        self.kinds: collections.Counter[str] = collections.Counter()
+        self.counting = False
+        super().__init__(**options)
+
+    def send(self, source: str, target: str, message: Any) -> None:
+        """Counts a message, then puts it on its way."""
+        if self.counting and source != target:
+            envelope = codec.Envelope(source, "10.0.0.10:7000", message)
+            size = len(codec.encode_envelope(envelope)) + FRAME_OVERHEAD
+            self.costs[source].sent_bytes += size
+            self.costs[source].messages += 1
+            self.costs[target].received_bytes += size
+            self.kinds[type(message).__name__] += size
+        super().send(source, target, message)
+
+    def give(self, node: str, event: Any) -> None:
+        """Measures the reducer of a node."""
+        role = self.roles.get(node)
+        if role is None:
+            return
+        start = time.process_time()
+        effects = role.reduce(event, self.now)
+        if self.counting:
+            self.costs[node].processor_s += time.process_time() - start
+        for effect in effects:
+            self._carry_out(node, effect)
+
+
+def build(size: Size) -> CountingWorld:
+    """Returns a deployment that serves, before the measured time."""
+    zones = tuple(f"zone{z}" for z in range(size.zones))
+    world = CountingWorld(zones=zones, vms=size.entries)
+    for zone in zones:
+        for number in range(size.replicas * size.group_size):
+            world.add_server(_make_member(zone, number, size.group_size))
+    operator.found_cluster(world)
+    service = model.Service(
+        "assistant", model="lead", version="1", group_size=size.group_size
+    )
+    operator.apply(world, changes.ApplyService(service))
+    shares = tuple(model.Share("assistant", z, size.replicas) for z in zones)
+    operator.apply(world, changes.ApplyPreset(model.Preset("p", shares)))
+    operator.apply(world, changes.SwitchPreset("p"))
+    world.run(12)
+    return world
+
+
+def _make_member(zone: str, number: int, size: int) -> servers.Server:
+    """Returns a server that belongs to a group already."""
+    server = servers.make_engine(zone, number, domain=f"{zone}-d{number // 64}")
+    vm = f"{zone}-vm{number:05}"
+    group = f"assistant/{zone}/1-{number // size}"
+    server.member.state = attrs.evolve(
+        server.state,
+        vm=vm,
+        address=f"10.1.{number // 250}.{number % 250}:8000",
+        phase=announcements.PHASE_READY,
+        service="assistant",
+        group=group,
+        generation=1,
+        rank=number % size,
+        size=size,
+        weights="lead@1",
+    )
+    return server
+
+
+def measure(size: Size) -> dict[str, Any]:
+    """Returns the costs of each role at one size, per node and second."""
+    world = build(size)
+    world.counting = True
+    world.run(MEASURED_S)
+    holders = {
+        node for zone in world.zones for node in operator.list_holders(world, zone)
+    }
+    leader = operator.find_leader(world)
+    roles = {
+        "entry": list(world.entries),
+        "control": [n for n in world.controls if n not in holders],
+        "holder": sorted(holders),
+        "leader": [leader],
+    }
+    serving = [operator.count_replicas(world, n) for n in world.entries]
+    wanted = size.zones * size.replicas
+    assert min(serving) == wanted, (min(serving), wanted)
+    result: dict[str, Any] = {"size": size}
+    for role, names in roles.items():
+        costs = [world.costs[name] for name in names]
+        result[role] = {
+            "sent": sum(c.sent_bytes for c in costs) / len(costs) / MEASURED_S,
+            "received": sum(c.received_bytes for c in costs)
+            / len(costs)
+            / MEASURED_S,
+            "messages": sum(c.messages for c in costs)
+            / len(costs)
+            / MEASURED_S,
+            "core": sum(c.processor_s for c in costs)
+            / len(costs)
+            / MEASURED_S,
+        }
+    result["kinds"] = world.kinds.most_common(4)
+    return result
+
+
+def measure_memory(members: int, group_size: int) -> dict[str, float]:
+    """Returns the bytes that the state of a holder and an entry takes."""
+    gc.collect()
+    tracemalloc.start()
+    found = registry.Registry()
+    for number in range(members):
+        state = _make_member("zone0", number, group_size).state
+        found.members[state.vm] = registry.Member(state, "zone0/vm1/entry")
+    registry_bytes = tracemalloc.get_traced_memory()[0]
+    plan = planner.Planner(zone="zone0", policy=planner.Policy())
+    plan.adopt(found.members)
+    plan.plan(members=found.members, configuration=None, fence=1, now=0.0)
+    replicas = publisher.build_table(found.members, plan)
+    holder_bytes = tracemalloc.get_traced_memory()[0]
+    known = table.Table()
+    update = publisher.Publisher(zone="zone0")
+    update.publish(
+        replicas=replicas, members=found.members, listeners=[], fence=1, now=0.0
+    )
+    known.update(update.make_full(found.members), 0.0)
+    known.list_replicas("assistant")
+    table_bytes = tracemalloc.get_traced_memory()[0] - holder_bytes
+    tracemalloc.stop()
+    assert len(replicas) == members // group_size
+    return {
+        "registry per server": registry_bytes / members,
+        "groups per server": (holder_bytes - registry_bytes) / members,
+        "table per replica": table_bytes / max(1, len(replicas)),
+    }
+
+
+def run() -> str:
+    """Measures all sizes and returns the tables in Markdown."""
+    lines = [
+        "| zones | entries | replicas | VMs of a replica | role | sent B/s |"
+        " received B/s | messages/s | % of a core |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    for size in SIZES:
+        found = measure(size)
+        for role in ("entry", "control", "holder", "leader"):
+            cost = found[role]
+            lines.append(
+                f"| {size.zones} | {size.zones * size.entries} |"
+                f" {size.zones * size.replicas} | {size.group_size} | {role} |"
+                f" {cost['sent']:.0f} | {cost['received']:.0f} |"
+                f" {cost['messages']:.1f} | {100 * cost['core']:.2f} |"
+            )
+        sys.stderr.write(f"{size}: {found['kinds']}\n")
+    lines += ["", "| state | 500 servers | 3,840 servers |", "|---|---|---|"]
+    small, large = measure_memory(500, 8), measure_memory(3840, 32)
+    lines += [
+        f"| bytes, {name} | {small[name]:.0f} | {large[name]:.0f} |"
+        for name in small
+    ]
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    sys.stdout.write(run())
+
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -70,6 +70,7 @@
         vms: int = 3,
         policy: planner.Policy = NO_SPARES,
         max_skew_s: float = 1.0,
+        controls_per_zone: int = 3,
     ) -> None:
         self.now = 100.0
         self.rng = random.Random(seed)
@@ -79,7 +80,7 @@
         self.controls = tuple(
             nodes.name_node(zone, f"vm{v + 1}", nodes.CONTROL)
             for zone in zones
-            for v in range(vms)
+            for v in range(controls_per_zone)
         )
         self.entries = tuple(
             nodes.name_node(zone, f"vm{v + 1}", nodes.ENTRY)
