--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -20,15 +20,20 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
 
-from support import operator, servers, world as world_module  # noqa: E402
-
-from hickorylead.configuration import changes, model  # noqa: E402
-from hickorylead.membership import announcements, registry  # noqa: E402
-from hickorylead.placement import planner  # noqa: E402
-from hickorylead.routing import publisher, table  # noqa: E402
-from hickorylead.wire import codec, frame  # noqa: E402
+from support import operator, servers
+from support import world as world_module
+
+from hickorylead.claims import holder
+from hickorylead.claims import messages as claim_messages
+from hickorylead.configuration import changes, model
+from hickorylead.membership import announcements, registry
+from hickorylead.placement import planner
+from hickorylead.routing import publisher, table
+from hickorylead.wire import codec, frame
+from hickorylead_standins import batch
 
 MEASURED_S = 10.0
+CLAIMS = 5000
 FRAME_OVERHEAD = frame.HEADER.size
 
 
@@ -127,6 +132,10 @@
     server = servers.make_engine(zone, number, domain=f"{zone}-d{number // 64}")
     vm = f"{zone}-vm{number:05}"
     group = f"assistant/{zone}/1-{number // size}"
+    if number % size == 0:
+        # A loaded table does not pack as well as an idle one.
+        for request in range(1 + number % 7):
+            server.batch.submit(batch.Work(f"r{request}", "d", 3, 1, 10**6))
     server.member.state = attrs.evolve(
         server.state,
         vm=vm,
@@ -148,7 +157,9 @@
     world.counting = True
     world.run(MEASURED_S)
     holders = {
-        node for zone in world.zones for node in operator.list_holders(world, zone)
+        node
+        for zone in world.zones
+        for node in operator.list_holders(world, zone)
     }
     leader = operator.find_leader(world)
     roles = {
@@ -171,9 +182,7 @@
             "messages": sum(c.messages for c in costs)
             / len(costs)
             / MEASURED_S,
-            "core": sum(c.processor_s for c in costs)
-            / len(costs)
-            / MEASURED_S,
+            "core": sum(c.processor_s for c in costs) / len(costs) / MEASURED_S,
         }
     result["kinds"] = world.kinds.most_common(4)
     return result
@@ -201,12 +210,29 @@
     known.update(update.make_full(found.members), 0.0)
     known.list_replicas("assistant")
     table_bytes = tracemalloc.get_traced_memory()[0] - holder_bytes
+    before = tracemalloc.get_traced_memory()[0]
+    claims = holder.Holder(node="zone0/vm1/control", started_at=0.0)
+    for number in range(CLAIMS):
+        key = f"work-orders\nkahikatea\n01J{number:023}"
+        request = claim_messages.ClaimRequest(
+            "zone0/vm1/entry", key, f"zone0.vm1.{number:x}", "f" * 32, 1e6, 1e6
+        )
+        claims.receive(request, 1e6)
+        answer = claim_messages.FinalAnswer(
+            "ran", 200, "text/plain", b"x" * 100
+        )
+        claims.receive(
+            claim_messages.ClaimFinish(key, request.owner, answer), 1e6
+        )
+    assert len(claims) == CLAIMS
+    claim_bytes = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     assert len(replicas) == members // group_size
     return {
         "registry per server": registry_bytes / members,
         "groups per server": (holder_bytes - registry_bytes) / members,
         "table per replica": table_bytes / max(1, len(replicas)),
+        "claim with an answer of 100 bytes": claim_bytes / CLAIMS,
     }
 
 
@@ -239,4 +265,3 @@
 
 if __name__ == "__main__":
     sys.stdout.write(run())
-
--- a/src/hickorylead/claims/holder.py
+++ b/src/hickorylead/claims/holder.py
@@ -14,7 +14,9 @@
 
 MEMORY_S = 900.0
 MAX_SKEW_S = 300.0
-MAX_CLAIMS = 60_000
+# Both bounds keep a holder within its share of 64 MB; see docs/CAPACITY.md.
+MAX_CLAIMS = 20_000
+MAX_KEPT_BYTES = 2 * 1024 * 1024
 
 
 @attrs.define
@@ -60,6 +62,11 @@
         self._claims: collections.OrderedDict[str, Claim] = (
             collections.OrderedDict()
         )
+        # Keys whose answers have a body, the oldest first.
+        self._bodies: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self._kept_bytes = 0
 
     def __len__(self) -> int:
         """Returns how many claims are kept."""
@@ -80,6 +87,7 @@
                 claim = self._claims.get(key)
                 if claim and claim.owner == owner:
                     claim.answer = answer
+                    self._keep_body(key, answer)
             case messages.ClaimReply():
                 pass
         return []
@@ -136,4 +144,24 @@
             if claim.made_at >= oldest_kept:
                 break
             del self._claims[key]
+            self._kept_bytes -= self._bodies.pop(key, 0)
         return len(self._claims) < MAX_CLAIMS
+
+    def _keep_body(self, key: str, answer: messages.FinalAnswer) -> None:
+        """Counts the body of an answer; the oldest ones give way.
+
+        Without its body an answer still says that the request ran, which is
+        what keeps it from running twice.
+        """
+        self._kept_bytes -= self._bodies.pop(key, 0)
+        if answer.body:
+            self._bodies[key] = len(answer.body)
+            self._kept_bytes += len(answer.body)
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            oldest, size = self._bodies.popitem(last=False)
+            self._kept_bytes -= size
+            claim = self._claims[oldest]
+            if claim.answer is not None:
+                claim.answer = attrs.evolve(
+                    claim.answer, body=b"", complete=False
+                )
--- a/src/hickorylead/configuration/follower.py
+++ b/src/hickorylead/configuration/follower.py
@@ -91,8 +91,13 @@
         return rose
 
     def poll(self, now: float) -> list[messages.Send]:
-        """Asks for news when it is due."""
-        if now < self._next_poll:
+        """Asks for news when it is due.
+
+        An entry that is ready asks no more: its digests tell the control
+        processes which version it follows, and they send it a newer one.
+        """
+        is_entry = not self._all_controls
+        if now < self._next_poll or (is_entry and self.ready):
             return []
         self._next_poll = now + POLL_PERIOD_S
         request = messages.ConfigurationRequest(self._node, self.version)
--- a/src/hickorylead/membership/listener.py
+++ b/src/hickorylead/membership/listener.py
@@ -14,6 +14,9 @@
 
 SILENCE_S = 3.5
 DIGEST_PERIOD_S = 1.0
+# Control processes that do not hold the lease only have to be ready to take
+# over; they get every third digest.
+STANDBY_DIGESTS = 3
 
 
 @attrs.define
@@ -47,6 +50,7 @@
         self._controls = controls
         self._heard: dict[str, Heard] = {}
         self._next_digest = 0.0
+        self._digests = 0
 
     def list_states(self) -> list[announcements.ServerState]:
         """Returns the state of each server heard."""
@@ -64,9 +68,16 @@
         return self._tell(messages.Edge(self._entry, announcement.state))
 
     def tick(
-        self, now: float, *, configuration: int, fence: int
+        self, now: float, *, configuration: int, fence: int, holder: str
     ) -> list[messages.Send]:
-        """Drops servers that fell silent, and sends the digest when due."""
+        """Drops servers that fell silent, and sends the digest when due.
+
+        Args:
+            now: Present time.
+            configuration: Version that this entry follows.
+            fence: Fencing number of its replica table.
+            holder: Control process that sent that table; empty if unknown.
+        """
         silent = [vm for vm, h in self._heard.items() if now - h.at > SILENCE_S]
         effects: list[messages.Send] = []
         for vm in silent:
@@ -74,7 +85,25 @@
             effects += self._tell(messages.Gone(self._entry, vm))
         if now >= self._next_digest:
             self._next_digest = now + DIGEST_PERIOD_S
-            effects += self._tell(self._make_digest(configuration, fence))
+            effects += self._send_digests(configuration, fence, holder)
+        return effects
+
+    def _send_digests(
+        self, configuration: int, fence: int, holder: str
+    ) -> list[messages.Send]:
+        self._digests += 1
+        digest = self._make_digest(configuration, fence)
+        if holder not in self._controls:
+            return self._tell(digest)
+        effects = [messages.Send(holder, digest)]
+        if self._digests % STANDBY_DIGESTS == 0:
+            period_s = DIGEST_PERIOD_S * STANDBY_DIGESTS
+            rare = attrs.evolve(digest, period_s=period_s)
+            effects += [
+                messages.Send(node, rare)
+                for node in self._controls
+                if node != holder
+            ]
         return effects
 
     def resend(self, control: str) -> list[messages.Send]:
--- a/src/hickorylead/membership/messages.py
+++ b/src/hickorylead/membership/messages.py
@@ -49,6 +49,7 @@
         loads: Loads of those that take requests.
         configuration: Version of the configuration that the entry follows.
         fence: Fencing number of the zone's replica table at the entry.
+        period_s: Time until the next digest to the same receiver.
     """
 
     entry: str
@@ -57,6 +58,7 @@
     loads: tuple[LeaderLoad, ...] = ()
     configuration: int = 0
     fence: int = 0
+    period_s: float = 1.0
 
 
 @attrs.frozen
--- a/src/hickorylead/membership/registry.py
+++ b/src/hickorylead/membership/registry.py
@@ -9,7 +9,7 @@
 # An entry that died takes the announcements it held with it. Its servers
 # announce elsewhere within two of their periods; until then they are neither
 # present nor lost, so that nothing is repaired that is not broken.
-ENTRY_SILENCE_S = 3.5
+ENTRY_SILENCE_PERIODS = 3.5
 MOVE_GRACE_S = 4.0
 RESEND_PERIOD_S = 1.0
 
@@ -36,6 +36,7 @@
     """An entry as the control process knows it."""
 
     heard_at: float
+    period_s: float = 1.0
     configuration: int = 0
     asked_at: float = -1e9
 
@@ -71,7 +72,8 @@
     def tick(self, now: float) -> None:
         """Forgets entries and servers that have been silent for too long."""
         for name, record in list(self.entries.items()):
-            if now - record.heard_at <= ENTRY_SILENCE_S:
+            silence_s = ENTRY_SILENCE_PERIODS * record.period_s
+            if now - record.heard_at <= silence_s:
                 continue
             del self.entries[name]
             for member in self.members.values():
@@ -100,6 +102,7 @@
     ) -> list[messages.Send]:
         record = self._touch(digest.entry, now)
         record.configuration = digest.configuration
+        record.period_s = digest.period_s
         for item in digest.loads:
             member = self.members.get(item.vm)
             if member and member.entry == digest.entry:
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -164,14 +164,7 @@
                 | member_messages.Digest()
                 | member_messages.ResendRequest()
             ):
-                if isinstance(message, member_messages.Digest):
-                    self._lease.observe(message.fence)
-                effects = _wrap(self._registry.receive(message, now))
-                if isinstance(message, member_messages.Edge) and (
-                    message.state.phase == announcements.PHASE_LEAVING
-                ):
-                    effects += _wrap(self._holder.withdraw(message.state))
-                return effects
+                return self._receive_membership(message, now)
             case (
                 claim_messages.ClaimRequest()
                 | claim_messages.ClaimReply()
@@ -213,6 +206,21 @@
             case _:
                 return self._receive_configuration(message, now)
 
+    def _receive_membership(
+        self, message: member_messages.Message, now: float
+    ) -> list[seam.ControlEffect]:
+        effects = _wrap(self._registry.receive(message, now))
+        match message:
+            case member_messages.Digest(entry=entry, fence=fence):
+                self._lease.observe(fence)
+                if message.configuration < self._follower.version:
+                    update = self._make_update(message.configuration, now)
+                    effects.append(seam.Send(entry, update))
+            case member_messages.Edge(state=state):
+                if state.phase == announcements.PHASE_LEAVING:
+                    effects += _wrap(self._holder.withdraw(state))
+        return effects
+
     # The configuration.
 
     def _receive_configuration(
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -29,6 +29,7 @@
 
 REMOTE_SILENCE_S = 10.0
 REFRESH_PERIOD_S = 1.0
+HOLDER_SILENCE_S = 2.5
 
 _ToSend: TypeAlias = (
     claim_messages.Send
@@ -88,6 +89,8 @@
             follower=self._follower,
             trails=self._dispatcher.trails,
         )
+        # The control process that the replica table comes from.
+        self._holder = ""
         self._next_refresh = 0.0
         self._stopping = False
         self._stopped = False
@@ -165,6 +168,7 @@
                 now,
                 configuration=self._follower.version,
                 fence=own.fence if own else 0,
+                holder=self._holder,
             )
         )
         if now >= self._next_refresh:
@@ -182,6 +186,9 @@
             group for z in self._table.zones.values() for group in z.replicas
         )
         own = self._table.zones.get(self._zone)
+        if own is None or now - own.heard_at > HOLDER_SILENCE_S:
+            # Another process may hold the lease now: tell all of them.
+            self._holder = ""
         if own is None or not own.complete:
             return self._ask_table(self._zone)
         return []
@@ -195,6 +202,8 @@
     ) -> list[seam.EntryEffect]:
         match message:
             case routing_messages.TableUpdate(zone):
+                if zone == self._zone:
+                    self._holder = sender
                 effects: list[seam.EntryEffect] = []
                 if self._table.update(message, now):
                     effects += self._ask_table(zone)
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -27,6 +27,7 @@
 # After this without news of another zone its replicas are not offered: their
 # entries are cut off, and so probably are they.
 REMOTE_SILENCE_S = 10.0
+REMOTE_HOLDER_SILENCE_S = 3.0
 
 
 class ZoneHolder:
@@ -60,6 +61,8 @@
         self._planner = planner_module.Planner(zone=self._zone, policy=policy)
         self._publisher = publisher_module.Publisher(zone=self._zone)
         self._remote = table_module.Table()
+        # Who sent the last table of each other zone.
+        self._remote_holders: dict[str, str] = {}
         self._withdrawn: set[tuple[str, int, str]] = set()
         self._adopted_fence = 0
         self._next_plan = 0.0
@@ -106,7 +109,10 @@
                 self._registry.members, self._planner
             ),
             members=self._registry.members,
-            listeners=[*sorted(self._registry.entries), *self._others],
+            listeners=[
+                *sorted(self._registry.entries),
+                *self._list_remote(now),
+            ],
             fence=self._lease.number,
             now=now,
         )
@@ -120,6 +126,7 @@
             case messages.TableUpdate(zone):
                 if zone == self._zone:
                     return []
+                self._remote_holders[zone] = sender
                 effects: list[messages.Send] = []
                 if self._remote.update(message, now):
                     request = messages.TableRequest(self._node, zone)
@@ -221,6 +228,24 @@
         )
         return [messages.Send(node, full)]
 
+    def _list_remote(self, now: float) -> list[str]:
+        """Returns whom to tell in other zones: their holders, if known.
+
+        A process that takes over there sends its own table, which makes it
+        known here, and asks for what it has missed.
+        """
+        listeners = []
+        for node in self._others:
+            zone = nodes.get_zone(node)
+            remote = self._remote.zones.get(zone)
+            is_fresh = (
+                remote is not None
+                and now - remote.heard_at <= REMOTE_HOLDER_SILENCE_S
+            )
+            if not is_fresh or self._remote_holders.get(zone) == node:
+                listeners.append(node)
+        return listeners
+
     def _measure(self, configuration: model.Configuration, now: float) -> None:
         elapsed_s = now - self._planned_at
         self._planned_at = now
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -128,6 +128,7 @@
   loads @3 :List(LeaderLoad);
   configuration @4 :Int64;
   fence @5 :Int64;
+  periodS @6 :Float64;
 }
 
 struct DrainVm {
--- a/tests/claims/claims.feature
+++ b/tests/claims/claims.feature
@@ -84,6 +84,14 @@
     And the servers are back and the same key is sent again
     Then the first was refused as not run and the second ran
 
+  Scenario: A holder's memory is bounded, and fullness never forgets a claim
+    A holder is given more claims and larger answers than it may keep. Old
+    answers lose their bodies; new claims are refused when all room is taken,
+    because to forget a young one could let it run twice.
+    Given a holder that is given 25000 claims with answers of 1000 bytes
+    Then it keeps 20000 claims and at most 2 MiB of answers
+    And each claim it granted is still held
+
   Scenario: One key for two different requests is refused
     A key is used again with another body. To give it the first answer would
     give a caller the answer of another request.
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from behave import then, when
+from behave import given, then, when
 from returns import result
 
-from hickorylead.claims import keys
+from hickorylead.claims import holder, keys, messages
 from hickorylead.requests import events
 from hickorylead.roles import nodes
 from hickorylead.verdict import Verdict
@@ -186,3 +186,40 @@
 def _(_, key, read):
     taken = isinstance(keys.parse_key(key), result.Success)
     assert taken == (read == "taken")
+
+
+def claim(found, number, owner):
+    request = messages.ClaimRequest(
+        "z/v/entry", f"key-{number}", owner, "f", 5000.0, 5000.0
+    )
+    return found.receive(request, 5000.0)[0].message
+
+
+@given("a holder that is given {count:d} claims with answers of {size:d} bytes")
+def _(context, count, size):
+    context.holder = holder.Holder(node="z/v/control", started_at=0.0)
+    answer = messages.FinalAnswer("ran", 200, "", b"x" * size, True)
+    context.granted = []
+    for number in range(count):
+        owner = f"owner-{number}"
+        reply = claim(context.holder, number, owner)
+        if reply.state == messages.GRANTED:
+            context.granted.append(number)
+            finish = messages.ClaimFinish(f"key-{number}", owner, answer)
+            context.holder.receive(finish, 5000.0)
+
+
+@then("it keeps {count:d} claims and at most {mib:d} MiB of answers")
+def _(context, count, mib):
+    assert len(context.holder) == count == len(context.granted)
+    context.replies = [
+        claim(context.holder, number, "another") for number in context.granted
+    ]
+    kept = sum(len(reply.answer.body) for reply in context.replies)
+    assert 0 < kept <= mib * 1024 * 1024, kept
+
+
+@then("each claim it granted is still held")
+def _(context):
+    states = {reply.state for reply in context.replies}
+    assert states == {messages.FINISHED}, states
--- a/tests/steps/safeguard_steps.py
+++ b/tests/steps/safeguard_steps.py
@@ -213,9 +213,8 @@
     ),
     "a lost domain is noticed": (listener, "SILENCE_S", 1e9),
     "restarted grantors stay silent": (
-        lease_zone.Lease,
-        "__init__",
-        break_lease,
+        (lease_zone.Lease, "__init__", break_lease),
+        (lease_zone, "LONGEST_ORDER_S", 0.0),
     ),
     "orders wait out the old lease": (
         lease_zone.Lease,
