--- a/src/hickorylead/membership/listener.py
+++ b/src/hickorylead/membership/listener.py
@@ -3,15 +3,11 @@
 from __future__ import annotations
 
 import hashlib
-from typing import TYPE_CHECKING
 
 import attrs
 
 from hickorylead.membership import announcements, messages
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
 SILENCE_S = 3.5
 DIGEST_PERIOD_S = 1.0
 # Control processes that do not hold the lease only have to be ready to take
@@ -21,19 +17,17 @@
 
 @attrs.define
 class Heard:
-    """The last announcement of one server."""
+    """The last announcement of one server, and the hash of its state."""
 
     announcement: announcements.Announcement
     at: float
+    check: int
 
 
-def hash_states(states: Iterable[announcements.ServerState]) -> int:
-    """Returns a hash over states that does not depend on their order."""
-    total = 0
-    for state in states:
-        digest = hashlib.blake2b(repr(state).encode(), digest_size=7)
-        total ^= int.from_bytes(digest.digest(), "big")
-    return total
+def hash_state(state: announcements.ServerState) -> int:
+    """Returns a hash of a state; those of several are joined by XOR."""
+    digest = hashlib.blake2b(repr(state).encode(), digest_size=7)
+    return int.from_bytes(digest.digest(), "big")
 
 
 class Listener:
@@ -62,9 +56,11 @@
         """Takes an announcement; tells of it only if the state changed."""
         vm = announcement.state.vm
         before = self._heard.get(vm)
-        self._heard[vm] = Heard(announcement, now)
         if before and before.announcement.state == announcement.state:
+            before.announcement, before.at = announcement, now
             return []
+        check = hash_state(announcement.state)
+        self._heard[vm] = Heard(announcement, now, check)
         return self._tell(messages.Edge(self._entry, announcement.state))
 
     def tick(
@@ -114,7 +110,9 @@
         ]
 
     def _make_digest(self, configuration: int, fence: int) -> messages.Digest:
-        states = self.list_states()
+        check = 0
+        for heard in self._heard.values():
+            check ^= heard.check
         loads = tuple(
             messages.LeaderLoad(vm, h.announcement.load)
             for vm, h in sorted(self._heard.items())
@@ -122,8 +120,8 @@
         )
         return messages.Digest(
             entry=self._entry,
-            count=len(states),
-            check=hash_states(states),
+            count=len(self._heard),
+            check=check,
             loads=loads,
             configuration=configuration,
             fence=fence,
--- a/src/hickorylead/placement/planner.py
+++ b/src/hickorylead/placement/planner.py
@@ -113,6 +113,15 @@
         self._release_strays()
         return self._given
 
+    def is_settled(self) -> bool:
+        """Says whether nothing is under way that time alone could change."""
+        return not self._pending and all(
+            group.was_whole
+            and group.broken_since is None
+            and group.draining_since is None
+            for group in self.groups.values()
+        )
+
     def is_serving(self, group: Group) -> bool:
         """Says whether entries may send new work to a group."""
         return group.draining_since is None and groups_module.is_whole(
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -147,8 +147,6 @@
             if self._voter.leads(now):
                 self._follower.ready = True
         self._registry.tick(now)
-        for member in self._registry.members.values():
-            self._lease.observe(member.state.fence)
         effects += _wrap(self._lease.tick(now))
         effects += _wrap(self._follower.poll(now))
         known = self._follower.configuration if self._follower.ready else None
@@ -217,6 +215,7 @@
                     update = self._make_update(message.configuration, now)
                     effects.append(seam.Send(entry, update))
             case member_messages.Edge(state=state):
+                self._lease.observe(state.fence)
                 if state.phase == announcements.PHASE_LEAVING:
                     effects += _wrap(self._holder.withdraw(state))
         return effects
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -24,6 +24,8 @@
 Effect: TypeAlias = orders.Give | messages.Send
 
 PLAN_PERIOD_S = 0.5
+# With nothing new and nothing under way the plan is only looked over.
+SETTLED_PERIOD_S = 5.0
 # After this without news of another zone its replicas are not offered: their
 # entries are cut off, and so probably are they.
 REMOTE_SILENCE_S = 10.0
@@ -66,7 +68,9 @@
         self._withdrawn: set[tuple[str, int, str]] = set()
         self._adopted_fence = 0
         self._next_plan = 0.0
-        self._planned_at = 0.0
+        self._planned_at = self._measured_at = 0.0
+        self._planned_for: tuple[int, int, int] | None = None
+        self._replicas: dict[str, messages.Replica] = {}
         self._downtime_s = 0.0
         self._services: tuple[status.ServiceStatus, ...] = ()
 
@@ -90,24 +94,28 @@
         if not self._lease.may_order(now):
             self._adopted_fence = 0
             return []
-        effects: list[Effect] = []
         if not self._adopted_fence:
             # What was believed when the lease was last held is old.
             self._planner.adopt(self._registry.members)
-            self._planned_at = now
+            self._planned_at = self._measured_at = now
+            self._planned_for = None
         self._adopted_fence = self._lease.number
-        effects += self._planner.plan(
-            members=self._registry.members,
-            configuration=configuration,
-            fence=self._lease.number,
-            now=now,
+        effects: list[Effect] = []
+        state = (
+            self._lease.number,
+            self._registry.changes,
+            configuration.version if configuration else -1,
         )
-        if configuration is not None:
-            self._measure(configuration, now)
+        if (
+            state != self._planned_for
+            or not self._planner.is_settled()
+            or now - self._planned_at >= SETTLED_PERIOD_S
+        ):
+            self._planned_for, self._planned_at = state, now
+            effects += self._plan(configuration, now)
+        self._count_downtime(now)
         effects += self._publisher.publish(
-            replicas=publisher_module.build_table(
-                self._registry.members, self._planner
-            ),
+            replicas=self._replicas,
             members=self._registry.members,
             listeners=[
                 *sorted(self._registry.entries),
@@ -118,6 +126,24 @@
         )
         return effects
 
+    def _plan(
+        self, configuration: model.Configuration | None, now: float
+    ) -> list[Effect]:
+        effects: list[Effect] = [
+            *self._planner.plan(
+                members=self._registry.members,
+                configuration=configuration,
+                fence=self._lease.number,
+                now=now,
+            )
+        ]
+        if configuration is not None:
+            self._services = self._count_serving(configuration)
+        self._replicas = publisher_module.build_table(
+            self._registry.members, self._planner
+        )
+        return effects
+
     def receive(
         self, message: messages.Message, sender: str, now: float
     ) -> list[messages.Send]:
@@ -246,20 +272,23 @@
                 listeners.append(node)
         return listeners
 
-    def _measure(self, configuration: model.Configuration, now: float) -> None:
-        elapsed_s = now - self._planned_at
-        self._planned_at = now
-        rows = []
-        for service, wanted in configuration.list_shares(self._zone):
-            serving = sum(
-                1
-                for group in self._planner.groups.values()
-                if group.service == service.name
-                and groups_module.is_whole(group, self._registry.members)
-            )
-            rows.append(status.ServiceStatus(service.name, wanted, serving))
-            self._downtime_s += max(0, wanted - serving) * elapsed_s
-        self._services = tuple(rows)
+    def _count_serving(
+        self, configuration: model.Configuration
+    ) -> tuple[status.ServiceStatus, ...]:
+        serving = collections.Counter(
+            group.service
+            for group in self._planner.groups.values()
+            if groups_module.is_whole(group, self._registry.members)
+        )
+        return tuple(
+            status.ServiceStatus(service.name, wanted, serving[service.name])
+            for service, wanted in configuration.list_shares(self._zone)
+        )
+
+    def _count_downtime(self, now: float) -> None:
+        missing = sum(max(0, s.wanted - s.serving) for s in self._services)
+        self._downtime_s += missing * (now - self._measured_at)
+        self._measured_at = now
 
     def _describe_state(self, group: groups_module.Group) -> str:
         if group.draining_since is not None:
