--- a/src/hickorylead/routing/policy.py
+++ b/src/hickorylead/routing/policy.py
@@ -1,8 +1,8 @@
 """The choice of a replica, under late and partial knowledge.
 
 Two replicas are drawn for a request and the better one is taken. Where the
-prompt has a known prefix, the draw is replaced by the two replicas that
-rendezvous hashing gives for it, so that requests with one prefix meet its
+prompt has a known prefix, the four replicas that rendezvous hashing gives for
+it are weighed as well, with a gain, so that requests with one prefix meet its
 cache without any index of what is cached where.
 """
 
@@ -25,12 +25,14 @@
 # older than now is taken as made this long ago.
 REPORT_LAG_S = 1.0
 OVERCOMMIT = 1.0
+# Where the prefix is cached a short wait costs less than reading it elsewhere.
+PREFERRED_OVERCOMMIT = 1.5
 URGENT_OVERCOMMIT = 2.0
 URGENT = 1
-PREFERRED = 2
+PREFERRED = 4
 # Loads are in units of a full batch.
 OTHER_ZONE_COST = 0.25
-PREFIX_GAIN = 0.35
+PREFIX_GAIN = 0.8
 
 
 @attrs.frozen
@@ -161,7 +163,7 @@
             seen.add(replica.group)
             load = self._estimate_load(replica, now)
             is_preferred = replica in preferred
-            if load >= _get_limit(replica, request):
+            if load >= _get_limit(replica, request, is_preferred):
                 continue
             cost = self._weigh(replica, load, is_preferred)
             weighed.append(
@@ -192,7 +194,11 @@
         return cost
 
 
-def _get_limit(replica: messages.Replica, request: model.Request) -> float:
+def _get_limit(
+    replica: messages.Replica, request: model.Request, preferred: bool
+) -> float:
     if request.urgency <= URGENT:
         return replica.slots * URGENT_OVERCOMMIT
+    if preferred:
+        return replica.slots * PREFERRED_OVERCOMMIT
     return replica.slots * OVERCOMMIT
