--- a/bench/run.py
+++ b/bench/run.py
@@ -31,7 +31,9 @@
 
 def write(name: str, figures: str) -> None:
     """Puts figures into every page that has a place for them."""
-    pattern = re.compile(rf"(<!-- figures: {name} -->\n).*?(<!-- end -->)", re.S)
+    pattern = re.compile(
+        rf"(<!-- figures: {name} -->\n).*?(<!-- end -->)", re.S
+    )
     for page in PAGES:
         text = page.read_text(encoding="utf-8")
         replaced = pattern.sub(rf"\g<1>\n{figures}\n\g<2>", text)
--- a/src/hickorylead/requests/dispatcher.py
+++ b/src/hickorylead/requests/dispatcher.py
@@ -426,7 +426,9 @@
             if frame.position < opened.position:
                 return self._abandon_attempt(opened, "frame_overlap", now)
             if attempt.framed:
-                self._book.note_gap(attempt.replica.group, gap_s / frame.tokens)
+                self._book.note_gap(
+                    attempt.replica.group, gap_s / frame.tokens, now
+                )
             attempt.framed = True
             opened.position = end
             opened.pieces.append(frame.text)
--- a/src/hickorylead/routing/health.py
+++ b/src/hickorylead/routing/health.py
@@ -13,9 +13,11 @@
 EJECT_MIN_S = 1.0
 EJECT_MAX_S = 30.0
 SMOOTHING = 0.2
-# Beyond this a straggler gets as little as one that is twice as slow again:
-# it must keep a little traffic, or its recovery would not be seen.
 MAX_SLOWNESS = 8.0
+# What was measured counts half after this time. A straggler gets no work
+# while it seems slow, so nothing would ever show that it has recovered; as
+# the old measure fades it is tried again, and a new one renews it.
+SLOWNESS_HALF_LIFE_S = 10.0
 
 
 @attrs.define
@@ -25,6 +27,7 @@
     Attributes:
         inflight: Requests of this entry that run there.
         gap_s: Smoothed time between two frames; 0 before the first.
+        gap_at: When it was last measured.
         failures: Failures in a row.
         ejected_until: No new work before this time.
         sent: When each request since the last load report was sent.
@@ -33,6 +36,7 @@
 
     inflight: int = 0
     gap_s: float = 0.0
+    gap_at: float = -1e9
     failures: int = 0
     ejected_until: float = -1e9
     sent: list[float] = attrs.field(factory=list)
@@ -66,9 +70,10 @@
         health.inflight = max(0, health.inflight - 1)
         health.done.append(now)
 
-    def note_gap(self, group: str, gap_s: float) -> None:
+    def note_gap(self, group: str, gap_s: float, now: float) -> None:
         """Takes the time between two frames of one stream."""
         health = self.get(group)
+        health.gap_at = now
         if health.gap_s == 0.0:
             health.gap_s = gap_s
         else:
@@ -91,12 +96,17 @@
         gaps = [h.gap_s for h in self._by_group.values() if h.gap_s > 0]
         self._median_gap_s = statistics.median(gaps) if gaps else 0.0
 
-    def get_slowness(self, group: str) -> float:
+    def get_slowness(self, group: str, now: float) -> float:
         """Returns how many times slower than usual a group is, at least 1."""
-        gap_s = self.get(group).gap_s
-        if not self._median_gap_s or not gap_s:
+        health = self.get(group)
+        if not self._median_gap_s or not health.gap_s:
+            return 1.0
+        ratio = health.gap_s / self._median_gap_s
+        excess = min(MAX_SLOWNESS, max(1.0, ratio)) - 1.0
+        if not excess:
             return 1.0
-        return min(MAX_SLOWNESS, max(1.0, gap_s / self._median_gap_s))
+        age_s = now - health.gap_at
+        return 1.0 + excess * 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
 
     def estimate_load(
         self, group: str, reported: int, reported_at: float
--- a/src/hickorylead/routing/policy.py
+++ b/src/hickorylead/routing/policy.py
@@ -165,7 +165,7 @@
             is_preferred = replica in preferred
             if load >= _get_limit(replica, request, is_preferred):
                 continue
-            cost = self._weigh(replica, load, is_preferred)
+            cost = self._weigh(replica, load, is_preferred, now)
             weighed.append(
                 (Weighed(replica.group, cost, is_preferred), replica)
             )
@@ -183,9 +183,13 @@
         )
 
     def _weigh(
-        self, replica: messages.Replica, load: int, preferred: bool
+        self,
+        replica: messages.Replica,
+        load: int,
+        preferred: bool,
+        now: float,
     ) -> float:
-        slowness = self._book.get_slowness(replica.group)
+        slowness = self._book.get_slowness(replica.group, now)
         cost = (load + 1) / replica.slots * slowness + (slowness - 1)
         if replica.zone != self._zone:
             cost += OTHER_ZONE_COST
--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -89,3 +89,13 @@
     When a caller leaves in mid stream
     And 1 s pass
     Then no server works on its request
+
+  Scenario: A straggler loses traffic by degrees and gets it back
+    One replica becomes eight times slower without failing. It gets clearly
+    less work, never none, so that its recovery is seen; when it is fast
+    again it gets its part again.
+    Given a deployment in three zones
+    When one replica of "buda-hall" is 8 times slower for 60 s under traffic
+    Then it got less than 60 in 100 of what its neighbour got, and some
+    When it is as fast as the others for 120 s
+    Then it got more than 60 in 100 of what its neighbour got, and some
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -261,3 +261,54 @@
 def _(context):
     assert not any(s.batch.running for s in context.world.servers.values())
     assert operator.count_replicas(context.world, context.world.entries[0])
+
+
+def run_traffic(context, seconds):
+    """Sends requests of one zone, and counts the runs of its two replicas."""
+    world = context.world
+    own = [n for n in world.entries if n.startswith("buda-hall")]
+    pair = [context.slow, context.fast]
+    before = [len(server.runs) for server in pair]
+    for step in range(int(seconds * 4)):
+        node = own[step % len(own)]
+        world.after(
+            step / 4, lambda n=node: world.submit(n, "assistant", max_tokens=15)
+        )
+    world.run(seconds)
+    context.got = [
+        len(server.runs) - count
+        for server, count in zip(pair, before, strict=True)
+    ]
+
+
+@when(
+    'one replica of "{zone}" is {factor:g} times slower for {seconds:g} s under'
+    " traffic"
+)
+def _(context, zone, factor, seconds):
+    leading = [
+        s
+        for _, s in sorted(context.world.servers.items())
+        if s.state.zone == zone and s.state.group and s.state.rank == 0
+    ]
+    context.slow, context.fast = leading
+    context.slow.batch.slowness = factor
+    run_traffic(context, seconds)
+
+
+@when("it is as fast as the others for {seconds:g} s")
+def _(context, seconds):
+    context.slow.batch.slowness = 1.0
+    run_traffic(context, seconds)
+
+
+@then("it got less than {share:d} in 100 of what its neighbour got, and some")
+def _(context, share):
+    slow, fast = context.got
+    assert 0 < slow < share / 100 * fast, context.got
+
+
+@then("it got more than {share:d} in 100 of what its neighbour got, and some")
+def _(context, share):
+    slow, fast = context.got
+    assert fast > 0 and slow > share / 100 * fast, context.got
