End a voter whose disk refuses a write

Cause: an error while a record was written ended only the handler of one connection; the reducer went on in the belief that the record was on disk, and could acknowledge a change that a restart takes back (found by reading).

Ruled out: trying the write again (after a failed sync nothing is known of what is on disk).

Change: after the first disk error no effect is carried out any more, and the process ends with exit code 6.

--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -81,6 +81,8 @@
         )
         self.log = logs.Log(lambda: self.role.version)
         self._orders: set[asyncio.Task[None]] = set()
+        self._disk_error: OSError | None = None
+        self._disk_failed = asyncio.Event()
         self._peers = peers_module.Peers(
             node=self.node,
             address=f"{settings['address']}:{settings['peer_port']}",
@@ -90,7 +92,11 @@
         )
 
     async def run(self) -> None:
-        """Serves until the process is asked to stop."""
+        """Serves until the process is asked to stop.
+
+        Raises:
+            errors.DataFolderError: A record could not be written.
+        """
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S)
         self._session = aiohttp.ClientSession(timeout=timeout)
         http = server_module.HttpServer(
@@ -102,7 +108,7 @@
         await http.start()
         self.log.info("started", node=self.node)
         ticking = asyncio.create_task(self._tick())
-        await process.wait_for_stop()
+        await process.wait_for_stop(self._disk_failed)
         ticking.cancel()
         await http.close()
         await self._peers.close()
@@ -112,23 +118,41 @@
         if self._folder is not None:
             self._folder.close()
         self.log.info("stopped")
+        if self._disk_error is not None:
+            raise errors.DataFolderError(
+                f"data folder {self.settings['data_folder']}:"
+                f" {self._disk_error}"
+            )
 
     def apply(self, event: seam.ControlEvent) -> None:
         """Gives an event to the reducer and carries out its effects."""
-        for effect in self.role.reduce(event, clock.read_monotonic()):
-            match effect:
-                case seam.Send(node, message):
-                    self._peers.send(node, message)
-                case consensus_messages.Persist(record):
-                    assert self._folder is not None
-                    # The loop waits for the disk: an answer may only leave
-                    # after the sync, and changes are few.
-                    self._folder.persist(record)
-                case orders.Give(order):
-                    self._give(order)
-        if self._folder is not None and self._folder.is_long():
-            assert self.role.voter is not None
-            self._folder.rewrite(self.role.voter.export())
+        if self._disk_error is not None:
+            return
+        try:
+            for effect in self.role.reduce(event, clock.read_monotonic()):
+                self._carry_out(effect)
+            if self._folder is not None and self._folder.is_long():
+                assert self.role.voter is not None
+                self._folder.rewrite(self.role.voter.export())
+        except OSError as error:
+            # What the reducer believes to be on disk is not. If it went on it
+            # could acknowledge a change that a restart takes back, so not one
+            # more effect is carried out and the process ends.
+            self._disk_error = error
+            self._disk_failed.set()
+            self.log.error("disk failed", detail=str(error))
+
+    def _carry_out(self, effect: seam.ControlEffect) -> None:
+        match effect:
+            case seam.Send(node, message):
+                self._peers.send(node, message)
+            case consensus_messages.Persist(record):
+                assert self._folder is not None
+                # The loop waits for the disk: an answer may only leave after
+                # the sync, and changes are few.
+                self._folder.persist(record)
+            case orders.Give(order):
+                self._give(order)
 
     def _receive(self, sender: str, message: seam.Message) -> None:
         self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
--- a/src/hickorylead/runtime/process.py
+++ b/src/hickorylead/runtime/process.py
@@ -15,9 +15,13 @@
 EXPORT_TIMEOUT_S = 5.0
 
 
-async def wait_for_stop() -> None:
-    """Returns when the process is asked to stop by SIGTERM or SIGINT."""
-    stop = asyncio.Event()
+async def wait_for_stop(stop: asyncio.Event | None = None) -> None:
+    """Returns when the process is asked to stop by SIGTERM or SIGINT.
+
+    Args:
+        stop: Set by the process itself when it has to end.
+    """
+    stop = stop or asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
--- /dev/null
+++ b/tests/steps/disk_steps.py
@@ -0,0 +1,74 @@
+"""Steps about a disk that fails."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import tempfile
+from unittest import mock
+
+from behave import given, then, when
+
+from hickorylead import errors
+from hickorylead.consensus import messages
+from hickorylead.roles import seam
+from hickorylead.runtime import control
+from hickorylead.settings import options, roles
+
+FLAGS = {
+    "vm": "vm1",
+    "zone": "z",
+    "address": "127.0.0.1",
+    "peer_port": "1",
+    "http_port": "1",
+    "controls": "z/vm1=127.0.0.1:1,y/vm1=127.0.0.1:2",
+}
+
+
+@given("a voter whose disk refuses the next write")
+def _(context):
+    keep = tempfile.TemporaryDirectory()
+    context.add_cleanup(keep.cleanup)
+    flags = {**FLAGS, "data_folder": str(pathlib.Path(keep.name) / "data")}
+    settings = options.read_settings(roles.CONTROL_OPTIONS, flags, {})
+    context.shell = control.ControlShell(settings)
+    context.shell._peers = context.peers = mock.Mock()
+    context.shell._peers.start = context.shell._peers.close = mock.AsyncMock()
+    context.shell._folder._journal.append = mock.Mock(
+        side_effect=OSError(28, "No space left on device")
+    )
+
+
+def ask(context):
+    voter = context.shell.role.voter
+    request = messages.VoteRequest(
+        "c", voter.member, "y/vm1/control#a", 1, 0, 0, trial=False
+    )
+    context.shell._receive("y/vm1/control", request)
+
+
+@when("it is asked for its vote")
+def _(context):
+    ask(context)
+
+
+@then("no vote leaves and the process ends with exit code {code:d}")
+def _(context, code):
+    context.peers.send.assert_not_called()
+    server = mock.Mock(start=mock.AsyncMock(), close=mock.AsyncMock())
+    with mock.patch.object(
+        control.server_module, "HttpServer", return_value=server
+    ):
+        try:
+            asyncio.run(context.shell.run())
+        except errors.DataFolderError as error:
+            assert error.exit_code == code and "No space" in str(error)
+            return
+    raise AssertionError("it went on")
+
+
+@then("it answers nothing that comes after")
+def _(context):
+    ask(context)
+    context.shell.apply(seam.Tick(0.0))
+    context.peers.send.assert_not_called()
