Run the replicas of a zone that is gone in the others, and give them back

Cause: when a whole zone was gone its replicas were missing until an operator switched the preset.

Ruled out: a plan through the configuration log (no majority may be left, and a zone uses its own VMs only, so nothing has to be agreed on).

Change: each holder splits the shares of zones it has not heard for 60 s over the zones that are left, and drains them once the zone is back for 30 s.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -171,6 +171,7 @@
         given = self.planner.plan(
             members=self.members,
             configuration=self.configuration,
+            shares=self.configuration.list_shares("z"),
             fence=1,
             now=self.now,
         )
--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -199,7 +199,9 @@
     registry_bytes = tracemalloc.get_traced_memory()[0]
     plan = planner.Planner(zone="zone0", policy=planner.Policy())
     plan.adopt(found.members)
-    plan.plan(members=found.members, configuration=None, fence=1, now=0.0)
+    plan.plan(
+        members=found.members, configuration=None, shares=[], fence=1, now=0.0
+    )
     replicas = publisher.build_table(found.members, plan)
     holder_bytes = tracemalloc.get_traced_memory()[0]
     known = table.Table()
--- a/src/hickorylead/placement/planner.py
+++ b/src/hickorylead/placement/planner.py
@@ -85,6 +85,7 @@
         *,
         members: dict[str, registry.Member],
         configuration: model.Configuration | None,
+        shares: list[tuple[model.Service, int]],
         fence: int,
         now: float,
     ) -> list[orders.Give]:
@@ -96,6 +97,7 @@
                 surely know what is in force. Then groups are repaired, but
                 none is formed or drained: taking an unknown configuration
                 for an empty one would stop every replica of the zone.
+            shares: Services by rank, with the replicas to run here.
             fence: Fencing number of the lease held.
             now: Present time.
         """
@@ -110,7 +112,7 @@
         self._repair_groups()
         if configuration is not None:
             self._ranks = {s.name: s.rank for s in configuration.services}
-            self._balance_services(configuration.list_shares(self._zone))
+            self._balance_services(shares)
         self._release_drained()
         self._release_strays()
         return self._given
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -103,6 +103,7 @@
             registry=self._registry,
             lease=self._lease,
             policy=policy,
+            now=now,
         )
         self._claims = claim_holder.Holder(
             node=identity.node, started_at=wall, max_skew_s=max_skew_s
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -8,6 +8,7 @@
 from hickorylead.placement import groups as groups_module
 from hickorylead.placement import orders
 from hickorylead.placement import planner as planner_module
+from hickorylead.placement import takeover as takeover_module
 from hickorylead.roles import nodes, status
 from hickorylead.routing import messages
 from hickorylead.routing import publisher as publisher_module
@@ -43,6 +44,7 @@
         registry: registry_module.Registry,
         lease: lease_zone.Lease,
         policy: planner_module.Policy,
+        now: float,
     ) -> None:
         """Makes the part of a process that does not hold the lease yet.
 
@@ -52,6 +54,7 @@
             registry: Present servers of the zone.
             lease: The zone lease.
             policy: Trade between downtime and stranded accelerators.
+            now: Present time.
         """
         self._zone = nodes.get_zone(node)
         self._node = node
@@ -63,13 +66,16 @@
         self._planner = planner_module.Planner(zone=self._zone, policy=policy)
         self._publisher = publisher_module.Publisher(zone=self._zone)
         self._remote = table_module.Table()
+        self._takeover = takeover_module.Takeover(
+            zone=self._zone, zones=map(nodes.get_zone, controls), now=now
+        )
         # Who sent the last table of each other zone.
         self._remote_holders: dict[str, str] = {}
         self._withdrawn: set[tuple[str, int, str]] = set()
         self._adopted_fence = 0
         self._next_plan = 0.0
         self._planned_at = self._measured_at = 0.0
-        self._planned_for: tuple[int, int, int] | None = None
+        self._planned_for: tuple[int, int, int, tuple[str, ...]] | None = None
         self._replicas: dict[str, messages.Replica] = {}
         self._downtime_s = 0.0
         self._services: tuple[status.ServiceStatus, ...] = ()
@@ -91,6 +97,7 @@
         if now < self._next_plan:
             return []
         self._next_plan = now + PLAN_PERIOD_S
+        self._takeover.tick(now)
         if not self._lease.may_order(now):
             self._adopted_fence = 0
             return []
@@ -105,6 +112,7 @@
             self._lease.number,
             self._registry.changes,
             configuration.version if configuration else -1,
+            self._takeover.lost,
         )
         if (
             state != self._planned_for
@@ -129,10 +137,14 @@
     def _plan(
         self, configuration: model.Configuration | None, now: float
     ) -> list[Effect]:
+        shares = (
+            self._takeover.list_shares(configuration) if configuration else []
+        )
         effects: list[Effect] = [
             *self._planner.plan(
                 members=self._registry.members,
                 configuration=configuration,
+                shares=shares,
                 fence=self._lease.number,
                 now=now,
             )
@@ -153,6 +165,7 @@
                 if zone == self._zone:
                     return []
                 self._remote_holders[zone] = sender
+                self._takeover.hear(zone, now)
                 effects: list[messages.Send] = []
                 if self._remote.update(message, now):
                     request = messages.TableRequest(self._node, zone)
--- a/tests/placement/repair.feature
+++ b/tests/placement/repair.feature
@@ -83,3 +83,14 @@
     Given a zone full of groups of two ranks
     When the group of the more urgent service loses a member
     Then within 60 s the more urgent service serves again
+
+  Scenario: A whole zone is gone, and comes back
+    All VMs of a zone vanish. After a minute the other zones run its replicas
+    on their own free VMs. When it is back and has loaded, they give them back
+    by draining: callers notice neither.
+    Given a deployment with 8 engines a zone in domains of 8
+    When zone "csepel-hall" vanishes with all its VMs
+    And 90 s pass
+    Then the zones that are left run 6 replicas
+    When zone "csepel-hall" is back under traffic for 90 s
+    Then each zone runs 2 replicas and every caller had its answer
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -270,3 +270,76 @@
     context.took_s = world.run_until(
         lambda: role.table.list_replicas("urgent"), limit_s=seconds
     )
+
+
+def list_all_nodes(world, zone):
+    return [
+        n
+        for n in (*world.controls, *world.entries)
+        if nodes.get_zone(n) == zone
+    ]
+
+
+def count_running(world, zone):
+    return len(
+        {
+            s.state.group
+            for s in world.servers.values()
+            if s.alive and s.state.zone == zone and s.state.group
+        }
+    )
+
+
+@when('zone "{zone}" vanishes with all its VMs')
+def _(context, zone):
+    world = context.world
+    for node in list_all_nodes(world, zone):
+        world.kill(node)
+    for vm, server in world.servers.items():
+        if server.state.zone == zone:
+            world.kill_server(vm)
+
+
+@then("the zones that are left run {count:d} replicas")
+def _(context, count):
+    world = context.world
+    assert sum(count_running(world, z) for z in world.zones) == count
+
+
+@when('zone "{zone}" is back under traffic for {seconds:d} s')
+def _(context, zone, seconds):
+    world = context.world
+    for node in list_all_nodes(world, zone):
+        world.start(node)
+    for vm, server in world.servers.items():
+        if server.state.zone == zone and not server.is_plain:
+            world.revive_server(vm)
+    left = [n for n in world.entries if nodes.get_zone(n) != zone]
+    context.answers = []
+    for step in range(seconds * 5):
+        world.after(
+            step / 5,
+            lambda s=step: context.answers.append(
+                world.submit(left[s % len(left)], "assistant", max_tokens=40)
+            ),
+        )
+    world.run(seconds + 10)
+
+
+@then("each zone runs {count:d} replicas and every caller had its answer")
+def _(context, count):
+    world = context.world
+    running = {zone: count_running(world, zone) for zone in world.zones}
+    assert set(running.values()) == {count}, running
+    codes = {a.code for a in context.answers if a.verdict != Verdict.RAN}
+    assert not codes, codes
+    attempts = [
+        len([s for s in trail.steps if s.what == "attempt"])
+        for a in context.answers
+        if (
+            trail := world.roles[a.entry].dispatcher.trails.get(
+                a.request.request_id
+            )
+        )
+    ]
+    assert max(attempts) == 1, "a planned drain cut a request"
