Split the dispatcher, break a circle of imports, tidy

Cause: reading as a newcomer.

Ruled out: splitting the dispatcher by phases of a request (claim, queue, run): they share nearly all state.

Change: what is known of an open request and how requests end are modules of their own; where effects wait for their handler is one, too.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -22,8 +22,7 @@
 sys.path.insert(0, str(ROOT / "src"))
 
 from hickorylead.configuration import model as configuration_model
-from hickorylead.requests import dispatcher as dispatcher_module
-from hickorylead.requests import events, model
+from hickorylead.requests import dispatcher as dispatcher_module, events, model
 from hickorylead.routing import health, messages, policy, table
 from hickorylead.verdict import Verdict
 from hickorylead_standins import batch
--- a/bench/sizes.py
+++ b/bench/sizes.py
@@ -20,11 +20,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "tests"))
 
-from support import operator, servers
-from support import world as world_module
+from support import operator, servers, world as world_module
 
-from hickorylead.claims import holder
-from hickorylead.claims import messages as claim_messages
+from hickorylead.claims import holder, messages as claim_messages
 from hickorylead.configuration import changes, model
 from hickorylead.membership import announcements, registry
 from hickorylead.placement import planner
--- a/src/hickorylead/commands/operations.py
+++ b/src/hickorylead/commands/operations.py
@@ -6,8 +6,7 @@
 import sys
 
 from hickorylead import errors
-from hickorylead.commands import client as client_module
-from hickorylead.commands import tables
+from hickorylead.commands import client as client_module, tables
 from hickorylead.configuration import changes, model
 
 
--- a/src/hickorylead/commands/roles.py
+++ b/src/hickorylead/commands/roles.py
@@ -8,8 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hickorylead import errors
-from hickorylead.settings import options as options_module
-from hickorylead.settings import roles
+from hickorylead.settings import options as options_module, roles
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -13,8 +13,7 @@
 import attrs
 
 from hickorylead.configuration import changes, model
-from hickorylead.consensus import log as log_module
-from hickorylead.consensus import messages
+from hickorylead.consensus import log as log_module, messages
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/hickorylead/placement/planner.py
+++ b/src/hickorylead/placement/planner.py
@@ -12,8 +12,7 @@
 import attrs
 
 from hickorylead.membership import announcements
-from hickorylead.placement import groups as groups_module
-from hickorylead.placement import orders
+from hickorylead.placement import groups as groups_module, orders
 
 if TYPE_CHECKING:
     from hickorylead.configuration import model
--- a/src/hickorylead/requests/dispatcher.py
+++ b/src/hickorylead/requests/dispatcher.py
@@ -7,80 +7,25 @@
 
 from __future__ import annotations
 
-import hashlib
-import math
-from typing import TYPE_CHECKING, Literal, TypeAlias
-
-import attrs
+from typing import TYPE_CHECKING, TypeAlias
 
 from hickorylead import verdict as verdict_module
-from hickorylead.admission import budget as budget_module
-from hickorylead.admission import queue
-from hickorylead.claims import claimant
-from hickorylead.claims import messages as claim_messages
-from hickorylead.requests import events, model, trail
+from hickorylead.admission import budget as budget_module, queue
+from hickorylead.claims import claimant, messages as claim_messages
+from hickorylead.requests import events, model, outcomes, state, trail
 from hickorylead.routing import policy as policy_module
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from hickorylead.configuration import model as configuration_model
-    from hickorylead.routing import health, messages, table
+    from hickorylead.routing import health, table
 
 Verdict = verdict_module.Verdict
 Effect: TypeAlias = events.Effect | claim_messages.Send
 
 SILENT_KEEPALIVES = 3
-MIN_RETRY_AFTER_S = 1.0
-MAX_RETRY_AFTER_S = 30.0
-NO_REPLICA_RETRY_S = 5.0
 FIRST_DURATION_S = 1.0
-COMPLETION_TYPE = "text/x-completion"
-
-Phase = Literal["claiming", "queued", "running"]
-
-
-@attrs.define
-class Attempt:
-    """One attempt of a request on one replica."""
-
-    attempt_id: str
-    replica: messages.Replica
-    started_at: float
-    heard_at: float
-    attached: bool = False
-    framed: bool = False
-
-
-@attrs.define
-class Open:
-    """A request that has no final answer yet.
-
-    Attributes:
-        request: The request.
-        arrived_at: When it came.
-        non_idempotent: Whether it may run at most once.
-        phase: What it waits for.
-        claimant: Its claim, if it needs one.
-        attempt: The attempt that runs now.
-        attempts: How many there were.
-        failed: Groups on which it failed.
-        verdict: The worst of the attempts that ended.
-        position: Tokens that the caller has.
-        pieces: Their text.
-    """
-
-    request: model.Request
-    arrived_at: float
-    non_idempotent: bool
-    phase: Phase = "queued"
-    claimant: claimant.Claimant | None = None
-    attempt: Attempt | None = None
-    attempts: int = 0
-    failed: set[str] = attrs.field(factory=set)
-    verdict: verdict_module.Verdict = Verdict.NOT_RUN
-    position: int = 0
-    pieces: list[str] = attrs.field(factory=list)
 
 
 class Dispatcher:
@@ -110,7 +55,7 @@
         self._book = book
         self._policy = policy
         self._budget = budget_module.RetryBudget()
-        self._open: dict[str, Open] = {}
+        self._open: dict[str, state.Open] = {}
         self._by_attempt: dict[str, str] = {}
         self._claiming: set[str] = set()
         self._duration_s: dict[str, float] = {}
@@ -189,7 +134,7 @@
             request.request_id, request.service, request.workspace, now
         )
         service = configuration.find_service(request.service)
-        opened = Open(
+        opened = state.Open(
             request,
             now,
             non_idempotent=bool(service and service.non_idempotent),
@@ -204,7 +149,7 @@
 
     def _check_arrival(
         self,
-        opened: Open,
+        opened: state.Open,
         service: configuration_model.Service | None,
     ) -> model.Problem | None:
         name = opened.request.service
@@ -221,7 +166,7 @@
                 "entry_stopping",
                 Verdict.NOT_RUN,
                 "this entry is being stopped; ask another one",
-                MIN_RETRY_AFTER_S,
+                outcomes.MIN_RETRY_AFTER_S,
             )
         if opened.non_idempotent and not opened.request.key:
             return model.Problem(
@@ -237,11 +182,13 @@
                 "no_replica",
                 Verdict.NOT_RUN,
                 f"no replica of {name!r} serves now",
-                NO_REPLICA_RETRY_S,
+                outcomes.NO_REPLICA_RETRY_S,
             )
         return None
 
-    def _claim(self, opened: Open, wall: float, now: float) -> list[Effect]:
+    def _claim(
+        self, opened: state.Open, wall: float, now: float
+    ) -> list[Effect]:
         request = opened.request
         key = f"{request.service}\n{request.workspace}\n{request.key}"
         opened.phase = "claiming"
@@ -250,7 +197,7 @@
                 entry=self._entry,
                 key=key,
                 owner=request.request_id,
-                fingerprint=_hash_request(request),
+                fingerprint=outcomes.hash_request(request),
                 made_at=request.key_made_at,
                 wall=wall,
             ),
@@ -259,7 +206,7 @@
         self._claiming.add(request.request_id)
         return [*opened.claimant.start(now)]
 
-    def _follow_claim(self, opened: Open, now: float) -> list[Effect]:
+    def _follow_claim(self, opened: state.Open, now: float) -> list[Effect]:
         assert opened.claimant is not None
         result = opened.claimant.result
         if result == "waiting":
@@ -272,14 +219,16 @@
         opened.claimant = None
         if result == "finished" and answer is not None and answer.complete:
             return self._replay(opened, answer)
-        return self._refuse(opened, _describe_claim(result, answer), now)
+        return self._refuse(
+            opened, outcomes.describe_claim(result, answer), now
+        )
 
     def _replay(
-        self, opened: Open, answer: claim_messages.FinalAnswer
+        self, opened: state.Open, answer: claim_messages.FinalAnswer
     ) -> list[Effect]:
         request_id = opened.request.request_id
         del self._open[request_id]
-        if answer.content_type == COMPLETION_TYPE:
+        if answer.content_type == outcomes.COMPLETION_TYPE:
             return [
                 events.EmitText(request_id, answer.body.decode()),
                 events.FinishStream(request_id, "stop", model.Usage()),
@@ -296,21 +245,25 @@
 
     # The queue.
 
-    def _enqueue(self, opened: Open, now: float) -> list[Effect]:
+    def _enqueue(self, opened: state.Open, now: float) -> list[Effect]:
         request = opened.request
         waiting = self.queues.setdefault(request.service, queue.FairQueue())
         opened.phase = "queued"
         if not opened.attempts:
             wait_s = self._estimate_wait(request, waiting)
             if wait_s > request.deadline_s:
-                return self._refuse(opened, _describe_overload(wait_s), now)
+                return self._refuse(
+                    opened, outcomes.describe_overload(wait_s), now
+                )
         waiting.push(request, opened.arrived_at)
         effects = self._dispatch(request.service, now)
         shed = waiting.shed()
         if shed is not None:
             wait_s = self._estimate_wait(shed.request, waiting)
             loser = self._open[shed.request.request_id]
-            effects += self._refuse(loser, _describe_overload(wait_s), now)
+            effects += self._refuse(
+                loser, outcomes.describe_overload(wait_s), now
+            )
         return effects
 
     def _estimate_wait(
@@ -350,21 +303,21 @@
                             "no_replica",
                             opened.verdict,
                             "no replica is left to try",
-                            NO_REPLICA_RETRY_S,
+                            outcomes.NO_REPLICA_RETRY_S,
                         ),
                         now,
                     )
         return effects
 
     def _start(
-        self, opened: Open, choice: policy_module.Choice, now: float
+        self, opened: state.Open, choice: policy_module.Choice, now: float
     ) -> list[Effect]:
         request = opened.request
         if opened.attempts == 0:
             self._budget.earn()
         opened.attempts += 1
         opened.phase = "running"
-        attempt = Attempt(
+        attempt = state.Attempt(
             attempt_id=f"{request.request_id}.{opened.attempts}",
             replica=choice.replica,
             started_at=now,
@@ -393,7 +346,7 @@
 
     # What comes back.
 
-    def _find(self, attempt_id: str) -> Open | None:
+    def _find(self, attempt_id: str) -> state.Open | None:
         """Returns the request whose present attempt this is.
 
         Whatever a former attempt still sends is dropped here: its request
@@ -440,10 +393,10 @@
         return effects
 
     def _finish_stream(
-        self, opened: Open, frame: events.FrameArrived, now: float
+        self, opened: state.Open, frame: events.FrameArrived, now: float
     ) -> list[Effect]:
         text = "".join(opened.pieces).encode()
-        answer = _keep_answer(200, COMPLETION_TYPE, text)
+        answer = outcomes.keep_answer(200, outcomes.COMPLETION_TYPE, text)
         finish = events.FinishStream(
             opened.request.request_id, frame.finish_reason, frame.usage
         )
@@ -457,7 +410,9 @@
             return []
         if event.request_id != opened.request.request_id:
             return self._abandon_attempt(opened, "foreign_answer", now)
-        answer = _keep_answer(event.status, event.content_type, event.body)
+        answer = outcomes.keep_answer(
+            event.status, event.content_type, event.body
+        )
         give = events.GiveAnswer(
             event.request_id, event.status, event.content_type, event.body
         )
@@ -465,7 +420,7 @@
 
     def _close(
         self,
-        opened: Open,
+        opened: state.Open,
         answer: claim_messages.FinalAnswer,
         now: float,
     ) -> list[Effect]:
@@ -502,7 +457,7 @@
         )
 
     def _abandon_attempt(
-        self, opened: Open, reason: str, now: float
+        self, opened: state.Open, reason: str, now: float
     ) -> list[Effect]:
         attempt = opened.attempt
         assert attempt is not None
@@ -518,7 +473,7 @@
 
     def _fail_attempt(
         self,
-        opened: Open,
+        opened: state.Open,
         verdict: verdict_module.Verdict,
         reason: str,
         retry_after_s: float | None,
@@ -551,7 +506,7 @@
 
     def _check_retry(
         self,
-        opened: Open,
+        opened: state.Open,
         reason: str,
         retry_after_s: float | None,
         now: float,
@@ -566,7 +521,7 @@
                 opened.verdict,
                 f"the backend server failed ({reason}) and may have run it;"
                 " ask again with the same key",
-                MIN_RETRY_AFTER_S,
+                outcomes.MIN_RETRY_AFTER_S,
             )
         if (
             not opened.position
@@ -577,7 +532,7 @@
                 "deadline_passed",
                 opened.verdict,
                 f"the deadline passed; the last failure was {reason}",
-                MIN_RETRY_AFTER_S,
+                outcomes.MIN_RETRY_AFTER_S,
             )
         if not self._budget.spend():
             return model.Problem(
@@ -586,11 +541,13 @@
                 opened.verdict,
                 f"the backend server failed ({reason}) and too many requests"
                 " are being tried again",
-                _clamp_retry(retry_after_s or 2 * MIN_RETRY_AFTER_S),
+                outcomes.clamp_retry(
+                    retry_after_s or 2 * outcomes.MIN_RETRY_AFTER_S
+                ),
             )
         return None
 
-    def _end_attempt(self, opened: Open, now: float) -> None:
+    def _end_attempt(self, opened: state.Open, now: float) -> None:
         attempt = opened.attempt
         assert attempt is not None
         self._by_attempt.pop(attempt.attempt_id, None)
@@ -599,7 +556,7 @@
 
     # Time.
 
-    def _check_running(self, opened: Open, now: float) -> list[Effect]:
+    def _check_running(self, opened: state.Open, now: float) -> list[Effect]:
         attempt = opened.attempt
         assert attempt is not None
         overdue = now - opened.arrived_at >= opened.request.deadline_s
@@ -615,7 +572,7 @@
         return self._attach(opened, attempt, now)
 
     def _attach(
-        self, opened: Open, attempt: Attempt, now: float
+        self, opened: state.Open, attempt: state.Attempt, now: float
     ) -> list[Effect]:
         """Joins a silent stream again over a new connection.
 
@@ -647,7 +604,7 @@
             ),
         ]
 
-    def _give_up_running(self, opened: Open, now: float) -> list[Effect]:
+    def _give_up_running(self, opened: state.Open, now: float) -> list[Effect]:
         attempt = opened.attempt
         assert attempt is not None
         cancel = events.CancelAttempt(
@@ -660,7 +617,7 @@
             "deadline_passed",
             opened.verdict,
             "the answer did not start before the deadline",
-            MIN_RETRY_AFTER_S,
+            outcomes.MIN_RETRY_AFTER_S,
         )
         return [
             cancel,
@@ -681,7 +638,7 @@
 
     def _suggest_return(self, request: model.Request) -> float:
         waiting = self.queues[request.service]
-        return _clamp_retry(self._estimate_wait(request, waiting))
+        return outcomes.clamp_retry(self._estimate_wait(request, waiting))
 
     # Ends.
 
@@ -712,7 +669,7 @@
         return effects + self._dispatch(opened.request.service, now)
 
     def _refuse(
-        self, opened: Open, problem: model.Problem, now: float
+        self, opened: state.Open, problem: model.Problem, now: float
     ) -> list[Effect]:
         request_id = opened.request.request_id
         self.trails.add(
@@ -728,7 +685,7 @@
             *self._settle_claim(opened),
         ]
 
-    def _settle_claim(self, opened: Open) -> list[Effect]:
+    def _settle_claim(self, opened: state.Open) -> list[Effect]:
         """Gives a claim back if nothing ran, or marks it as unknown."""
         if opened.claimant is None:
             return []
@@ -736,87 +693,3 @@
             return [*opened.claimant.release()]
         unknown = claim_messages.FinalAnswer(verdict=opened.verdict.value)
         return [*opened.claimant.finish(unknown)]
-
-
-def _describe_claim(
-    result: claimant.Result, answer: claim_messages.FinalAnswer | None
-) -> model.Problem:
-    match result:
-        case "finished":
-            verdict = Verdict(answer.verdict if answer else "may_have_run")
-            return model.Problem(
-                409,
-                "already_submitted",
-                verdict,
-                "an earlier submission of this key has ended; its answer is"
-                " not kept",
-            )
-        case "taken":
-            return model.Problem(
-                409,
-                "in_progress",
-                Verdict.MAY_HAVE_RUN,
-                "an earlier submission of this key may be running",
-                MIN_RETRY_AFTER_S,
-            )
-        case "mismatch":
-            return model.Problem(
-                422,
-                "key_reused",
-                Verdict.NOT_RUN,
-                "this key was used for another request",
-            )
-        case "too_old":
-            return model.Problem(
-                422,
-                "key_too_old",
-                Verdict.MAY_HAVE_RUN,
-                "this key is older than what is remembered: an earlier"
-                " submission of it may have run",
-            )
-    return model.Problem(
-        503,
-        "claim_unavailable",
-        Verdict.NOT_RUN,
-        "no majority of availability zones could be asked whether this key"
-        " was used; this submission was not run",
-        NO_REPLICA_RETRY_S,
-    )
-
-
-def _describe_overload(wait_s: float) -> model.Problem:
-    return model.Problem(
-        503,
-        "overloaded",
-        Verdict.NOT_RUN,
-        f"the wait would be about {wait_s:.1f} s",
-        _clamp_retry(wait_s),
-    )
-
-
-def _clamp_retry(wait_s: float) -> float:
-    return min(
-        MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, float(math.ceil(wait_s)))
-    )
-
-
-def _keep_answer(
-    status: int, content_type: str, body: bytes
-) -> claim_messages.FinalAnswer:
-    """Returns what holders keep of an answer: all of it, if it is short."""
-    complete = len(body) <= claim_messages.MAX_KEPT_BODY
-    return claim_messages.FinalAnswer(
-        verdict=Verdict.RAN.value,
-        status=status,
-        content_type=content_type,
-        body=body if complete else b"",
-        complete=complete,
-    )
-
-
-def _hash_request(request: model.Request) -> str:
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (request.method, request.path, request.content_type):
-        digest.update(part.encode() + b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
--- /dev/null
+++ b/src/hickorylead/requests/outcomes.py
@@ -0,0 +1,110 @@
+"""How requests end: problems for callers, answers kept for resends."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import TYPE_CHECKING
+
+from hickorylead import verdict as verdict_module
+from hickorylead.claims import messages as claim_messages
+from hickorylead.requests import model
+
+if TYPE_CHECKING:
+    from hickorylead.claims import claimant
+
+Verdict = verdict_module.Verdict
+
+MIN_RETRY_AFTER_S = 1.0
+MAX_RETRY_AFTER_S = 30.0
+NO_REPLICA_RETRY_S = 5.0
+# Marks the kept text of a model's answer, which is rendered anew.
+COMPLETION_TYPE = "text/x-completion"
+
+
+def describe_claim(
+    result: claimant.Result, answer: claim_messages.FinalAnswer | None
+) -> model.Problem:
+    """Returns the problem of a submission that did not get its claim."""
+    match result:
+        case "finished":
+            verdict = Verdict(answer.verdict if answer else "may_have_run")
+            return model.Problem(
+                409,
+                "already_submitted",
+                verdict,
+                "an earlier submission of this key has ended; its answer is"
+                " not kept",
+            )
+        case "taken":
+            return model.Problem(
+                409,
+                "in_progress",
+                Verdict.MAY_HAVE_RUN,
+                "an earlier submission of this key may be running",
+                MIN_RETRY_AFTER_S,
+            )
+        case "mismatch":
+            return model.Problem(
+                422,
+                "key_reused",
+                Verdict.NOT_RUN,
+                "this key was used for another request",
+            )
+        case "too_old":
+            return model.Problem(
+                422,
+                "key_too_old",
+                Verdict.MAY_HAVE_RUN,
+                "this key is older than what is remembered: an earlier"
+                " submission of it may have run",
+            )
+    return model.Problem(
+        503,
+        "claim_unavailable",
+        Verdict.NOT_RUN,
+        "no majority of availability zones could be asked whether this key"
+        " was used; this submission was not run",
+        NO_REPLICA_RETRY_S,
+    )
+
+
+def describe_overload(wait_s: float) -> model.Problem:
+    """Returns the problem of a request that would wait for too long."""
+    return model.Problem(
+        503,
+        "overloaded",
+        Verdict.NOT_RUN,
+        f"the wait would be about {wait_s:.1f} s",
+        clamp_retry(wait_s),
+    )
+
+
+def clamp_retry(wait_s: float) -> float:
+    """Returns a waiting time as whole seconds within bounds."""
+    return min(
+        MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, float(math.ceil(wait_s)))
+    )
+
+
+def keep_answer(
+    status: int, content_type: str, body: bytes
+) -> claim_messages.FinalAnswer:
+    """Returns what holders keep of an answer: all of it, if it is short."""
+    complete = len(body) <= claim_messages.MAX_KEPT_BODY
+    return claim_messages.FinalAnswer(
+        verdict=Verdict.RAN.value,
+        status=status,
+        content_type=content_type,
+        body=body if complete else b"",
+        complete=complete,
+    )
+
+
+def hash_request(request: model.Request) -> str:
+    """Returns a hash that tells two requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.path, request.content_type):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -10,16 +10,21 @@
 
 import attrs
 
-from hickorylead.claims import holder as claim_holder
-from hickorylead.claims import messages as claim_messages
+from hickorylead.claims import (
+    holder as claim_holder,
+    messages as claim_messages,
+)
 from hickorylead.configuration import changes, follower, messages
-from hickorylead.consensus import messages as consensus_messages
-from hickorylead.consensus import voter as voter_module
-from hickorylead.lease import messages as lease_messages
-from hickorylead.lease import zone as lease_zone
-from hickorylead.membership import announcements
-from hickorylead.membership import messages as member_messages
-from hickorylead.membership import registry as registry_module
+from hickorylead.consensus import (
+    messages as consensus_messages,
+    voter as voter_module,
+)
+from hickorylead.lease import messages as lease_messages, zone as lease_zone
+from hickorylead.membership import (
+    announcements,
+    messages as member_messages,
+    registry as registry_module,
+)
 from hickorylead.placement import planner
 from hickorylead.roles import nodes, seam, status, zoneholder
 from hickorylead.routing import messages as routing_messages
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -11,17 +11,19 @@
 import attrs
 
 from hickorylead.claims import messages as claim_messages
-from hickorylead.configuration import follower as follower_module
-from hickorylead.configuration import messages as config_messages
-from hickorylead.membership import listener
-from hickorylead.membership import messages as member_messages
-from hickorylead.requests import dispatcher as dispatcher_module
-from hickorylead.requests import events
+from hickorylead.configuration import (
+    follower as follower_module,
+    messages as config_messages,
+)
+from hickorylead.membership import listener, messages as member_messages
+from hickorylead.requests import dispatcher as dispatcher_module, events
 from hickorylead.roles import nodes, operations, seam, status
-from hickorylead.routing import health
-from hickorylead.routing import messages as routing_messages
-from hickorylead.routing import policy as policy_module
-from hickorylead.routing import table as table_module
+from hickorylead.routing import (
+    health,
+    messages as routing_messages,
+    policy as policy_module,
+    table as table_module,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/hickorylead/roles/operations.py
+++ b/src/hickorylead/roles/operations.py
@@ -7,8 +7,11 @@
 
 import attrs
 
-from hickorylead.configuration import changes, messages
-from hickorylead.configuration import model as configuration_model
+from hickorylead.configuration import (
+    changes,
+    messages,
+    model as configuration_model,
+)
 from hickorylead.roles import nodes, seam, status
 
 if TYPE_CHECKING:
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -14,12 +14,10 @@
 import attrs
 
 from hickorylead.claims import messages as claim_messages
-from hickorylead.configuration import changes
-from hickorylead.configuration import messages as config_messages
+from hickorylead.configuration import changes, messages as config_messages
 from hickorylead.consensus import messages as consensus_messages
 from hickorylead.lease import messages as lease_messages
-from hickorylead.membership import announcements
-from hickorylead.membership import messages as member_messages
+from hickorylead.membership import announcements, messages as member_messages
 from hickorylead.placement import orders
 from hickorylead.requests import events as request_events
 from hickorylead.roles import status
--- a/src/hickorylead/roles/zoneholder.py
+++ b/src/hickorylead/roles/zoneholder.py
@@ -5,22 +5,28 @@
 import collections
 from typing import TYPE_CHECKING, TypeAlias
 
-from hickorylead.placement import groups as groups_module
-from hickorylead.placement import orders
-from hickorylead.placement import planner as planner_module
-from hickorylead.placement import takeover as takeover_module
+from hickorylead.placement import (
+    groups as groups_module,
+    orders,
+    planner as planner_module,
+    takeover as takeover_module,
+)
 from hickorylead.roles import nodes, status
-from hickorylead.routing import messages
-from hickorylead.routing import publisher as publisher_module
-from hickorylead.routing import table as table_module
+from hickorylead.routing import (
+    messages,
+    publisher as publisher_module,
+    table as table_module,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from hickorylead.configuration import model
     from hickorylead.lease import zone as lease_zone
-    from hickorylead.membership import announcements
-    from hickorylead.membership import registry as registry_module
+    from hickorylead.membership import (
+        announcements,
+        registry as registry_module,
+    )
 
 Effect: TypeAlias = orders.Give | messages.Send
 
--- a/src/hickorylead/runtime/callers.py
+++ b/src/hickorylead/runtime/callers.py
@@ -21,7 +21,7 @@
 
     from starlette import requests
 
-    from hickorylead.runtime import entry
+    from hickorylead.runtime import answering as answering_module, entry
 
 _PLAIN_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
 
@@ -197,7 +197,7 @@
         service = self._shell.role.configuration.find_service(name)
         return service is not None and service.kind == kind
 
-    def _submit(self, submitted: model.Request) -> entry.Answering:
+    def _submit(self, submitted: model.Request) -> answering_module.Answering:
         answering = self._shell.open_answer(
             submitted.request_id, submitted.service
         )
@@ -275,7 +275,7 @@
         self._shell.close_answer(submitted.request_id)
 
     async def _collect(
-        self, answering: entry.Answering, submitted: model.Request
+        self, answering: answering_module.Answering, submitted: model.Request
     ) -> responses.Response:
         pieces: list[str] = []
         request_id = submitted.request_id
--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -14,16 +14,11 @@
 from hickorylead import errors
 from hickorylead.consensus import messages as consensus_messages
 from hickorylead.placement import orders, planner
-from hickorylead.roles import control as control_role
-from hickorylead.roles import nodes, seam
+from hickorylead.roles import control as control_role, nodes, seam
 from hickorylead.runtime import (
     clock,
-    process,
-)
-from hickorylead.runtime import (
     peers as peers_module,
-)
-from hickorylead.runtime import (
+    process,
     server as server_module,
 )
 from hickorylead.telemetry import logs
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -6,30 +6,21 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-import attrs
-
 from hickorylead import verdict as verdict_module
 from hickorylead.requests import events
-from hickorylead.roles import entry as entry_role
-from hickorylead.roles import nodes, seam
+from hickorylead.roles import entry as entry_role, nodes, seam
 from hickorylead.runtime import (
+    answering as answering_module,
     backends as backends_module,
-)
-from hickorylead.runtime import (
     callers,
     clock,
     operators,
-    process,
-    waiters,
-)
-from hickorylead.runtime import (
     peers as peers_module,
-)
-from hickorylead.runtime import (
+    process,
     server as server_module,
+    waiters,
 )
-from hickorylead.telemetry import logs, traces
-from hickorylead.telemetry import metrics as metrics_module
+from hickorylead.telemetry import logs, metrics as metrics_module, traces
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -37,19 +28,6 @@
 Verdict = verdict_module.Verdict
 
 
-@attrs.define
-class Answering:
-    """The caller's side of one request.
-
-    Attributes:
-        service: Service asked.
-        effects: What the reducer decided, in order.
-    """
-
-    service: str
-    effects: asyncio.Queue[events.Effect] = attrs.field(factory=asyncio.Queue)
-
-
 class EntryShell:
     """Runs one entry."""
 
@@ -78,7 +56,7 @@
         self.statuses: waiters.Waiters[seam.AnswerStatus] = waiters.Waiters()
         self.explains: waiters.Waiters[seam.AnswerExplain] = waiters.Waiters()
         self.foundings: waiters.Waiters[seam.AnswerFounding] = waiters.Waiters()
-        self._answering: dict[str, Answering] = {}
+        self._answering: dict[str, answering_module.Answering] = {}
         self._boot = int(clock.read_wall() * 1000)
         self._count = 0
         self._stopped = asyncio.Event()
@@ -135,9 +113,13 @@
         self._count += 1
         return nodes.name_request(self.node, self._boot, self._count)
 
-    def open_answer(self, request_id: str, service: str) -> Answering:
+    def open_answer(
+        self, request_id: str, service: str
+    ) -> answering_module.Answering:
         """Makes the place where a request's effects arrive."""
-        answering = self._answering[request_id] = Answering(service)
+        answering = self._answering[request_id] = answering_module.Answering(
+            service
+        )
         return answering
 
     def close_answer(self, request_id: str) -> None:
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -10,8 +10,7 @@
 from typing import Any
 
 from hickorylead.claims import messages as claim
-from hickorylead.configuration import changes
-from hickorylead.configuration import messages as config
+from hickorylead.configuration import changes, messages as config
 from hickorylead.consensus import messages as consensus
 from hickorylead.lease import messages as lease
 from hickorylead.membership import messages as member
--- a/src/hickorylead_standins/batch.py
+++ b/src/hickorylead_standins/batch.py
@@ -44,6 +44,7 @@
     position: int
     text: str
     is_last: bool
+    prompt_tokens: int
     cached_tokens: int
 
 
@@ -161,6 +162,7 @@
                     stream.position,
                     make_token(work.digest, stream.position),
                     is_last,
+                    work.prompt_tokens,
                     stream.cached_tokens,
                 )
             )
--- a/src/hickorylead_standins/engines.py
+++ b/src/hickorylead_standins/engines.py
@@ -265,7 +265,7 @@
     if frame.is_last:
         found["finish_reason"] = "length"
         found["usage"] = {
-            "prompt_tokens": 0,
+            "prompt_tokens": frame.prompt_tokens,
             "completion_tokens": frame.position + 1,
             "cached_tokens": frame.cached_tokens,
         }
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from behave import then, when
-from support import operator
-from support import world as world_module
+from support import operator, world as world_module
 
 from hickorylead.placement import orders
 from hickorylead.roles import nodes
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from support import checkers, operator
-from support import world as world_module
+from support import checkers, operator, world as world_module
 
 from hickorylead.configuration import changes, model
 from hickorylead.membership import announcements
--- a/tests/steps/safeguard_steps.py
+++ b/tests/steps/safeguard_steps.py
@@ -10,10 +10,8 @@
 from behave import given, then, when
 from support import deployments, operator
 
-from hickorylead.claims import claimant, holder
-from hickorylead.claims import messages as claim_messages
-from hickorylead.configuration import follower
-from hickorylead.configuration import messages as config_messages
+from hickorylead.claims import claimant, holder, messages as claim_messages
+from hickorylead.configuration import follower, messages as config_messages
 from hickorylead.lease import zone as lease_zone
 from hickorylead.membership import listener
 from hickorylead.placement import groups, planner
