Refuse numbers that cannot be sent on; end a process whose clock task fails

Cause: a backend server's fence of 2^63-1, or an operator's version of 2^64-1, was taken in and could not be encoded.

Ruled out: catching errors of the codec in the links (the reducer would keep on trying to send).

Change: numbers of servers and operators are at most 2^53; a process whose clock task fails stops and ends with the error.

--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -77,7 +77,7 @@
         self.log = logs.Log(lambda: self.role.version)
         self._orders: set[asyncio.Task[None]] = set()
         self._disk_error: OSError | None = None
-        self._disk_failed = asyncio.Event()
+        self._stop = asyncio.Event()
         self._peers = peers_module.Peers(
             node=self.node,
             address=f"{settings['address']}:{settings['peer_port']}",
@@ -103,7 +103,8 @@
         await http.start()
         self.log.info("started", node=self.node)
         ticking = asyncio.create_task(self._tick())
-        await process.wait_for_stop(self._disk_failed)
+        process.end_with(ticking, self._stop)
+        await process.wait_for_stop(self._stop)
         ticking.cancel()
         await http.close()
         await self._peers.close()
@@ -113,6 +114,8 @@
         if self._folder is not None:
             self._folder.close()
         self.log.info("stopped")
+        if ticking.done() and not ticking.cancelled():
+            ticking.result()
         if self._disk_error is not None:
             raise errors.DataFolderError(
                 f"data folder {self.settings['data_folder']}:"
@@ -134,7 +137,7 @@
             # could acknowledge a change that a restart takes back, so not one
             # more effect is carried out and the process ends.
             self._disk_error = error
-            self._disk_failed.set()
+            self._stop.set()
             self.log.error("disk failed", detail=str(error))
 
     def _carry_out(self, effect: seam.ControlEffect) -> None:
--- a/src/hickorylead/runtime/documents.py
+++ b/src/hickorylead/runtime/documents.py
@@ -15,6 +15,11 @@
 
 T = TypeVar("T")
 
+# Numbers cross the wire in 64 bits, and fencing numbers are still raised by
+# those who hear of one. A larger number that got in could not be sent on: each
+# attempt would fail, again and again, in the process that took it.
+MAX_NUMBER = 1 << 53
+
 _OPERATION_KINDS = {
     changes.ApplyService: "apply_service",
     changes.DeleteService: "delete_service",
@@ -58,6 +63,8 @@
                 raise ValueError(
                     f"{value!r:.40} is not of type {kind.__name__}"
                 )
+            if kind is int and abs(value) > MAX_NUMBER:
+                raise ValueError(f"{value!r:.40} is too large")
             return kind(value)
 
         converter.register_structure_hook(kind, check)
@@ -115,7 +122,7 @@
         return result.Failure(_explain(error))
     if not isinstance(change_id, str) or not 8 <= len(change_id) <= 64:
         return result.Failure("change_id is not a text of 8 to 64 characters")
-    if type(expected) is not int or expected < 0:
+    if type(expected) is not int or not 0 <= expected <= MAX_NUMBER:
         return result.Failure("expected_version is not a number from 0 up")
     return result.Success(changes.Change(change_id, expected, operation))
 
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -81,18 +81,34 @@
         await self._peers.start()
         await http.start()
         self.log.info("started", node=self.node)
+        stop = asyncio.Event()
+        ticking = asyncio.create_task(self._tick())
+        process.end_with(ticking, stop)
         tasks = [
-            asyncio.create_task(self._tick()),
+            ticking,
             asyncio.create_task(
                 process.export_traces(
                     self.tracer, self.settings["trace_endpoint"]
                 )
             ),
         ]
-        await process.wait_for_stop()
+        await process.wait_for_stop(stop)
         self.log.info("stopping", open=self.role.dispatcher.count_open())
         http.stop_listening()
         self.apply(seam.StopAsked())
+        if not ticking.done():
+            await self._drain()
+        await http.close()
+        for task in tasks:
+            task.cancel()
+        await self._peers.close()
+        await self._backends.close()
+        self.log.info("stopped")
+        if ticking.done() and not ticking.cancelled():
+            ticking.result()
+
+    async def _drain(self) -> None:
+        """Waits until every request has its final answer, or long enough."""
         try:
             async with asyncio.timeout(self.settings["drain_s"]):
                 await self._stopped.wait()
@@ -101,12 +117,6 @@
                 "requests cut by the end of the drain time",
                 open=self.role.dispatcher.count_open(),
             )
-        await http.close()
-        for task in tasks:
-            task.cancel()
-        await self._peers.close()
-        await self._backends.close()
-        self.log.info("stopped")
 
     def name_request(self) -> str:
         """Returns an id for a new request."""
--- a/src/hickorylead/runtime/process.py
+++ b/src/hickorylead/runtime/process.py
@@ -28,6 +28,20 @@
     await stop.wait()
 
 
+def end_with(task: asyncio.Task[None], stop: asyncio.Event) -> None:
+    """Stops the process when a task that must go on has failed.
+
+    A process whose clock has stopped still answers, renews nothing and times
+    out nothing: worse than one that is gone, which others notice.
+    """
+
+    def check(ended: asyncio.Task[None]) -> None:
+        if not ended.cancelled() and ended.exception() is not None:
+            stop.set()
+
+    task.add_done_callback(check)
+
+
 async def export_traces(tracer: traces.Tracer, endpoint: str) -> None:
     """Sends ended spans to the trace endpoint from time to time."""
     if not endpoint:
--- a/tests/runtime/disk.feature
+++ b/tests/runtime/disk.feature
@@ -1,4 +1,4 @@
-Feature: A disk that fails
+Feature: A process that cannot go on ends
 
   Scenario: A voter whose disk fails acknowledges nothing more
     The disk refuses a write. What the voter holds in memory is not on disk;
@@ -8,3 +8,11 @@
     When it is asked for its vote
     Then no vote leaves and the process ends with exit code 6
     And it answers nothing that comes after
+
+  Scenario: A process whose clock has stopped ends
+    The task that gives a process its time fails. The process would still
+    answer, but renew nothing and time out nothing; it ends with the error,
+    so that others notice.
+    Given a voter whose disk refuses the next write
+    When its reducer fails on the next tick
+    Then the process ends with that failure
--- a/tests/runtime/interfaces.feature
+++ b/tests/runtime/interfaces.feature
@@ -27,6 +27,11 @@
       | POST | /services/nothing/crews | caller | | crew | 404 | unknown_service |
       | POST | /backend/announcements | none | | {"state":{}} | 400 | bad_announcement |
       | POST | /backend/announcements | none | | not json | 400 | bad_announcement |
+      | POST | /backend/announcements | none | | {"state":{"vm":"v","boot":1,"zone":"hamilton","domain":"d","address":"127.0.0.1:1","fence":9223372036854775807}} | 400 | bad_announcement |
+      | POST | /backend/announcements | none | | {"state":{"vm":"v","boot":18446744073709551615,"zone":"hamilton","domain":"d","address":"127.0.0.1:1"}} | 400 | bad_announcement |
+      | POST | /backend/announcements | none | | {"state":{"vm":"v","boot":1,"zone":"hamilton","domain":"d","address":"127.0.0.1:1","slots":0}} | 400 | bad_announcement |
+      | POST | /admin/changes | operator | | {"change_id":"change-0001","expected_version":18446744073709551615,"operation":{"kind":"drain_vm","vm":"v","drained":true}} | 400 | bad_change |
+      | POST | /admin/changes | operator | | {"change_id":"change-0002","expected_version":1,"operation":{"kind":"apply_service","service":{"name":"s","model":"m","replicas":18446744073709551615}}} | 400 | bad_change |
       | POST | /admin/changes | caller | | {} | 401 | unknown_token |
       | POST | /admin/changes | operator | | {} | 400 | bad_change |
       | POST | /admin/changes | operator | | {"operation":{"kind":"burn"}} | 400 | bad_change |
--- a/tests/steps/disk_steps.py
+++ b/tests/steps/disk_steps.py
@@ -15,6 +15,7 @@
 from hickorylead.runtime import control
 from hickorylead.settings import options, roles
 
+LIMIT_S = 10
 FLAGS = {
     "vm": "vm1",
     "zone": "z",
@@ -47,6 +48,14 @@
     context.shell._receive("y/vm1/control", request)
 
 
+def run(context):
+    server = mock.Mock(start=mock.AsyncMock(), close=mock.AsyncMock())
+    with mock.patch.object(
+        control.server_module, "HttpServer", return_value=server
+    ):
+        asyncio.run(asyncio.wait_for(context.shell.run(), LIMIT_S))
+
+
 @when("it is asked for its vote")
 def _(context):
     ask(context)
@@ -55,15 +64,11 @@
 @then("no vote leaves and the process ends with exit code {code:d}")
 def _(context, code):
     context.peers.send.assert_not_called()
-    server = mock.Mock(start=mock.AsyncMock(), close=mock.AsyncMock())
-    with mock.patch.object(
-        control.server_module, "HttpServer", return_value=server
-    ):
-        try:
-            asyncio.run(context.shell.run())
-        except errors.DataFolderError as error:
-            assert error.exit_code == code and "No space" in str(error)
-            return
+    try:
+        run(context)
+    except errors.DataFolderError as error:
+        assert error.exit_code == code and "No space" in str(error)
+        return
     raise AssertionError("it went on")
 
 
@@ -72,3 +77,19 @@
     ask(context)
     context.shell.apply(seam.Tick(0.0))
     context.peers.send.assert_not_called()
+
+
+@when("its reducer fails on the next tick")
+def _(context):
+    context.shell.role = mock.Mock()
+    context.shell.role.reduce.side_effect = RuntimeError("a fault")
+
+
+@then("the process ends with that failure")
+def _(context):
+    try:
+        run(context)
+    except RuntimeError as error:
+        assert str(error) == "a fault"
+        return
+    raise AssertionError("it went on")
