--- a/src/hickorylead/commands/operations.py
+++ b/src/hickorylead/commands/operations.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import sys
 
+import orjson
+
 from hickorylead import errors
 from hickorylead.commands import client as client_module, tables
 from hickorylead.configuration import changes, model
@@ -76,19 +77,19 @@
 
 def list_services(
     *,
-    json_output: bool = False,
+    json: bool = False,
     entry: str | None = None,
     token: str | None = None,
 ) -> None:
     """List the services.
 
     Args:
-        json_output: Print JSON for programs.
+        json: Print JSON for programs.
         entry: URL of an entry [HICKORYLEAD_ENTRY].
         token: Operators' token [HICKORYLEAD_OPERATOR_TOKEN].
     """
     client = client_module.Client(entry=entry, token=token)
-    if json_output:
+    if json:
         _print_json(client.get("/admin/configuration")["services"])
     else:
         _print(tables.render_services(client.get_configuration()))
@@ -137,19 +138,19 @@
 
 def list_presets(
     *,
-    json_output: bool = False,
+    json: bool = False,
     entry: str | None = None,
     token: str | None = None,
 ) -> None:
     """List the presets and which one is in force.
 
     Args:
-        json_output: Print JSON for programs.
+        json: Print JSON for programs.
         entry: URL of an entry [HICKORYLEAD_ENTRY].
         token: Operators' token [HICKORYLEAD_OPERATOR_TOKEN].
     """
     client = client_module.Client(entry=entry, token=token)
-    if json_output:
+    if json:
         found = client.get("/admin/configuration")
         _print_json({"preset": found["preset"], "presets": found["presets"]})
     else:
@@ -178,7 +179,7 @@
 
 def show_status(
     *,
-    json_output: bool = False,
+    json: bool = False,
     groups: bool = False,
     entry: str | None = None,
     token: str | None = None,
@@ -186,13 +187,13 @@
     """Show zones, services, leases and versions.
 
     Args:
-        json_output: Print JSON for programs.
+        json: Print JSON for programs.
         groups: Show every replica group too.
         entry: URL of an entry [HICKORYLEAD_ENTRY].
         token: Operators' token [HICKORYLEAD_OPERATOR_TOKEN].
     """
     found = client_module.Client(entry=entry, token=token).get("/admin/status")
-    if json_output:
+    if json:
         _print_json(found)
     else:
         _print(tables.render_status(found, with_groups=groups))
@@ -201,7 +202,7 @@
 def explain(
     request_id: str,
     *,
-    json_output: bool = False,
+    json: bool = False,
     entry: str | None = None,
     token: str | None = None,
 ) -> None:
@@ -209,13 +210,13 @@
 
     Args:
         request_id: The id from the Request-Id header or the problem.
-        json_output: Print JSON for programs.
+        json: Print JSON for programs.
         entry: URL of an entry [HICKORYLEAD_ENTRY].
         token: Operators' token [HICKORYLEAD_OPERATOR_TOKEN].
     """
     client = client_module.Client(entry=entry, token=token)
     found = client.get(f"/admin/requests/{request_id}")
-    if json_output:
+    if json:
         _print_json(found)
     else:
         _print(tables.render_trail(request_id, found))
@@ -264,4 +265,5 @@
 
 
 def _print_json(found: object) -> None:
-    _print(json.dumps(found, indent=2, sort_keys=True))
+    options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+    _print(orjson.dumps(found, option=options).decode())
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -26,7 +26,13 @@
     registry as registry_module,
 )
 from hickorylead.placement import planner
-from hickorylead.roles import nodes, seam, status, zoneholder
+from hickorylead.roles import (
+    founding as founding_module,
+    nodes,
+    seam,
+    status,
+    zoneholder,
+)
 from hickorylead.routing import messages as routing_messages
 
 if TYPE_CHECKING:
@@ -114,8 +120,9 @@
             node=identity.node, started_at=wall, max_skew_s=max_skew_s
         )
         self._askers: dict[str, str] = {}
-        self._identities: dict[str, messages.IdentityReply] = {}
-        self._founding: messages.FoundRequest | None = None
+        self._founding = founding_module.Founding(
+            node=identity.node, controls=identity.controls
+        )
 
     @property
     def version(self) -> int:
@@ -247,10 +254,7 @@
                 )
                 return [seam.Send(node, identity)]
             case messages.FoundRequest():
-                self._founding = message
-                self._identities = {}
-                ask = messages.IdentityRequest(self._identity.node)
-                return [seam.Send(n, ask) for n in self._identity.controls]
+                return _wrap(self._founding.start(message))
             case messages.IdentityReply():
                 return self._found(message, now)
             case messages.ChangeReply() | messages.FoundReply():
@@ -353,35 +357,18 @@
             seam.Send(entry, update) for entry in sorted(self._registry.entries)
         ]
 
-    # The start of a cluster.
-
     def _found(
         self, reply: messages.IdentityReply, now: float
     ) -> list[seam.ControlEffect]:
-        """Starts the cluster once every control process has answered.
-
-        All must answer, because one that is not asked could belong to a
-        cluster already, and its accepted changes would be lost from sight.
-        """
-        founding, voter = self._founding, self._voter
-        if founding is None or voter is None:
-            return []
-        self._identities[reply.node] = reply
-        if reply.cluster:
-            self._founding = None
-            detail = f"{reply.node} belongs to cluster {reply.cluster}"
-            done = reply.cluster == founding.cluster
-            refused = messages.FoundReply(founding.cluster, done, detail)
-            return [seam.Send(founding.entry, refused)]
-        if set(self._identities) != set(self._identity.controls):
+        decision = self._founding.receive(reply)
+        if decision is None or self._voter is None:
             return []
-        self._founding = None
-        members = [r.member for r in self._identities.values() if r.member]
-        detail = f"started with {len(members)} voters"
-        done_reply = messages.FoundReply(founding.cluster, True, detail)
-        voters = tuple(sorted(members))
-        effects = self._wrap_votes(voter.found(founding.cluster, voters), now)
-        return [*effects, seam.Send(founding.entry, done_reply)]
+        effects: list[seam.ControlEffect] = []
+        if decision.voters:
+            cluster = decision.reply.cluster
+            founded = self._voter.found(cluster, decision.voters)
+            effects += self._wrap_votes(founded, now)
+        return [*effects, seam.Send(decision.entry, decision.reply)]
 
     # Status.
 
--- a/src/hickorylead/settings/roles.py
+++ b/src/hickorylead/settings/roles.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from hickorylead.settings.options import Option
+from hickorylead.settings import options
 
 _COMMON = (
-    Option("vm", "name", "Name of this VM, unique in its zone."),
-    Option("zone", "name", "Availability zone of this VM."),
-    Option("address", "ip", "IP number of this VM, for all its ports."),
-    Option(
+    options.Option("vm", "name", "Name of this VM, unique in its zone."),
+    options.Option("zone", "name", "Availability zone of this VM."),
+    options.Option("address", "ip", "IP number of this VM, for all its ports."),
+    options.Option(
         "peer_port",
         "int",
         "Port for the other processes of the system.",
@@ -16,19 +16,19 @@
         low=1,
         high=65535,
     ),
-    Option(
+    options.Option(
         "controls",
         "controls",
         "Every control process of every zone, as zone/vm=ip:port,... The list"
         " must be the same on all VMs.",
     ),
-    Option(
+    options.Option(
         "log_level",
         "name",
         "Least level logged: debug, info, warning or error.",
         default="info",
     ),
-    Option(
+    options.Option(
         "trace_endpoint",
         "text",
         "OTLP/HTTP endpoint for traces, as a URL with an IP number.",
@@ -38,7 +38,7 @@
 
 ENTRY_OPTIONS = (
     *_COMMON,
-    Option(
+    options.Option(
         "caller_port",
         "int",
         "Port for callers, backend servers and operators.",
@@ -46,23 +46,23 @@
         low=1,
         high=65535,
     ),
-    Option(
+    options.Option(
         "tokens",
         "tokens",
         "Bearer tokens of callers, as token=workspace,...",
     ),
-    Option(
+    options.Option(
         "operator_token",
         "text",
         "Bearer token of operators.",
     ),
-    Option(
+    options.Option(
         "backend_token",
         "text",
         "Bearer token of backend servers; empty if they need none.",
         default="",
     ),
-    Option(
+    options.Option(
         "max_body_bytes",
         "int",
         "Largest request body.",
@@ -71,7 +71,7 @@
         low=1024,
         high=64 * 1024 * 1024,
     ),
-    Option(
+    options.Option(
         "default_deadline_s",
         "float",
         "Time within which an answer must start, unless the caller says"
@@ -81,7 +81,7 @@
         low=0.1,
         high=3600,
     ),
-    Option(
+    options.Option(
         "drain_s",
         "float",
         "Longest time to wait for requests in flight when stopped.",
@@ -94,7 +94,7 @@
 
 CONTROL_OPTIONS = (
     *_COMMON,
-    Option(
+    options.Option(
         "http_port",
         "int",
         "Port for health and metrics.",
@@ -102,13 +102,13 @@
         low=1,
         high=65535,
     ),
-    Option(
+    options.Option(
         "data_folder",
         "text",
         "Folder on a disk; with one, this process votes on the configuration.",
         default="",
     ),
-    Option(
+    options.Option(
         "spares",
         "int",
         "Free VMs to leave in each fabric domain, where there is a choice of"
@@ -117,7 +117,7 @@
         unit="VMs",
         high=64,
     ),
-    Option(
+    options.Option(
         "hold_broken_s",
         "float",
         "How long a broken group may hold its survivors while no spare is"
@@ -126,7 +126,7 @@
         unit="seconds",
         high=86400,
     ),
-    Option(
+    options.Option(
         "max_loads",
         "int",
         "Groups of the zone that may load weights at the same time.",
@@ -135,7 +135,7 @@
         low=1,
         high=1000,
     ),
-    Option(
+    options.Option(
         "clock_skew_s",
         "float",
         "Largest difference between the clocks of any two VMs or callers. For"
--- a/tests/runtime/interfaces.feature
+++ b/tests/runtime/interfaces.feature
@@ -47,6 +47,9 @@
     Then the entry tells its health, its readiness and its metrics
     And a control process tells group downtime and stranded accelerators
 
+  Scenario: Status is a table for people and JSON for programs
+    Then status prints a table, and with --json the same as JSON
+
   Scenario: Each role is one process
     Then each role is one process with one thread and has no child
 
--- a/tests/steps/interface_steps.py
+++ b/tests/steps/interface_steps.py
@@ -171,3 +171,15 @@
     assert {s.trace_id.hex() for s in spans} == {trace}
     assert spans[0].parent_span_id == spans[1].span_id
     assert not tracer.take_batch()
+
+
+@then("status prints a table, and with --json the same as JSON")
+def _(context):
+    deployment = context.deployment
+    table = deployment.operate("status", "--groups")
+    for text in ("CONTROL", "ZONE LEASE", "SERVING", "assistant", "entries"):
+        assert text in table, (text, table)
+    found = json.loads(deployment.operate("status", "--json"))
+    assert len(found["controls"]) == len(deployment.vms)
+    services = json.loads(deployment.operate("service", "list", "--json"))
+    assert {s["name"] for s in services} == {"assistant", "dispatch"}
