--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,7 +1,7 @@
 """Group downtime and stranded VMs over a month, in given time.
 
 The real planner repairs a zone of 24 replicas of 8 VMs while VMs fail and
-restart and a rack goes dark, at the letter's rates. Compared are settings of
+restart and a rack goes dark, at the users' rates. Compared are settings of
 the trade, a plain policy that rebuilds whole groups, and the floor: detection
 and load for each failure that hits a replica, nothing else.
 """
@@ -32,7 +32,7 @@
 DETECT_S, LOAD_S, SWAP_S = 4.0, 180.0, 10.0
 PLAN_S = 1.0
 WAIT_S = 30.0
-# Of the letter's 4,800 accelerators, one a VM, this zone has its part.
+# Of the users' 4,800 accelerators, one a VM, this zone has its part.
 PART = (REPLICAS * SIZE + EXTRA_VMS) / 4800
 FAILURES_A_DAY, RESTARTS_A_DAY = 15 * PART, 76 * PART
 FAILED_S, RESTARTED_S = 4 * 3600.0, 180.0
--- a/tests/roles/random_faults.feature
+++ b/tests/roles/random_faults.feature
@@ -1,7 +1,7 @@
 Feature: Faults in any order, alone and in pairs
 
   Scenario: Random faults over all nodes break no promise
-    Any of the failures of the brief comes at any moment, together or twice,
+    Any of the failures that users fear comes at any moment, together or twice,
     while callers ask and work orders are resent. Every checker runs after
     every step; afterwards all replicas serve and every caller has an answer.
     Then generated faults break no promise, in 12 plays of up to 5 faults
