--- a/tests/roles/random_faults.feature
+++ b/tests/roles/random_faults.feature
@@ -14,4 +14,5 @@
       | seed | found                                              |
       | 38   | an unknown configuration taken for an empty one    |
       | 79   | new work for a leaving server while no lease holds |
+      | 152  | the same, while messages are lost                  |
       | 165  | the same, after a restart of the zone              |
