--- a/tests/roles/safeguards.feature
+++ b/tests/roles/safeguards.feature
@@ -13,6 +13,7 @@
       | safeguard                    | play          | checker            |
       | only whole groups serve      | member dies   | check_whole_groups |
       | a lost domain is noticed     | member dies   | check_whole_groups |
+      | only free VMs join a group   | member dies   | check_one_group    |
       | restarted grantors stay silent | grantors restart | check_one_holder |
       | orders wait out the old lease | grantors restart | check_one_holder |
       | frames must fit the position | frames doubled | check_answers     |
--- a/tests/steps/placement_steps.py
+++ b/tests/steps/placement_steps.py
@@ -184,23 +184,31 @@
     assert not context.gaps, context.gaps[:3]
 
 
-@when("two services of different rank start with one load at a time")
-def _(context):
-    policy = planner.Policy(spares=0, max_loads=1)
+def start_two_ranks(context, policy, *, engines, urgent, ordinary):
+    """Starts one zone with an urgent service and one of a lower rank."""
     world = context.world = world_module.World(policy=policy, zones=("a",))
     world.checkers = list(checkers.ALL)
     world.group_size = 2
-    world.add_engines("a", 8, domain_size=8)
+    world.add_engines("a", engines, domain_size=engines)
     operator.found_cluster(world)
     for name, rank in (("ordinary", 5), ("urgent", 0)):
         service = model.Service(
             name, model="m", version="1", group_size=2, rank=rank
         )
         operator.apply(world, changes.ApplyService(service))
-    shares = (model.Share("ordinary", "a", 2), model.Share("urgent", "a", 2))
+    shares = (
+        model.Share("ordinary", "a", ordinary),
+        model.Share("urgent", "a", urgent),
+    )
     operator.apply(world, changes.ApplyPreset(model.Preset("p", shares)))
     operator.apply(world, changes.SwitchPreset("p"))
-    world.run(30)
+    return world
+
+
+@when("two services of different rank start with one load at a time")
+def _(context):
+    policy = planner.Policy(spares=0, max_loads=1)
+    start_two_ranks(context, policy, engines=8, urgent=2, ordinary=2).run(30)
 
 
 @then("the groups of the more urgent service were formed first")
@@ -232,19 +240,7 @@
 @given("a zone full of groups of two ranks")
 def _(context):
     policy = planner.Policy(spares=0, hold_broken_s=2)
-    world = context.world = world_module.World(policy=policy, zones=("a",))
-    world.checkers = list(checkers.ALL)
-    world.group_size = 2
-    world.add_engines("a", 6, domain_size=6)
-    operator.found_cluster(world)
-    for name, rank in (("urgent", 0), ("ordinary", 5)):
-        service = model.Service(
-            name, model="m", version="1", group_size=2, rank=rank
-        )
-        operator.apply(world, changes.ApplyService(service))
-    shares = (model.Share("urgent", "a", 1), model.Share("ordinary", "a", 2))
-    operator.apply(world, changes.ApplyPreset(model.Preset("p", shares)))
-    operator.apply(world, changes.SwitchPreset("p"))
+    world = start_two_ranks(context, policy, engines=6, urgent=1, ordinary=2)
     world.run_until(
         lambda: operator.count_replicas(world, world.entries[0]) == 3
     )
--- a/tests/steps/safeguard_steps.py
+++ b/tests/steps/safeguard_steps.py
@@ -198,12 +198,26 @@
     )
 
 
+def break_list_free(self, domain, weights):
+    # Takes VMs that belong to other groups, too.
+    return [
+        vm
+        for vm, member in sorted(self._members.items())
+        if domain is None or member.state.domain == domain
+    ]
+
+
 WHOLE_FAIL = dispatcher.Dispatcher._fail_attempt
 WHOLE_CLAIM = claimant.Claimant.receive
 WHOLE_HOLDER = holder.Holder.__init__
 WHOLE_LEASE = lease_zone.Lease.__init__
 
 BREAKS = {
+    "only free VMs join a group": (
+        planner.Planner,
+        "_list_free",
+        break_list_free,
+    ),
     "only whole groups serve": (
         groups,
         "is_whole",
