Take a whole configuration over under the operator's own version

Cause: operators of the users' platform send a whole configuration with a version of their own; the highest one must win, whatever comes late or twice. A leader counted answers of its voters from when it read them, so after a freeze it believed in answers that had waited for it. Change: operation ReplaceWhole in the log; AppendReply repeats when the request left, and a leader counts its majority from then; reads confirmed by a majority asked after the read came; a silent voter gives way to a newcomer of its zone; the log is cut by bytes, too; tunable timing.

--- a/src/hickorylead/configuration/changes.py
+++ b/src/hickorylead/configuration/changes.py
@@ -52,6 +52,22 @@
     drained: bool
 
 
+@attrs.frozen
+class ReplaceWhole:
+    """Takes over a whole configuration under the operator's own version.
+
+    The highest version wins; a lower or equal one changes nothing, so a late
+    or repeated order can never bring an older configuration back.
+
+    Attributes:
+        outside_version: Version that the operator gave, above 0.
+        content: The configuration, packed; checked before it is proposed.
+    """
+
+    outside_version: int
+    content: bytes
+
+
 @attrs.frozen
 class NoChange:
     """Changes nothing; a new leader commits one to learn what is committed."""
@@ -76,6 +92,7 @@
     | DrainVm
     | NoChange
     | SetVoters
+    | ReplaceWhole
 )
 
 
@@ -117,6 +134,8 @@
     current: model.Configuration, change: Change
 ) -> tuple[model.Configuration, Outcome]:
     """Returns the configuration after a change, and the answer to it."""
+    if isinstance(change.operation, ReplaceWhole):
+        return _replace_whole(current, change.change_id, change.operation)
     if change.expected_version != current.version:
         return current, Outcome(
             change_id=change.change_id,
@@ -140,6 +159,19 @@
     raise AssertionError("a result is a success or a failure")
 
 
+def _replace_whole(
+    current: model.Configuration, change_id: str, operation: ReplaceWhole
+) -> tuple[model.Configuration, Outcome]:
+    if operation.outside_version > current.outside_version:
+        current = attrs.evolve(
+            current,
+            version=current.version + 1,
+            outside_version=operation.outside_version,
+            content=operation.content,
+        )
+    return current, Outcome(change_id, True, current.version)
+
+
 def _apply_operation(
     current: model.Configuration, operation: Operation
 ) -> result.Result[model.Configuration, str]:
@@ -161,7 +193,7 @@
             return result.Success(
                 attrs.evolve(current, drained=tuple(sorted(names)))
             )
-        case NoChange() | SetVoters():
+        case NoChange() | SetVoters() | ReplaceWhole():
             return result.Failure("this is not a change of the configuration")
 
 
--- a/src/hickorylead/configuration/model.py
+++ b/src/hickorylead/configuration/model.py
@@ -67,6 +67,10 @@
         presets: Sorted by name.
         preset: Name of the preset in force; empty before the first switch.
         drained: VMs that operators asked to be left empty, sorted.
+        outside_version: Version that the operator gave a configuration taken
+            over whole; 0 if there is none.
+        content: That configuration as the operator sent it, packed by
+            `documents.pack_content`.
     """
 
     version: int = 0
@@ -74,6 +78,8 @@
     presets: tuple[Preset, ...] = ()
     preset: str = ""
     drained: tuple[str, ...] = ()
+    outside_version: int = 0
+    content: bytes = b""
 
     def find_service(self, name: str) -> Service | None:
         """Returns the service of that name, if there is one."""
--- a/src/hickorylead/consensus/messages.py
+++ b/src/hickorylead/consensus/messages.py
@@ -76,7 +76,11 @@
 
 @attrs.frozen
 class AppendRequest:
-    """Entries for a member, or none as a heartbeat."""
+    """Entries for a member, or none as a heartbeat.
+
+    Attributes:
+        sent_at: The leader's time when it sent this; the answer repeats it.
+    """
 
     cluster: str
     recipient: str
@@ -86,6 +90,7 @@
     previous_term: int
     entries: tuple[LogEntry, ...]
     commit: int
+    sent_at: float = 0.0
 
 
 @attrs.frozen
@@ -97,12 +102,14 @@
         term: Its term.
         matched: True if the log now agrees up to `index`.
         index: Last index agreed on, or where the leader should try next.
+        sent_at: Time of the request that is answered, by the leader's clock.
     """
 
     member: str
     term: int
     matched: bool
     index: int
+    sent_at: float = 0.0
 
 
 @attrs.frozen
@@ -114,6 +121,7 @@
     leader: str
     term: int
     snapshot: Snapshot
+    sent_at: float = 0.0
 
 
 @attrs.frozen
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -19,17 +19,42 @@
     from collections.abc import Iterable
     import random
 
-HEARTBEAT_S = 0.5
-ELECTION_MIN_S = 2.0
-ELECTION_MAX_S = 4.0
 JOIN_PERIOD_S = 1.0
 MAX_ENTRIES_PER_APPEND = 64
 SNAPSHOT_EVERY = 256
 REMEMBERED_OUTCOMES = 8192
+# Whole configurations in the log before a snapshot replaces them. A packed one
+# has some 10 KB, so this is about 200 changes, and the log, held in memory and
+# on disk, stays within a few MB of the 128 MB of the smallest disks.
+MAX_LOG_BYTES = 2 * 1024 * 1024
 
 Role = Literal["follower", "candidate", "leader"]
 
 
+@attrs.frozen
+class Tuning:
+    """How fast voters notice that one of them is gone.
+
+    Attributes:
+        heartbeat_s: Pause between two heartbeats of a leader, in seconds.
+        election_min_s: Shortest silence after which a voter wants to lead,
+            and longest that a leader goes on without a majority, in seconds.
+        election_max_s: Longest such silence, in seconds.
+        replace_after_s: Silence after which a voter gives way to a newcomer
+            of its zone, in seconds; 0 if none ever does.
+        min_voters: Voters that are never gone below by that.
+    """
+
+    heartbeat_s: float = 0.5
+    election_min_s: float = 2.0
+    election_max_s: float = 4.0
+    replace_after_s: float = 0.0
+    min_voters: int = 3
+
+
+DEFAULT_TUNING = Tuning()
+
+
 @attrs.define
 class Progress:
     """What a leader knows about one other member."""
@@ -50,6 +75,7 @@
         peers: tuple[str, ...],
         rng: random.Random,
         now: float,
+        tuning: Tuning = DEFAULT_TUNING,
     ) -> None:
         """Makes a voter that knows nothing yet.
 
@@ -59,7 +85,9 @@
             incarnation: Name of the data folder's present life.
             rng: Source of the spread of election timeouts.
             now: Present time.
+            tuning: How fast a lost voter is noticed.
         """
+        self._tuning = tuning
         self.member = f"{node}#{incarnation}"
         self.role: Role = "follower"
         self.leader = ""
@@ -73,6 +101,7 @@
             collections.OrderedDict()
         )
         self._applied = 0
+        self._log_bytes = 0
         self._votes: set[str] = set()
         self._trial = False
         self._progress: dict[str, Progress] = {}
@@ -131,7 +160,7 @@
         if self.role == "leader":
             return self._has_majority(now)
         return (
-            self.leader != "" and now - self._heard_leader_at < ELECTION_MAX_S
+            self.leader != "" and now - self._heard_leader_at < self._tuning.election_max_s
         )
 
     def leads(self, now: float) -> bool:
@@ -146,6 +175,24 @@
             and self.log.get_term(self.commit) == self.term
         )
 
+    def confirms_read(self, asked_at: float, now: float) -> bool:
+        """Says whether a read asked for at a time may be answered now.
+
+        A leader that another one has replaced may not know it yet, and its
+        answer would be old. Once a majority has answered what was sent after
+        the read came, nobody else can have been leader before it came.
+        """
+        heard = {
+            member
+            for member, progress in self._progress.items()
+            if progress.heard_at >= asked_at
+        }
+        return self.leads(now) and self._is_majority(heard | {self.member})
+
+    def ask_followers(self, now: float) -> list[messages.Effect]:
+        """Sends a heartbeat at once, so that a read is confirmed soon."""
+        return self._replicate(now) if self.role == "leader" else []
+
     def tick(self, now: float) -> list[messages.Effect]:
         """Lets time pass; to be called several times a second."""
         if self.role == "leader":
@@ -324,24 +371,57 @@
         # before anyone else can have been elected.
         if not self._has_majority(now):
             return self._step_down(self.term, now)
-        return self._replicate(now) if now >= self._next_heartbeat else []
+        effects = self._remove_replaced(now)
+        if now >= self._next_heartbeat:
+            effects += self._replicate(now)
+        return effects
+
+    def _remove_replaced(self, now: float) -> list[messages.Effect]:
+        """Removes a voter that a newcomer of its zone stands in for.
+
+        A VM that is gone for good would count against every majority to come.
+        If it was only cut off it asks to join again.
+        """
+        silence_s = self._tuning.replace_after_s
+        if not silence_s or len(self.voters) <= self._tuning.min_voters:
+            return []
+        if self._is_changing_voters():
+            return []
+        heard = {
+            member: progress.heard_at
+            for member, progress in self._progress.items()
+        }
+        heard[self.member] = now
+        for voter in self.voters:
+            if now - heard.get(voter, now) <= silence_s:
+                continue
+            zone = voter.partition("/")[0]
+            if any(
+                other.partition("/")[0] == zone
+                and now - heard.get(other, 0.0) <= self._tuning.election_min_s
+                for other in self.voters
+            ):
+                rest = [v for v in self.voters if v != voter]
+                self._progress.pop(voter, None)
+                return self._propose_voters(rest, now)
+        return []
 
     def _has_majority(self, now: float) -> bool:
         heard = {
             member
             for member, progress in self._progress.items()
-            if now - progress.heard_at < ELECTION_MIN_S
+            if now - progress.heard_at < self._tuning.election_min_s
         }
         return self._is_majority(heard | {self.member})
 
     def _replicate(self, now: float) -> list[messages.Effect]:
-        self._next_heartbeat = now + HEARTBEAT_S
+        self._next_heartbeat = now + self._tuning.heartbeat_s
         effects = self._advance_commit(now)
         for member in sorted(self._progress):
-            effects += self._send_entries(member)
+            effects += self._send_entries(member, now)
         return effects
 
-    def _send_entries(self, member: str) -> list[messages.Effect]:
+    def _send_entries(self, member: str, now: float) -> list[messages.Effect]:
         progress = self._progress[member]
         previous = progress.next_index - 1
         term = self.log.get_term(previous)
@@ -352,7 +432,12 @@
                 messages.Send(
                     node,
                     messages.SnapshotRequest(
-                        self.cluster, member, self.member, self.term, snapshot
+                        self.cluster,
+                        member,
+                        self.member,
+                        self.term,
+                        snapshot,
+                        now,
                     ),
                 )
             ]
@@ -371,6 +456,7 @@
                     previous_term=term,
                     entries=entries,
                     commit=self.commit,
+                    sent_at=now,
                 ),
             )
         ]
@@ -383,19 +469,22 @@
         progress = self._progress.get(reply.member)
         if self.role != "leader" or reply.term != self.term or not progress:
             return []
-        progress.heard_at = now
+        # Counted from when the request left: after a freeze a leader would
+        # take answers that had waited for it as a sign of the present, and
+        # go on believing that it leads after another one was elected.
+        progress.heard_at = max(progress.heard_at, reply.sent_at)
         if not reply.matched:
             progress.next_index = max(
                 1, min(progress.next_index - 1, reply.index + 1)
             )
-            return self._send_entries(reply.member)
+            return self._send_entries(reply.member, now)
         progress.match_index = max(progress.match_index, reply.index)
         progress.next_index = max(progress.next_index, reply.index + 1)
         effects = self._advance_commit(now)
         if self.role == "leader" and progress.next_index <= (
             self.log.last_index
         ):
-            effects += self._send_entries(reply.member)
+            effects += self._send_entries(reply.member, now)
         return [*effects, *self._admit_learner(reply.member, now)]
 
     def _advance_commit(self, now: float) -> list[messages.Effect]:
@@ -430,7 +519,7 @@
             self._progress[member] = Progress(
                 self.log.last_index + 1, heard_at=now
             )
-        return self._send_entries(member)
+        return self._send_entries(member, now)
 
     def _admit_learner(self, member: str, now: float) -> list[messages.Effect]:
         if member in self.voters or self._is_changing_voters():
@@ -492,12 +581,16 @@
             known = request.previous_term
         if known != request.previous_term:
             hint = min(self.log.last_index, request.previous_index - 1)
-            reply = messages.AppendReply(self.member, self.term, False, hint)
+            reply = messages.AppendReply(
+                self.member, self.term, False, hint, request.sent_at
+            )
             return [*effects, messages.Send(node, reply)]
         effects += self._merge_entries(request.entries)
         agreed = request.previous_index + len(request.entries)
         effects += self._commit_to(min(request.commit, agreed), now)
-        reply = messages.AppendReply(self.member, self.term, True, agreed)
+        reply = messages.AppendReply(
+            self.member, self.term, True, agreed, request.sent_at
+        )
         return [*effects, messages.Send(node, reply)]
 
     def _merge_entries(
@@ -537,7 +630,11 @@
             self._load_snapshot()
             effects.append(messages.Apply(self.configuration))
         reply = messages.AppendReply(
-            self.member, self.term, True, max(self.commit, snapshot.index)
+            self.member,
+            self.term,
+            True,
+            max(self.commit, snapshot.index),
+            request.sent_at,
         )
         node = messages.get_node(request.leader)
         return [*effects, messages.Send(node, reply)]
@@ -565,7 +662,11 @@
             effects.append(messages.Apply(self.configuration))
         if self.role == "leader" and self.member not in self.voters:
             effects += self._step_down(self.term, now)
-        if len(self.log) >= 2 * SNAPSHOT_EVERY:
+        if (
+            len(self.log) >= 2 * SNAPSHOT_EVERY
+            or self._log_bytes >= MAX_LOG_BYTES
+        ):
+            self._log_bytes = 0
             snapshot = self._make_snapshot()
             self.log.install(snapshot)
             effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
@@ -582,6 +683,10 @@
             self.configuration, outcome = changes.apply_change(
                 self.configuration, change
             )
+            if isinstance(change.operation, changes.ReplaceWhole):
+                # A resend is answered by its version, not by its id.
+                self._log_bytes += len(change.operation.content)
+                return [messages.Answer(outcome)]
             self._outcomes[change.change_id] = outcome
             # An answer that was forgotten is no danger: the resend names an
             # old version, so it loses instead of taking effect twice.
@@ -644,4 +749,6 @@
         return 2 * len(members & voters) > len(voters)
 
     def _reset_deadline(self, now: float) -> None:
-        self._deadline = now + self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+        self._deadline = now + self._rng.uniform(
+            self._tuning.election_min_s, self._tuning.election_max_s
+        )
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -66,6 +66,7 @@
     changes.DrainVm,
     changes.NoChange,
     changes.SetVoters,
+    changes.ReplaceWhole,
 )
 
 # Unions by the annotation that names them; each is a struct of its own.
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -10,6 +10,7 @@
   term @1 :Int64;
   matched @2 :Bool;
   index @3 :Int64;
+  sentAt @4 :Float64;
 }
 
 struct AppendRequest {
@@ -21,6 +22,7 @@
   previousTerm @5 :Int64;
   entries @6 :List(LogEntry);
   commit @7 :Int64;
+  sentAt @8 :Float64;
 }
 
 struct ApplyPreset {
@@ -83,6 +85,8 @@
   presets @2 :List(Preset);
   preset @3 :Text;
   drained @4 :List(Text);
+  outsideVersion @5 :Int64;
+  content @6 :Data;
 }
 
 struct ConfigurationRequest {
@@ -301,6 +305,7 @@
     drainVm @4 :DrainVm;
     noChange @5 :NoChange;
     setVoters @6 :SetVoters;
+    replaceWhole @7 :ReplaceWhole;
   }
 }
 
@@ -326,6 +331,11 @@
   }
 }
 
+struct ReplaceWhole {
+  outsideVersion @0 :Int64;
+  content @1 :Data;
+}
+
 struct Replica {
   group @0 :Text;
   service @1 :Text;
@@ -402,6 +412,7 @@
   leader @2 :Text;
   term @3 :Int64;
   snapshot @4 :Snapshot;
+  sentAt @5 :Float64;
 }
 
 struct StatusReply {
