--- a/src/hickorylead/runtime/documents.py
+++ b/src/hickorylead/runtime/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 from typing import Any, TypeVar
 
 import cattrs
@@ -73,11 +74,17 @@
     require(str, (str,))
     require(bool, (bool,))
     require(float, (int, float))
+    converter.register_structure_hook(
+        bytes, lambda value, _: base64.b64decode(value, validate=True)
+    )
 
 
 _STRICT = _make_strict()
 _LENIENT = _make_lenient()
 _PLAIN = cattrs.Converter()
+_PLAIN.register_unstructure_hook(
+    bytes, lambda value: base64.b64encode(value).decode()
+)
 
 _Submittable = (
     changes.ApplyService
