--- /dev/null
+++ b/src/hickorylead/configuration/document.py
@@ -0,0 +1,270 @@
+"""A whole configuration as operators send it: routes, services, workspaces.
+
+It is taken over whole under the operator's own version. The parts here are
+plain data and the checks on them; formats belong to whoever reads them.
+"""
+
+from __future__ import annotations
+
+import collections
+import enum
+import zlib
+
+import attrs
+
+# A packed configuration may unpack to much more than its size; this bounds it.
+MAX_CONTENT_BYTES = 8 * 1024 * 1024
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a route's requests."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@attrs.frozen
+class Target:
+    """A service that a route leads to, with its share of the requests."""
+
+    service: str
+    weight: float
+
+
+@attrs.frozen
+class Route:
+    """Where requests of one host and path prefix go, and under which terms.
+
+    Attributes:
+        name: Name of the route.
+        host: Value of the `Host` header.
+        prefix: Start of the path; begins and ends with a slash.
+        kind: What may be repeated.
+        targets: Services with their weights.
+        timeout_s: Longest time a caller is kept waiting, in seconds.
+        objective_s: Time within which the answer should start, in seconds.
+        pause_s: Longest pause between two events of a stream that still
+            counts as on time, in seconds; 0 if there is no stream.
+        priority: Rank; 0 is the most urgent.
+        max_attempts: Replicas that one request may be sent to.
+        needs_key: Whether callers must show a key of a workspace.
+        has_prompts: Whether requests carry a prompt for a model.
+        resumable: Whether a stream may go on at another replica.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float
+    pause_s: float = 0.0
+    priority: int = 1
+    max_attempts: int = 1
+    needs_key: bool = True
+    has_prompts: bool = False
+    resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Says whether a request may run on more than one replica."""
+        return self.kind is Kind.IDEMPOTENT or (
+            self.kind is Kind.STREAM and self.resumable
+        )
+
+
+@attrs.frozen
+class ModelFigures:
+    """One model of an engine.
+
+    Attributes:
+        name: Name of the model.
+        group_size: VMs that make one replica.
+        share: Share of the VMs that the model needs at the start, 0 to 1.
+        pace: Factor on all times of a replica of this model.
+        load_s: Time to load it from the weight store, in seconds.
+        warm_s: Time to load it from the VM's own staging, in seconds.
+    """
+
+    name: str
+    group_size: int
+    share: float
+    pace: float
+    load_s: float
+    warm_s: float
+
+
+@attrs.frozen
+class Engine:
+    """Figures of the engines of a service, for estimates of their times.
+
+    Attributes:
+        slots: Requests that a replica runs at once.
+        kv_tokens: Tokens that fit into a replica's memory.
+        step_s: Time of a step that writes one token a request, in seconds.
+        step_per_request_s: More for each request that writes, in seconds.
+        step_per_token_s: More for each token of context, in seconds.
+        read_s: Time to read one token of a prompt, in seconds.
+        chunk_tokens: Most tokens of prompts that are read in one step.
+        stride: Steps between two events of a stream.
+        models: The models.
+        loads_per_s: Loads that may start in a second, over all VMs.
+        staged_models: Models that a VM keeps staged.
+        form_s: Time from the order to serve until a replica serves.
+    """
+
+    slots: int
+    kv_tokens: int
+    step_s: float
+    step_per_request_s: float
+    step_per_token_s: float
+    read_s: float
+    chunk_tokens: int
+    stride: int
+    models: tuple[ModelFigures, ...]
+    loads_per_s: float
+    staged_models: int = 1
+    form_s: float = 0.3
+
+    def find_model(self, name: str) -> ModelFigures | None:
+        """Returns the model of that name, if there is one."""
+        return next((m for m in self.models if m.name == name), None)
+
+
+@attrs.frozen
+class Service:
+    """A service that routes lead to.
+
+    Attributes:
+        name: Name of the service.
+        health_path: Path of its health check.
+        max_connections: Connections that one replica takes from all callers.
+        engine: Figures of its engines; None for a plain service.
+    """
+
+    name: str
+    health_path: str = "/health"
+    max_connections: int = 100
+    engine: Engine | None = None
+
+
+@attrs.frozen
+class Limits:
+    """What callers may send, and how long they may take.
+
+    Attributes:
+        header_bytes: Longest head of a request, in bytes.
+        body_bytes: Longest body of a request, in bytes.
+        header_s: Longest time for the head of a request, in seconds.
+        idle_s: How long a connection may be idle, in seconds.
+    """
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@attrs.frozen
+class Workspace:
+    """A workspace with the keys that its callers show.
+
+    Attributes:
+        name: Name that backend servers are told.
+        keys: Keys that are valid.
+        priority: Rank that goes before that of the route; None if it has none.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@attrs.frozen
+class Document:
+    """A whole configuration.
+
+    Attributes:
+        version: Version that the operator gave; the highest is in force.
+        routes: All routes.
+        services: All services.
+        limits: What callers may send.
+        workspaces: All workspaces; with none, no request needs a key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = Limits()
+    workspaces: tuple[Workspace, ...] = ()
+
+    def find_service(self, name: str) -> Service | None:
+        """Returns the service of that name, if there is one."""
+        return next((s for s in self.services if s.name == name), None)
+
+
+def check_document(document: Document) -> list[str]:
+    """Returns what is wrong with a configuration; empty if nothing is."""
+    problems = []
+    if document.version < 1:
+        problems.append("the version is not above 0")
+    names = {service.name for service in document.services}
+    if len(names) != len(document.services):
+        problems.append("two services share a name")
+    places = collections.Counter(
+        (route.host.lower(), route.prefix) for route in document.routes
+    )
+    problems += [
+        f"two routes share {host}{prefix}"
+        for (host, prefix), count in places.items()
+        if count > 1
+    ]
+    for route in document.routes:
+        problems += _check_route(route, names)
+    keys = collections.Counter(
+        key for workspace in document.workspaces for key in workspace.keys
+    )
+    if any(count > 1 for count in keys.values()):
+        # Which workspace a caller belongs to could not be told.
+        problems.append("two workspaces share a key")
+    return problems
+
+
+def _check_route(route: Route, services: set[str]) -> list[str]:
+    problems = [
+        f"route {route.name} names the unknown service {target.service}"
+        for target in route.targets
+        if target.service not in services
+    ]
+    if any(target.weight < 0 for target in route.targets):
+        problems.append(f"a weight of route {route.name} is below 0")
+    if sum(target.weight for target in route.targets) <= 0:
+        problems.append(f"the weights of route {route.name} add up to 0")
+    if route.timeout_s <= 0:
+        problems.append(f"the timeout of route {route.name} is 0")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        problems.append(f"the prefix of route {route.name} has no slashes")
+    return problems
+
+
+def pack_content(content: bytes) -> bytes:
+    """Returns a configuration's bytes, made small for the log and the wire."""
+    return zlib.compress(content, 1)
+
+
+def unpack_content(packed: bytes) -> bytes:
+    """Returns the bytes that were packed.
+
+    Raises:
+        ValueError: They are damaged or too many.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        content = unpacker.decompress(packed, MAX_CONTENT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"damaged configuration: {error}") from error
+    if not unpacker.eof:
+        raise ValueError("the configuration is cut or too large")
+    return content
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -91,6 +91,9 @@
         self.member = f"{node}#{incarnation}"
         self.role: Role = "follower"
         self.leader = ""
+        # Whether all that the leader had committed is known here; after a
+        # start it is not, until a leader was heard.
+        self.is_caught_up = False
         self.log = log_module.Log()
         self.commit = 0
         self.configuration = model.Configuration()
@@ -127,6 +130,10 @@
         """The members that vote, as this voter knows them."""
         return self.log.find_voters()
 
+    def set_peers(self, peers: tuple[str, ...]) -> None:
+        """Takes the other control processes that are known now."""
+        self._peers = peers
+
     def restore(self, records: Iterable[messages.Record]) -> None:
         """Replays the journal; to be called once, before anything else."""
         for record in records:
@@ -160,7 +167,8 @@
         if self.role == "leader":
             return self._has_majority(now)
         return (
-            self.leader != "" and now - self._heard_leader_at < self._tuning.election_max_s
+            self.leader != ""
+            and now - self._heard_leader_at < self._tuning.election_max_s
         )
 
     def leads(self, now: float) -> bool:
@@ -588,6 +596,7 @@
         effects += self._merge_entries(request.entries)
         agreed = request.previous_index + len(request.entries)
         effects += self._commit_to(min(request.commit, agreed), now)
+        self.is_caught_up = self.commit >= request.commit
         reply = messages.AppendReply(
             self.member, self.term, True, agreed, request.sent_at
         )
--- /dev/null
+++ b/src/hickorylead/fleet/events.py
@@ -0,0 +1,71 @@
+"""Events and effects of a coordinator beside messages, disk and orders."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.fleet import instances
+
+
+@attrs.frozen
+class HeartbeatArrived:
+    """Event: a backend server told of itself."""
+
+    instance: instances.Instance
+
+
+@attrs.frozen
+class InstanceLeft:
+    """Event: a backend server said that it leaves for good."""
+
+    name: str
+
+
+@attrs.frozen
+class ReplaceAsked:
+    """Event: an operator sent a whole configuration, already checked.
+
+    Attributes:
+        token: Names the call.
+        version: The operator's version.
+        content: The configuration, packed.
+    """
+
+    token: str
+    version: int
+    content: bytes
+
+
+@attrs.frozen
+class ReadAsked:
+    """Event: an operator asked for the newest configuration."""
+
+    token: str
+
+
+@attrs.frozen
+class AnswerReplace:
+    """Effect: answer an operator's configuration.
+
+    Attributes:
+        token: Names the call.
+        accepted: True if it lasts; False if that is not known.
+    """
+
+    token: str
+    accepted: bool
+
+
+@attrs.frozen
+class AnswerRead:
+    """Effect: answer a read.
+
+    Attributes:
+        token: Names the call.
+        version: The operator's version; 0 if there is none.
+        content: The configuration, packed; None if the newest is not known.
+    """
+
+    token: str
+    version: int
+    content: bytes | None
--- /dev/null
+++ b/src/hickorylead/fleet/groups.py
@@ -0,0 +1,85 @@
+"""Replica groups, as their members tell of them."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.fleet import instances
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorylead.configuration import document as document_module
+
+
+@attrs.frozen
+class Group:
+    """The members that told of one group, under one epoch.
+
+    Attributes:
+        name: Name of the group.
+        epoch: Epoch that they told.
+        members: By rank.
+    """
+
+    name: str
+    epoch: int
+    members: dict[int, instances.Instance]
+
+    @property
+    def head(self) -> instances.Instance | None:
+        """The member that takes the requests, if it told of itself."""
+        return self.members.get(0)
+
+    @property
+    def model(self) -> str:
+        """The model of the group; empty if no member has one in memory."""
+        for member in self.members.values():
+            if member.models:
+                return member.models[0]
+        return ""
+
+
+def collect_groups(
+    present: Iterable[instances.Instance],
+) -> dict[tuple[str, int], Group]:
+    """Returns the groups that instances tell of, by name and epoch."""
+    members: dict[tuple[str, int], dict[int, instances.Instance]] = (
+        collections.defaultdict(dict)
+    )
+    for instance in present:
+        if instance.has_group and instance.phase != instances.PHASE_GONE:
+            member = instance.member
+            members[member.group, member.epoch][member.rank] = instance
+    return {key: Group(key[0], key[1], found) for key, found in members.items()}
+
+
+def is_complete(group: Group, size: int) -> bool:
+    """Says whether every member of a group is there and has loaded.
+
+    Only what the members themselves tell counts: an order may have been lost
+    or overtaken by another one.
+    """
+    return len(group.members) == size and all(
+        rank in group.members
+        and group.members[rank].member.state
+        in (instances.GROUP_READY, instances.GROUP_OPEN)
+        for rank in range(size)
+    )
+
+
+def may_serve(group: Group, figures: document_module.ModelFigures) -> bool:
+    """Says whether new requests may be sent to the head of a group."""
+    head = group.head
+    return (
+        head is not None
+        and head.member.state == instances.GROUP_OPEN
+        and is_complete(group, figures.group_size)
+        and all(
+            member.phase == instances.PHASE_READY
+            for member in group.members.values()
+        )
+    )
--- /dev/null
+++ b/src/hickorylead/fleet/instances.py
@@ -0,0 +1,93 @@
+"""What a backend server tells of itself, and how reports of it are merged."""
+
+from __future__ import annotations
+
+import attrs
+
+PHASE_READY = "ready"
+PHASE_DRAINING = "draining"
+PHASE_GONE = "gone"
+
+GROUP_JOINING = "joining"
+GROUP_READY = "ready"
+GROUP_OPEN = "open"
+GROUP_CLOSING = "closing"
+GROUP_BROKEN = "broken"
+
+
+@attrs.frozen
+class Membership:
+    """The place of a backend server in a replica group.
+
+    Attributes:
+        group: Name of the group.
+        epoch: Fencing number of the member list.
+        rank: Its place; rank 0 is the head, which takes the requests.
+        state: joining, ready, open, closing or broken.
+    """
+
+    group: str = ""
+    epoch: int = 0
+    rank: int = 0
+    state: str = ""
+
+
+@attrs.frozen
+class Instance:
+    """One life of a backend server.
+
+    Attributes:
+        name: Id of this life; a restart has a new one.
+        service: Service it belongs to.
+        address: `ip:port`.
+        zone: Its availability zone.
+        domain: Its fabric domain; empty for plain services.
+        slots: Requests that it runs at once.
+        phase: ready, draining or gone.
+        sequence: Counts its heartbeats; tells old news from new.
+        models: Models in its memory.
+        staged: Models staged on its VM.
+        member: Its place in a group; an empty group name if it is in none.
+        silent: Whether control nodes have missed its heartbeats for long.
+    """
+
+    name: str
+    service: str
+    address: str
+    zone: str
+    domain: str = ""
+    slots: int = 1
+    phase: str = PHASE_READY
+    sequence: int = 0
+    models: tuple[str, ...] = ()
+    staged: tuple[str, ...] = ()
+    member: Membership = Membership()
+    silent: bool = False
+
+    @property
+    def has_group(self) -> bool:
+        """Says whether it is a member of a group."""
+        return bool(self.member.group)
+
+
+def is_newer(news: Instance, known: Instance | None) -> bool:
+    """Says whether news of a backend server replace what is known.
+
+    Heartbeats come through any control node and may be overtaken. That a life
+    has ended is never taken back: a late heartbeat of it would bring back an
+    address that now belongs to another service.
+    """
+    if known is None:
+        return True
+    if known.phase == PHASE_GONE:
+        return False
+    if news.phase == PHASE_GONE:
+        return True
+    if news.sequence != known.sequence:
+        return news.sequence > known.sequence
+    return news.silent and not known.silent
+
+
+def says_the_same(first: Instance, second: Instance) -> bool:
+    """Says whether two reports differ in nothing but their number."""
+    return attrs.evolve(first, sequence=second.sequence) == second
--- /dev/null
+++ b/src/hickorylead/fleet/neighbours.py
@@ -0,0 +1,104 @@
+"""The other control nodes that one node knows of, found from a few seeds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead import rendezvous
+from hickorylead.roles import nodes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorylead.fleet import messages
+
+# Control nodes greet each other this often, in seconds.
+HELLO_PERIOD_S = 0.3
+# One that was not heard for this long is taken for lost, in seconds: four
+# greetings, above the pauses of a loop that syncs to a slow disk.
+SILENCE_S = 1.3
+# One that was not heard for this long is forgotten, in seconds.
+FORGET_S = 60.0
+
+
+@attrs.define
+class Neighbour:
+    """One other control node.
+
+    Attributes:
+        address: `ip:port` for its peers.
+        heard_at: When it was last heard.
+        incarnation: Member that it is in the configuration log.
+        is_empty: Whether it belongs to no cluster.
+        check: Hash over the instances that it knows.
+    """
+
+    address: str
+    heard_at: float
+    incarnation: str = ""
+    is_empty: bool = False
+    check: int = 0
+
+
+class Neighbours:
+    """All other control nodes."""
+
+    def __init__(self, *, node: str, seeds: Iterable[str]) -> None:
+        """Makes the view of a node that has heard nobody.
+
+        Args:
+            node: Name of this node.
+            seeds: Addresses to begin with, as `ip:port`.
+        """
+        self._node = node
+        self.seeds = tuple(seeds)
+        self.known: dict[str, Neighbour] = {}
+
+    def hear(self, hello: messages.CoordinatorHello, now: float) -> None:
+        """Takes a greeting, and whom the other one knows."""
+        if hello.node == self._node:
+            return
+        neighbour = self.known.setdefault(
+            hello.node, Neighbour(hello.address, now)
+        )
+        neighbour.address = hello.address
+        neighbour.heard_at = now
+        neighbour.incarnation = hello.incarnation
+        neighbour.is_empty = hello.is_empty
+        neighbour.check = hello.check
+        for node, address in zip(hello.nodes, hello.addresses, strict=False):
+            if node not in self.known and node != self._node:
+                # Told by another one only: greeted, but not alive yet.
+                self.known[node] = Neighbour(address, now - SILENCE_S)
+
+    def forget_old(self, now: float) -> None:
+        """Drops those that were not heard for long."""
+        for node, neighbour in list(self.known.items()):
+            if now - neighbour.heard_at > FORGET_S:
+                del self.known[node]
+
+    def list_alive(self, now: float) -> list[str]:
+        """Returns those that were heard lately, sorted."""
+        return sorted(
+            node
+            for node, neighbour in self.known.items()
+            if now - neighbour.heard_at <= SILENCE_S
+        )
+
+    def list_targets(self) -> list[str]:
+        """Returns whom to greet: known nodes, and seeds by address."""
+        addresses = {n.address for n in self.known.values()}
+        unknown = [f"@{s}" for s in self.seeds if s not in addresses]
+        return [*sorted(self.known), *unknown]
+
+    def find_in_charge(self, zone: str, domain: str, now: float) -> str:
+        """Returns the control node that plans a domain.
+
+        One of the domain's own zone does, if any is alive: it still reaches
+        the domain when the zone is cut off.
+        """
+        alive = [self._node, *self.list_alive(now)]
+        local = [node for node in alive if nodes.get_zone(node) == zone]
+        return rendezvous.rank_names(f"{zone}/{domain}", local or alive)[0]
--- /dev/null
+++ b/src/hickorylead/fleet/registry.py
@@ -0,0 +1,151 @@
+"""The backend servers that one node knows of."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.fleet import instances
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A life that has ended is remembered for this long, in seconds, so that a late
+# heartbeat of it is known for what it is. Heartbeats that a partition held up
+# come when it heals; partitions that we were told of last seconds.
+REMEMBER_GONE_S = 120.0
+
+
+class Registry:
+    """Instances by name, with when each was last heard of."""
+
+    def __init__(self) -> None:
+        """Makes a registry that knows nobody."""
+        self.instances: dict[str, instances.Instance] = {}
+        self.heard_at: dict[str, float] = {}
+        # Counts what changed, so that others can tell cheaply.
+        self.changes = 0
+        self._checks: dict[str, int] = {}
+        self._check = 0
+
+    @property
+    def check(self) -> int:
+        """A hash over all instances, the same at nodes that know the same."""
+        return self._check
+
+    def merge(self, news: instances.Instance, now: float) -> bool:
+        """Takes news of an instance; says whether they changed anything."""
+        known = self.instances.get(news.name)
+        if not instances.is_newer(news, known):
+            return False
+        if not news.silent:
+            self.heard_at[news.name] = now
+        changed = known is None or not instances.says_the_same(known, news)
+        self.instances[news.name] = news
+        if changed:
+            self._note(news)
+            self._end_others(news, now)
+        return changed
+
+    def touch(self, name: str, sequence: int, now: float) -> bool:
+        """Takes a sign of life; says whether it ended a silence."""
+        known = self.instances.get(name)
+        if known is None or known.phase == instances.PHASE_GONE:
+            return False
+        if sequence <= known.sequence:
+            return False
+        self.heard_at[name] = now
+        revived = known.silent
+        self.instances[name] = attrs.evolve(
+            known, sequence=sequence, silent=False
+        )
+        if revived:
+            self._note(self.instances[name])
+        return revived
+
+    def list_present(self) -> list[instances.Instance]:
+        """Returns the instances whose life has not ended."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance.phase != instances.PHASE_GONE
+        ]
+
+    def list_silent(
+        self, silence_s: float, now: float
+    ) -> list[instances.Instance]:
+        """Returns those not heard of for a time, and not yet marked so."""
+        return [
+            instance
+            for instance in self.list_present()
+            if not instance.silent
+            and now - self.heard_at.get(instance.name, now) > silence_s
+        ]
+
+    def forget(self, now: float, silence_s: float) -> list[str]:
+        """Drops lives that ended or fell silent long ago; returns them."""
+        dropped = []
+        for name, instance in list(self.instances.items()):
+            age_s = now - self.heard_at.get(name, now)
+            is_old = (
+                instance.phase == instances.PHASE_GONE
+                and age_s > REMEMBER_GONE_S
+            ) or (instance.silent and age_s > silence_s)
+            if is_old:
+                dropped.append(name)
+                del self.instances[name]
+                self.heard_at.pop(name, None)
+                self._check ^= self._checks.pop(name, 0)
+                self.changes += 1
+        return dropped
+
+    def _end_others(self, news: instances.Instance, now: float) -> None:
+        """Ends the lives that a newcomer at the same address shows as over.
+
+        An address is used again by another service once its server is gone;
+        requests for the old one must not reach it.
+        """
+        if news.phase == instances.PHASE_GONE or news.silent:
+            return
+        for other in list(self.instances.values()):
+            if (
+                other.address == news.address
+                and other.name != news.name
+                and other.phase != instances.PHASE_GONE
+                and (other.silent or self._is_older(other, news))
+            ):
+                gone = attrs.evolve(other, phase=instances.PHASE_GONE)
+                self.instances[other.name] = gone
+                self.heard_at[other.name] = now
+                self._note(gone)
+
+    def _is_older(
+        self, other: instances.Instance, news: instances.Instance
+    ) -> bool:
+        # A life that begins counts its heartbeats from the start. A held-up
+        # heartbeat of an older life comes with a number that is no lower
+        # than those of the life that took its address.
+        return news.sequence <= other.sequence
+
+    def _note(self, instance: instances.Instance) -> None:
+        self.changes += 1
+        self._check ^= self._checks.pop(instance.name, 0)
+        if instance.phase != instances.PHASE_GONE:
+            value = _hash(instance)
+            self._checks[instance.name] = value
+            self._check ^= value
+
+
+def _hash(instance: instances.Instance) -> int:
+    text = repr(attrs.astuple(attrs.evolve(instance, sequence=0)))
+    digest = hashlib.blake2b(text.encode(), digest_size=6).digest()
+    return int.from_bytes(digest)
+
+
+def merge_all(
+    registry: Registry, news: Iterable[instances.Instance], now: float
+) -> list[instances.Instance]:
+    """Takes much news at once; returns what changed something."""
+    return [item for item in news if registry.merge(item, now)]
--- /dev/null
+++ b/src/hickorylead/fleet/suspects.py
@@ -0,0 +1,109 @@
+"""Which backend servers are taken for dead, and why."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorylead.fleet import instances, registry as registry_module
+
+# Heartbeat periods without a heartbeat after which a server is asked for its
+# state. Heartbeats spread by a tenth, and one that got no answer within its
+# second goes to the next control node.
+SILENCE_PERIODS = 1.5
+# A question that got no answer is put again after this, in seconds.
+ASK_PERIOD_S = 0.7
+# A replica that gave something to a gateway within this time is not dead,
+# whatever control nodes hear of it, in seconds: three reports of a gateway.
+FLOW_S = 0.8
+
+
+@attrs.define
+class _Suspicion:
+    since: float
+    asked_at: float
+    unanswered: int = 0
+    answered_at: float = -1e9
+
+
+class Suspects:
+    """Backend servers that may be dead.
+
+    A server that is silent, or whose replica gives nothing any more, is asked
+    for its state. If it does not answer that either it is taken for dead,
+    unless a gateway still gets something from its replica: then it is only
+    cut off from here, and taking its group apart would end good work.
+    """
+
+    def __init__(self, heartbeat_s: float) -> None:
+        """Makes a book without suspects.
+
+        Args:
+            heartbeat_s: Pause between heartbeats, in seconds.
+        """
+        self.silence_s = SILENCE_PERIODS * heartbeat_s
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._flows: dict[str, float] = {}
+
+    def suspect(
+        self, members: Iterable[instances.Instance], now: float
+    ) -> list[instances.Instance]:
+        """Notes suspects; returns those that are to be asked now."""
+        asked = []
+        for member in members:
+            found = self._suspicions.get(member.name)
+            if found is None:
+                self._suspicions[member.name] = _Suspicion(now, now)
+                asked.append(member)
+            elif now - found.asked_at >= ASK_PERIOD_S:
+                found.asked_at = now
+                asked.append(member)
+        return asked
+
+    def take_report(self, name: str, *, answered: bool, now: float) -> None:
+        """Takes whether a server answered the question for its state."""
+        found = self._suspicions.get(name)
+        if found is None:
+            return
+        if answered:
+            del self._suspicions[name]
+        else:
+            found.unanswered += 1
+
+    def clear(self, name: str) -> None:
+        """Takes a heartbeat of a server: it lives."""
+        self._suspicions.pop(name, None)
+
+    def note_flow(self, head: str, now: float) -> None:
+        """Takes that a gateway got something from a replica lately."""
+        self._flows[head] = now
+
+    def list_lost(
+        self, registry: registry_module.Registry, now: float
+    ) -> frozenset[str]:
+        """Returns the servers that are taken for dead."""
+        self._flows = {h: t for h, t in self._flows.items() if now - t < FLOW_S}
+        flowing = set()
+        for head in self._flows:
+            instance = registry.instances.get(head)
+            if instance is not None and instance.has_group:
+                flowing.add((instance.member.group, instance.member.epoch))
+        lost = set()
+        for name, found in list(self._suspicions.items()):
+            instance = registry.instances.get(name)
+            if instance is None:
+                del self._suspicions[name]
+                continue
+            group = (instance.member.group, instance.member.epoch)
+            if found.unanswered and group not in flowing:
+                lost.add(name)
+        lost.update(
+            i.name
+            for i in registry.list_present()
+            if i.silent and (i.member.group, i.member.epoch) not in flowing
+        )
+        return frozenset(lost)
--- /dev/null
+++ b/src/hickorylead/forwarding/choice.py
@@ -0,0 +1,142 @@
+"""The choice of a replica for a request, by estimated time to its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    import random
+
+    from hickorylead.configuration import document as document_module
+    from hickorylead.forwarding import fleetview, health as health_module, model
+
+# A replica of another zone is taken if it is this much faster, in seconds: a
+# round trip is about 2 ms, and bytes between zones are dear.
+REMOTE_S = 0.004
+# Reports are late, so the same replica looks best to every gateway at once.
+# A random part of the estimate, of this size, spreads them.
+SPREAD_S = 0.006
+# A failure lately counts like this much more time, in seconds: about half of
+# the shortest objective, so a replica that fails each second request loses
+# nearly all of its traffic while others are free.
+FAILURE_S = 0.15
+# A replica that control nodes miss is a last choice but one, in seconds.
+SILENT_S = 0.5
+# Requests beyond the slots of a replica that it may be given; it queues a few.
+QUEUE_SHARE = 0.25
+
+
+@attrs.frozen
+class Choice:
+    """The replica chosen, and how many were weighed."""
+
+    replica: model.Replica
+    estimate_s: float
+    weighed: int
+
+
+@attrs.frozen
+class NoChoice:
+    """No replica can take the request now.
+
+    Attributes:
+        known: Replicas that are known, whether or not they can.
+        is_full: Whether there are some, but all are full.
+    """
+
+    known: int
+    is_full: bool
+
+
+class Chooser:
+    """Chooses replicas for one gateway."""
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        view: fleetview.FleetView,
+        book: health_module.HealthBook,
+        rng: random.Random,
+    ) -> None:
+        """Makes a chooser.
+
+        Args:
+            zone: Zone of the gateway.
+            view: Replicas that may be used.
+            book: What was seen of them.
+            rng: Source of the spread.
+        """
+        self._zone = zone
+        self._view = view
+        self._book = book
+        self._rng = rng
+
+    def choose(
+        self,
+        request: model.Request,
+        engine: document_module.Engine | None,
+        *,
+        avoid: Collection[str],
+        now: float,
+    ) -> Choice | NoChoice:
+        """Returns the replica that should answer first.
+
+        Args:
+            request: The request.
+            engine: Figures of the service's engines; None if it is plain.
+            avoid: Replicas that this request has failed at.
+            now: Present time.
+        """
+        known = self._view.list_replicas(request.service, request.terms.model)
+        best: model.Replica | None = None
+        best_s = 0.0
+        full = 0
+        for replica in known:
+            if replica.name in avoid or self._book.is_stalled(replica, now):
+                continue
+            running = self._book.count_requests(replica, now)
+            if running >= replica.slots * (1.0 + QUEUE_SHARE):
+                full += 1
+                continue
+            estimate_s = self._estimate(replica, request, engine, running, now)
+            if best is None or estimate_s < best_s:
+                best, best_s = replica, estimate_s
+        if best is None:
+            return NoChoice(len(known), full > 0)
+        return Choice(best, best_s, len(known))
+
+    def _estimate(
+        self,
+        replica: model.Replica,
+        request: model.Request,
+        engine: document_module.Engine | None,
+        running: int,
+        now: float,
+    ) -> float:
+        estimate_s = self._rng.random() * SPREAD_S
+        if replica.zone != self._zone:
+            estimate_s += REMOTE_S
+        estimate_s += FAILURE_S * self._book.count_failures(replica, now)
+        if replica.is_silent:
+            estimate_s += SILENT_S
+        if engine is None:
+            # Work times are not told; a busy slot counts like a tenth of the
+            # objective, a waiting place like half of it.
+            busy = min(running, replica.slots)
+            waiting = max(0, running - replica.slots + 1)
+            share = 0.1 * busy / replica.slots + 0.5 * waiting / replica.slots
+            return estimate_s + request.route.objective_s * share
+        figures = engine.find_model(replica.model)
+        pace = figures.pace if figures else 1.0
+        reading = self._book.get(replica).reading + request.terms.prompt_tokens
+        step_s = engine.step_s + engine.step_per_request_s * (running + 1)
+        waiting = max(0, running + 1 - replica.slots)
+        # A full replica lets a newcomer wait until one of its requests ends.
+        usual_s = step_s * 100 * waiting / replica.slots
+        return estimate_s + pace * (
+            step_s * engine.stride + reading * engine.read_s + usual_s
+        )
--- /dev/null
+++ b/src/hickorylead/forwarding/events.py
@@ -0,0 +1,158 @@
+"""Events and effects of forwarded requests."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+
+from hickorylead import notes, verdict as verdict_module
+from hickorylead.forwarding import model
+
+
+@attrs.frozen
+class Arrived:
+    """Event: a request came, whole."""
+
+    request: model.Request
+
+
+@attrs.frozen
+class CallerLeft:
+    """Event: the caller closed its connection before the answer ended."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Began:
+    """Event: the head of a replica's answer came."""
+
+    request_id: str
+    attempt: int
+    head: model.Head
+
+
+@attrs.frozen
+class PieceCame:
+    """Event: a piece of the body of a replica's answer came."""
+
+    request_id: str
+    attempt: int
+    data: bytes
+
+
+@attrs.frozen
+class Ended:
+    """Event: a replica's answer is whole."""
+
+    request_id: str
+    attempt: int
+
+
+@attrs.frozen
+class Failed:
+    """Event: an attempt ended without a whole answer.
+
+    Attributes:
+        request_id: The request.
+        attempt: Number of the attempt.
+        verdict: What is known about whether it ran.
+        reason: Stable code for logs.
+    """
+
+    request_id: str
+    attempt: int
+    verdict: verdict_module.Verdict
+    reason: str
+
+
+Event: TypeAlias = Arrived | CallerLeft | Began | PieceCame | Ended | Failed
+
+
+@attrs.frozen
+class Open:
+    """Effect: send a request to a replica.
+
+    Attributes:
+        request: The request.
+        attempt: Number of the attempt, from 1.
+        replica: Where to.
+        budget_s: How long the replica may work on it, in seconds.
+        last_event: Id of the last event that the caller has; 0 if none.
+    """
+
+    request: model.Request
+    attempt: int
+    replica: model.Replica
+    budget_s: float
+    last_event: int
+
+
+@attrs.frozen
+class Cancel:
+    """Effect: close an attempt's connection, which stops the replica."""
+
+    request_id: str
+    attempt: int
+
+
+@attrs.frozen
+class Start:
+    """Effect: give the caller the head of its answer.
+
+    Attributes:
+        request_id: The request.
+        status: HTTP status.
+        headers: Headers.
+        length: Length of the body, in bytes; None for a stream.
+    """
+
+    request_id: str
+    status: int
+    headers: tuple[model.Header, ...]
+    length: int | None = None
+
+
+@attrs.frozen
+class Emit:
+    """Effect: give the caller a piece of the body."""
+
+    request_id: str
+    data: bytes
+
+
+@attrs.frozen
+class Finish:
+    """Effect: the answer is whole."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Break:
+    """Effect: end the answer so that it does not look whole."""
+
+    request_id: str
+
+
+@attrs.frozen
+class Refuse:
+    """Effect: answer the caller with a status of our own.
+
+    Attributes:
+        request_id: The request.
+        status: HTTP status.
+        reason: Stable code.
+        retry_after_s: When to come back, in seconds; None if unsaid.
+    """
+
+    request_id: str
+    status: int
+    reason: str
+    retry_after_s: float | None = None
+
+
+Effect: TypeAlias = (
+    Open | Cancel | Start | Emit | Finish | Break | Refuse | notes.Note
+)
--- /dev/null
+++ b/src/hickorylead/forwarding/fleetview.py
@@ -0,0 +1,99 @@
+"""The replicas that a gateway may use, from what backend servers tell."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+from hickorylead.fleet import groups as groups_module, instances
+from hickorylead.forwarding import model
+
+if TYPE_CHECKING:
+    from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import registry as registry_module
+
+
+class FleetView:
+    """Replicas by service and model, kept up to date with a registry."""
+
+    def __init__(self, registry: registry_module.Registry) -> None:
+        """Makes a view.
+
+        Args:
+            registry: Backend servers that the gateway knows.
+        """
+        self._registry = registry
+        self._seen = (-1, -1)
+        self._replicas: dict[tuple[str, str], list[model.Replica]] = {}
+        self._by_name: dict[str, model.Replica] = {}
+
+    def refresh(self, document: document_module.Document) -> bool:
+        """Looks again if anything changed; says whether it did."""
+        seen = (self._registry.changes, document.version)
+        if seen == self._seen:
+            return False
+        self._seen = seen
+        self._replicas = collections.defaultdict(list)
+        present = self._registry.list_present()
+        by_service = collections.defaultdict(list)
+        for instance in present:
+            by_service[instance.service].append(instance)
+        for service in document.services:
+            found = by_service.get(service.name, [])
+            if service.engine is None:
+                self._add_plain(service.name, found)
+            else:
+                self._add_groups(service.name, service.engine, found)
+        self._by_name = {
+            replica.name: replica
+            for replicas in self._replicas.values()
+            for replica in replicas
+        }
+        return True
+
+    def list_replicas(self, service: str, name: str) -> list[model.Replica]:
+        """Returns the replicas of a service and model, in a stable order."""
+        return self._replicas.get((service, name), [])
+
+    def find(self, name: str) -> model.Replica | None:
+        """Returns the replica whose requests an instance takes."""
+        return self._by_name.get(name)
+
+    def _add_plain(self, service: str, found: list[instances.Instance]) -> None:
+        for instance in sorted(found, key=lambda i: i.name):
+            if instance.phase == instances.PHASE_READY:
+                self._replicas[service, ""].append(
+                    _make_replica(instance, "", instance.slots)
+                )
+
+    def _add_groups(
+        self,
+        service: str,
+        engine: document_module.Engine,
+        found: list[instances.Instance],
+    ) -> None:
+        groups = groups_module.collect_groups(found)
+        for _, group in sorted(groups.items()):
+            figures = engine.find_model(group.model)
+            if figures is None or not groups_module.may_serve(group, figures):
+                continue
+            head = group.head
+            assert head is not None
+            self._replicas[service, figures.name].append(
+                _make_replica(head, figures.name, engine.slots)
+            )
+
+
+def _make_replica(
+    instance: instances.Instance, name: str, slots: int
+) -> model.Replica:
+    return model.Replica(
+        name=instance.name,
+        service=instance.service,
+        model=name,
+        address=instance.address,
+        zone=instance.zone,
+        slots=max(1, slots),
+        epoch=instance.member.epoch,
+        is_silent=instance.silent,
+    )
--- /dev/null
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -0,0 +1,526 @@
+"""The life of forwarded requests at one gateway, as a reducer.
+
+A request is sent to a replica, goes on at another one if that is allowed, and
+ends with exactly one final effect. It is never sent a second time unless it
+may run twice or certainly has not run.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorylead import notes, verdict as verdict_module
+from hickorylead.admission import budget as budget_module
+from hickorylead.forwarding import (
+    choice as choice_module,
+    events,
+    model,
+    refusals,
+    stalls,
+    state,
+    stream,
+)
+
+if TYPE_CHECKING:
+    from hickorylead.configuration import document as document_module
+    from hickorylead.forwarding import health as health_module
+
+Verdict = verdict_module.Verdict
+
+# Replicas that one request is sent to at most, those that refused it counted:
+# each refusal costs a round trip and a share of the common retry budget.
+MAX_SENDS = 4
+# Retries for each request: under the 0.2 that the operators' budget allows
+# over all gateways, so that uneven shares of traffic stay within it.
+RETRY_SHARE = 0.15
+FIRST_RETRIES = 8.0
+# A replica is not started on a request that has less time left, in seconds:
+# it could not answer any more.
+MIN_BUDGET_S = 0.02
+# An idempotent call without an answer is tried elsewhere after this many times
+# its objective: nearly all answers come within one.
+PATIENCE_OBJECTIVES = 2.0
+# Bodies of answers that are not streams are given whole up to this size, in
+# bytes, so that one that breaks off can still be asked for elsewhere.
+MAX_WHOLE_BYTES = 512 * 1024
+
+
+class Forwarder:
+    """All open requests of one gateway."""
+
+    def __init__(
+        self,
+        *,
+        chooser: choice_module.Chooser,
+        book: health_module.HealthBook,
+    ) -> None:
+        """Makes a forwarder without requests.
+
+        Args:
+            chooser: The choice of a replica.
+            book: What this gateway has seen of replicas.
+        """
+        self._chooser = chooser
+        self._book = book
+        self._budgets: dict[str, budget_module.RetryBudget] = {}
+        self._open: dict[str, state.Open] = {}
+        self.document: document_module.Document | None = None
+
+    def count_open(self) -> int:
+        """Returns how many requests have no final answer yet."""
+        return len(self._open)
+
+    def handle(self, event: events.Event, now: float) -> list[events.Effect]:
+        """Handles one event."""
+        match event:
+            case events.PieceCame():
+                return self._take_piece(event, now)
+            case events.Arrived(request):
+                return self._arrive(request, now)
+            case events.Began():
+                return self._begin(event, now)
+            case events.Ended():
+                return self._end(event, now)
+            case events.Failed(request_id, attempt, verdict, reason):
+                opened = self._find(request_id, attempt)
+                if opened is None:
+                    return []
+                return self._fail(opened, verdict, reason, now)
+            case events.CallerLeft(request_id):
+                return self._leave(request_id, now)
+
+    def tick(self, now: float) -> list[events.Effect]:
+        """Lets time pass: deadlines, silent replicas, requests that wait."""
+        effects: list[events.Effect] = []
+        for opened in list(self._open.values()):
+            if now >= opened.ends_at:
+                effects += self._give_up(opened, now)
+            elif opened.phase == "waiting":
+                effects += self._try(opened, now)
+            elif self._is_overdue(opened, now):
+                effects += self._move(opened, "no_answer", now)
+        for replica in stalls.find_stalled(
+            list(self._open.values()), self._book, self._find_engine, now
+        ):
+            effects += self._leave_replica(replica, now)
+        return effects
+
+    # Arrival and choice.
+
+    def _arrive(
+        self, request: model.Request, now: float
+    ) -> list[events.Effect]:
+        limit_s = request.route.timeout_s
+        if request.terms.budget_s is not None:
+            limit_s = min(limit_s, request.terms.budget_s)
+        opened = state.Open(
+            request,
+            now,
+            now + limit_s,
+            last_event=request.terms.last_event,
+        )
+        self._open[request.request_id] = opened
+        self._find_budget(request.service).earn()
+        return self._try(opened, now)
+
+    def _try(self, opened: state.Open, now: float) -> list[events.Effect]:
+        request = opened.request
+        if opened.ends_at - now < MIN_BUDGET_S:
+            return self._give_up(opened, now)
+        chosen = self._chooser.choose(
+            request,
+            self._find_engine(request.service),
+            avoid=opened.failed,
+            now=now,
+        )
+        match chosen:
+            case choice_module.Choice():
+                return self._send(opened, chosen, now)
+            case choice_module.NoChoice():
+                if refusals.may_wait(opened, now):
+                    opened.phase = "waiting"
+                    return []
+                return self._refuse(
+                    opened, refusals.describe_no_choice(opened, chosen), now
+                )
+
+    def _send(
+        self, opened: state.Open, chosen: choice_module.Choice, now: float
+    ) -> list[events.Effect]:
+        request, replica = opened.request, chosen.replica
+        opened.attempts += 1
+        opened.phase = "running"
+        opened.offered = True
+        attempt = state.Attempt(opened.attempts, replica, now, now)
+        if request.is_stream:
+            attempt.cutter = stream.EventCutter(opened.last_event)
+        opened.attempt = attempt
+        seen = self._book.get(replica)
+        seen.running += 1
+        seen.reading += request.terms.prompt_tokens
+        return [
+            events.Open(
+                request=request,
+                attempt=attempt.number,
+                replica=replica,
+                budget_s=opened.ends_at - now,
+                last_event=opened.last_event,
+            ),
+            notes.Note(
+                "attempt_sent",
+                request.request_id,
+                {
+                    "attempt": attempt.number,
+                    "vm": replica.name,
+                    "zone": replica.zone,
+                    "weighed": chosen.weighed,
+                    "estimate_s": round(chosen.estimate_s, 4),
+                    "running": seen.running,
+                    "last_event": opened.last_event,
+                },
+                level="debug" if attempt.number == 1 else "info",
+            ),
+        ]
+
+    # What comes back.
+
+    def _find(self, request_id: str, attempt: int) -> state.Open | None:
+        """Returns the request whose present try this is.
+
+        What a former try still brings is dropped here: its request has moved
+        on, or is answered.
+        """
+        opened = self._open.get(request_id)
+        if opened is None or opened.attempt is None:
+            return None
+        return opened if opened.attempt.number == attempt else None
+
+    def _begin(self, event: events.Began, now: float) -> list[events.Effect]:
+        opened = self._find(event.request_id, event.attempt)
+        if opened is None:
+            return []
+        attempt, head = opened.attempt, event.head
+        assert attempt is not None
+        if head.load is not None:
+            self._book.note_load(attempt.replica, head.load, now)
+        if head.echo != opened.request.terms.attempt_id:
+            # The answer to another request: this connection is mixed up, and
+            # nothing of it may reach this caller.
+            verdict = Verdict.NOT_RUN if head.not_run else Verdict.MAY_HAVE_RUN
+            if head.echo or not head.not_run:
+                verdict = Verdict.MAY_HAVE_RUN
+            return self._fail(opened, verdict, "foreign_answer", now)
+        if head.not_run:
+            return self._fail(opened, Verdict.NOT_RUN, "refused", now)
+        if head.is_encoded or (head.status < 300 and not head.is_sealed):
+            return self._fail(
+                opened, Verdict.MAY_HAVE_RUN, "spoiled_answer", now
+            )
+        attempt.head = head
+        attempt.heard_at = now
+        if attempt.cutter is not None and head.status != 200:
+            attempt.cutter = None
+        return []
+
+    def _take_piece(
+        self, event: events.PieceCame, now: float
+    ) -> list[events.Effect]:
+        opened = self._find(event.request_id, event.attempt)
+        if opened is None or opened.attempt is None:
+            return []
+        attempt = opened.attempt
+        attempt.heard_at = now
+        if attempt.cutter is None:
+            attempt.body += event.data
+            if len(attempt.body) > MAX_WHOLE_BYTES:
+                return self._give_begun(opened)
+            return []
+        seen = self._book.get(attempt.replica)
+        seen.progress_at = now
+        cut = attempt.cutter.feed(event.data)
+        effects: list[events.Effect] = []
+        if cut.data:
+            effects += self._start_stream(opened, now)
+            effects.append(events.Emit(event.request_id, cut.data))
+            opened.last_event = attempt.cutter.last_event
+        if cut.problem:
+            effects += self._fail(
+                opened, Verdict.MAY_HAVE_RUN, cut.problem, now
+            )
+        return effects
+
+    def _start_stream(
+        self, opened: state.Open, now: float
+    ) -> list[events.Effect]:
+        attempt = opened.attempt
+        assert attempt is not None
+        if not attempt.has_given:
+            attempt.has_given = True
+            seen = self._book.get(attempt.replica)
+            seen.reading -= opened.request.terms.prompt_tokens
+        if opened.started:
+            return []
+        opened.started = True
+        assert attempt.head is not None
+        head = attempt.head
+        return [
+            events.Start(opened.request.request_id, head.status, head.headers)
+        ]
+
+    def _give_begun(self, opened: state.Open) -> list[events.Effect]:
+        """Gives what there is of an answer that is too large to be kept."""
+        attempt, request_id = opened.attempt, opened.request.request_id
+        assert attempt is not None
+        assert attempt.head is not None
+        effects: list[events.Effect] = []
+        if not opened.started:
+            opened.started = True
+            effects.append(
+                events.Start(
+                    request_id, attempt.head.status, attempt.head.headers
+                )
+            )
+        effects.append(events.Emit(request_id, bytes(attempt.body)))
+        attempt.body.clear()
+        return effects
+
+    def _end(self, event: events.Ended, now: float) -> list[events.Effect]:
+        opened = self._find(event.request_id, event.attempt)
+        if opened is None or opened.attempt is None:
+            return []
+        attempt = opened.attempt
+        if attempt.cutter is not None:
+            if not attempt.cutter.is_between:
+                return self._fail(
+                    opened, Verdict.MAY_HAVE_RUN, "cut_in_event", now
+                )
+            effects = self._start_stream(opened, now)
+        elif self._should_ask_another(opened):
+            return self._fail(
+                opened,
+                Verdict.RAN,
+                f"status_{attempt.head.status if attempt.head else 0}",
+                now,
+            )
+        else:
+            effects = self._give_whole(opened)
+        head = attempt.head
+        if head is not None and head.status < 500:
+            self._book.note_success(attempt.replica)
+        elif head is not None:
+            self._book.note_failure(attempt.replica, now)
+        effects.append(events.Finish(event.request_id))
+        return effects + self._close(opened, "answered", now)
+
+    def _should_ask_another(self, opened: state.Open) -> bool:
+        """Says whether a replica's failure is worth another try."""
+        attempt = opened.attempt
+        assert attempt is not None
+        return (
+            attempt.head is not None
+            and attempt.head.status >= 500
+            and not opened.started
+            and opened.request.route.is_repeatable
+            and opened.runs + 1 < opened.request.route.max_attempts
+        )
+
+    def _give_whole(self, opened: state.Open) -> list[events.Effect]:
+        attempt, request_id = opened.attempt, opened.request.request_id
+        assert attempt is not None
+        assert attempt.head is not None
+        effects: list[events.Effect] = []
+        if not opened.started:
+            opened.started = True
+            effects.append(
+                events.Start(
+                    request_id,
+                    attempt.head.status,
+                    attempt.head.headers,
+                    len(attempt.body),
+                )
+            )
+        if attempt.body:
+            effects.append(events.Emit(request_id, bytes(attempt.body)))
+        return effects
+
+    # Failures.
+
+    def _fail(
+        self,
+        opened: state.Open,
+        verdict: verdict_module.Verdict,
+        reason: str,
+        now: float,
+    ) -> list[events.Effect]:
+        attempt = opened.attempt
+        assert attempt is not None
+        kept = attempt
+        if reason != "refused":
+            self._book.note_failure(attempt.replica, now)
+        effects = self._end_attempt(opened, verdict)
+        effects.append(
+            notes.Note(
+                "attempt_failed",
+                opened.request.request_id,
+                {
+                    "attempt": kept.number,
+                    "vm": kept.replica.name,
+                    "verdict": verdict.value,
+                    "reason": reason,
+                    "after_s": round(now - kept.sent_at, 3),
+                    "last_event": opened.last_event,
+                },
+            )
+        )
+        return effects + self._retry(opened, reason, now)
+
+    def _end_attempt(
+        self, opened: state.Open, verdict: verdict_module.Verdict
+    ) -> list[events.Effect]:
+        attempt = opened.attempt
+        assert attempt is not None
+        self._release(opened)
+        opened.verdict = verdict_module.combine_verdicts(
+            opened.verdict, verdict
+        )
+        if verdict is not Verdict.NOT_RUN:
+            opened.runs += 1
+        opened.failed.add(attempt.replica.name)
+        return [events.Cancel(opened.request.request_id, attempt.number)]
+
+    def _retry(
+        self, opened: state.Open, reason: str, now: float
+    ) -> list[events.Effect]:
+        has_time = opened.ends_at - now > MIN_BUDGET_S
+        if not (has_time and opened.may_repeat and opened.attempts < MAX_SENDS):
+            return self._end_failed(opened, reason, now)
+        if not self._find_budget(opened.request.service).spend():
+            return self._end_failed(opened, "retry_budget_spent", now)
+        return self._try(opened, now)
+
+    def _end_failed(
+        self, opened: state.Open, reason: str, now: float
+    ) -> list[events.Effect]:
+        if opened.started:
+            broken = events.Break(opened.request.request_id)
+            return [broken, *self._close(opened, f"broken_{reason}", now)]
+        return self._refuse(
+            opened, refusals.describe_failure(opened, reason), now
+        )
+
+    def _move(
+        self, opened: state.Open, reason: str, now: float
+    ) -> list[events.Effect]:
+        """Tries a request elsewhere whose replica gives nothing."""
+        return self._fail(opened, Verdict.MAY_HAVE_RUN, reason, now)
+
+    def _leave_replica(
+        self, replica: model.Replica, now: float
+    ) -> list[events.Effect]:
+        """Moves all requests away from a replica that has stopped."""
+        self._book.mark_stalled(replica, now)
+        moved = [
+            opened
+            for opened in self._open.values()
+            if opened.attempt is not None
+            and opened.attempt.replica.name == replica.name
+            and opened.request.is_stream
+            and opened.request.route.is_repeatable
+            and opened.runs + 1 < opened.request.route.max_attempts
+        ]
+        effects: list[events.Effect] = [
+            notes.note(
+                "replica_stalled",
+                vm=replica.name,
+                epoch=replica.epoch,
+                silent_s=round(now - self._book.get(replica).progress_at, 3),
+                moved=len(moved),
+            )
+        ]
+        for opened in moved:
+            effects += self._move(opened, "stalled", now)
+        return effects
+
+    def _is_overdue(self, opened: state.Open, now: float) -> bool:
+        request, attempt = opened.request, opened.attempt
+        return (
+            attempt is not None
+            and not request.is_stream
+            and request.route.is_repeatable
+            and attempt.head is None
+            and opened.runs + 1 < request.route.max_attempts
+            and now - attempt.sent_at
+            > PATIENCE_OBJECTIVES * request.route.objective_s
+        )
+
+    # Ends.
+
+    def _give_up(self, opened: state.Open, now: float) -> list[events.Effect]:
+        effects: list[events.Effect] = []
+        if opened.attempt is not None:
+            effects += self._end_attempt(opened, Verdict.MAY_HAVE_RUN)
+        return effects + self._end_failed(opened, "deadline", now)
+
+    def _leave(self, request_id: str, now: float) -> list[events.Effect]:
+        opened = self._open.get(request_id)
+        if opened is None:
+            return []
+        effects: list[events.Effect] = []
+        if opened.attempt is not None:
+            effects += self._end_attempt(opened, Verdict.MAY_HAVE_RUN)
+        return effects + self._close(opened, "caller_left", now)
+
+    def _refuse(
+        self, opened: state.Open, refusal: events.Refuse, now: float
+    ) -> list[events.Effect]:
+        return [
+            refusal,
+            *self._close(opened, f"refused_{refusal.reason}", now),
+        ]
+
+    def _close(
+        self, opened: state.Open, outcome: str, now: float
+    ) -> list[events.Effect]:
+        self._release(opened)
+        request = opened.request
+        del self._open[request.request_id]
+        return [
+            notes.Note(
+                "request_ended",
+                request.request_id,
+                {
+                    "attempt_id": request.terms.attempt_id,
+                    "route": request.route.name,
+                    "workspace": request.workspace,
+                    "outcome": outcome,
+                    "verdict": opened.verdict.value,
+                    "attempts": opened.attempts,
+                    "lasted_s": round(now - opened.arrived_at, 3),
+                },
+                level="debug" if outcome == "answered" else "info",
+            )
+        ]
+
+    def _release(self, opened: state.Open) -> None:
+        attempt = opened.attempt
+        if attempt is None:
+            return
+        seen = self._book.get(attempt.replica)
+        seen.running -= 1
+        if not attempt.has_given:
+            seen.reading -= opened.request.terms.prompt_tokens
+        opened.attempt = None
+
+    def _find_engine(self, service: str) -> document_module.Engine | None:
+        if self.document is None:
+            return None
+        found = self.document.find_service(service)
+        return found.engine if found else None
+
+    def _find_budget(self, service: str) -> budget_module.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = budget_module.RetryBudget(
+                share=RETRY_SHARE, saved=FIRST_RETRIES
+            )
+        return budget
--- /dev/null
+++ b/src/hickorylead/forwarding/health.py
@@ -0,0 +1,126 @@
+"""What one gateway has seen of each replica: load, stalls, failures."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.forwarding import model
+
+# A replica whose streams all stopped is left alone for this long, in seconds;
+# a group that lost a member is either repaired by then (in about a second) or
+# tells itself that it is broken (after 5 s).
+STALL_HOLD_S = 3.0
+# After a failure a replica is used less for this long, in seconds.
+FAILURE_MEMORY_S = 5.0
+# A load told by a replica counts for this long, in seconds; some requests
+# have come and gone after it.
+LOAD_MEMORY_S = 1.0
+
+
+@attrs.define
+class Seen:
+    """One replica, as one gateway sees it.
+
+    Attributes:
+        epoch: Fencing number of the group that all this is about.
+        running: Own requests that run there.
+        reading: Tokens of own prompts that have given nothing yet.
+        others: Requests of the other gateways of the zone, as last told.
+        told: Load that the replica told, less own requests at that time.
+        told_at: When it told it.
+        progress_at: When it last gave something to any own request.
+        stalled_until: Until when it is left alone.
+        failures: Failures lately; falls with time.
+        failed_at: When it last failed.
+    """
+
+    epoch: int = 0
+    running: int = 0
+    reading: int = 0
+    others: int = 0
+    told: int = 0
+    told_at: float = -1e9
+    progress_at: float = -1e9
+    stalled_until: float = -1e9
+    failures: float = 0.0
+    failed_at: float = -1e9
+
+
+class HealthBook:
+    """All replicas, by the name of the instance that takes requests."""
+
+    def __init__(self) -> None:
+        """Makes an empty book."""
+        self.seen: dict[str, Seen] = {}
+
+    def get(self, replica: model.Replica) -> Seen:
+        """Returns what was seen of a replica."""
+        seen = self.seen.get(replica.name)
+        if seen is None:
+            seen = self.seen[replica.name] = Seen(epoch=replica.epoch)
+        elif seen.epoch != replica.epoch:
+            # The head serves in another group now: what was seen of the
+            # former one says nothing about it.
+            seen.epoch = replica.epoch
+            seen.stalled_until = -1e9
+            seen.failures = 0.0
+        return seen
+
+    def note_load(
+        self, replica: model.Replica, load: model.Load, now: float
+    ) -> None:
+        """Takes the load that a replica told with an answer."""
+        seen = self.get(replica)
+        seen.told = max(0, load.running + load.waiting - seen.running)
+        seen.told_at = now
+
+    def note_failure(self, replica: model.Replica, now: float) -> None:
+        """Takes a failure of a replica."""
+        seen = self.get(replica)
+        seen.failures = self.count_failures(replica, now) + 1.0
+        seen.failed_at = now
+
+    def note_success(self, replica: model.Replica) -> None:
+        """Takes a whole answer of a replica."""
+        seen = self.get(replica)
+        seen.failures = max(0.0, seen.failures - 0.5)
+
+    def count_failures(self, replica: model.Replica, now: float) -> float:
+        """Returns the failures of a replica, old ones counted less."""
+        seen = self.get(replica)
+        age_s = now - seen.failed_at
+        return seen.failures * max(0.0, 1.0 - age_s / FAILURE_MEMORY_S)
+
+    def count_requests(self, replica: model.Replica, now: float) -> int:
+        """Returns an estimate of the requests that run at a replica."""
+        seen = self.get(replica)
+        told = seen.told if now - seen.told_at < LOAD_MEMORY_S else 0
+        return seen.running + max(told, seen.others)
+
+    def mark_stalled(self, replica: model.Replica, now: float) -> None:
+        """Leaves a replica alone whose streams have all stopped."""
+        self.get(replica).stalled_until = now + STALL_HOLD_S
+
+    def is_stalled(self, replica: model.Replica, now: float) -> bool:
+        """Says whether a replica is left alone."""
+        return now < self.get(replica).stalled_until
+
+    def list_stalled(self, now: float) -> tuple[str, ...]:
+        """Returns the replicas that are left alone."""
+        return tuple(
+            n for n, seen in self.seen.items() if now < seen.stalled_until
+        )
+
+    def list_flowing(self, within_s: float, now: float) -> tuple[str, ...]:
+        """Returns the replicas that gave something lately."""
+        return tuple(
+            name
+            for name, seen in self.seen.items()
+            if now - seen.progress_at < within_s
+        )
+
+    def forget(self, names: set[str]) -> None:
+        """Drops replicas that are no more and have no requests."""
+        for name in [n for n in self.seen if n not in names]:
+            if not self.seen[name].running:
+                del self.seen[name]
--- /dev/null
+++ b/src/hickorylead/forwarding/model.py
@@ -0,0 +1,123 @@
+"""A request that is forwarded, and what replicas and callers say about it."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.configuration import document as document_module
+
+Header = tuple[bytes, bytes]
+
+
+@attrs.frozen
+class Terms:
+    """What a caller says about a request, decoded from its headers.
+
+    Attributes:
+        attempt_id: The caller's id of this submission; replicas echo it.
+        budget_s: How long the caller will wait, in seconds; None if unsaid.
+        key: Key of a workspace; empty if none was shown.
+        model: Model that it asks for; empty for plain services.
+        prompt_tokens: Tokens of its prompt.
+        answer_tokens: Most tokens of its answer.
+        last_event: Id of the last event that the caller has; 0 if none.
+    """
+
+    attempt_id: str
+    budget_s: float | None = None
+    key: str = ""
+    model: str = ""
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    last_event: int = 0
+
+
+@attrs.frozen
+class Request:
+    """A request as it is forwarded.
+
+    Attributes:
+        request_id: This gateway's own name for it.
+        terms: What the caller says about it.
+        route: Its route.
+        service: Service that was drawn from the route.
+        workspace: Name of the caller's workspace; empty if none.
+        method: HTTP method.
+        target: Path and query, byte for byte as the caller sent them.
+        headers: Headers to pass on.
+        body: The whole body.
+        urgency: Rank among other requests; 0 is the most urgent.
+    """
+
+    request_id: str
+    terms: Terms
+    route: document_module.Route
+    service: str
+    workspace: str
+    method: str
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    urgency: int
+
+    @property
+    def is_stream(self) -> bool:
+        """Says whether the answer is a stream of events."""
+        return self.route.kind is document_module.Kind.STREAM
+
+
+@attrs.frozen
+class Load:
+    """Load that a replica told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@attrs.frozen
+class Head:
+    """The head of a replica's answer, decoded.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers to pass on to the caller.
+        echo: The attempt id that the replica repeats; empty if none.
+        is_sealed: Whether the replica signed it.
+        not_run: Whether the replica says that it did not run the request.
+        is_encoded: Whether something on the way changed the body's encoding.
+        load: The replica's load, if told.
+    """
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    echo: str = ""
+    is_sealed: bool = False
+    not_run: bool = False
+    is_encoded: bool = False
+    load: Load | None = None
+
+
+@attrs.frozen
+class Replica:
+    """Where requests can be sent: a group's head, or a plain server.
+
+    Attributes:
+        name: Instance that takes the requests.
+        service: Its service.
+        model: Its model; empty for plain services.
+        address: `ip:port`.
+        zone: Its availability zone.
+        slots: Requests that it runs at once.
+        epoch: Fencing number of the group; 0 for plain services.
+        is_silent: Whether control nodes have not heard it for long.
+    """
+
+    name: str
+    service: str
+    model: str
+    address: str
+    zone: str
+    slots: int
+    epoch: int = 0
+    is_silent: bool = False
--- /dev/null
+++ b/src/hickorylead/forwarding/refusals.py
@@ -0,0 +1,58 @@
+"""Answers of our own to requests that no replica answered."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorylead import verdict as verdict_module
+from hickorylead.forwarding import events
+
+if TYPE_CHECKING:
+    from hickorylead.forwarding import choice as choice_module, state
+
+# A request that finds every replica full, or none, waits here for one up to
+# this share of its objective; after that it is told when to come back.
+WAIT_SHARE = 0.4
+# When callers come back to a service whose replicas are full, in seconds: a
+# few of their requests end in that time.
+FULL_RETRY_S = 0.4
+# And to one without any replica: a group is formed anew in about a second.
+NONE_RETRY_S = 0.8
+
+
+def may_wait(opened: state.Open, now: float) -> bool:
+    """Says whether a request may wait for a replica."""
+    if opened.started:
+        # Its caller holds a part of the answer; the rest is worth a wait.
+        return True
+    wait_s = WAIT_SHARE * opened.request.route.objective_s
+    return now - opened.arrived_at < wait_s
+
+
+def describe_no_choice(
+    opened: state.Open, chosen: choice_module.NoChoice
+) -> events.Refuse:
+    """Returns the answer to a request that no replica can take."""
+    retry_s = FULL_RETRY_S if chosen.is_full else NONE_RETRY_S
+    reason = "overloaded" if chosen.is_full else "no_replica"
+    return _refuse(opened, reason, retry_s)
+
+
+def describe_failure(opened: state.Open, reason: str) -> events.Refuse:
+    """Returns the answer to a request whose tries all failed."""
+    retry_s = None if reason == "deadline" else FULL_RETRY_S
+    return _refuse(opened, reason, retry_s)
+
+
+def _refuse(
+    opened: state.Open, reason: str, retry_s: float | None
+) -> events.Refuse:
+    # 503 promises that the request has not run; only a request that surely
+    # has not, or that may run again anyway, gets it. A caller must not repeat
+    # the others, so they get a status that promises nothing.
+    request_id = opened.request.request_id
+    if opened.verdict is verdict_module.Verdict.NOT_RUN:
+        return events.Refuse(request_id, 503, reason, retry_s)
+    return events.Refuse(
+        request_id, 504 if reason == "deadline" else 502, reason
+    )
--- /dev/null
+++ b/src/hickorylead/platform/program.py
@@ -0,0 +1,117 @@
+"""Starts the roles on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import TYPE_CHECKING
+
+from hickorylead import errors
+from hickorylead.platform import documents, settings as settings_module
+from hickorylead.runtime import clock
+from hickorylead.telemetry import decisions
+
+if TYPE_CHECKING:
+    from hickorylead.runtime import coordinator, gateway
+
+ROLES = ("gateway", "coordinator")
+
+
+def run_program(arguments: list[str]) -> int:
+    """Runs the role that the arguments name; returns the exit code."""
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        sys.stderr.write(f"hickorylead: name one role of {', '.join(ROLES)}\n")
+        return errors.SettingsError.exit_code
+    try:
+        found = settings_module.load_settings(arguments[0])
+        log = decisions.DecisionLog(
+            common={
+                "role": arguments[0],
+                "zone": found.zone,
+                "vm": found.vm,
+            },
+            clock=clock.read_boottime,
+            wall=clock.read_wall,
+        )
+        if arguments[0] == "gateway":
+            asyncio.run(_run_gateway(found, log))
+        else:
+            asyncio.run(_run_coordinator(found, log))
+    except errors.HickoryleadError as error:
+        sys.stderr.write(f"hickorylead: {error}\n")
+        return error.exit_code
+    return 0
+
+
+async def _run_gateway(
+    found: settings_module.Settings, log: decisions.DecisionLog
+) -> None:
+    from hickorylead.platform import headers
+    from hickorylead.runtime import gateway
+
+    shell = gateway.GatewayShell(
+        _make_gateway_settings(found),
+        dialect=headers.Headers(),
+        read_document=documents.read_packed,
+        reload=lambda: _make_gateway_settings(
+            settings_module.load_settings("gateway")
+        ),
+        log=log,
+    )
+    await shell.run()
+
+
+async def _run_coordinator(
+    found: settings_module.Settings, log: decisions.DecisionLog
+) -> None:
+    from hickorylead.platform import control, servers
+    from hickorylead.runtime import coordinator
+
+    shell = coordinator.CoordinatorShell(
+        _make_coordinator_settings(found),
+        dialect=servers.Servers(),
+        read_document=documents.read_packed,
+        make_app=control.make_app,
+        reload=lambda: _make_coordinator_settings(
+            settings_module.load_settings("coordinator")
+        ),
+        log=log,
+    )
+    await shell.run()
+
+
+def _make_gateway_settings(
+    found: settings_module.Settings,
+) -> gateway.Settings:
+    from hickorylead.runtime import gateway
+
+    return gateway.Settings(
+        vm=found.vm,
+        zone=found.zone,
+        ip=found.ip,
+        caller_port=found.caller_port,
+        ready_port=int(found.ready_address.rpartition(":")[2]),
+        peer_port=found.peer_port,
+        seeds=found.seeds,
+        grace_s=found.grace_s,
+    )
+
+
+def _make_coordinator_settings(
+    found: settings_module.Settings,
+) -> coordinator.Settings:
+    from hickorylead.runtime import coordinator
+
+    return coordinator.Settings(
+        vm=found.vm,
+        zone=found.zone,
+        zones=found.zones,
+        ip=found.ip,
+        control_port=found.control_port,
+        peer_port=found.peer_port,
+        seeds=found.seeds,
+        may_found=found.is_first_start,
+        data_folder=found.data_folder,
+        heartbeat_s=found.heartbeat_s,
+        lost_disks=found.lost_disks,
+    )
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -214,8 +214,11 @@
                 return [seam.Send(asker, message)]
             case status.StatusReply():
                 return []
-            case _:
+            case _ if isinstance(message, messages.Message):
                 return self._receive_configuration(message, now)
+            case _:
+                # For a coordinator or a gateway; a wrong address somewhere.
+                return []
 
     def _receive_membership(
         self, message: member_messages.Message, now: float
--- /dev/null
+++ b/src/hickorylead/roles/coordinator.py
@@ -0,0 +1,657 @@
+"""The reducer of a coordinator: a control node that gateways look up to.
+
+It votes on the configuration, hears backend servers, forms and repairs their
+groups, and tells gateways what they need.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+from returns import result
+
+from hickorylead import notes
+from hickorylead.consensus import (
+    messages as consensus_messages,
+    voter as voter_module,
+    whole,
+)
+from hickorylead.fleet import (
+    events,
+    gateways as gateways_module,
+    instances,
+    messages,
+    neighbours as neighbours_module,
+    orders,
+    planner as planner_module,
+    registry as registry_module,
+    suspects as suspects_module,
+)
+from hickorylead.roles import nodes, seam
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+    import random
+
+    from hickorylead.configuration import document as document_module
+
+TICK_S = 0.05
+PLAN_PERIOD_S = 0.25
+FORGET_INSTANCE_S = 60.0
+
+CoordinatorEvent: TypeAlias = (
+    seam.Tick
+    | seam.MessageArrived
+    | events.HeartbeatArrived
+    | events.InstanceLeft
+    | events.ReplaceAsked
+    | events.ReadAsked
+    | orders.OrderAnswered
+    | orders.ReportArrived
+)
+CoordinatorEffect: TypeAlias = (
+    seam.Send
+    | consensus_messages.Persist
+    | events.AnswerReplace
+    | events.AnswerRead
+    | orders.Give
+    | orders.AskReport
+    | notes.Note
+)
+
+
+@attrs.frozen
+class Identity:
+    """Who a coordinator is, and what its settings say.
+
+    Attributes:
+        node: Its name.
+        address: `ip:port` for its peers.
+        incarnation: Name of the data folder's present life.
+        seeds: Addresses of a few control nodes, for their peers.
+        may_found: Whether the whole system starts for the first time.
+        heartbeat_s: Pause between heartbeats of backend servers, in seconds.
+        zones: All availability zones.
+    """
+
+    node: str
+    address: str
+    incarnation: str
+    seeds: tuple[str, ...]
+    may_found: bool
+    heartbeat_s: float
+    zones: tuple[str, ...]
+
+
+class Coordinator:
+    """State of one coordinator."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        read_document: Callable[
+            [bytes], result.Result[document_module.Document, str]
+        ],
+        policy: planner_module.Policy,
+        records: Sequence[consensus_messages.Record],
+        rng: random.Random,
+        now: float,
+        tuning: voter_module.Tuning = voter_module.DEFAULT_TUNING,
+    ) -> None:
+        """Makes a coordinator that has just started.
+
+        Args:
+            identity: Who it is.
+            read_document: Reads a whole configuration as operators send it.
+            policy: The trade between downtime and stranded accelerators.
+            records: What its journal holds.
+            rng: Source of the spread of elections.
+            now: Present time.
+            tuning: How fast a lost voter is noticed.
+        """
+        self._identity = identity
+        self._zone = nodes.get_zone(identity.node)
+        self._read_document = read_document
+        self.document: document_module.Document | None = None
+        self.registry = registry_module.Registry()
+        self.neighbours = neighbours_module.Neighbours(
+            node=identity.node, seeds=identity.seeds
+        )
+        self.gateways = gateways_module.Gateways(zone=self._zone)
+        self._suspects = suspects_module.Suspects(identity.heartbeat_s)
+        self._planner = planner_module.Planner(
+            number=_number_node(identity.node), policy=policy
+        )
+        self._is_started = not identity.may_found
+        self._next_hello = now
+        self._next_plan = now
+        self._alive: dict[str, int] = {}
+        self.restart_voter(records, rng, now, tuning)
+
+    def restart_voter(
+        self,
+        records: Sequence[consensus_messages.Record],
+        rng: random.Random,
+        now: float,
+        tuning: voter_module.Tuning,
+    ) -> None:
+        """Begins to vote with what the disk holds, after a start or a fault."""
+        self.voter = voter_module.Voter(
+            node=self._identity.node,
+            incarnation=self._identity.incarnation,
+            peers=tuple(self.neighbours.known),
+            rng=rng,
+            now=now,
+            tuning=tuning,
+        )
+        self.voter.restore(records)
+        self._whole = whole.WholeConfigurations(
+            node=self._identity.node, voter=self.voter
+        )
+        self._take_document()
+
+    @property
+    def version(self) -> int:
+        """The operator's version that is held here."""
+        return self.document.version if self.document else 0
+
+    def is_fresh(self, now: float) -> bool:
+        """Says whether the configuration held is surely a recent one."""
+        if self.voter.role == "leader":
+            return self.voter.leads(now)
+        return self.voter.is_caught_up and self.voter.has_leader(now)
+
+    def reduce(
+        self, event: CoordinatorEvent, now: float
+    ) -> list[CoordinatorEffect]:
+        """Handles one event and returns what is to be done."""
+        match event:
+            case seam.Tick():
+                return self._tick(now)
+            case seam.MessageArrived(sender, message):
+                return self._receive(sender, message, now)
+            case events.HeartbeatArrived(instance):
+                return self._hear(instance, now)
+            case events.InstanceLeft(name):
+                return self._end(name, now)
+            case events.ReplaceAsked(token, version, content):
+                return self._wrap(
+                    self._whole.replace(
+                        token,
+                        version=version,
+                        content=content,
+                        asker="",
+                        now=now,
+                    ),
+                    now,
+                )
+            case events.ReadAsked(token):
+                return self._wrap(
+                    self._whole.read(token, asker="", held=0, now=now), now
+                )
+            case orders.OrderAnswered():
+                return self._take_answer(event, now)
+            case orders.ReportArrived(name):
+                self._planner.take_report(event)
+                self._suspects.take_report(
+                    name, answered=event.accepted is not None, now=now
+                )
+                return self._plan(now)
+
+    # Time.
+
+    def _tick(self, now: float) -> list[CoordinatorEffect]:
+        effects: list[CoordinatorEffect] = []
+        self.voter.set_peers(tuple(self.neighbours.known))
+        effects += self._wrap(self.voter.tick(now), now)
+        effects += self._wrap(self._whole.tick(now), now)
+        if now >= self._next_hello:
+            self._next_hello = now + neighbours_module.HELLO_PERIOD_S
+            effects += self._greet(now)
+            effects += self._found(now)
+        effects += self._ask_suspects(now)
+        effects += self._send_all(self.gateways.tick(now))
+        if now >= self._next_plan:
+            effects += self._plan(now)
+        return effects
+
+    def _greet(self, now: float) -> list[CoordinatorEffect]:
+        self.neighbours.forget_old(now)
+        self.registry.forget(now, FORGET_INSTANCE_S)
+        known = self.neighbours.known
+        hello = messages.CoordinatorHello(
+            node=self._identity.node,
+            address=self._identity.address,
+            incarnation=self.voter.member,
+            nodes=tuple(known),
+            addresses=tuple(n.address for n in known.values()),
+            check=self.registry.check,
+            is_empty=self._identity.may_found and not self.voter.cluster,
+        )
+        targets = self.neighbours.list_targets()
+        effects: list[CoordinatorEffect] = [
+            seam.Send(node, hello)
+            for node in targets
+            if node != f"@{self._identity.address}"
+        ]
+        if self._alive:
+            alive = messages.Alive(
+                self._identity.node,
+                tuple(self._alive),
+                tuple(self._alive.values()),
+            )
+            self._alive = {}
+            effects += [
+                seam.Send(n, alive) for n in self.neighbours.list_alive(now)
+            ]
+        return effects
+
+    def _found(self, now: float) -> list[CoordinatorEffect]:
+        """Starts the configuration log, at the very first start only.
+
+        All nodes know the same seeds then. The one with the lowest address
+        waits until it has heard every other one, so that there is one log.
+        """
+        seeds = self._identity.seeds
+        if (
+            not self._identity.may_found
+            or self.voter.cluster
+            or not seeds
+            or self._identity.address != min(seeds)
+        ):
+            return []
+        by_address = {
+            n.address: n
+            for n in self.neighbours.known.values()
+            if n.incarnation and n.is_empty
+        }
+        others = [by_address.get(s) for s in seeds[:] if s != min(seeds)]
+        if any(other is None for other in others):
+            return []
+        members = [self.voter.member]
+        members += [other.incarnation for other in others if other]
+        effects = self.voter.found(
+            f"cluster-{self.voter.member}", tuple(sorted(members))
+        )
+        return [
+            *self._wrap(effects, now),
+            notes.note("cluster_founded", voters=members),
+        ]
+
+    # Messages.
+
+    def _receive(
+        self, sender: str, message: seam.Message, now: float
+    ) -> list[CoordinatorEffect]:
+        match message:
+            case (
+                consensus_messages.VoteRequest()
+                | consensus_messages.VoteReply()
+                | consensus_messages.AppendRequest()
+                | consensus_messages.AppendReply()
+                | consensus_messages.SnapshotRequest()
+                | consensus_messages.JoinRequest()
+            ):
+                effects = self._wrap(self.voter.receive(message, now), now)
+                if isinstance(message, consensus_messages.AppendReply):
+                    effects += self._wrap(self._whole.tick(now), now)
+                return effects
+            case messages.CoordinatorHello():
+                return self._take_hello(message, now)
+            case messages.InstanceNews(_, news):
+                return self._take_news(news, now)
+            case messages.Alive(_, names, sequences):
+                revived = False
+                for name, sequence in zip(names, sequences, strict=False):
+                    revived |= self.registry.touch(name, sequence, now)
+                    self._suspects.clear(name)
+                return self._plan(now) if revived else []
+            case messages.GatewayHello():
+                return self._take_gateway(message, now)
+            case messages.ReplaceRequest(node, token, version, content):
+                return self._wrap(
+                    self._whole.replace(
+                        token,
+                        version=version,
+                        content=content,
+                        asker=node,
+                        now=now,
+                    ),
+                    now,
+                )
+            case messages.ReadRequest(node, token, version):
+                return self._wrap(
+                    self._whole.read(token, asker=node, held=version, now=now),
+                    now,
+                )
+            case messages.ReplaceReply() | messages.ReadReply():
+                return self._wrap(self._whole.receive(message, now), now)
+            case _:
+                return []
+
+    def _take_hello(
+        self, hello: messages.CoordinatorHello, now: float
+    ) -> list[CoordinatorEffect]:
+        is_new = hello.node not in self.neighbours.list_alive(now)
+        differs = self.gateways.differs(
+            hello.node, hello.check, self.registry.check, now
+        )
+        self.neighbours.hear(hello, now)
+        if not is_new and not differs:
+            return []
+        news = messages.InstanceNews(
+            self._identity.node,
+            tuple(self.registry.instances.values()),
+            is_full=True,
+        )
+        return [seam.Send(hello.node, news)]
+
+    def _take_gateway(
+        self, hello: messages.GatewayHello, now: float
+    ) -> list[CoordinatorEffect]:
+        if hello.loads:
+            self._is_started = True
+        effects = self._send_all(
+            self.gateways.hear(
+                hello,
+                registry=self.registry,
+                known=messages.KnownCoordinators(
+                    self._identity.node,
+                    (self._identity.node, *self.neighbours.known),
+                    (
+                        self._identity.address,
+                        *(n.address for n in self.neighbours.known.values()),
+                    ),
+                ),
+                sender=self._identity.node,
+                now=now,
+            )
+        )
+        for name in hello.stalled:
+            effects += self._suspect_group(name, hello.node, now)
+        for name in hello.flowing:
+            self._suspects.note_flow(name, now)
+        if hello.version < self.version or not hello.version:
+            effects.append(seam.Send(hello.node, self._make_update(now)))
+        return effects
+
+    def _make_update(self, now: float) -> messages.DocumentUpdate:
+        held = self.voter.configuration
+        return messages.DocumentUpdate(
+            self._identity.node,
+            self.version,
+            held.content if self.document else b"",
+            self.is_fresh(now),
+        )
+
+    # Backend servers.
+
+    def _hear(
+        self, instance: instances.Instance, now: float
+    ) -> list[CoordinatorEffect]:
+        self._suspects.clear(instance.name)
+        known = self.registry.instances.get(instance.name)
+        if not self.registry.merge(instance, now):
+            self._alive[instance.name] = instance.sequence
+            return []
+        return self._spread([instance], known, now)
+
+    def _end(self, name: str, now: float) -> list[CoordinatorEffect]:
+        known = self.registry.instances.get(name)
+        if known is None or known.phase == instances.PHASE_GONE:
+            return []
+        gone = attrs.evolve(known, phase=instances.PHASE_GONE)
+        self.registry.merge(gone, now)
+        return self._spread([gone], known, now)
+
+    def _spread(
+        self,
+        changed: list[instances.Instance],
+        known: instances.Instance | None,
+        now: float,
+    ) -> list[CoordinatorEffect]:
+        """Tells all nodes what was heard here first."""
+        news = messages.InstanceNews(self._identity.node, tuple(changed))
+        targets = [
+            *self.neighbours.list_alive(now),
+            *self.gateways.list_all(now),
+        ]
+        effects: list[CoordinatorEffect] = [
+            seam.Send(node, news) for node in targets
+        ]
+        for instance in changed:
+            effects.append(_describe_change(instance, known))
+        return effects + self._plan(now)
+
+    def _take_news(
+        self, news: Iterable[instances.Instance], now: float
+    ) -> list[CoordinatorEffect]:
+        changed = registry_module.merge_all(self.registry, news, now)
+        if not changed:
+            return []
+        for instance in changed:
+            if not instance.silent:
+                self._suspects.clear(instance.name)
+        update = messages.InstanceNews(self._identity.node, tuple(changed))
+        effects: list[CoordinatorEffect] = [
+            seam.Send(node, update) for node in self.gateways.list_own(now)
+        ]
+        return effects + self._plan(now)
+
+    def _suspect_group(
+        self, head: str, gateway: str, now: float
+    ) -> list[CoordinatorEffect]:
+        instance = self.registry.instances.get(head)
+        if instance is None or not self._is_mine(instance, now):
+            return []
+        members = [
+            other
+            for other in self.registry.list_present()
+            if other.name == head
+            or (
+                other.has_group
+                and other.member.group == instance.member.group
+                and other.member.epoch == instance.member.epoch
+            )
+        ]
+        asked = self._suspects.suspect(members, now)
+        if not asked:
+            return []
+        return [
+            *[orders.AskReport(m.name, m.address) for m in asked],
+            notes.note(
+                "group_suspected",
+                head=head,
+                group=instance.member.group,
+                gateway=gateway,
+                asked=[m.name for m in asked],
+            ),
+        ]
+
+    def _ask_suspects(self, now: float) -> list[CoordinatorEffect]:
+        mine = [
+            i
+            for i in self.registry.list_silent(self._suspects.silence_s, now)
+            if self._is_mine(i, now)
+        ]
+        asked = self._suspects.suspect(mine, now)
+        effects: list[CoordinatorEffect] = [
+            orders.AskReport(m.name, m.address) for m in asked
+        ]
+        lost = self._suspects.list_lost(self.registry, now)
+        newly = [
+            i
+            for i in self.registry.list_present()
+            if i.name in lost and not i.silent
+        ]
+        for instance in newly:
+            silent = attrs.evolve(instance, silent=True)
+            if self.registry.merge(silent, now):
+                effects += self._spread([silent], instance, now)
+        return effects
+
+    # Groups.
+
+    def _is_mine(self, instance: instances.Instance, now: float) -> bool:
+        charge = self.neighbours.find_in_charge(
+            instance.zone, instance.domain, now
+        )
+        return charge == self._identity.node
+
+    def _plan(self, now: float) -> list[CoordinatorEffect]:
+        self._next_plan = now + PLAN_PERIOD_S
+        if self.document is None:
+            return []
+        present = self.registry.list_present()
+        by_domain = collections.defaultdict(list)
+        for instance in present:
+            if instance.domain:
+                by_domain[instance.domain].append(instance)
+        domains = frozenset(
+            domain
+            for domain, members in by_domain.items()
+            if self._is_mine(members[0], now)
+        )
+        if not domains:
+            return []
+        given = self._planner.plan(
+            present=present,
+            services=self.document.services,
+            domains=domains,
+            lost=self._suspects.list_lost(self.registry, now),
+            zones=len(self._identity.zones) or 1,
+            is_started=self._is_started,
+            now=now,
+        )
+        return [
+            effect
+            for item in given
+            for effect in (item, *_describe_order(item))
+        ]
+
+    def _take_answer(
+        self, event: orders.OrderAnswered, now: float
+    ) -> list[CoordinatorEffect]:
+        self._planner.take_answer(event)
+        return [
+            notes.note(
+                "order_answered",
+                level="debug" if event.status < 300 else "info",
+                vm=event.name,
+                order=type(event.order).__name__.lower(),
+                status=event.status,
+            )
+        ]
+
+    # The configuration.
+
+    def _wrap(
+        self, effects: Iterable[whole.Effect], now: float
+    ) -> list[CoordinatorEffect]:
+        wrapped: list[CoordinatorEffect] = []
+        for effect in effects:
+            match effect:
+                case consensus_messages.Send(node, message):
+                    wrapped.append(seam.Send(node, message))
+                case whole.SendTo(node, message):
+                    wrapped.append(seam.Send(node, message))
+                case consensus_messages.Answer(outcome):
+                    wrapped += self._wrap(
+                        self._whole.note_outcome(outcome.change_id), now
+                    )
+                case consensus_messages.Abandon(change_id):
+                    self._whole.note_abandoned(change_id)
+                case consensus_messages.Apply():
+                    wrapped += self._apply(now)
+                case _:
+                    wrapped.append(effect)
+        return wrapped
+
+    def _apply(self, now: float) -> list[CoordinatorEffect]:
+        before = self.version
+        problem = self._take_document()
+        if problem:
+            return [
+                notes.note(
+                    "configuration_unreadable", level="error", why=problem
+                )
+            ]
+        if self.version == before:
+            return []
+        update = self._make_update(now)
+        effects: list[CoordinatorEffect] = [
+            seam.Send(node, update) for node in self.gateways.list_all(now)
+        ]
+        effects.append(
+            notes.note(
+                "configuration_applied",
+                version_before=before,
+                outside_version=self.version,
+                leader=self.voter.leader,
+            )
+        )
+        return effects + self._plan(now)
+
+    def _take_document(self) -> str:
+        """Reads the configuration that the voter holds; returns a problem."""
+        held = self.voter.configuration
+        if not held.content or held.outside_version == self.version:
+            return ""
+        match self._read_document(held.content):
+            case result.Success(found):
+                self.document = found
+                return ""
+            case result.Failure(problem):
+                return str(problem)
+        raise AssertionError("a result is a success or a failure")
+
+    def _send_all(
+        self, sent: Iterable[tuple[str, messages.Message]]
+    ) -> list[CoordinatorEffect]:
+        return [seam.Send(node, message) for node, message in sent]
+
+
+def _number_node(node: str) -> int:
+    total = 0
+    for byte in node.encode():
+        total = (total * 31 + byte) % planner_module.EPOCH_STEP
+    return total
+
+
+def _describe_change(
+    instance: instances.Instance, known: instances.Instance | None
+) -> notes.Note:
+    member = instance.member
+    return notes.note(
+        "instance_changed",
+        vm=instance.name,
+        service=instance.service,
+        zone=instance.zone,
+        domain=instance.domain,
+        phase=instance.phase,
+        silent=instance.silent,
+        group=member.group,
+        epoch=member.epoch,
+        state=member.state,
+        state_before=known.member.state if known else "new",
+    )
+
+
+def _describe_order(
+    item: orders.Give | orders.AskReport,
+) -> list[notes.Note]:
+    if isinstance(item, orders.AskReport):
+        return []
+    fields = attrs.asdict(item.order)
+    return [
+        notes.note(
+            "order_given",
+            vm=item.name,
+            order=type(item.order).__name__.lower(),
+            expected=item.expected,
+            **fields,
+        )
+    ]
--- a/src/hickorylead/roles/nodes.py
+++ b/src/hickorylead/roles/nodes.py
@@ -9,6 +9,8 @@
 
 ENTRY = "entry"
 CONTROL = "control"
+GATEWAY = "gateway"
+COORDINATOR = "coordinator"
 
 
 def name_node(zone: str, vm: str, role: str) -> str:
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -16,6 +16,7 @@
 from hickorylead.claims import messages as claim_messages
 from hickorylead.configuration import changes, messages as config_messages
 from hickorylead.consensus import messages as consensus_messages
+from hickorylead.fleet import messages as fleet_messages
 from hickorylead.lease import messages as lease_messages
 from hickorylead.membership import announcements, messages as member_messages
 from hickorylead.placement import orders
@@ -27,6 +28,7 @@
     claim_messages.Message
     | config_messages.Message
     | consensus_messages.Message
+    | fleet_messages.Message
     | lease_messages.Message
     | member_messages.Message
     | routing_messages.Message
--- a/src/hickorylead/runtime/clock.py
+++ b/src/hickorylead/runtime/clock.py
@@ -13,3 +13,12 @@
 def read_wall() -> float:
     """Returns Unix seconds; they may jump."""
     return time.time()
+
+
+def read_boottime() -> float:
+    """Returns seconds that never go back and count suspension.
+
+    A VM may be suspended for seconds. A clock that stands still meanwhile
+    would let a lease, or a lead, last longer than the others believe.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/src/hickorylead/runtime/coordinator.py
@@ -0,0 +1,369 @@
+"""The shell of a coordinator: peers, disk, orders, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import random
+import signal
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+
+from hickorylead import errors, notes
+from hickorylead.consensus import (
+    messages as consensus_messages,
+    voter as voter_module,
+)
+from hickorylead.fleet import (
+    events,
+    instances,
+    orders,
+    planner as planner_module,
+)
+from hickorylead.roles import coordinator as coordinator_role, nodes, seam
+from hickorylead.runtime import (
+    clock,
+    peers as peers_module,
+    server as server_module,
+    ticker,
+)
+from hickorylead.storage import folder as folder_module
+from hickorylead.telemetry import decisions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns import result
+
+    from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import dialect as dialect_module
+
+# Orders and questions are answered within some ms; a server that is dark never
+# answers. In seconds.
+ORDER_TIMEOUT_S = 0.4
+# The disk is tried again this often after a write that it refused, in seconds.
+DISK_RETRY_S = 0.5
+# A lost leader is noticed by its voters within about a second. The longest
+# pause of a loop that syncs to a disk 25 times slower than usual is 50 ms.
+TUNING = voter_module.Tuning(
+    heartbeat_s=0.15,
+    election_min_s=0.7,
+    election_max_s=1.4,
+    replace_after_s=6.0,
+)
+
+
+@attrs.frozen
+class Settings:
+    """What a coordinator is told.
+
+    Attributes:
+        vm: Name of the VM.
+        zone: Its availability zone.
+        zones: All availability zones.
+        ip: Its IP number.
+        control_port: Port for backend servers and operators.
+        peer_port: Port for the other processes of the system.
+        seeds: Peer addresses of a few coordinators.
+        may_found: Whether the whole system starts for the first time.
+        data_folder: Folder on a disk.
+        heartbeat_s: Pause between heartbeats of backend servers, in seconds.
+        lost_disks: Disks that may be lost at the same time.
+    """
+
+    vm: str
+    zone: str
+    zones: tuple[str, ...]
+    ip: str
+    control_port: int
+    peer_port: int
+    seeds: tuple[str, ...]
+    may_found: bool
+    data_folder: str
+    heartbeat_s: float
+    lost_disks: int
+
+
+class CoordinatorShell:
+    """One coordinator process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        dialect: dialect_module.ServerDialect,
+        read_document: Callable[
+            [bytes], result.Result[document_module.Document, str]
+        ],
+        make_app: Callable[[CoordinatorShell], Any],
+        reload: Callable[[], Settings],
+        log: decisions.DecisionLog,
+    ) -> None:
+        """Makes a coordinator; `run` starts it.
+
+        Args:
+            settings: What it is told.
+            dialect: Names and formats of backend servers.
+            read_document: Reads a whole configuration.
+            make_app: Makes the interface for backend servers and operators.
+            reload: Reads the settings again.
+            log: Where decisions are written.
+        """
+        self.settings = settings
+        self._node = nodes.name_node(
+            settings.zone, settings.vm, nodes.COORDINATOR
+        )
+        self._log = log
+        self._dialect = dialect
+        self._reload = reload
+        self._make_app = make_app
+        self._rng = random.Random(f"{self._node} {clock.read_wall()}")
+        self._stop = asyncio.Event()
+        self._folder = self._open_folder()
+        self._disk_failed_at: float | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._waiting: dict[str, asyncio.Future[Any]] = {}
+        self._count = 0
+        self._session: aiohttp.ClientSession
+        self._tuning = attrs.evolve(
+            TUNING, min_voters=2 * settings.lost_disks + 1
+        )
+        address = f"{settings.ip}:{settings.peer_port}"
+        self.role = coordinator_role.Coordinator(
+            coordinator_role.Identity(
+                node=self._node,
+                address=address,
+                incarnation=self._folder.incarnation,
+                seeds=settings.seeds,
+                may_found=settings.may_found,
+                heartbeat_s=settings.heartbeat_s,
+                zones=settings.zones,
+            ),
+            read_document=read_document,
+            policy=planner_module.Policy(),
+            records=self._folder.records,
+            rng=self._rng,
+            now=clock.read_boottime(),
+            tuning=self._tuning,
+        )
+        self._peers = peers_module.Peers(
+            node=self._node,
+            address=address,
+            known={},
+            deliver=self._receive,
+            log=log,
+        )
+
+    async def run(self) -> None:
+        """Serves until the process is asked to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._take_new_settings)
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=2.0),
+        )
+        http = server_module.HttpServer(
+            self._make_app(self), self.settings.ip, self.settings.control_port
+        )
+        await self._peers.start()
+        await http.start()
+        self._log.write(notes.note("started", node=self._node))
+        ticking = asyncio.ensure_future(
+            ticker.tick_forever(coordinator_role.TICK_S, self._tick)
+        )
+        await self._stop.wait()
+        ticking.cancel()
+        for task in self._calls:
+            task.cancel()
+        await http.close()
+        await self._peers.close()
+        await self._session.close()
+        self._folder.close()
+        self._log.write(notes.note("stopped"))
+        self._log.flush()
+
+    # For the interface of backend servers and operators.
+
+    def hear(self, instance: instances.Instance) -> None:
+        """Takes a heartbeat of a backend server."""
+        self.apply(events.HeartbeatArrived(instance))
+
+    def end(self, name: str) -> None:
+        """Takes that a backend server leaves for good."""
+        self.apply(events.InstanceLeft(name))
+
+    async def replace(self, version: int, content: bytes) -> bool:
+        """Takes a whole configuration; says whether it lasts for sure."""
+        token, future = self._make_call()
+        self.apply(events.ReplaceAsked(token, version, content))
+        return bool(await future)
+
+    async def read(self) -> tuple[int, bytes] | None:
+        """Returns the newest configuration; None if that is not known."""
+        token, future = self._make_call()
+        self.apply(events.ReadAsked(token))
+        return await future
+
+    def _make_call(self) -> tuple[str, asyncio.Future[Any]]:
+        self._count += 1
+        token = f"{self._node}.{self._folder.incarnation}.{self._count}"
+        future: asyncio.Future[Any] = asyncio.Future()
+        self._waiting[token] = future
+        return token, future
+
+    def _end_call(self, token: str, answer: Any) -> None:
+        future = self._waiting.pop(token, None)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    # Events and effects.
+
+    def apply(self, event: coordinator_role.CoordinatorEvent) -> None:
+        """Gives an event to the reducer and carries out its effects."""
+        now = clock.read_boottime()
+        effects = self.role.reduce(event, now)
+        try:
+            for effect in effects:
+                self._carry_out(effect)
+            if self._folder.is_long():
+                self._folder.rewrite(self.role.voter.export())
+        except OSError as error:
+            self._lose_disk(error, now)
+
+    def _carry_out(self, effect: coordinator_role.CoordinatorEffect) -> None:
+        match effect:
+            case notes.Note():
+                self._log.write(effect)
+            case seam.Send(node, message):
+                if self._disk_failed_at is not None and isinstance(
+                    message, consensus_messages.Message
+                ):
+                    return
+                self._peers.send(node, message)
+            case consensus_messages.Persist(record):
+                if self._disk_failed_at is None:
+                    self._folder.persist(record)
+            case events.AnswerReplace(token, accepted):
+                self._end_call(token, accepted and self._disk_failed_at is None)
+            case events.AnswerRead(token, version, content):
+                if content is None or self._disk_failed_at is not None:
+                    self._end_call(token, None)
+                else:
+                    self._end_call(token, (version, content))
+            case orders.Give():
+                self._start(self._post(effect))
+            case orders.AskReport():
+                self._start(self._ask(effect))
+
+    def _receive(self, sender: str, message: seam.Message) -> None:
+        if self._disk_failed_at is not None and isinstance(
+            message, consensus_messages.Message
+        ):
+            return
+        self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
+
+    def _tick(self) -> None:
+        if self._disk_failed_at is not None:
+            self._try_disk()
+        self.apply(seam.Tick(clock.read_wall()))
+
+    # The disk.
+
+    def _open_folder(self) -> folder_module.DataFolder:
+        return folder_module.DataFolder(
+            pathlib.Path(self.settings.data_folder), self._node
+        )
+
+    def _lose_disk(self, error: OSError, now: float) -> None:
+        """Stops voting: what the voter believes to be on disk is not.
+
+        If it went on it could acknowledge a change that a restart takes back.
+        Everything else goes on; the voter begins anew from what the disk
+        really holds once it takes writes again.
+        """
+        self._disk_failed_at = now
+        self._log.write(
+            notes.note("disk_failed", level="error", why=str(error))
+        )
+        for token in list(self._waiting):
+            self._end_call(token, None)
+
+    def _try_disk(self) -> None:
+        now = clock.read_boottime()
+        assert self._disk_failed_at is not None
+        if now - self._disk_failed_at < DISK_RETRY_S:
+            return
+        try:
+            self._folder.close()
+            self._folder = self._open_folder()
+            self._folder.check_writable()
+        except (OSError, errors.DataFolderError) as error:
+            self._disk_failed_at = now
+            self._log.write(notes.note("disk_still_failed", why=str(error)))
+            return
+        self._disk_failed_at = None
+        self.role.restart_voter(
+            self._folder.records, self._rng, now, self._tuning
+        )
+        self._log.write(notes.note("disk_regained"))
+
+    # Backend servers.
+
+    def _start(self, call: Any) -> None:
+        task = asyncio.ensure_future(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _post(self, give: orders.Give) -> None:
+        call = self._dialect.write_order(give)
+        status = 0
+        try:
+            async with self._session.request(
+                call.method,
+                f"http://{give.address}{call.path}",
+                data=call.body,
+                headers={"Content-Type": "application/json"},
+            ) as response:
+                status = response.status
+                await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._log.write(
+                notes.note(
+                    "order_unanswered", vm=give.name, why=type(error).__name__
+                )
+            )
+        self.apply(orders.OrderAnswered(give.name, give.order, status))
+
+    async def _ask(self, question: orders.AskReport) -> None:
+        call = self._dialect.write_report_question()
+        accepted = None
+        try:
+            async with self._session.request(
+                call.method, f"http://{question.address}{call.path}"
+            ) as response:
+                accepted = self._dialect.read_report(await response.read())
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            self._log.write(
+                notes.note(
+                    "report_unanswered",
+                    vm=question.name,
+                    why=type(error).__name__,
+                )
+            )
+        self.apply(orders.ReportArrived(question.name, accepted))
+
+    def _take_new_settings(self) -> None:
+        try:
+            settings = self._reload()
+        except errors.SettingsError as error:
+            self._log.write(
+                notes.note("reload_failed", level="error", why=str(error))
+            )
+            return
+        self.settings = settings
+        self.role.neighbours.seeds = settings.seeds
+        self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
--- /dev/null
+++ b/src/hickorylead/runtime/forwarding.py
@@ -0,0 +1,261 @@
+"""The callers' side of a gateway: an ASGI application that forwards."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from hickorylead import verdict as verdict_module
+from hickorylead.configuration import document as document_module
+from hickorylead.forwarding import events, model, routes as routes_module
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorylead.forwarding import dialect as dialect_module
+    from hickorylead.runtime import gateway as gateway_shell
+
+_STARTING = events.Refuse("", 503, "starting", 0.5)
+
+
+class Attempt:
+    """One try at a replica: turns what comes into events."""
+
+    def __init__(
+        self,
+        opened: events.Open,
+        *,
+        dialect: dialect_module.Dialect,
+        deliver: Callable[[events.Event], None],
+    ) -> None:
+        """Makes a receiver.
+
+        Args:
+            opened: The try.
+            dialect: Reads the head of the answer.
+            deliver: Takes the events.
+        """
+        self._id = opened.request.request_id
+        self._number = opened.attempt
+        self._dialect = dialect
+        self._deliver = deliver
+
+    def take_head(self, status: int, headers: list[model.Header]) -> None:
+        """Takes status and headers."""
+        head = self._dialect.read_head(status, headers)
+        self._deliver(events.Began(self._id, self._number, head))
+
+    def take_piece(self, data: bytes) -> None:
+        """Takes a piece of the body."""
+        self._deliver(events.PieceCame(self._id, self._number, data))
+
+    def take_end(self) -> None:
+        """Takes the news that the answer is whole."""
+        self._deliver(events.Ended(self._id, self._number))
+
+    def take_failure(
+        self, verdict: verdict_module.Verdict, reason: str
+    ) -> None:
+        """Takes the news that there will be no whole answer."""
+        self._deliver(events.Failed(self._id, self._number, verdict, reason))
+
+
+@attrs.define
+class Waiting:
+    """Where the effects of one request wait for its caller."""
+
+    effects: asyncio.Queue[events.Effect] = attrs.field(factory=asyncio.Queue)
+
+
+class Application:
+    """Takes callers' requests, and gives them what the reducer decides."""
+
+    def __init__(
+        self,
+        shell: gateway_shell.GatewayShell,
+        dialect: dialect_module.Dialect,
+    ) -> None:
+        """Makes the application.
+
+        Args:
+            shell: The gateway.
+            dialect: Names of headers.
+        """
+        self._shell = shell
+        self._dialect = dialect
+        self._count = 0
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Handles one request."""
+        if scope["type"] != "http":
+            return
+        checked = await self._check(scope, receive)
+        if checked is None:
+            return
+        if isinstance(checked, events.Refuse):
+            await self._send_refusal(send, checked, _find_attempt(scope, self))
+            return
+        await self._forward(checked, receive, send)
+
+    async def _check(
+        self, scope: Any, receive: Any
+    ) -> model.Request | events.Refuse | None:
+        """Returns the request, its refusal, or None if the caller left."""
+        routes = self._shell.role.routes
+        if routes is None:
+            return _STARTING
+        terms = self._dialect.read_terms(scope["headers"])
+        if isinstance(terms, str):
+            return events.Refuse("", 400, "bad_header")
+        path = scope["raw_path"].decode("latin-1")
+        host = _find_header(scope, b"host").decode("latin-1")
+        body = await _read_body(receive, routes.document.limits.body_bytes)
+        if body is None:
+            return None
+        if isinstance(body, events.Refuse):
+            return body
+        # The body may have taken its time; what is in force now counts.
+        routes = self._shell.role.routes or routes
+        match routes.find(host, path, terms.key):
+            case routes_module.NoRoute():
+                return events.Refuse("", 404, "no_route")
+            case routes_module.WrongKey():
+                return events.Refuse("", 401, "unknown_key")
+            case routes_module.Found(route, workspace):
+                pass
+        query = scope["query_string"]
+        target = scope["raw_path"] + (b"?" + query if query else b"")
+        self._count += 1
+        name = workspace.name if workspace else ""
+        return model.Request(
+            request_id=f"{self._shell.name}-{self._count:x}",
+            terms=_strip_prompt(terms, route),
+            route=route,
+            service=self._shell.choose_service(route),
+            workspace=name,
+            method=scope["method"],
+            target=target,
+            headers=self._dialect.list_headers(scope["headers"], name),
+            body=body,
+            urgency=_choose_urgency(route, workspace),
+        )
+
+    async def _forward(
+        self, request: model.Request, receive: Any, send: Any
+    ) -> None:
+        waiting = Waiting()
+        self._shell.waiting[request.request_id] = waiting
+        watching = asyncio.ensure_future(self._watch(request, receive))
+        try:
+            self._shell.apply(events.Arrived(request))
+            await self._answer(request, waiting, send)
+        finally:
+            watching.cancel()
+            self._shell.waiting.pop(request.request_id, None)
+
+    async def _watch(self, request: model.Request, receive: Any) -> None:
+        """Tells the reducer when the caller has closed its connection."""
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self._shell.apply(events.CallerLeft(request.request_id))
+        waiting = self._shell.waiting.get(request.request_id)
+        if waiting is not None:
+            waiting.effects.put_nowait(events.Break(request.request_id))
+
+    async def _answer(
+        self, request: model.Request, waiting: Waiting, send: Any
+    ) -> None:
+        while True:
+            match await waiting.effects.get():
+                case events.Start(_, status, headers, length):
+                    found = [*headers]
+                    if length is not None:
+                        found.append((b"content-length", b"%d" % length))
+                    await send(
+                        {
+                            "type": "http.response.start",
+                            "status": status,
+                            "headers": found,
+                        }
+                    )
+                case events.Emit(_, data):
+                    await send(
+                        {
+                            "type": "http.response.body",
+                            "body": data,
+                            "more_body": True,
+                        }
+                    )
+                case events.Finish():
+                    await send({"type": "http.response.body", "body": b""})
+                    return
+                case events.Refuse() as refusal:
+                    await self._send_refusal(
+                        send, refusal, request.terms.attempt_id
+                    )
+                    return
+                case events.Break():
+                    # Returning without the last piece closes the connection,
+                    # so that the answer does not look whole.
+                    return
+
+    async def _send_refusal(
+        self, send: Any, refusal: events.Refuse, attempt_id: str
+    ) -> None:
+        headers, body = self._dialect.write_refusal(refusal, attempt_id)
+        found = [*headers, (b"content-length", b"%d" % len(body))]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": refusal.status,
+                "headers": found,
+            }
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+async def _read_body(receive: Any, limit: int) -> bytes | events.Refuse | None:
+    pieces: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        piece = message.get("body", b"")
+        size += len(piece)
+        if size > limit:
+            # The rest is not read: it could be without end.
+            return events.Refuse("", 413, "body_too_large")
+        pieces.append(piece)
+        if not message.get("more_body"):
+            return b"".join(pieces)
+
+
+def _find_header(scope: Any, wanted: bytes) -> bytes:
+    for name, value in scope["headers"]:
+        if name == wanted:
+            return value
+    return b""
+
+
+def _find_attempt(scope: Any, application: Application) -> str:
+    terms = application._dialect.read_terms(scope["headers"])
+    return "" if isinstance(terms, str) else terms.attempt_id
+
+
+def _strip_prompt(
+    terms: model.Terms, route: document_module.Route
+) -> model.Terms:
+    """Returns the terms without a model where the route has no models."""
+    return terms if route.has_prompts else attrs.evolve(terms, model="")
+
+
+def _choose_urgency(
+    route: document_module.Route,
+    workspace: document_module.Workspace | None,
+) -> int:
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
--- /dev/null
+++ b/src/hickorylead/runtime/gateway.py
@@ -0,0 +1,265 @@
+"""The shell of a gateway: listeners, connections to replicas, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from typing import TYPE_CHECKING, Any
+
+import attrs
+from starlette import applications, responses, routing
+
+from hickorylead import notes
+from hickorylead.forwarding import events, routes as routes_module
+from hickorylead.roles import gateway as gateway_role, nodes, seam
+from hickorylead.runtime import (
+    clock,
+    forwarding,
+    listener as listener_module,
+    peers as peers_module,
+    server as server_module,
+    ticker,
+    upstream,
+)
+from hickorylead.telemetry import decisions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns import result
+    from starlette import requests
+
+    from hickorylead.configuration import document as document_module
+    from hickorylead.forwarding import dialect as dialect_module
+
+# A balancer that asks once a second and takes a node out after two misses
+# sends new connections for up to this long after the first miss, in seconds.
+BALANCER_S = 2.6
+# What is left of the time until SIGKILL for the process to end, in seconds.
+END_MARGIN_S = 0.5
+POLL_S = 0.05
+CLOSE_IDLE_PERIOD_S = 0.5
+
+
+@attrs.frozen
+class Settings:
+    """What a gateway is told.
+
+    Attributes:
+        vm: Name of the VM.
+        zone: Its availability zone.
+        ip: Its IP number.
+        caller_port: Port for callers.
+        ready_port: Port of the readiness check.
+        peer_port: Port for the other processes of the system.
+        seeds: Peer addresses of a few coordinators.
+        grace_s: Time between SIGTERM and SIGKILL, in seconds.
+    """
+
+    vm: str
+    zone: str
+    ip: str
+    caller_port: int
+    ready_port: int
+    peer_port: int
+    seeds: tuple[str, ...]
+    grace_s: float
+
+
+class GatewayShell:
+    """One gateway process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        dialect: dialect_module.Dialect,
+        read_document: Callable[
+            [bytes], result.Result[document_module.Document, str]
+        ],
+        reload: Callable[[], Settings],
+        log: decisions.DecisionLog,
+    ) -> None:
+        """Makes a gateway; `run` starts it.
+
+        Args:
+            settings: What it is told.
+            dialect: Names and formats of callers and replicas.
+            read_document: Reads a whole configuration.
+            reload: Reads the settings again.
+            log: Where decisions are written.
+        """
+        self.settings = settings
+        self.name = f"{settings.vm}.{random.getrandbits(24):x}"
+        node = nodes.name_node(settings.zone, settings.vm, nodes.GATEWAY)
+        now = clock.read_boottime()
+        self._rng = random.Random(f"{node} {clock.read_wall()}")
+        self._reload = reload
+        self._log = log
+        self._dialect = dialect
+        self._limits = listener_module.ListenerLimits()
+        self._pool = upstream.Pool()
+        self._exchanges: dict[tuple[str, int], upstream.Exchange] = {}
+        self._stop = asyncio.Event()
+        self.waiting: dict[str, forwarding.Waiting] = {}
+        self.role = gateway_role.Gateway(
+            gateway_role.Identity(
+                node=node,
+                boot=self._rng.getrandbits(40),
+                seeds=settings.seeds,
+            ),
+            read_document=read_document,
+            rng=self._rng,
+            now=now,
+        )
+        self._peers = peers_module.Peers(
+            node=node,
+            address=f"{settings.ip}:{settings.peer_port}",
+            known={},
+            deliver=self._receive,
+            log=log,
+        )
+
+    async def run(self) -> None:
+        """Serves until the process is asked to stop."""
+        settings = self.settings
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._take_new_settings)
+        listener = listener_module.Listener(
+            forwarding.Application(self, self._dialect),
+            settings.ip,
+            settings.caller_port,
+            self._limits,
+        )
+        ready = server_module.HttpServer(
+            self._make_ready_app(), settings.ip, settings.ready_port
+        )
+        await self._peers.start()
+        await ready.start()
+        await listener.start()
+        self._log.write(notes.note("started", node=self.name))
+        ticking = [
+            asyncio.ensure_future(
+                ticker.tick_forever(gateway_role.TICK_S, self._tick)
+            ),
+            asyncio.ensure_future(
+                ticker.tick_forever(CLOSE_IDLE_PERIOD_S, self._pool.close_idle)
+            ),
+        ]
+        await self._stop.wait()
+        await self._drain(listener)
+        for task in ticking:
+            task.cancel()
+        self._pool.close()
+        await listener.close()
+        await ready.close()
+        await self._peers.close()
+        self._log.write(notes.note("stopped"))
+        self._log.flush()
+
+    async def _drain(self, listener: listener_module.Listener) -> None:
+        """Ends without cutting a request.
+
+        The balancer goes on sending callers here until it has seen twice that
+        this gateway is not ready; a connection refused before that is a
+        request lost.
+        """
+        began = clock.read_boottime()
+        ends = began + max(0.5, self.settings.grace_s - END_MARGIN_S)
+        self._limits.closing = True
+        self.apply(seam.StopAsked())
+        while clock.read_boottime() < min(began + BALANCER_S, ends):
+            await asyncio.sleep(POLL_S)
+        listener.stop_listening()
+        while self.waiting and clock.read_boottime() < ends:
+            await asyncio.sleep(POLL_S)
+            listener.close_idle()
+
+    def choose_service(self, route: document_module.Route) -> str:
+        """Returns a service of a route, drawn by weight."""
+        return routes_module.choose_service(route, self._rng)
+
+    def apply(self, event: gateway_role.GatewayEvent) -> None:
+        """Gives an event to the reducer and carries out its effects."""
+        now = clock.read_boottime()
+        for effect in self.role.reduce(event, now):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: gateway_role.GatewayEffect) -> None:
+        match effect:
+            case notes.Note():
+                self._log.write(effect)
+                if effect.event == "configuration_applied":
+                    self._take_limits()
+            case seam.Send(node, message):
+                self._peers.send(node, message)
+            case events.Open():
+                self._open(effect)
+            case events.Cancel(request_id, attempt):
+                exchange = self._exchanges.pop((request_id, attempt), None)
+                if exchange is not None:
+                    exchange.cancel()
+            case seam.Stopped():
+                pass
+            case _:
+                waiting = self.waiting.get(effect.request_id)
+                if waiting is not None:
+                    waiting.effects.put_nowait(effect)
+
+    def _open(self, opened: events.Open) -> None:
+        request = opened.request
+        attempt = forwarding.Attempt(
+            opened, dialect=self._dialect, deliver=self._deliver
+        )
+        data = self._dialect.write_head(opened) + request.body
+        self._exchanges[request.request_id, opened.attempt] = self._pool.start(
+            opened.replica.address, data, attempt
+        )
+
+    def _deliver(self, event: events.Event) -> None:
+        if isinstance(event, events.Ended | events.Failed):
+            self._exchanges.pop((event.request_id, event.attempt), None)
+        self.apply(event)
+
+    def _receive(self, sender: str, message: seam.Message) -> None:
+        self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
+
+    def _tick(self) -> None:
+        self.apply(seam.Tick(clock.read_wall()))
+
+    def _take_limits(self) -> None:
+        document = self.role.document
+        if document is not None:
+            limits = document.limits
+            self._limits.header_bytes = limits.header_bytes
+            self._limits.header_s = limits.header_s
+            self._limits.idle_s = limits.idle_s
+
+    def _take_new_settings(self) -> None:
+        try:
+            settings = self._reload()
+        except Exception as error:  # noqa: BLE001 - said, and nothing changes
+            self._log.write(
+                notes.note("reload_failed", level="error", why=str(error))
+            )
+            return
+        self.settings = settings
+        self.role.set_seeds(settings.seeds)
+        self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
+
+    def _make_ready_app(self) -> applications.Starlette:
+        async def tell_readiness(_: requests.Request) -> responses.Response:
+            ready = self.role.is_ready()
+            return responses.Response(status_code=200 if ready else 503)
+
+        async def tell_health(_: requests.Request) -> responses.Response:
+            return responses.PlainTextResponse("ok\n")
+
+        routes: list[Any] = [
+            routing.Route("/ready", tell_readiness),
+            routing.Route("/healthz", tell_health),
+        ]
+        return applications.Starlette(routes=routes)
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -10,7 +10,7 @@
 import asyncio
 import collections
 import contextlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, Protocol
 
 from returns import result
 
@@ -20,7 +20,6 @@
     from collections.abc import Callable, Mapping
 
     from hickorylead.roles import seam
-    from hickorylead.telemetry import logs
 
 CONNECT_TIMEOUT_S = 1.0
 ACK_TIMEOUT_S = 2.0
@@ -38,6 +37,13 @@
     return ip.strip("[]"), int(port)
 
 
+class Warner(Protocol):
+    """Where trouble is told that was handled."""
+
+    def warn(self, message: str, **fields: Any) -> None:
+        """Writes a line."""
+
+
 class _Link:
     """The way to one node."""
 
@@ -91,7 +97,7 @@
         address: str,
         known: Mapping[str, str],
         deliver: Callable[[str, seam.Message], None],
-        log: logs.Log,
+        log: Warner,
     ) -> None:
         """Makes the connections of a process; `start` opens them.
 
@@ -133,6 +139,9 @@
             loop.call_soon(self._deliver, node, message)
             return
         address = self._addresses.get(node)
+        if node.startswith("@"):
+            # Its name is not known yet: a seed.
+            address = node[1:]
         if address is None:
             return
         link = self._links.get(node)
--- a/src/hickorylead/storage/folder.py
+++ b/src/hickorylead/storage/folder.py
@@ -19,6 +19,9 @@
 
 _IDENTITY_FILE = "identity.json"
 _JOURNAL_FILE = "journal"
+_PROBE_FILE = "probe"
+# Room for a few of the largest configurations that we know, in bytes.
+PROBE_BYTES = 64 * 1024
 # A snapshot replaces the journal when it has grown to this many records.
 REWRITE_EVERY = 1024
 
@@ -37,6 +40,7 @@
             errors.DataFolderError: It is damaged, belongs to another VM, or
                 cannot be written.
         """
+        self._path = path
         try:
             path.mkdir(parents=True, exist_ok=True)
             self.incarnation = _open_identity(path, node)
@@ -64,6 +68,19 @@
         self._journal.rewrite(codec.encode_record(r) for r in records)
         self._count = len(records)
 
+    def check_writable(self) -> None:
+        """Writes and syncs something, to see whether the disk takes it.
+
+        Raises:
+            OSError: It does not.
+        """
+        probe = self._path / _PROBE_FILE
+        with open(probe, "wb") as file:
+            file.write(bytes(PROBE_BYTES))
+            file.flush()
+            os.fsync(file.fileno())
+        probe.unlink()
+
     def close(self) -> None:
         """Closes the files."""
         self._journal.close()
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -12,6 +12,7 @@
 from hickorylead.claims import messages as claim
 from hickorylead.configuration import changes, messages as config
 from hickorylead.consensus import messages as consensus
+from hickorylead.fleet import messages as fleet
 from hickorylead.lease import messages as lease
 from hickorylead.membership import messages as member
 from hickorylead.roles import status
@@ -49,6 +50,17 @@
     status.ExplainRequest,
     status.ExplainReply,
     routing.Withdrawal,
+    fleet.InstanceNews,
+    fleet.Alive,
+    fleet.GatewayHello,
+    fleet.ZoneLoads,
+    fleet.CoordinatorHello,
+    fleet.KnownCoordinators,
+    fleet.DocumentUpdate,
+    fleet.ReplaceRequest,
+    fleet.ReplaceReply,
+    fleet.ReadRequest,
+    fleet.ReadReply,
 )
 
 RECORDS: tuple[type, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -1,6 +1,12 @@
 @0xd1c6a54be0f27a93;
 # Made by `python -m hickorylead.wire.schema`; edit the classes.
 
+struct Alive {
+  sender @0 :Text;
+  names @1 :List(Text);
+  sequences @2 :List(Int64);
+}
+
 struct AppendLog {
   entries @0 :List(LogEntry);
 }
@@ -121,6 +127,16 @@
   entries @14 :List(EntryStatus);
 }
 
+struct CoordinatorHello {
+  node @0 :Text;
+  address @1 :Text;
+  incarnation @2 :Text;
+  nodes @3 :List(Text);
+  addresses @4 :List(Text);
+  check @5 :Int64;
+  isEmpty @6 :Bool;
+}
+
 struct DeleteService {
   name @0 :Text;
 }
@@ -135,6 +151,13 @@
   periodS @6 :Float64;
 }
 
+struct DocumentUpdate {
+  sender @0 :Text;
+  version @1 :Int64;
+  content @2 :Data;
+  isFresh @3 :Bool;
+}
+
 struct DrainVm {
   vm @0 :Text;
   drained @1 :Bool;
@@ -191,6 +214,16 @@
   cluster @1 :Text;
 }
 
+struct GatewayHello {
+  node @0 :Text;
+  boot @1 :Int64;
+  version @2 :Int64;
+  check @3 :Int64;
+  isHome @4 :Bool;
+  loads @5 :List(HeadLoad);
+  stalled @6 :List(Text);
+}
+
 struct Gone {
   entry @0 :Text;
   vm @1 :Text;
@@ -210,6 +243,11 @@
   votedFor @2 :Text;
 }
 
+struct HeadLoad {
+  name @0 :Text;
+  running @1 :Int64;
+}
+
 struct IdentityReply {
   node @0 :Text;
   member @1 :Text;
@@ -224,10 +262,37 @@
   snapshot @0 :Snapshot;
 }
 
+struct Instance {
+  name @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  domain @4 :Text;
+  slots @5 :Int64;
+  phase @6 :Text;
+  sequence @7 :Int64;
+  models @8 :List(Text);
+  staged @9 :List(Text);
+  member @10 :Membership;
+  silent @11 :Bool;
+}
+
+struct InstanceNews {
+  sender @0 :Text;
+  news @1 :List(Instance);
+  isFull @2 :Bool;
+}
+
 struct JoinRequest {
   member @0 :Text;
 }
 
+struct KnownCoordinators {
+  sender @0 :Text;
+  nodes @1 :List(Text);
+  addresses @2 :List(Text);
+}
+
 struct LeaderLoad {
   vm @0 :Text;
   load @1 :Load;
@@ -257,6 +322,13 @@
   change @2 :Change;
 }
 
+struct Membership {
+  group @0 :Text;
+  epoch @1 :Int64;
+  rank @2 :Int64;
+  state @3 :Text;
+}
+
 struct Message {
   union {
     voteRequest @0 :VoteRequest;
@@ -290,6 +362,17 @@
     explainRequest @28 :ExplainRequest;
     explainReply @29 :ExplainReply;
     withdrawal @30 :Withdrawal;
+    instanceNews @31 :InstanceNews;
+    alive @32 :Alive;
+    gatewayHello @33 :GatewayHello;
+    zoneLoads @34 :ZoneLoads;
+    coordinatorHello @35 :CoordinatorHello;
+    knownCoordinators @36 :KnownCoordinators;
+    documentUpdate @37 :DocumentUpdate;
+    replaceRequest @38 :ReplaceRequest;
+    replaceReply @39 :ReplaceReply;
+    readRequest @40 :ReadRequest;
+    readReply @41 :ReadReply;
   }
 }
 
@@ -322,6 +405,19 @@
   shares @1 :List(Share);
 }
 
+struct ReadReply {
+  token @0 :Text;
+  known @1 :Bool;
+  version @2 :Int64;
+  content @3 :Data;
+}
+
+struct ReadRequest {
+  node @0 :Text;
+  token @1 :Text;
+  version @2 :Int64;
+}
+
 struct Record {
   union {
     hardState @0 :HardState;
@@ -331,6 +427,18 @@
   }
 }
 
+struct ReplaceReply {
+  token @0 :Text;
+  accepted @1 :Bool;
+}
+
+struct ReplaceRequest {
+  node @0 :Text;
+  token @1 :Text;
+  outsideVersion @2 :Int64;
+  content @3 :Data;
+}
+
 struct ReplaceWhole {
   outsideVersion @0 :Int64;
   content @1 :Data;
@@ -471,6 +579,11 @@
   generation @2 :Int64;
 }
 
+struct ZoneLoads {
+  sender @0 :Text;
+  loads @1 :List(HeadLoad);
+}
+
 struct Envelope {
   sender @0 :Text;
   address @1 :Text;
