--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -171,7 +171,7 @@
                 request.request_id,
                 {
                     "attempt": attempt.number,
-                    "vm": replica.name,
+                    "server": replica.name,
                     "zone": replica.zone,
                     "weighed": chosen.weighed,
                     "estimate_s": round(chosen.estimate_s, 4),
@@ -364,7 +364,7 @@
                 opened.request.request_id,
                 {
                     "attempt": kept.number,
-                    "vm": kept.replica.name,
+                    "server": kept.replica.name,
                     "verdict": verdict.value,
                     "reason": reason,
                     "after_s": round(now - kept.sent_at, 3),
@@ -431,7 +431,7 @@
         effects: list[events.Effect] = [
             notes.note(
                 "replica_stalled",
-                vm=replica.name,
+                server=replica.name,
                 epoch=replica.epoch,
                 silent_s=round(now - self._book.get(replica).progress_at, 3),
                 moved=len(moved),
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -540,7 +540,7 @@
             notes.note(
                 "order_answered",
                 level="debug" if event.status < 300 else "info",
-                vm=event.name,
+                server=event.name,
                 order=type(event.order).__name__.lower(),
                 status=event.status,
             )
@@ -627,7 +627,7 @@
     member = instance.member
     return notes.note(
         "instance_changed",
-        vm=instance.name,
+        server=instance.name,
         service=instance.service,
         zone=instance.zone,
         domain=instance.domain,
@@ -649,7 +649,7 @@
     return [
         notes.note(
             "order_given",
-            vm=item.name,
+            server=item.name,
             order=type(item.order).__name__.lower(),
             expected=item.expected,
             **fields,
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -173,7 +173,7 @@
         await http.start()
         self._log.write(notes.note("started", node=self._node))
         ticking = asyncio.ensure_future(
-            ticker.tick_forever(coordinator_role.TICK_S, self._tick)
+            ticker.tick_forever(coordinator_role.TICK_S, self._tick, self._log)
         )
         await self._stop.wait()
         ticking.cancel()
@@ -333,7 +333,9 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self._log.write(
                 notes.note(
-                    "order_unanswered", vm=give.name, why=type(error).__name__
+                    "order_unanswered",
+                    server=give.name,
+                    why=type(error).__name__,
                 )
             )
         self.apply(orders.OrderAnswered(give.name, give.order, status))
@@ -350,7 +352,7 @@
             self._log.write(
                 notes.note(
                     "report_unanswered",
-                    vm=question.name,
+                    server=question.name,
                     why=type(error).__name__,
                 )
             )
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -143,10 +143,12 @@
         self._log.write(notes.note("started", node=self.name))
         ticking = [
             asyncio.ensure_future(
-                ticker.tick_forever(gateway_role.TICK_S, self._tick)
+                ticker.tick_forever(gateway_role.TICK_S, self._tick, self._log)
             ),
             asyncio.ensure_future(
-                ticker.tick_forever(CLOSE_IDLE_PERIOD_S, self._pool.close_idle)
+                ticker.tick_forever(
+                    CLOSE_IDLE_PERIOD_S, self._pool.close_idle, self._log
+                )
             ),
         ]
         await self._stop.wait()
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -222,6 +222,7 @@
   isHome @4 :Bool;
   loads @5 :List(HeadLoad);
   stalled @6 :List(Text);
+  flowing @7 :List(Text);
 }
 
 struct Gone {
