--- /dev/null
+++ b/src/hickorylead/fleet/ledger.py
@@ -0,0 +1,170 @@
+"""The orders that were given, and how many each server has accepted.
+
+A server refuses a join that names another number of accepted orders than it
+counts. So a planner that does not know of another one's orders is stopped by
+the server itself, whatever either believes.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+import attrs
+
+from hickorylead.fleet import instances, orders
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+Effect: TypeAlias = orders.Give | orders.AskReport
+
+# An order that was not answered is given again after this, in seconds: above
+# the time-out of an order (0.4 s).
+ORDER_RETRY_S = 0.6
+# What an order began is told by a heartbeat within 2 ms (trial runs); without
+# one it is given again after a heartbeat period and its spread, in seconds.
+EFFECT_WAIT_S = 1.6
+# A question for a server's state is put again after this, in seconds; what it
+# answers is about 0.25 s old, so an earlier one would show no news.
+ASK_PERIOD_S = 0.3
+
+
+@attrs.define
+class _Pending:
+    order: orders.Order
+    given_at: float
+    answered: bool = False
+
+
+class Ledger:
+    """Orders of one planner, by server."""
+
+    def __init__(self) -> None:
+        """Makes a ledger without orders."""
+        self._pending: dict[str, _Pending] = {}
+        self._accepted: dict[str, int] = {}
+        self._contested: set[str] = set()
+        self._asked: dict[str, float] = {}
+        self._effects: list[Effect] = []
+        self._now = 0.0
+
+    def open(
+        self, everyone: Mapping[str, instances.Instance], now: float
+    ) -> None:
+        """Begins a round: takes what servers tell of the orders' effects."""
+        self._now = now
+        self._effects = []
+        for name in [n for n in self._pending if n not in everyone]:
+            del self._pending[name]
+        for name in [n for n in self._accepted if n not in everyone]:
+            del self._accepted[name]
+        for name in [n for n in self._asked if n not in everyone]:
+            del self._asked[name]
+            self._contested.discard(name)
+        for name, pending in list(self._pending.items()):
+            if _is_done(pending.order, everyone[name]):
+                # A heartbeat often tells the effect before the answer comes.
+                if not pending.answered:
+                    self._count(name)
+                del self._pending[name]
+
+    def close(self) -> list[Effect]:
+        """Ends a round; returns the orders given in it."""
+        return self._effects
+
+    def take_answer(self, event: orders.OrderAnswered) -> None:
+        """Takes the answer to an order."""
+        pending = self._pending.get(event.name)
+        if pending is None or pending.order != event.order:
+            return
+        pending.answered = True
+        if event.status in (200, 202):
+            self._count(event.name)
+        elif event.status >= 400:
+            if isinstance(event.order, orders.Join):
+                # Another planner's order came first, or a late one of ours.
+                self._contested.add(event.name)
+                self._asked[event.name] = self._now
+            del self._pending[event.name]
+
+    def take_report(self, event: orders.ReportArrived) -> None:
+        """Takes how many orders a server says it has accepted."""
+        if event.accepted is not None:
+            self._accepted[event.name] = event.accepted
+            self._contested.discard(event.name)
+
+    def give(self, instance: instances.Instance, order: orders.Order) -> bool:
+        """Gives an order unless it is under way; says whether it did."""
+        if isinstance(order, orders.Join) and instance.name in self._contested:
+            self._ask(instance)
+            return False
+        pending = self._pending.get(instance.name)
+        if pending is not None and pending.order == order:
+            wait_s = EFFECT_WAIT_S if pending.answered else ORDER_RETRY_S
+            if self._now - pending.given_at < wait_s:
+                return False
+        self._pending[instance.name] = _Pending(order, self._now)
+        # A life begins without orders; only a refusal shows that another
+        # planner gave some.
+        expected = (
+            self._accepted.get(instance.name, 0)
+            if isinstance(order, orders.Join)
+            else None
+        )
+        self._effects.append(
+            orders.Give(instance.name, instance.address, order, expected)
+        )
+        return True
+
+    def is_contested(self, instance: instances.Instance) -> bool:
+        """Says whether the server must be asked before it can join."""
+        if instance.name not in self._contested:
+            return False
+        self._ask(instance)
+        return True
+
+    def is_busy(self, instance: instances.Instance) -> bool:
+        """Says whether an order is under way that would come in between."""
+        pending = self._pending.get(instance.name)
+        if pending is None or isinstance(pending.order, orders.Stage):
+            return False
+        return self._now - pending.given_at < EFFECT_WAIT_S
+
+    def is_staging(self, instance: instances.Instance) -> bool:
+        """Says whether the server was told to stage a model, and has not."""
+        pending = self._pending.get(instance.name)
+        return pending is not None and isinstance(pending.order, orders.Stage)
+
+    def _ask(self, instance: instances.Instance) -> None:
+        if self._now - self._asked.get(instance.name, -1e9) < ASK_PERIOD_S:
+            return
+        self._asked[instance.name] = self._now
+        self._effects.append(orders.AskReport(instance.name, instance.address))
+
+    def _count(self, name: str) -> None:
+        self._accepted[name] = self._accepted.get(name, 0) + 1
+
+
+def _is_done(order: orders.Order, instance: instances.Instance) -> bool:
+    """Says whether a server tells that an order has had its effect."""
+    member = instance.member
+    found = (member.group, member.epoch)
+    match order:
+        case orders.Join(group, epoch):
+            return found == (group, epoch)
+        case orders.Open(group, epoch):
+            return (*found, member.state) != (
+                group,
+                epoch,
+                instances.GROUP_READY,
+            )
+        case orders.Close(group, epoch):
+            return (*found, member.state) != (
+                group,
+                epoch,
+                instances.GROUP_OPEN,
+            )
+        case orders.Leave(group, epoch):
+            return found != (group, epoch)
+        case orders.Stage(model):
+            return model in instance.staged
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -85,6 +85,19 @@
     flowing: tuple[HeadFlow, ...] = ()
 
 
+@attrs.frozen
+class StallNews:
+    """A gateway saw all its streams at some replicas stop.
+
+    Attributes:
+        sender: Node that tells; a coordinator passes it on to its gateways.
+        heads: The replicas.
+    """
+
+    sender: str
+    heads: tuple[str, ...]
+
+
 @attrs.frozen
 class ZoneLoads:
     """Requests of all gateways of a zone by replica, from their home.
@@ -195,6 +208,7 @@
     InstanceNews
     | Alive
     | GatewayHello
+    | StallNews
     | ZoneLoads
     | CoordinatorHello
     | KnownCoordinators
--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -75,6 +75,10 @@
         self._book = book
         self._rng = rng
 
+    def find(self, name: str) -> model.Replica | None:
+        """Returns the replica whose requests an instance takes."""
+        return self._view.find(name)
+
     def choose(
         self,
         request: model.Request,
@@ -95,8 +99,11 @@
         best: model.Replica | None = None
         best_s = 0.0
         full = 0
-        for replica in known:
-            if replica.name in avoid or self._book.is_stalled(replica, now):
+        # With nothing better, one that seems to have stopped is tried again:
+        # to refuse all would turn a few slow passes into an outage.
+        usable = [r for r in known if not self._book.is_stalled(r, now)]
+        for replica in usable or known:
+            if replica.name in avoid:
                 continue
             running = self._book.count_requests(replica, now)
             if running >= replica.slots * (1.0 + QUEUE_SHARE):
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -105,6 +105,41 @@
             effects += self._leave_replica(replica, now)
         return effects
 
+    def take_stalls(
+        self, heads: tuple[str, ...], now: float
+    ) -> list[events.Effect]:
+        """Takes replicas whose streams another gateway saw stop.
+
+        Only those that have given nothing here for some passes, either, are
+        left: what the other one saw may have been its own connection.
+        """
+        effects: list[events.Effect] = []
+        for head in heads:
+            replica = self._find_used(head)
+            if replica is None or self._book.is_stalled(replica, now):
+                continue
+            engine = self._find_engine(replica.service)
+            if engine is None:
+                continue
+            limit_s = stalls.TOLD_SHARE * stalls.find_limit(
+                replica,
+                engine,
+                self._book.find_largest_prompt(replica.model, now),
+            )
+            if now - self._book.get(replica).progress_at > limit_s:
+                effects += self._leave_replica(replica, now)
+        return effects
+
+    def _find_used(self, head: str) -> model.Replica | None:
+        found = self._chooser.find(head)
+        if found is not None:
+            return found
+        for opened in self._open.values():
+            attempt = opened.attempt
+            if attempt is not None and attempt.replica.name == head:
+                return attempt.replica
+        return None
+
     # Arrival and choice.
 
     def _arrive(
@@ -121,6 +156,9 @@
         )
         self._open[request.request_id] = opened
         self._find_budget(request.service).earn()
+        self._book.note_prompt(
+            request.terms.model, request.terms.prompt_tokens, now
+        )
         return self._try(opened, now)
 
     def _try(self, opened: state.Open, now: float) -> list[events.Effect]:
--- a/src/hickorylead/forwarding/health.py
+++ b/src/hickorylead/forwarding/health.py
@@ -6,10 +6,12 @@
 
 from hickorylead.forwarding import model
 
-# A replica whose streams all stopped is left alone for this long, in seconds;
-# a group that lost a member is either repaired by then (in about a second) or
-# tells itself that it is broken (after 5 s).
-STALL_HOLD_S = 3.0
+# A replica whose streams all stopped is left alone for this long, in seconds:
+# within it control nodes take a group apart that really lost a member. One that
+# only was slow is wanted back soon.
+STALL_HOLD_S = 1.2
+# The largest prompts of a model are remembered for about this long, in seconds.
+PROMPT_MEMORY_S = 10.0
 # After a failure a replica is used less for this long, in seconds.
 FAILURE_MEMORY_S = 5.0
 # A load told by a replica counts for this long, in seconds; some requests
@@ -52,6 +54,7 @@
     def __init__(self) -> None:
         """Makes an empty book."""
         self.seen: dict[str, Seen] = {}
+        self._prompts: dict[str, tuple[float, float]] = {}
 
     def get(self, replica: model.Replica) -> Seen:
         """Returns what was seen of a replica."""
@@ -66,6 +69,16 @@
             seen.failures = 0.0
         return seen
 
+    def note_prompt(self, name: str, tokens: int, now: float) -> None:
+        """Takes the size of a prompt for a model."""
+        if tokens >= self.find_largest_prompt(name, now):
+            self._prompts[name] = (float(tokens), now)
+
+    def find_largest_prompt(self, name: str, now: float) -> float:
+        """Returns the tokens of the largest prompts of a model lately."""
+        tokens, at = self._prompts.get(name, (0.0, now))
+        return tokens * 0.5 ** ((now - at) / PROMPT_MEMORY_S)
+
     def note_load(
         self, replica: model.Replica, load: model.Load, now: float
     ) -> None:
--- a/src/hickorylead/forwarding/stalls.py
+++ b/src/hickorylead/forwarding/stalls.py
@@ -2,7 +2,8 @@
 
 When a member of a group is lost its head goes on accepting requests for
 seconds, and gives nothing. Gateways see it first: a replica gives something
-to each of its streams in every pass, and a pass takes some tens of ms.
+to each of its streams in every pass. How long a pass may last follows from the
+engine's figures and from the prompts that it may have to read in between.
 """
 
 from __future__ import annotations
@@ -16,15 +17,40 @@
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import health as health_module, model, state
 
-# A replica that has given nothing to any of its running streams for this long
-# is taken for stalled, in seconds. A pass of a full batch lasts about 60 ms,
-# and reading two long prompts in between 150 ms more.
-FLOW_STALL_S = 0.22
-# One stream alone shows less: its replica may be reading prompts of others.
-LONE_STALL_S = 0.26
-# With no running stream, requests that wait for their first event show it
-# after this, in seconds, beyond the time to read their prompts.
-FIRST_STALL_S = 0.45
+# A replica is taken for stalled after this many passes of a full batch, beyond
+# the time to read prompts. One pass may just have been missed.
+STALL_PASSES = 2.0
+# Largest prompts that a replica may read in between, at the same time: two at
+# once were seen now and then under load, more hardly ever.
+PROMPTS_BETWEEN = 1.5
+# One stream alone shows less than several; it is given this much longer.
+LONE_FACTOR = 1.25
+# After another gateway saw a replica stop, this share of the limit is enough.
+TOLD_SHARE = 0.75
+# With no running stream, requests that wait for their first event show a stall
+# after this, in seconds, beyond the limit: about 120 ms pass before any first
+# event, and a full replica lets newcomers wait.
+FIRST_EVENT_S = 0.2
+
+
+def find_limit(
+    replica: model.Replica,
+    engine: document_module.Engine,
+    largest_prompt: float,
+) -> float:
+    """Returns the silence that shows that a replica has stopped, in seconds.
+
+    Args:
+        replica: The replica.
+        engine: Figures of its engine.
+        largest_prompt: Tokens of the largest prompts of its model lately.
+    """
+    figures = engine.find_model(replica.model)
+    pace = figures.pace if figures else 1.0
+    step_s = engine.step_s + engine.step_per_request_s * engine.slots
+    pass_s = step_s * engine.stride
+    reading_s = PROMPTS_BETWEEN * largest_prompt * engine.read_s
+    return pace * (STALL_PASSES * pass_s + reading_s)
 
 
 def find_stalled(
@@ -46,7 +72,12 @@
         if book.is_stalled(replica, now):
             continue
         engine = find_engine(replica.service)
-        if engine is not None and _has_stopped(requests, book, engine, now):
+        if engine is None:
+            continue
+        limit_s = find_limit(
+            replica, engine, book.find_largest_prompt(replica.model, now)
+        )
+        if _has_stopped(requests, book, engine, limit_s, now):
             stalled.append(replica)
     return stalled
 
@@ -55,12 +86,12 @@
     requests: list[state.Open],
     book: health_module.HealthBook,
     engine: document_module.Engine,
+    limit_s: float,
     now: float,
 ) -> bool:
     running = waiting = 0
     tokens = 0
     oldest_sent = now
-    newest_sent = 0.0
     for opened in requests:
         attempt = opened.attempt
         assert attempt is not None
@@ -70,14 +101,12 @@
             waiting += 1
             tokens += opened.request.terms.prompt_tokens
             oldest_sent = min(oldest_sent, attempt.sent_at)
-        newest_sent = max(newest_sent, attempt.sent_at)
     attempt = requests[0].attempt
     assert attempt is not None
     progress_at = book.get(attempt.replica).progress_at
-    silent_s = now - progress_at
-    reading_s = tokens * engine.read_s
+    limit_s += tokens * engine.read_s
     if running:
-        limit_s = FLOW_STALL_S if running > 1 else LONE_STALL_S
-        return silent_s > limit_s + reading_s
+        factor = 1.0 if running > 1 else LONE_FACTOR
+        return now - progress_at > limit_s * factor
     silent_s = now - max(oldest_sent, progress_at)
-    return waiting > 0 and silent_s > FIRST_STALL_S + reading_s
+    return waiting > 0 and silent_s > limit_s + FIRST_EVENT_S
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -311,6 +311,8 @@
                 return self._plan(now) if revived else []
             case messages.GatewayHello():
                 return self._take_gateway(message, now)
+            case messages.StallNews():
+                return self._pass_stalls(message, now)
             case messages.ReplaceRequest(node, token, version, content):
                 return self._wrap(
                     self._whole.replace(
@@ -471,6 +473,18 @@
             ),
         ]
 
+    def _pass_stalls(
+        self, news: messages.StallNews, now: float
+    ) -> list[CoordinatorEffect]:
+        """Tells the other gateways what one of them saw first."""
+        own = self.gateways.list_own(now)
+        targets = [node for node in own if node != news.sender]
+        if news.sender in own:
+            # From a gateway of ours; the other zones have not heard it.
+            targets += self.neighbours.list_alive(now)
+        passed = messages.StallNews(self._identity.node, news.heads)
+        return [seam.Send(node, passed) for node in targets]
+
     def _ask_suspects(self, now: float) -> list[CoordinatorEffect]:
         mine = [
             i
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -157,7 +157,18 @@
         effects: list[GatewayEffect] = [*self._forwarder.tick(now)]
         stalled = self._book.list_stalled(now)
         if now >= self._next_hello or set(stalled) - self._told_stalled:
+            news = set(stalled) - self._told_stalled
             self._told_stalled = set(stalled)
+            home = self._find_home(now)
+            if news and home:
+                effects.append(
+                    seam.Send(
+                        home,
+                        messages.StallNews(
+                            self._identity.node, tuple(sorted(news))
+                        ),
+                    )
+                )
             self._next_hello = now + HELLO_PERIOD_S
             effects += self._greet(now)
         if self._stale is not None and now - self._started_at > STALE_WAIT_S:
@@ -228,6 +239,8 @@
                 self._refresh()
             case messages.ZoneLoads(_, loads):
                 self._take_loads(loads)
+            case messages.StallNews(_, heads):
+                return [*self._forwarder.take_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses):
                 self._coordinators = dict(zip(names, addresses, strict=False))
             case messages.DocumentUpdate(_, version):
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -169,7 +169,8 @@
                 await writer.drain()
         except frame.FrameError as error:
             self._log.warn("bad frame", detail=str(error))
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # The other side is gone, or this process ends.
             pass
         finally:
             self._handlers.discard(task)
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -61,6 +61,7 @@
     fleet.ReplaceReply,
     fleet.ReadRequest,
     fleet.ReadReply,
+    fleet.StallNews,
 )
 
 RECORDS: tuple[type, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -379,6 +379,7 @@
     replaceReply @39 :ReplaceReply;
     readRequest @40 :ReadRequest;
     readReply @41 :ReadReply;
+    stallNews @42 :StallNews;
   }
 }
 
@@ -529,6 +530,11 @@
   sentAt @5 :Float64;
 }
 
+struct StallNews {
+  sender @0 :Text;
+  heads @1 :List(Text);
+}
+
 struct StatusReply {
   token @0 :Text;
   status @1 :ControlStatus;
