--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -612,7 +612,8 @@
     def _take_document(self) -> str:
         """Reads the configuration that the voter holds; returns a problem."""
         held = self.voter.configuration
-        if not held.content or held.outside_version == self.version:
+        if not held.content or held.outside_version <= self.version:
+            # A voter that begins anew may hold less than was known here.
             return ""
         match self._read_document(held.content):
             case result.Success(found):
