Test coordinators, gateways and the planner in given time

Change: a model of a backend server by its published orders, a world of coordinators, gateways and servers, random schedules of two planners with late and lost orders, and the failures that whole configurations must survive.

--- /dev/null
+++ b/tests/fleet/coordination.feature
@@ -0,0 +1,45 @@
+Feature: Coordinators repair replica groups
+
+  Scenario: A lost member is replaced by a standby
+    A VM of a serving group goes dark for good. Its group accepts requests and
+    answers none. Once the coordinator notices, the head is closed, and the
+    survivors and a standby of the same domain serve again.
+    Given three coordinators with gateways
+    When a member of a group dies
+    Then as many groups serve as before within 5 seconds
+
+  Scenario: A stall that a gateway sees shortens the repair
+    The same, but a gateway tells that all its streams stopped. The members
+    are asked at once, instead of after heartbeats were missed.
+    Given three coordinators with gateways
+    When a member of a group dies and a gateway tells of the stall at once
+    Then as many groups serve as before within 1.5 seconds
+
+  Scenario: A replica that a gateway still hears is left alone
+    A head is cut off from all coordinators, but gateways reach it. Heartbeats
+    stop and questions get no answer, while its streams go on. To take its
+    group apart would cut good work.
+    Given three coordinators with gateways
+    When a head is cut off from the coordinators while its streams go on
+    Then its group still serves after 5 seconds
+
+  Scenario: A leaving server is told to every gateway at once
+    A server says that it drains. Whatever coordinator heard it, within 2
+    seconds no gateway may send it new work.
+    Given three coordinators with gateways
+    When a member of a group says that it drains
+    Then no gateway offers its group after 0.1 seconds
+
+  Scenario: The coordinator of a zone is lost; another one repairs its groups
+    Groups of a zone are planned by its own coordinator. It is killed, and a
+    member of one of its groups dies after it.
+    Given three coordinators with gateways
+    When the coordinator of a zone is killed and then a member there dies
+    Then as many groups serve as before within 7 seconds
+
+  Scenario: A late heartbeat does not bring a dead life back
+    A server crashed, and another one of another service took its address. A
+    heartbeat of the first one, held up by a partition, comes after that.
+    Given three coordinators with gateways
+    When a server's address is taken over and its old heartbeat comes late
+    Then the old life is gone at every gateway
--- /dev/null
+++ b/tests/fleet/planner.feature
@@ -0,0 +1,37 @@
+Feature: The planner of replica groups
+
+  Scenario: Random schedules of two planners break no promise
+    Two planners believe that they are in charge of one domain. Heartbeats
+    come late or not at all, orders are lost or carried out seconds later,
+    servers die and come back. No group serves unless each member was ready
+    under its list, and no server joins another group while its head serves.
+    Then 120 random schedules of two planners break no promise
+
+  Scenario: Without the number of accepted orders a promise breaks
+    The same schedules, with joins that name no number of orders. A join that
+    was held up for seconds then takes a server out of a group that serves.
+    Then the schedules show a broken promise if joins name no number
+
+  Scenario: Without the members' own word a promise breaks
+    The same schedules, with heads opened before the members said that they
+    are ready.
+    Then the schedules show a broken promise if heads open unchecked
+
+  Scenario Outline: A domain holds one group of each model before any other
+    Given a domain of <alive> servers in which <scarce> is scarce
+    Then its layout has <large> large and <small> small groups
+
+    Examples:
+      | alive | scarce | large | small |
+      | 8     | none   | 1     | 1     |
+      | 7     | none   | 1     | 1     |
+      | 6     | none   | 1     | 1     |
+      | 5     | large  | 1     | 0     |
+      | 5     | small  | 0     | 2     |
+      | 3     | none   | 0     | 1     |
+      | 1     | none   | 0     | 0     |
+
+  Scenario: Loads stay within the weight store's limit
+    Twelve empty servers come at once after traffic began. The store allows 4
+    loads a second over three zones, so one zone starts at most 6 in 5 s.
+    Then a zone with 12 empty servers starts at most 6 loads in 5 seconds
--- /dev/null
+++ b/tests/steps/fleet_steps.py
@@ -0,0 +1,434 @@
+"""Steps about coordinators, gateways and replica groups."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import attrs
+from behave import given, then, when
+from support import fleetworld, planning
+
+from hickorylead.fleet import (
+    events,
+    groups,
+    instances,
+    layout,
+    ledger,
+    messages,
+    orders,
+    planner,
+)
+from hickorylead.roles import nodes
+
+
+def acknowledge(world, node, version, limit_s=6.0):
+    """Sends a configuration again and again, as operators do."""
+    token = world.replace(node, version)
+    state = {"token": token, "at": world.now}
+
+    def is_done():
+        if world.answers.get(state["token"]) is True:
+            return True
+        if world.now - state["at"] > 1.0:
+            state["token"] = world.replace(node, version)
+            state["at"] = world.now
+        return False
+
+    return world.run_until(is_done, limit_s)
+
+
+@given("three coordinators with gateways")
+def _(context):
+    context.world = fleetworld.FleetWorld()
+    context.world.settle()
+
+
+# Whole configurations.
+
+
+@when("versions 7 and 9 are sent at once and version 8 later")
+def _(context):
+    world = context.world
+    context.tokens = [
+        world.replace(world.core[1], 7),
+        world.replace(world.core[2], 9),
+    ]
+    world.run(0.3)
+    context.tokens.append(world.replace(world.core[0], 8))
+    world.run(1.0)
+
+
+@then("all three are acknowledged")
+def _(context):
+    answers = [context.world.answers.get(t) for t in context.tokens]
+    assert answers == [True] * 3, answers
+
+
+@then("every node holds version 9 within 1 second")
+def _(context):
+    world = context.world
+    everyone = [*world.coordinators.values(), *world.gateways.values()]
+    world.run_until(
+        lambda: all(node.document.version == 9 for node in everyone), 1.0
+    )
+
+
+@when("version 5 is in force and sent again with a key taken away")
+def _(context):
+    world = context.world
+    acknowledge(world, world.core[0], 5)
+    revoked = fleetworld.make_document(5, workspaces=())
+    content = fleetworld.write_content(revoked)
+    world.apply(world.core[1], events.ReplaceAsked("again", 5, content))
+    world.run(1.0)
+
+
+@then("it is acknowledged")
+def _(context):
+    assert context.world.answers.get("again") is True
+
+
+@then("the key is still valid at every gateway")
+def _(context):
+    for gateway in context.world.gateways.values():
+        assert gateway.document.workspaces[0].keys == ("key",)
+
+
+@when("version 6 is acknowledged and its leader is killed")
+def _(context):
+    world = context.world
+    acknowledge(world, world.core[0], 6)
+    world.kill(world.find_leader())
+
+
+@then("another coordinator acknowledges version 6 within 3 seconds")
+def _(context):
+    world = context.world
+    other = next(n for n in world.core if n in world.coordinators)
+    acknowledge(world, other, 6, 3.0)
+
+
+@when("the leader is cut off and version 4 is acknowledged by the others")
+def _(context):
+    world = context.world
+    context.old = world.find_leader()
+    others = [n for n in world.core if n != context.old]
+    for other in others:
+        world.cut(context.old, other)
+    acknowledge(world, others[0], 4)
+
+
+@then("a read at the old leader gives no version")
+def _(context):
+    world = context.world
+    token = world.read(context.old)
+    world.run_until(lambda: token in world.answers, 2.0)
+    assert world.answers[token] is None, world.answers[token]
+
+
+@when("the leader is frozen while version 8 is acknowledged, and then read")
+def _(context):
+    world = context.world
+    old = world.find_leader()
+    world.frozen.add(old)
+    others = [n for n in world.core if n != old]
+    acknowledge(world, others[0], 8)
+    world.run(2.0)
+    world.frozen.discard(old)
+    context.token = world.read(old)
+    world.run_until(lambda: context.token in world.answers, 2.0)
+
+
+@then("the read gives version 8 or none")
+def _(context):
+    assert context.world.answers[context.token] in (8, None)
+
+
+@when("version 9 is acknowledged, its leader wiped and all others restarted")
+def _(context):
+    world = context.world
+    acknowledge(world, world.core[0], 9)
+    context.wiped = world.find_leader()
+    for node in world.core:
+        world.kill(node)
+    world.wipe(context.wiped)
+    for node in world.core:
+        world.start(node)
+
+
+@then("a read gives version 9 within 6 seconds")
+def _(context):
+    world = context.world
+    tokens = []
+
+    def is_read():
+        tokens.extend(world.read(n) for n in world.core if n != context.wiped)
+        found = [world.answers.get(t) for t in tokens]
+        assert set(found) <= {9, None}, found
+        return 9 in found
+
+    world.run_until(is_read, 6.0)
+
+
+@then("the wiped coordinator votes again within 10 seconds")
+def _(context):
+    world = context.world
+    role = world.coordinators[context.wiped]
+    world.run_until(lambda: role.voter.member in role.voter.voters, 10.0)
+
+
+@when("a coordinator is replaced by an empty one with another name")
+def _(context):
+    world = context.world
+    gone = next(n for n in world.core if n != world.find_leader())
+    world.kill(gone)
+    zone = nodes.get_zone(gone)
+    new = nodes.name_node(zone, "core-new", nodes.COORDINATOR)
+    world.disks[new] = fleetworld.Disk("new")
+    world.start(new)
+    context.expected = {n for n in (*world.core, new) if n != gone}
+
+
+@then("the voters are the three that live within 20 seconds")
+def _(context):
+    world = context.world
+
+    def has_replaced():
+        leader = world.find_leader()
+        if not leader:
+            return False
+        voters = world.coordinators[leader].voter.voters
+        found = {voter.partition("#")[0] for voter in voters}
+        return found == context.expected
+
+    world.run_until(has_replaced, 20.0)
+
+
+@then("changes are still acknowledged with one of them lost")
+def _(context):
+    world = context.world
+    lost, other, *_ = sorted(context.expected)
+    world.kill(lost)
+    acknowledge(world, other, 30, 6.0)
+
+
+@when("a gateway starts while its zone's coordinator is behind")
+def _(context):
+    world = context.world
+    behind = world.core[0]
+    zone = nodes.get_zone(behind)
+    for other in world.core[1:]:
+        world.cut(behind, other)
+    world.run(3.0)
+    acknowledge(world, world.core[1], 12)
+    node = nodes.name_node(zone, "front9", nodes.GATEWAY)
+    world.start_gateway(node)
+    # What is near answers first.
+    context.gateway = world.gateways[node]
+
+
+@then("the first version it holds is the newest")
+def _(context):
+    world, gateway = context.world, context.gateway
+    world.run_until(lambda: gateway.document is not None, 3.0)
+    assert gateway.document.version == 12, gateway.document.version
+
+
+# Groups.
+
+
+def pick_member(world, *, rank=1, zone="z1"):
+    """Returns a member of a serving group of a zone."""
+    head = next(s for s in world.list_open() if s.zone == zone)
+    return world.servers[head.members[rank]], head
+
+
+@when("a member of a group dies")
+def _(context):
+    world = context.world
+    context.before = len(world.list_open())
+    member, _ = pick_member(world)
+    world.crash(member.name)
+    assert len(world.list_open()) < context.before
+
+
+@when("a member of a group dies and a gateway tells of the stall at once")
+def _(context):
+    world = context.world
+    context.before = len(world.list_open())
+    member, head = pick_member(world)
+    world.crash(member.name)
+    world.run(0.2)
+    gateway = next(iter(world.gateways))
+    for node in world.core:
+        hello = messages.GatewayHello(
+            gateway, 1, 1, 0, is_home=False, stalled=(head.name,)
+        )
+        world.apply(node, fleetworld.seam.MessageArrived(gateway, hello, 0.0))
+
+
+@then("as many groups serve as before within {limit:g} seconds")
+def _(context, limit):
+    world = context.world
+    world.run_until(lambda: len(world.list_open()) >= context.before, limit)
+
+
+@when("a head is cut off from the coordinators while its streams go on")
+def _(context):
+    world = context.world
+    _, context.head = pick_member(world)
+    for node in world.core:
+        world.cut(node, context.head.name)
+    gateway = next(iter(world.gateways))
+    flow = messages.HeadFlow(context.head.name, 20)
+    for _ in range(50):
+        for node in world.core:
+            hello = messages.GatewayHello(gateway, 1, 1, 0, flowing=(flow,))
+            world.apply(
+                node, fleetworld.seam.MessageArrived(gateway, hello, 0.0)
+            )
+        world.run(0.1)
+
+
+@then("its group still serves after 5 seconds")
+def _(context):
+    assert context.head.member.state == instances.GROUP_OPEN
+    assert context.head in context.world.list_open()
+
+
+@when("a member of a group says that it drains")
+def _(context):
+    world = context.world
+    member, context.head = pick_member(world)
+    member.phase = instances.PHASE_DRAINING
+    world._tell(member)
+
+
+@then("no gateway offers its group after {limit:g} seconds")
+def _(context, limit):
+    world = context.world
+    world.run(limit)
+    for gateway in world.gateways.values():
+        assert gateway._view.find(context.head.name) is None
+
+
+@when("the coordinator of a zone is killed and then a member there dies")
+def _(context):
+    world = context.world
+    context.before = len(world.list_open())
+    world.kill(world.core[0])
+    world.run(2.0)
+    member, _ = pick_member(world, zone="z1")
+    world.crash(member.name)
+
+
+@when("a server's address is taken over and its old heartbeat comes late")
+def _(context):
+    world = context.world
+    old, _ = pick_member(world)
+    late = attrs.evolve(old.tell(), sequence=old.sequence + 1)
+    world.crash(old.name)
+    world.run(4.0)
+    new = world.add_server("newcomer", "z2")
+    new.address = old.address
+    world.run(1.0)
+    world.apply(world.core[2], events.HeartbeatArrived(late))
+    world.run(1.0)
+    context.old = old.name
+
+
+@then("the old life is gone at every gateway")
+def _(context):
+    for gateway in context.world.gateways.values():
+        found = gateway._registry.instances.get(context.old)
+        assert found is None or found.phase == instances.PHASE_GONE, found
+
+
+# The planner alone.
+
+
+@then("{count:d} random schedules of two planners break no promise")
+def _(context, count):
+    opened = planning.explore(0, count)
+    assert opened > count / 2, opened
+
+
+def shows_broken_promise():
+    """Says whether the first schedules break a promise."""
+    try:
+        planning.explore(0, 120)
+    except planning.BrokenPromise:
+        return True
+    return False
+
+
+@then("the schedules show a broken promise if joins name no number")
+def _(context):
+    close = ledger.Ledger.close
+
+    def forget(self):
+        return [
+            attrs.evolve(effect, expected=None)
+            if isinstance(effect, orders.Give)
+            else effect
+            for effect in close(self)
+        ]
+
+    with mock.patch.object(ledger.Ledger, "close", forget):
+        assert shows_broken_promise()
+
+
+@then("the schedules show a broken promise if heads open unchecked")
+def _(context):
+    with mock.patch.object(groups, "is_complete", lambda *_: True):
+        assert shows_broken_promise()
+
+
+@given("a domain of {alive:d} servers in which {scarce} is scarce")
+def _(context, alive, scarce):
+    models = (
+        fleetworld.document.ModelFigures("large", 4, 0.67, 1.0, 16.0, 1.6),
+        fleetworld.document.ModelFigures("small", 2, 0.33, 0.6, 12.0, 1.1),
+    )
+    engine = attrs.evolve(fleetworld.ENGINE, models=models)
+    supply = {m.name: 0.4 if m.name == scarce else 1.0 for m in models}
+    context.layout = layout.choose_layout(
+        engine, alive=alive, serving={}, supply=supply, spare_share=0.25
+    )
+
+
+@then("its layout has {large:d} large and {small:d} small groups")
+def _(context, large, small):
+    found = (context.layout["large"], context.layout["small"])
+    assert found == (large, small), found
+
+
+@then("a zone with 12 empty servers starts at most 6 loads in 5 seconds")
+def _(context):
+    service = fleetworld.document.Service("model", engine=fleetworld.ENGINE)
+    empty = [
+        instances.Instance(f"i{n}", "model", f"a{n}:1", "z1", "d1", sequence=1)
+        for n in range(12)
+    ]
+    subject = planner.Planner(number=1, policy=planner.Policy())
+    started = []
+    now = 10.0
+    while now < 15.0:
+        given = subject.plan(
+            present=empty,
+            services=[service],
+            domains=frozenset({"d1"}),
+            lost=frozenset(),
+            zones=3,
+            is_started=True,
+            now=now,
+        )
+        started += [
+            g
+            for g in given
+            if isinstance(g, orders.Give)
+            and isinstance(g.order, orders.Join | orders.Stage)
+        ]
+        now += 0.25
+    names = {g.name for g in started}
+    assert 0 < len(names) <= 6, names
--- /dev/null
+++ b/tests/support/fleetworld.py
@@ -0,0 +1,384 @@
+"""Coordinators, gateways and backend servers in one process, in given time.
+
+The network delays messages and can be cut; disks keep what was persisted. The
+reducers of the product decide everything.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from typing import Any
+
+import attrs
+from returns import result
+
+from hickorylead.configuration import document
+from hickorylead.consensus import (
+    messages as consensus_messages,
+    voter as voter_module,
+)
+from hickorylead.fleet import (
+    events,
+    instances,
+    orders,
+    planner as planner_module,
+)
+from hickorylead.roles import coordinator, gateway, nodes, seam
+from support import replicas
+
+ZONES = ("z1", "z2", "z3")
+LATENCY_S = 0.001
+HEARTBEAT_S = 1.2
+TUNING = voter_module.Tuning(0.15, 0.7, 1.4, replace_after_s=6.0)
+MODELS = (
+    document.ModelFigures("large", 3, 0.6, 1.0, 1.5, 0.5),
+    document.ModelFigures("small", 2, 0.4, 0.6, 1.5, 0.5),
+)
+ENGINE = document.Engine(
+    slots=8,
+    kv_tokens=100_000,
+    step_s=0.006,
+    step_per_request_s=0.0005,
+    step_per_token_s=0.0,
+    read_s=1 / 46000,
+    chunk_tokens=2048,
+    stride=5,
+    models=MODELS,
+    loads_per_s=4.0,
+)
+
+
+def make_document(version: int, **changes: Any) -> document.Document:
+    """Returns a configuration with one model route and one plain route."""
+    return attrs.evolve(
+        document.Document(
+            version=version,
+            routes=(
+                document.Route(
+                    "drafts",
+                    "host",
+                    "/drafts/",
+                    document.Kind.STREAM,
+                    (document.Target("model", 1.0),),
+                    8.0,
+                    0.3,
+                    0.2,
+                    max_attempts=2,
+                    has_prompts=True,
+                    resumable=True,
+                ),
+                document.Route(
+                    "alerts",
+                    "host",
+                    "/alerts/",
+                    document.Kind.NON_IDEMPOTENT,
+                    (document.Target("plain", 1.0),),
+                    1.0,
+                    0.1,
+                ),
+                document.Route(
+                    "notices",
+                    "host",
+                    "/notices/",
+                    document.Kind.IDEMPOTENT,
+                    (document.Target("plain", 1.0),),
+                    1.0,
+                    0.1,
+                    max_attempts=2,
+                ),
+            ),
+            services=(
+                document.Service("model", engine=ENGINE),
+                document.Service("plain"),
+            ),
+            workspaces=(document.Workspace("crew", ("key",), 1),),
+        ),
+        **changes,
+    )
+
+
+def write_content(found: document.Document) -> bytes:
+    """Returns content that `read_content` reads: tests need no format."""
+    names = json.dumps([w.keys for w in found.workspaces])
+    return document.pack_content(f"{found.version} {names}".encode())
+
+
+def read_content(packed: bytes) -> result.Result[document.Document, str]:
+    """Returns the configuration that some content stands for."""
+    version, _, names = document.unpack_content(packed).decode().partition(" ")
+    workspaces = tuple(
+        document.Workspace("crew", tuple(keys), 1) for keys in json.loads(names)
+    )
+    return result.Success(make_document(int(version), workspaces=workspaces))
+
+
+@attrs.define
+class Disk:
+    """What a coordinator has persisted."""
+
+    incarnation: str
+    records: list[consensus_messages.Record] = attrs.field(factory=list)
+    full: bool = False
+
+
+class FleetWorld:
+    """All nodes of a small deployment."""
+
+    def __init__(self, *, seed: int = 1, servers_per_zone: int = 6) -> None:
+        self.now = 100.0
+        self.rng = random.Random(seed)
+        self._queue: list[tuple[float, int, Any]] = []
+        self._count = itertools.count()
+        self.coordinators: dict[str, coordinator.Coordinator] = {}
+        self.gateways: dict[str, gateway.Gateway] = {}
+        self.disks: dict[str, Disk] = {}
+        self.servers: dict[str, replicas.Replica] = {}
+        self.frozen: set[str] = set()
+        self.cuts: set[frozenset[str]] = set()
+        self.answers: dict[str, Any] = {}
+        self.notes: list[tuple[float, str, Any]] = []
+        self.gateway_effects: list[tuple[float, str, Any]] = []
+        self._boots = 0
+        self.core = [
+            nodes.name_node(zone, "core", nodes.COORDINATOR) for zone in ZONES
+        ]
+        for node in self.core:
+            self.disks[node] = Disk(f"d{len(self.disks)}")
+            self.start(node, first=True)
+        for zone in ZONES:
+            for vm in ("front1", "front2"):
+                self.start_gateway(nodes.name_node(zone, vm, nodes.GATEWAY))
+            for number in range(servers_per_zone):
+                self.add_server(f"{zone}-s{number}", zone)
+        self._at(HEARTBEAT_S, self._beat)
+
+    # Nodes.
+
+    def start(self, node: str, *, first: bool = False) -> None:
+        """Starts a coordinator with what its disk holds."""
+        disk = self.disks[node]
+        self.coordinators[node] = coordinator.Coordinator(
+            coordinator.Identity(
+                node=node,
+                address=node,
+                incarnation=disk.incarnation,
+                seeds=tuple(self.core),
+                may_found=first,
+                heartbeat_s=HEARTBEAT_S,
+                zones=ZONES,
+            ),
+            read_document=read_content,
+            policy=planner_module.Policy(),
+            records=list(disk.records),
+            rng=random.Random(f"{node}{self.rng.random()}"),
+            now=self.now,
+            tuning=TUNING,
+        )
+        life = self.coordinators[node]
+        self._at(0.0, lambda: self._tick(node, life, coordinator.TICK_S))
+
+    def start_gateway(self, node: str) -> None:
+        """Starts a gateway, which knows nothing."""
+        self._boots += 1
+        self.gateways[node] = gateway.Gateway(
+            gateway.Identity(node, self._boots, tuple(self.core)),
+            read_document=read_content,
+            rng=random.Random(f"{node}{self.rng.random()}"),
+            now=self.now,
+        )
+        life = self.gateways[node]
+        self._at(0.0, lambda: self._tick(node, life, gateway.TICK_S))
+
+    def kill(self, node: str) -> None:
+        """Ends a process; its disk stays."""
+        self.coordinators.pop(node, None)
+        self.gateways.pop(node, None)
+
+    def wipe(self, node: str) -> None:
+        """Empties a disk."""
+        self.disks[node] = Disk(f"w{next(self._count)}")
+
+    def add_server(self, name: str, zone: str) -> replicas.Replica:
+        """Adds an empty backend server."""
+        server = replicas.Replica(
+            name, zone, f"{zone}-d0", address=f"{name}:80"
+        )
+        self.servers[name] = server
+        self._at(0.05, lambda: self._tell(server))
+        return server
+
+    def cut(self, first: str, second: str) -> None:
+        """Cuts the network between two nodes, both ways."""
+        self.cuts.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        """Joins all networks again."""
+        self.cuts.clear()
+
+    # Time.
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._queue)
+            action()
+        self.now = end
+
+    def run_until(self, condition, limit_s: float = 20.0) -> float:
+        """Lets time pass until something holds; returns how long it took."""
+        began = self.now
+        while not condition():
+            if self.now - began > limit_s:
+                raise AssertionError(f"not within {limit_s} s")
+            self.run(0.02)
+        return self.now - began
+
+    def _at(self, delay_s: float, action) -> None:
+        entry = (self.now + delay_s, next(self._count), action)
+        heapq.heappush(self._queue, entry)
+
+    def _tick(self, node: str, life: Any, period_s: float) -> None:
+        if self._find(node) is not life:
+            return
+        if node not in self.frozen:
+            self.apply(node, seam.Tick(0.0))
+        self._at(period_s, lambda: self._tick(node, life, period_s))
+
+    def _find(self, node: str) -> Any:
+        return self.coordinators.get(node) or self.gateways.get(node)
+
+    # Events and effects.
+
+    def apply(self, node: str, event: Any) -> None:
+        """Gives an event to a node and carries out its effects."""
+        role = self._find(node)
+        if role is None:
+            return
+        if node in self.frozen:
+            # It waits in a buffer until the node wakes.
+            self._at(0.05, lambda: self.apply(node, event))
+            return
+        for effect in role.reduce(event, self.now):
+            self._carry_out(node, effect)
+
+    def _carry_out(self, node: str, effect: Any) -> None:
+        match effect:
+            case seam.Send(target, message):
+                target = target.removeprefix("@")
+                if frozenset((node, target)) in self.cuts:
+                    return
+                arrived = seam.MessageArrived(node, message, 0.0)
+                self._at(LATENCY_S, lambda: self.apply(target, arrived))
+            case consensus_messages.Persist(record):
+                self.disks[node].records.append(record)
+            case events.AnswerReplace(token, accepted):
+                self.answers[token] = accepted
+            case events.AnswerRead(token, version, content):
+                self.answers[token] = None if content is None else version
+            case orders.Give():
+                self._at(LATENCY_S, lambda: self._give(node, effect))
+            case orders.AskReport():
+                self._at(LATENCY_S, lambda: self._report(node, effect))
+            case _ if node in self.gateways:
+                self.gateway_effects.append((self.now, node, effect))
+            case _:
+                self.notes.append((self.now, node, effect))
+
+    def _give(self, node: str, give: orders.Give) -> None:
+        server = self.servers.get(give.name)
+        if server is None or frozenset((node, give.name)) in self.cuts:
+            lost = orders.OrderAnswered(give.name, give.order, 0)
+            self._at(0.4, lambda: self.apply(node, lost))
+            return
+        status = server.take(give.order, give.expected, self.now)
+        self._tell(server)
+        self._at(0.51, lambda: self._advance(server))
+        self._at(0.21, lambda: self._advance(server))
+        self._at(0.31, lambda: self._advance(server))
+        self._at(replicas.LOAD_S + 0.01, lambda: self._advance(server))
+        answered = orders.OrderAnswered(give.name, give.order, status)
+        self._at(LATENCY_S, lambda: self.apply(node, answered))
+
+    def _report(self, node: str, question: orders.AskReport) -> None:
+        server = self.servers.get(question.name)
+        reached = (
+            server is not None
+            and frozenset((node, question.name)) not in self.cuts
+        )
+        arrived = orders.ReportArrived(
+            question.name, server.accepted if server and reached else None
+        )
+        wait_s = LATENCY_S if reached else 0.25
+        self._at(wait_s, lambda: self.apply(node, arrived))
+
+    def _advance(self, server: replicas.Replica) -> None:
+        if server.alive and server.advance(self.now):
+            self._tell(server)
+
+    def _tell(self, server: replicas.Replica) -> None:
+        if not server.alive:
+            return
+        told = server.tell()
+        reachable = [
+            node
+            for node in self.coordinators
+            if frozenset((node, server.name)) not in self.cuts
+            and node not in self.frozen
+        ]
+        own = [n for n in reachable if nodes.get_zone(n) == server.zone]
+        if own or reachable:
+            node = self.rng.choice(own or reachable)
+            heard = events.HeartbeatArrived(told)
+            self._at(LATENCY_S, lambda: self.apply(node, heard))
+
+    def _beat(self) -> None:
+        for server in list(self.servers.values()):
+            self._tell(server)
+        self._at(HEARTBEAT_S, self._beat)
+
+    # What tests ask.
+
+    def crash(self, name: str) -> None:
+        """Ends a backend server without a word."""
+        self.servers.pop(name).alive = False
+
+    def replace(self, node: str, version: int, token: str = "") -> str:
+        """Sends a configuration to a coordinator; returns its token."""
+        token = token or f"t{next(self._count)}"
+        content = write_content(make_document(version))
+        self.apply(node, events.ReplaceAsked(token, version, content))
+        return token
+
+    def read(self, node: str) -> str:
+        """Asks a coordinator for the newest; returns the token."""
+        token = f"r{next(self._count)}"
+        self.apply(node, events.ReadAsked(token))
+        return token
+
+    def find_leader(self) -> str:
+        """Returns the coordinator that leads; empty if none does."""
+        for node, role in self.coordinators.items():
+            if role.voter.leads(self.now):
+                return node
+        return ""
+
+    def list_open(self) -> list[replicas.Replica]:
+        """Returns the heads that serve, with all members alive."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.member.state == instances.GROUP_OPEN
+            and all(name in self.servers for name in server.members)
+        ]
+
+    def settle(self, version: int = 1) -> None:
+        """Puts a first configuration in force and waits for groups."""
+        self.run(2.0)
+        token = self.replace(self.core[0], version)
+        self.run_until(lambda: self.answers.get(token) is True, 5.0)
+        self.run_until(lambda: len(self.list_open()) >= 2 * len(ZONES))
+        self.run(1.0)
--- /dev/null
+++ b/tests/support/planning.py
@@ -0,0 +1,259 @@
+"""Random schedules of planners against backend servers.
+
+Two planners that both believe they are in charge of a domain see what its
+servers tell late or not at all. Their orders are lost, answered without being
+seen, or carried out seconds later. Servers die and come back as other lives.
+After every step it is checked what must always hold of groups.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from hickorylead.configuration import document
+from hickorylead.fleet import instances, orders, planner as planner_module
+from support import replicas
+
+ENGINE = document.Engine(
+    slots=8,
+    kv_tokens=100_000,
+    step_s=0.006,
+    step_per_request_s=0.0005,
+    step_per_token_s=0.0,
+    read_s=1 / 46000,
+    chunk_tokens=2048,
+    stride=5,
+    models=(
+        document.ModelFigures("large", 3, 0.6, 1.0, 1.5, 0.5),
+        document.ModelFigures("small", 2, 0.4, 0.6, 1.5, 0.5),
+    ),
+    loads_per_s=4.0,
+)
+SERVICE = document.Service("model", engine=ENGINE)
+SIZES = {m.name: m.group_size for m in ENGINE.models}
+
+
+class BrokenPromise(AssertionError):
+    """A group was not whole, or a server worked for two groups."""
+
+
+@attrs.define
+class Seat:
+    """One planner with what it has seen."""
+
+    planner: planner_module.Planner
+    seen: dict[str, instances.Instance] = attrs.field(factory=dict)
+    lost: set[str] = attrs.field(factory=set)
+
+
+class Schedule:
+    """One random schedule."""
+
+    def __init__(
+        self, seed: int, *, planner_class=planner_module.Planner, size: int = 6
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.seats = [
+            Seat(planner_class(number=n, policy=planner_module.Policy()))
+            for n in (1, 2)
+        ]
+        self.servers: dict[str, replicas.Replica] = {}
+        self.count = 0
+        for _ in range(size):
+            self._add_server()
+        # Members that were ready under a group's name, epoch and list.
+        self.was_ready: dict[tuple[str, int, tuple[str, ...]], set[str]] = {}
+        self.late: list[tuple[float, orders.Give]] = []
+        self.opened = 0
+
+    def _add_server(self) -> None:
+        self.count += 1
+        name = f"i{self.count}"
+        self.servers[name] = replicas.Replica(
+            name, staged=[self.rng.choice(["large", "small"])]
+        )
+
+    def run(self, steps: int) -> None:
+        """Plays steps and checks after each."""
+        for _ in range(steps):
+            self.now += self.rng.choice([0.01, 0.1, 0.2, 0.4])
+            self._step()
+            self._check()
+
+    def _step(self) -> None:
+        for server in self.servers.values():
+            if server.alive:
+                self._advance(server)
+        while self.late and self.late[0][0] <= self.now:
+            _, give = self.late.pop(0)
+            self._carry_out(give)
+        chance = self.rng.random()
+        if chance < 0.02:
+            self._crash()
+        elif chance < 0.03:
+            self._drain()
+        for seat in self.seats:
+            if self.rng.random() < 0.6:
+                self._plan(seat)
+
+    def _advance(self, server: replicas.Replica) -> None:
+        before = server.member.state
+        if not server.advance(self.now):
+            if self.rng.random() < 0.1:
+                self._tell(server)
+            return
+        key = (server.member.group, server.member.epoch, server.members)
+        if server.member.state == instances.GROUP_READY:
+            self.was_ready.setdefault(key, set()).add(server.name)
+        if (
+            server.member.state == instances.GROUP_OPEN
+            and before != instances.GROUP_OPEN
+        ):
+            self.opened += 1
+            self._check_open(server)
+        self._tell(server)
+
+    def _tell(self, server: replicas.Replica) -> None:
+        told = server.tell()
+        for seat in self.seats:
+            if self.rng.random() < 0.85:
+                known = seat.seen.get(server.name)
+                if instances.is_newer(told, known):
+                    seat.seen[server.name] = told
+                seat.lost.discard(server.name)
+
+    def _crash(self) -> None:
+        server = self.rng.choice(list(self.servers.values()))
+        server.alive = False
+        del self.servers[server.name]
+        if self.rng.random() < 0.8:
+            self._add_server()
+
+    def _drain(self) -> None:
+        server = self.rng.choice(list(self.servers.values()))
+        server.phase = instances.PHASE_DRAINING
+        self._tell(server)
+
+    def _plan(self, seat: Seat) -> None:
+        for name in seat.seen:
+            if name not in self.servers and self.rng.random() < 0.1:
+                seat.lost.add(name)
+            elif self.rng.random() < 0.0005:
+                # Cut off from this planner only.
+                seat.lost.add(name)
+        given = seat.planner.plan(
+            present=list(seat.seen.values()),
+            services=[SERVICE],
+            domains=frozenset({"d1"}),
+            lost=frozenset(seat.lost),
+            zones=1,
+            is_started=self.rng.random() < 0.9,
+            now=self.now,
+        )
+        for item in given:
+            if isinstance(item, orders.AskReport):
+                server = self.servers.get(item.name)
+                accepted = server.accepted if server else None
+                seat.planner.take_report(
+                    orders.ReportArrived(item.name, accepted)
+                )
+                continue
+            self._send(seat, item)
+
+    def _send(self, seat: Seat, give: orders.Give) -> None:
+        chance = self.rng.random()
+        if chance < 0.08:
+            at = self.now + self.rng.uniform(2.0, 12.0)
+            self.late.append((at, give))
+            self.late.sort(key=lambda pair: pair[0])
+            return
+        if chance < 0.12:
+            return
+        status = self._carry_out(give)
+        if status and self.rng.random() < 0.9:
+            seat.planner.take_answer(
+                orders.OrderAnswered(give.name, give.order, status)
+            )
+
+    def _carry_out(self, give: orders.Give) -> int:
+        server = self.servers.get(give.name)
+        if server is None:
+            return 0
+        before = server.member
+        old_members = server.members
+        status = server.take(give.order, give.expected, self.now)
+        if status == 202 and isinstance(give.order, orders.Join):
+            self._check_join(server, before, old_members)
+        if status < 300:
+            self._tell(server)
+        return status
+
+    # What must always hold.
+
+    def _check_join(self, server, before, old_members) -> None:
+        """No server takes another group while its group's head serves."""
+        if not before.group:
+            return
+        head = self.servers.get(old_members[0])
+        if head is None or head.name == server.name:
+            if before.state == instances.GROUP_OPEN:
+                raise BrokenPromise(f"{server.name} serves and joins another")
+            return
+        found = (head.member.group, head.member.epoch)
+        if found == (before.group, before.epoch) and (
+            head.member.state == instances.GROUP_OPEN
+        ):
+            raise BrokenPromise(f"{server.name} joins while its head serves")
+
+    def _check_open(self, head: replicas.Replica) -> None:
+        """A group serves only once each member was ready under its list."""
+        key = (head.member.group, head.member.epoch, head.members)
+        if len(head.members) != SIZES[head.model]:
+            raise BrokenPromise(f"{head.member.group} has a wrong size")
+        missing = set(head.members) - self.was_ready.get(key, set())
+        if missing:
+            raise BrokenPromise(f"{head.member.group} lacks {missing}")
+
+    def _check(self) -> None:
+        members: dict[str, str] = {}
+        for server in self.servers.values():
+            if server.member.state != instances.GROUP_OPEN:
+                continue
+            for name in server.members:
+                other = members.setdefault(name, server.member.group)
+                alive = self.servers.get(name)
+                if (
+                    other != server.member.group
+                    and alive
+                    and alive.member.group in (other, server.member.group)
+                ):
+                    heads = [
+                        s
+                        for s in self.servers.values()
+                        if s.member.state == instances.GROUP_OPEN
+                        and name in s.members
+                        and alive.member.group == s.member.group
+                    ]
+                    if len(heads) > 1:
+                        raise BrokenPromise(f"{name} serves two groups")
+
+
+def explore(first: int, count: int, *, steps: int = 100, **options) -> int:
+    """Plays schedules; returns how often a group was opened.
+
+    Raises:
+        BrokenPromise: In some schedule a promise was broken; the message
+            names its seed.
+    """
+    opened = 0
+    for seed in range(first, first + count):
+        schedule = Schedule(seed, **options)
+        try:
+            schedule.run(steps)
+        except BrokenPromise as error:
+            raise BrokenPromise(f"seed {seed}: {error}") from error
+        opened += schedule.opened
+    return opened
