--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -158,6 +158,8 @@
 def _(context):
     world = context.world
     old = world.find_leader()
+    # It has just asked its voters something when it stands still.
+    world.read(old)
     world.frozen.add(old)
     others = [n for n in world.core if n != old]
     acknowledge(world, others[0], 8)
