Pair the number of accepted orders with news of the same time

A coordinator that was cut off from the others, not from the servers, took a domain over. Its join was refused; it asked for the number of accepted orders and joined again with it, believing the state of a second before, and took two servers out of a group that served. Ruled out: late orders (the number was right), epochs (they rose). Change: a number that was asked for counts only after a later heartbeat; an order counts by its effect or by 202; no join until a heartbeat has told of the last one; staging names the number, too; a coordinator without a leader plans its own zone only.

--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -3,6 +3,12 @@
 A server refuses a join that names another number of accepted orders than it
 counts. So a planner that does not know of another one's orders is stopped by
 the server itself, whatever either believes.
+
+That holds as long as the number is never higher than what the server had
+accepted when it told that it is free: with a higher one, a join by a planner
+whose news are old could take a server out of a group that serves. So an order
+counts only when its effect was told, or was answered as begun; and a number
+that was asked for is used only after a heartbeat that came later.
 """
 
 from __future__ import annotations
@@ -29,11 +35,24 @@
 ASK_PERIOD_S = 0.3
 
 
+_NOT_SEEN = -1
+
+
 @attrs.define
 class _Pending:
+    """An order under way.
+
+    Attributes:
+        order: The order.
+        given_at: When it was given.
+        answered: Whether the server answered that it has begun.
+        heartbeat: Heartbeat known when that answer was taken.
+    """
+
     order: orders.Order
     given_at: float
     answered: bool = False
+    heartbeat: int = -1
 
 
 class Ledger:
@@ -44,6 +63,8 @@
         self._pending: dict[str, _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._contested: set[str] = set()
+        # Servers whose number was asked for, with the heartbeat known then.
+        self._reported: dict[str, int] = {}
         self._asked: dict[str, float] = {}
         self._effects: list[Effect] = []
         self._now = 0.0
@@ -61,12 +82,40 @@
         for name in [n for n in self._asked if n not in everyone]:
             del self._asked[name]
             self._contested.discard(name)
+        self._settle_reports(everyone)
         for name, pending in list(self._pending.items()):
-            if _is_done(pending.order, everyone[name]):
+            instance = everyone[name]
+            if _shows_effect(pending.order, instance):
                 # A heartbeat often tells the effect before the answer comes.
                 if not pending.answered:
                     self._count(name)
                 del self._pending[name]
+            elif _is_pointless(pending.order, instance):
+                del self._pending[name]
+            elif pending.answered and pending.heartbeat == _NOT_SEEN:
+                pending.heartbeat = instance.sequence
+            elif (
+                pending.answered
+                and instance.sequence > pending.heartbeat
+                and isinstance(pending.order, orders.Join)
+            ):
+                # It has taken the order and is elsewhere already.
+                del self._pending[name]
+
+    def _settle_reports(
+        self, everyone: Mapping[str, instances.Instance]
+    ) -> None:
+        for name, sequence in list(self._reported.items()):
+            instance = everyone.get(name)
+            if instance is None:
+                del self._reported[name]
+            elif sequence < 0:
+                self._reported[name] = instance.sequence
+            elif instance.sequence > sequence:
+                # A heartbeat after the answer: what it tells of the group is
+                # no older than the number.
+                del self._reported[name]
+                self._contested.discard(name)
 
     def close(self) -> list[Effect]:
         """Ends a round; returns the orders given in it."""
@@ -77,13 +126,14 @@
         pending = self._pending.get(event.name)
         if pending is None or pending.order != event.order:
             return
-        pending.answered = True
-        if event.status in (200, 202):
+        if event.status == 202:
+            pending.answered = True
             self._count(event.name)
         elif event.status >= 400:
-            if isinstance(event.order, orders.Join):
+            if isinstance(event.order, orders.Join | orders.Stage):
                 # Another planner's order came first, or a late one of ours.
                 self._contested.add(event.name)
+                self._reported.pop(event.name, None)
                 self._asked[event.name] = self._now
             del self._pending[event.name]
 
@@ -91,11 +141,15 @@
         """Takes how many orders a server says it has accepted."""
         if event.accepted is not None:
             self._accepted[event.name] = event.accepted
-            self._contested.discard(event.name)
+            if event.name in self._contested:
+                self._reported[event.name] = _NOT_SEEN
 
     def give(self, instance: instances.Instance, order: orders.Order) -> bool:
         """Gives an order unless it is under way; says whether it did."""
-        if isinstance(order, orders.Join) and instance.name in self._contested:
+        if (
+            isinstance(order, orders.Join | orders.Stage)
+            and instance.name in self._contested
+        ):
             self._ask(instance)
             return False
         pending = self._pending.get(instance.name)
@@ -105,10 +159,11 @@
                 return False
         self._pending[instance.name] = _Pending(order, self._now)
         # A life begins without orders; only a refusal shows that another
-        # planner gave some.
+        # planner gave some. Staging names the number, too: that it was taken
+        # then shows that nothing came in between.
         expected = (
             self._accepted.get(instance.name, 0)
-            if isinstance(order, orders.Join)
+            if isinstance(order, orders.Join | orders.Stage)
             else None
         )
         self._effects.append(
@@ -128,6 +183,10 @@
         pending = self._pending.get(instance.name)
         if pending is None or isinstance(pending.order, orders.Stage):
             return False
+        if pending.answered and isinstance(pending.order, orders.Join):
+            # It is in the group, though no heartbeat has told so yet. The
+            # number counts this join; with it another one would be taken.
+            return True
         return self._now - pending.given_at < EFFECT_WAIT_S
 
     def is_staging(self, instance: instances.Instance) -> bool:
@@ -136,6 +195,9 @@
         return pending is not None and isinstance(pending.order, orders.Stage)
 
     def _ask(self, instance: instances.Instance) -> None:
+        if instance.name in self._reported:
+            # The number is known; the next heartbeat decides.
+            return
         if self._now - self._asked.get(instance.name, -1e9) < ASK_PERIOD_S:
             return
         self._asked[instance.name] = self._now
@@ -145,7 +207,7 @@
         self._accepted[name] = self._accepted.get(name, 0) + 1
 
 
-def _is_done(order: orders.Order, instance: instances.Instance) -> bool:
+def _shows_effect(order: orders.Order, instance: instances.Instance) -> bool:
     """Says whether a server tells that an order has had its effect."""
     member = instance.member
     found = (member.group, member.epoch)
@@ -153,18 +215,25 @@
         case orders.Join(group, epoch):
             return found == (group, epoch)
         case orders.Open(group, epoch):
-            return (*found, member.state) != (
-                group,
-                epoch,
-                instances.GROUP_READY,
+            return (
+                found == (group, epoch) and member.state == instances.GROUP_OPEN
             )
         case orders.Close(group, epoch):
-            return (*found, member.state) != (
-                group,
-                epoch,
-                instances.GROUP_OPEN,
+            return found == (group, epoch) and member.state in (
+                instances.GROUP_CLOSING,
+                instances.GROUP_READY,
             )
         case orders.Leave(group, epoch):
             return found != (group, epoch)
         case orders.Stage(model):
             return model in instance.staged
+
+
+def _is_pointless(order: orders.Order, instance: instances.Instance) -> bool:
+    """Says whether a server has left the group that an order is about."""
+    match order:
+        case orders.Open(group, epoch) | orders.Close(group, epoch):
+            member = instance.member
+            return (member.group, member.epoch) != (group, epoch)
+        case _:
+            return False
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -513,7 +513,11 @@
         charge = self.neighbours.find_in_charge(
             instance.zone, instance.domain, now
         )
-        return charge == self._identity.node
+        if charge != self._identity.node:
+            return False
+        # Without a leader this node is cut off from the other coordinators.
+        # They look after their zones; it would only work against them.
+        return instance.zone == self._zone or self.voter.has_leader(now)
 
     def _plan(self, now: float) -> list[CoordinatorEffect]:
         self._next_plan = now + PLAN_PERIOD_S
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -45,6 +45,8 @@
 
     planner: planner_module.Planner
     seen: dict[str, instances.Instance] = attrs.field(factory=dict)
+    # Until when no heartbeat reaches it, while its orders reach the servers.
+    deaf_until: float = 0.0
     lost: set[str] = attrs.field(factory=set)
 
 
@@ -95,6 +97,9 @@
             self._crash()
         elif chance < 0.03:
             self._drain()
+        elif chance < 0.05:
+            seat = self.rng.choice(self.seats)
+            seat.deaf_until = self.now + self.rng.uniform(1.0, 5.0)
         for seat in self.seats:
             if self.rng.random() < 0.6:
                 self._plan(seat)
@@ -119,6 +124,8 @@
     def _tell(self, server: replicas.Replica) -> None:
         told = server.tell()
         for seat in self.seats:
+            if self.now < seat.deaf_until:
+                continue
             if self.rng.random() < 0.85:
                 known = seat.seen.get(server.name)
                 if instances.is_newer(told, known):
