--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -27,6 +27,8 @@
 # An order that was not answered is given again after this, in seconds: above
 # the time-out of an order (0.4 s).
 ORDER_RETRY_S = 0.6
+# Answers come within some ms, in seconds.
+ANSWER_WAIT_S = 0.1
 # What an order began is told by a heartbeat within 2 ms (trial runs); without
 # one it is given again after a heartbeat period and its spread, in seconds.
 EFFECT_WAIT_S = 1.6
@@ -181,8 +183,12 @@
     def is_busy(self, instance: instances.Instance) -> bool:
         """Says whether an order is under way that would come in between."""
         pending = self._pending.get(instance.name)
-        if pending is None or isinstance(pending.order, orders.Stage):
+        if pending is None:
             return False
+        if isinstance(pending.order, orders.Stage):
+            # Until it is answered the number of accepted orders is not known.
+            wait_s = self._now - pending.given_at
+            return not pending.answered and wait_s < ANSWER_WAIT_S
         if pending.answered and isinstance(pending.order, orders.Join):
             # It is in the group, though no heartbeat has told so yet. The
             # number counts this join; with it another one would be taken.
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -471,6 +471,7 @@
                 or not self._is_living(instance)
                 or instance.member.state == instances.GROUP_JOINING
                 or self._ledger.is_busy(instance)
+                or not self._standbys.is_settled(instance, self._now)
             ):
                 continue
             other = standbys.choose_other(domain.engine, warm)
--- a/src/hickorylead/fleet/standbys.py
+++ b/src/hickorylead/fleet/standbys.py
@@ -56,6 +56,10 @@
         """Says whether a server has been free for a while."""
         return now - self._free_since.get(instance.name, now) >= IDLE_S
 
+    def is_settled(self, instance: instances.Instance, now: float) -> bool:
+        """Says whether a server is not on its way between two groups."""
+        return instance.has_group or self.is_idle(instance, now)
+
     def sort(
         self, free: list[instances.Instance], model: str
     ) -> list[instances.Instance]:
