--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -16,7 +16,8 @@
     Attributes:
         sender: Node that tells.
         news: The servers.
-        is_full: Whether these are all that the sender knows.
+        is_full: Whether these are all that the sender knows, and it has had
+            the time to hear all.
     """
 
     sender: str
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -38,6 +38,9 @@
 # A group whose members have not all told of themselves is given this long
 # beyond the time that its model takes to load, in seconds.
 FORM_SLACK_S = 3.0
+# A member that was never heard is waited for this long, in seconds: two
+# heartbeat periods, as one heartbeat may go to a control node that is gone.
+UNHEARD_S = 2.5
 # Epochs rise in steps; a planner's own number fills the rest, so that two
 # planners never use one epoch.
 EPOCH_STEP = 64
@@ -106,6 +109,11 @@
         self._lost: frozenset[str] = frozenset()
         self._is_started = False
         self._supply: dict[str, float] = {}
+        # Groups of this round; those that were whole once, and since when
+        # the others are known.
+        self._found_keys: set[_GroupKey] = set()
+        self._seen_whole: set[_GroupKey] = set()
+        self._first_seen: dict[_GroupKey, float] = {}
 
     def plan(
         self,
@@ -134,6 +142,7 @@
         self._lost = lost
         self._is_started = is_started
         everyone = {i.name: i for i in present}
+        self._found_keys = set()
         self._ledger.open(everyone, now)
         self._standbys.note(everyone.values(), now)
         for instance in everyone.values():
@@ -143,6 +152,12 @@
         for service in services:
             if service.engine is not None:
                 self._plan_service(service, everyone, domains, zones)
+        self._seen_whole &= self._found_keys
+        self._first_seen = {
+            key: at
+            for key, at in self._first_seen.items()
+            if key in self._found_keys
+        }
         return self._ledger.close()
 
     def take_answer(self, event: orders.OrderAnswered) -> None:
@@ -196,6 +211,7 @@
 
     def _plan_domain(self, domain: _Domain) -> None:
         found = groups_module.collect_groups(domain.present.values())
+        self._found_keys.update(found)
         for key, group in sorted(found.items()):
             if self._look_after(key, group, domain):
                 domain.serving[self._find_model(key, group)] += 1
@@ -243,10 +259,23 @@
                 and self._join_missing(key, forming, domain)
             ):
                 return True
+            if key not in self._seen_whole and self._may_be_whole(key):
+                return True
             self._take_apart(group)
             return False
+        self._seen_whole.add(key)
         return self._advance(key, group, figures)
 
+    def _may_be_whole(self, key: _GroupKey) -> bool:
+        """Says whether members may just not have been heard yet.
+
+        A planner that has just started hears servers one by one. To take the
+        first one's group apart would end, after each restart of all control
+        nodes, all groups that serve.
+        """
+        since = self._first_seen.setdefault(key, self._now)
+        return self._now - since < UNHEARD_S
+
     def _advance(
         self,
         key: _GroupKey,
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -40,6 +40,10 @@
 TICK_S = 0.05
 PLAN_PERIOD_S = 0.25
 FORGET_INSTANCE_S = 60.0
+# Heartbeat periods after which a node that has started has heard all servers.
+SETTLE_PERIODS = 1.4
+# With what another node knows it has them after this, in seconds.
+TOLD_SETTLE_S = 0.2
 
 CoordinatorEvent: TypeAlias = (
     seam.Tick
@@ -126,6 +130,9 @@
             number=_number_node(identity.node), policy=policy
         )
         self._is_started = not identity.may_found
+        # A node that knows but some servers would form groups that there are.
+        settle_s = 0.0 if identity.may_found else SETTLE_PERIODS
+        self._plans_from = now + settle_s * identity.heartbeat_s
         self._next_hello = now
         self._next_plan = now
         self._alive: dict[str, int] = {}
@@ -301,7 +308,11 @@
                 return effects
             case messages.CoordinatorHello():
                 return self._take_hello(message, now)
-            case messages.InstanceNews(_, news):
+            case messages.InstanceNews(_, news, is_full):
+                if is_full and news:
+                    self._plans_from = min(
+                        self._plans_from, now + TOLD_SETTLE_S
+                    )
                 return self._take_news(news, now)
             case messages.Alive(_, names, sequences):
                 revived = False
@@ -347,7 +358,7 @@
         news = messages.InstanceNews(
             self._identity.node,
             tuple(self.registry.instances.values()),
-            is_full=True,
+            is_full=now >= self._plans_from,
         )
         return [seam.Send(hello.node, news)]
 
@@ -521,7 +532,7 @@
 
     def _plan(self, now: float) -> list[CoordinatorEffect]:
         self._next_plan = now + PLAN_PERIOD_S
-        if self.document is None:
+        if self.document is None or now < self._plans_from:
             return []
         present = self.registry.list_present()
         by_domain = collections.defaultdict(list)
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -45,6 +45,14 @@
     When the coordinator of a zone restarts and then a member there dies
     Then as many groups serve as before within 4 seconds
 
+  Scenario: Coordinators that all restart leave working groups alone
+    All coordinators are killed at once and are back within half a second.
+    They know no server; heartbeats come one by one over the next second. A
+    group of which only some members were heard yet is not a broken one.
+    Given three coordinators with gateways
+    When all coordinators are killed and started again
+    Then every group serves all the time for 5 seconds
+
   Scenario: A late heartbeat does not bring a dead life back
     A server crashed, and another one of another service took its address. A
     heartbeat of the first one, held up by a partition, comes after that.
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from support import fleetworld, planning
 
+from hickorylead import notes
 from hickorylead.consensus import messages as consensus_messages
 from hickorylead.fleet import (
     events,
@@ -394,6 +395,24 @@
     world.crash(member.name)
 
 
+@then("every group serves all the time for 5 seconds")
+def _(context):
+    world = context.world
+    before = {s.name: s.member.group for s in world.list_open()}
+    for _ in range(100):
+        world.run(0.05)
+        now = {s.name: s.member.group for s in world.list_open()}
+        assert before.items() <= now.items(), (before, now)
+    assert not any(
+        isinstance(note, notes.Note)
+        and note.event == "order_given"
+        and note.fields["order"] == "join"
+        and not note.fields["group"].startswith(planner.WARM_UP_PREFIX)
+        for at, _, note in world.notes
+        if at > world.now - 5.0
+    )
+
+
 @when("a server's address is taken over and its old heartbeat comes late")
 def _(context):
     world = context.world
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -346,7 +346,9 @@
 
     def _beat(self) -> None:
         for server in list(self.servers.values()):
-            self._tell(server)
+            # Not all at once: each has a time of its own in the period.
+            delay_s = self.rng.uniform(0.0, 0.9 * HEARTBEAT_S)
+            self._at(delay_s, lambda s=server: self._tell(s))
         self._at(HEARTBEAT_S, self._beat)
 
     # What tests ask.
