Never end an answer for a stall with nowhere to go; test the forwarder

Change: a request is moved only if the budget, its attempts and a free replica allow it; until then its replica may still answer.

--- a/src/hickorylead/admission/budget.py
+++ b/src/hickorylead/admission/budget.py
@@ -30,6 +30,10 @@
         """Counts a first attempt."""
         self._saved = min(MAX_SAVED, self._saved + self._share)
 
+    def has_one(self) -> bool:
+        """Says whether a retry is left."""
+        return self._saved >= 1.0
+
     def spend(self) -> bool:
         """Takes one retry from the budget; says whether there was one."""
         if self._saved < 1.0:
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -97,8 +97,10 @@
                 effects += self._give_up(opened, now)
             elif opened.phase == "waiting":
                 effects += self._try(opened, now)
-            elif self._is_overdue(opened, now):
-                effects += self._move(opened, "no_answer", now)
+            elif self._is_overdue(opened, now) and self._can_move(opened, now):
+                effects += self._fail(
+                    opened, Verdict.MAY_HAVE_RUN, "no_answer", now
+                )
         for replica in stalls.find_stalled(
             list(self._open.values()), self._book, self._find_engine, now
         ):
@@ -446,25 +448,41 @@
             opened, refusals.describe_failure(opened, reason), now
         )
 
-    def _move(
-        self, opened: state.Open, reason: str, now: float
-    ) -> list[events.Effect]:
-        """Tries a request elsewhere whose replica gives nothing."""
-        return self._fail(opened, Verdict.MAY_HAVE_RUN, reason, now)
+    def _can_move(self, opened: state.Open, now: float) -> bool:
+        """Says whether a request surely finds another replica.
+
+        One that gives nothing may still go on; to leave it without another
+        one would end an answer that could have come.
+        """
+        attempt = opened.attempt
+        if (
+            attempt is None
+            or not opened.request.route.is_repeatable
+            or opened.runs + 1 >= opened.request.route.max_attempts
+            or opened.attempts >= MAX_SENDS
+            or opened.ends_at - now <= MIN_BUDGET_S
+            or not self._find_budget(opened.request.service).has_one()
+        ):
+            return False
+        chosen = self._chooser.choose(
+            opened.request,
+            self._find_engine(opened.request.service),
+            avoid={*opened.failed, attempt.replica.name},
+            now=now,
+        )
+        return isinstance(chosen, choice_module.Choice)
 
     def _leave_replica(
         self, replica: model.Replica, now: float
     ) -> list[events.Effect]:
         """Moves all requests away from a replica that has stopped."""
         self._book.mark_stalled(replica, now)
-        moved = [
+        streams = [
             opened
             for opened in self._open.values()
             if opened.attempt is not None
             and opened.attempt.replica.name == replica.name
             and opened.request.is_stream
-            and opened.request.route.is_repeatable
-            and opened.runs + 1 < opened.request.route.max_attempts
         ]
         effects: list[events.Effect] = [
             notes.note(
@@ -472,11 +490,14 @@
                 server=replica.name,
                 epoch=replica.epoch,
                 silent_s=round(now - self._book.get(replica).progress_at, 3),
-                moved=len(moved),
+                streams=len(streams),
             )
         ]
-        for opened in moved:
-            effects += self._move(opened, "stalled", now)
+        for opened in streams:
+            if self._can_move(opened, now):
+                effects += self._fail(
+                    opened, Verdict.MAY_HAVE_RUN, "stalled", now
+                )
         return effects
 
     def _is_overdue(self, opened: state.Open, now: float) -> bool:
@@ -484,9 +505,7 @@
         return (
             attempt is not None
             and not request.is_stream
-            and request.route.is_repeatable
             and attempt.head is None
-            and opened.runs + 1 < request.route.max_attempts
             and now - attempt.sent_at
             > PATIENCE_OBJECTIVES * request.route.objective_s
         )
--- /dev/null
+++ b/tests/forwarding/forwarder.feature
@@ -0,0 +1,106 @@
+Feature: Forwarded requests
+
+  Scenario: A call that may run once is not sent again after a reset
+    A replica took an urgent alert and its connection was reset. Whether the
+    alert ran is not known. A second one would send two crews, so the caller
+    is told nothing that sounds like "not run".
+    Given a gateway with 3 plain replicas
+    When a non-idempotent call is reset
+    Then it was sent once and ends with status 502
+
+  Scenario: A call that a replica refused as not run goes to another one
+    Given a gateway with 3 plain replicas
+    When a non-idempotent call is refused as not run and then answered
+    Then it was sent twice to different replicas and ends with status 200
+
+  Scenario: A call that every replica refused is told when to come back
+    All replicas are full and say that they did not run the alert. The refusal
+    is true, and says when to come back.
+    Given a gateway with 2 plain replicas
+    When a non-idempotent call is refused by every replica
+    Then it ends with status 503 and a time to come back
+
+  Scenario: The answer to another request reaches no caller
+    A late second answer of a former request comes where the answer to this
+    one is due. The attempt id tells them apart.
+    Given a gateway with 3 plain replicas
+    When an idempotent call gets the answer to another request
+    Then it was sent twice to different replicas and ends with status 200
+
+  Scenario: An unsigned or changed success is no success
+    Given a gateway with 3 plain replicas
+    When an idempotent call gets a success that no replica signed
+    Then it was sent twice to different replicas and ends with status 200
+
+  Scenario: An idempotent call that hangs is tried elsewhere
+    Given a gateway with 3 plain replicas
+    When an idempotent call is not answered for 0.3 seconds
+    Then it was sent twice to different replicas
+
+  Scenario: A stream goes on at another replica without gap or repeat
+    A replica is lost in the middle of an event. The caller has events 1 to 3
+    whole. Another replica is asked to go on after 3, begins with 2 again, and
+    the caller gets each event once.
+    Given a gateway with 3 model replicas
+    When a stream breaks in event 4 and goes on elsewhere from event 2
+    Then its caller got events 1 to 6 once and a whole answer
+
+  Scenario: A stream with a missing event is not passed on
+    Given a gateway with 3 model replicas
+    When a stream skips from event 2 to event 4
+    Then its caller got events 1 to 2 once
+
+  Scenario: A stream that may not be repeated ends so that it looks cut
+    Given a gateway with 3 model replicas
+    When a stream breaks twice after event 2
+    Then the answer ends so that it does not look whole
+
+  Scenario: All streams leave a replica that has stopped
+    A member of the group went dark; its head goes on accepting. After some
+    passes without anything all its streams go on elsewhere, and nothing new
+    is sent there.
+    Given a gateway with 3 model replicas
+    When a replica with 3 streams gives nothing any more
+    Then within 0.4 seconds all go on elsewhere
+    And new requests avoid that replica
+
+  Scenario: A stream is not ended for a stall with nowhere to go
+    There is but one replica. Its silence is no reason to end an answer.
+    Given a gateway with 1 model replicas
+    When a replica with 2 streams gives nothing any more
+    Then within 1 seconds no answer has ended
+
+  Scenario: A long prompt is no stall
+    Another caller's prompt of 6,000 tokens is read between two passes of the
+    replica. The pause of 150 ms is what the engine's figures say.
+    Given a gateway with 3 model replicas
+    When a stream pauses for 0.15 seconds after a prompt of 6000 tokens
+    Then it was sent once
+
+  Scenario: A stall that another gateway tells is believed with evidence only
+    Given a gateway with 3 model replicas
+    When another gateway tells of a stall at a replica that gave something now
+    Then its streams stay there
+
+  Scenario: Retries stay within their share when every replica fails
+    All replicas reset all idempotent calls. Retries without a bound would
+    double the load just when replicas are in trouble.
+    Given a gateway with 3 plain replicas
+    When 300 idempotent calls are all reset
+    Then at most 70 were sent a second time
+
+  Scenario: A caller that leaves frees the replica at once
+    Given a gateway with 3 model replicas
+    When a caller leaves in the middle of its stream
+    Then the replica's connection is closed at once
+
+  Scenario: A request past its time is answered at once
+    Given a gateway with 3 plain replicas
+    When a non-idempotent call is not answered until its time is over
+    Then it ends with status 504 within 0.05 seconds after its time
+
+  Scenario: Without any replica a request is told soon when to come back
+    It can't be served, so it isn't held until its deadline.
+    Given a gateway with 0 plain replicas
+    When a non-idempotent call comes
+    Then it ends with status 503 within 0.1 seconds, never sent
--- /dev/null
+++ b/tests/steps/forwarding_steps.py
@@ -0,0 +1,583 @@
+"""Steps about forwarded requests, with replicas played by the test."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from behave import given, then, when
+from support import fleetworld
+
+from hickorylead.configuration import document
+from hickorylead.fleet import instances, registry
+from hickorylead.forwarding import (
+    choice,
+    events,
+    fleetview,
+    forwarder,
+    health,
+    model,
+    routes,
+)
+from hickorylead.verdict import Verdict
+
+OK = model.Head(200, is_sealed=True)
+ROUTES = {r.name: r for r in fleetworld.make_document(1).routes}
+
+
+class Play:
+    """One gateway's forwarder; the test is its callers and replicas."""
+
+    def __init__(self, *, plain: int = 0, models: int = 0) -> None:
+        self.now = 50.0
+        self.registry = registry.Registry()
+        for number in range(plain):
+            self._add(f"p{number}", "plain", 0)
+        for number in range(models):
+            self._add(f"m{number}", "model", number + 1)
+        self.book = health.HealthBook()
+        view = fleetview.FleetView(self.registry)
+        self.subject = forwarder.Forwarder(
+            chooser=choice.Chooser(
+                zone="z1", view=view, book=self.book, rng=random.Random(1)
+            ),
+            book=self.book,
+        )
+        engine = attrs.evolve(
+            fleetworld.ENGINE,
+            models=(document.ModelFigures("large", 1, 1.0, 1.0, 1.5, 0.5),),
+        )
+        self.subject.document = attrs.evolve(
+            fleetworld.make_document(1),
+            services=(
+                document.Service("model", engine=engine),
+                document.Service("plain"),
+            ),
+        )
+        view.refresh(self.subject.document)
+        self.effects: list[tuple[float, events.Effect]] = []
+        self.count = 0
+
+    def _add(self, name, service, epoch):
+        member = instances.Membership()
+        if epoch:
+            member = instances.Membership(
+                f"g{epoch}", epoch, 0, instances.GROUP_OPEN
+            )
+        self.registry.merge(
+            instances.Instance(
+                name,
+                service,
+                f"{name}:1",
+                "z1",
+                slots=6,
+                sequence=1,
+                models=("large",) if epoch else (),
+                member=member,
+            ),
+            self.now,
+        )
+
+    def give(self, event):
+        """Gives an event to the reducer and keeps its effects."""
+        for effect in self.subject.handle(event, self.now):
+            self.effects.append((self.now, effect))
+
+    def ask(self, route: str, *, prompt: int = 100) -> str:
+        """Sends a request; returns its name."""
+        self.count += 1
+        name = f"r{self.count}"
+        found = ROUTES[route]
+        self.give(
+            events.Arrived(
+                model.Request(
+                    request_id=name,
+                    terms=model.Terms(
+                        f"try-{name}",
+                        budget_s=found.timeout_s,
+                        model="large" if found.has_prompts else "",
+                        prompt_tokens=prompt,
+                    ),
+                    route=found,
+                    service=found.targets[0].service,
+                    workspace="crew",
+                    method="POST",
+                    target=b"/x/",
+                    headers=(),
+                    body=b"",
+                    urgency=1,
+                )
+            )
+        )
+        return name
+
+    def run(self, seconds: float, each=None) -> None:
+        """Lets time pass in ticks."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.01
+            for effect in self.subject.tick(self.now):
+                self.effects.append((self.now, effect))
+            if each is not None:
+                each()
+
+    def list_sent(self, name: str = "") -> list[events.Open]:
+        """Returns what was sent to replicas."""
+        return [
+            e
+            for _, e in self.effects
+            if isinstance(e, events.Open)
+            and (not name or e.request.request_id == name)
+        ]
+
+    def begin(self, name: str, head: model.Head | None = None) -> int:
+        """Answers with a head; returns the number of the attempt."""
+        sent = self.list_sent(name)[-1]
+        echo = sent.request.terms.attempt_id
+        head = head or attrs.evolve(OK, echo=echo)
+        self.give(events.Began(name, sent.attempt, head))
+        return sent.attempt
+
+    def send_events(self, name: str, numbers, *, attempt: int) -> None:
+        """Gives events of a stream."""
+        for number in numbers:
+            self.give(events.PieceCame(name, attempt, write_event(number)))
+
+    def answer(self, name: str, head: model.Head | None = None) -> None:
+        """Answers a plain call whole."""
+        attempt = self.begin(name, head)
+        self.give(events.PieceCame(name, attempt, b"body"))
+        self.give(events.Ended(name, attempt))
+
+    def list_of(self, name: str, kind) -> list:
+        """Returns the effects of a kind for a request, with their times."""
+        return [
+            (at, e)
+            for at, e in self.effects
+            if isinstance(e, kind) and e.request_id == name
+        ]
+
+
+def write_event(number: int) -> bytes:
+    """Returns an event of a stream."""
+    return f"id: {number}\ndata: words {number}\n\n".encode()
+
+
+@given("a gateway with {count:d} plain replicas")
+def _(context, count):
+    context.play = Play(plain=count)
+
+
+@given("a gateway with {count:d} model replicas")
+def _(context, count):
+    context.play = Play(models=count)
+
+
+@when("a non-idempotent call is reset")
+def _(context):
+    play = context.play
+    context.name = play.ask("alerts")
+    play.give(events.Failed(context.name, 1, Verdict.MAY_HAVE_RUN, "reset"))
+    play.run(0.2)
+
+
+@then("it was sent once and ends with status {status:d}")
+def _(context, status):
+    assert len(context.play.list_sent(context.name)) == 1
+    assert_refused(context, status)
+
+
+def assert_refused(context, status):
+    """Asserts the status of our own answer; returns it with its time."""
+    found = context.play.list_of(context.name, events.Refuse)
+    assert len(found) == 1, found
+    assert found[0][1].status == status, found
+    return found[0]
+
+
+REFUSED = model.Head(503, not_run=True)
+
+
+@when("a non-idempotent call is refused as not run and then answered")
+def _(context):
+    play = context.play
+    context.name = play.ask("alerts")
+    play.begin(context.name, REFUSED)
+    play.answer(context.name)
+
+
+@then("it was sent twice to different replicas and ends with status 200")
+def _(context):
+    play = context.play
+    if not play.list_of(context.name, events.Finish):
+        play.answer(context.name)
+    assert_two_replicas(context)
+    found = play.list_of(context.name, events.Start)
+    assert [e.status for _, e in found] == [200], found
+    assert play.list_of(context.name, events.Finish)
+
+
+@then("it was sent twice to different replicas")
+def _(context):
+    assert_two_replicas(context)
+
+
+def assert_two_replicas(context):
+    """Asserts two tries at two replicas."""
+    names = [sent.replica.name for sent in context.play.list_sent(context.name)]
+    assert len(names) == len(set(names)) == 2, names
+
+
+@when("a non-idempotent call is refused by every replica")
+def _(context):
+    play = context.play
+    context.name = play.ask("alerts")
+    play.begin(context.name, REFUSED)
+    play.begin(context.name, REFUSED)
+    play.run(0.2)
+
+
+@then("it ends with status 503 and a time to come back")
+def _(context):
+    _, refusal = assert_refused(context, 503)
+    assert refusal.retry_after_s
+
+
+@when("an idempotent call gets the answer to another request")
+def _(context):
+    play = context.play
+    context.name = play.ask("notices")
+    play.begin(context.name, attrs.evolve(OK, echo="someone else's"))
+
+
+@when("an idempotent call gets a success that no replica signed")
+def _(context):
+    play = context.play
+    context.name = play.ask("notices")
+    echo = play.list_sent()[-1].request.terms.attempt_id
+    play.begin(context.name, model.Head(200, echo=echo))
+
+
+@when("an idempotent call is not answered for {seconds:g} seconds")
+def _(context, seconds):
+    context.name = context.play.ask("notices")
+    context.play.run(seconds)
+
+
+@when("a stream breaks in event 4 and goes on elsewhere from event 2")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1, 2, 3], attempt=attempt)
+    play.give(events.PieceCame(name, attempt, b"id: 4\ndata: wo"))
+    play.give(events.Failed(name, attempt, Verdict.MAY_HAVE_RUN, "reset"))
+    assert play.list_sent(name)[-1].last_event == 3
+    attempt = play.begin(name)
+    play.send_events(name, [2, 3, 4, 5, 6], attempt=attempt)
+    play.give(events.Ended(name, attempt))
+
+
+@then("its caller got events 1 to {last:d} once and a whole answer")
+def _(context, last):
+    assert_events(context, last)
+    assert len(context.play.list_of(context.name, events.Finish)) == 1
+
+
+@then("its caller got events 1 to {last:d} once")
+def _(context, last):
+    assert_events(context, last)
+
+
+def assert_events(context, last):
+    """Asserts that the caller got each event once, in order."""
+    found = context.play.list_of(context.name, events.Emit)
+    data = b"".join(e.data for _, e in found)
+    assert data == b"".join(map(write_event, range(1, last + 1))), data
+
+
+@when("a stream skips from event 2 to event 4")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1, 2, 4, 5], attempt=attempt)
+
+
+@when("a stream breaks twice after event 2")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1, 2], attempt=attempt)
+    for _ in range(2):
+        attempt = play.list_sent(name)[-1].attempt
+        play.give(events.Failed(name, attempt, Verdict.MAY_HAVE_RUN, "reset"))
+
+
+@then("the answer ends so that it does not look whole")
+def _(context):
+    play = context.play
+    assert play.list_of(context.name, events.Break)
+    assert not play.list_of(context.name, events.Finish)
+    assert not play.list_of(context.name, events.Refuse)
+
+
+@when("a replica with {count:d} streams gives nothing any more")
+def _(context, count):
+    play = context.play
+    context.names = []
+    while len(context.names) < count:
+        name = play.ask("drafts")
+        sent = play.list_sent(name)[-1]
+        if sent.replica.name != play.list_sent()[0].replica.name:
+            play.give(events.CallerLeft(name))
+            continue
+        attempt = play.begin(name)
+        play.send_events(name, [1], attempt=attempt)
+        context.names.append(name)
+    context.stopped = play.list_sent()[0].replica.name
+    context.stopped_at = play.now
+
+
+@then("within {seconds:g} seconds all go on elsewhere")
+def _(context, seconds):
+    play = context.play
+    play.run(seconds)
+    for name in context.names:
+        replicas = [sent.replica.name for sent in play.list_sent(name)]
+        assert replicas[0] == context.stopped
+        assert len(replicas) == 2 and replicas[1] != context.stopped, replicas
+
+
+@then("new requests avoid that replica")
+def _(context):
+    for _ in range(10):
+        name = context.play.ask("drafts")
+        sent = context.play.list_sent(name)[-1]
+        assert sent.replica.name != context.stopped
+
+
+@then("within {seconds:g} seconds no answer has ended")
+def _(context, seconds):
+    play = context.play
+    play.run(seconds)
+    for name in context.names:
+        assert not play.list_of(name, events.Break | events.Cancel)
+
+
+@when("a stream pauses for {pause:g} seconds after a prompt of 6000 tokens")
+def _(context, pause):
+    play = context.play
+    play.ask("drafts", prompt=6000)
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1], attempt=attempt)
+    play.run(pause)
+    play.send_events(name, [2], attempt=attempt)
+
+
+@then("it was sent once")
+def _(context):
+    assert len(context.play.list_sent(context.name)) == 1
+
+
+@when("another gateway tells of a stall at a replica that gave something now")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1], attempt=attempt)
+    head = play.list_sent(name)[-1].replica.name
+    play.now += 0.02
+    for effect in play.subject.take_stalls((head,), play.now):
+        play.effects.append((play.now, effect))
+
+
+@then("its streams stay there")
+def _(context):
+    assert len(context.play.list_sent(context.name)) == 1
+
+
+@when("{count:d} idempotent calls are all reset")
+def _(context, count):
+    play = context.play
+    context.names = [play.ask("notices") for _ in range(1)]
+    for _ in range(count):
+        name = play.ask("notices")
+        for _ in range(3):
+            if play.list_of(name, events.Refuse):
+                break
+            attempt = play.list_sent(name)[-1].attempt
+            play.give(
+                events.Failed(name, attempt, Verdict.MAY_HAVE_RUN, "reset")
+            )
+
+
+@then("at most {most:d} were sent a second time")
+def _(context, most):
+    again = [s for s in context.play.list_sent() if s.attempt > 1]
+    assert 0 < len(again) <= most, len(again)
+
+
+@when("a caller leaves in the middle of its stream")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    play.send_events(name, [1], attempt=play.begin(name))
+    play.give(events.CallerLeft(name))
+
+
+@then("the replica's connection is closed at once")
+def _(context):
+    found = context.play.list_of(context.name, events.Cancel)
+    assert [at for at, _ in found] == [context.play.now]
+    assert context.play.subject.count_open() == 0
+
+
+@when("a non-idempotent call is not answered until its time is over")
+def _(context):
+    context.name = context.play.ask("alerts")
+    context.asked_at = context.play.now
+    context.play.run(1.5)
+
+
+@then("it ends with status 504 within 0.05 seconds after its time")
+def _(context):
+    at, _ = assert_refused(context, 504)
+    assert 1.0 <= at - context.asked_at <= 1.05, at - context.asked_at
+
+
+@when("a non-idempotent call comes")
+def _(context):
+    context.name = context.play.ask("alerts")
+    context.asked_at = context.play.now
+    context.play.run(0.5)
+
+
+@then("it ends with status 503 within {seconds:g} seconds, never sent")
+def _(context, seconds):
+    at, refusal = assert_refused(context, 503)
+    assert at - context.asked_at <= seconds, at - context.asked_at
+    assert refusal.retry_after_s
+    assert not context.play.list_sent()
+
+
+# Routes and configurations.
+
+
+def make_route(name, host, prefix, **changes):
+    """Returns a route."""
+    base = document.Route(
+        name,
+        host,
+        prefix,
+        document.Kind.IDEMPOTENT,
+        (document.Target("plain", 1.0),),
+        1.0,
+        0.1,
+        needs_key=False,
+    )
+    return attrs.evolve(base, **changes)
+
+
+def make_table(*found, **changes):
+    """Returns a look-up table of some routes."""
+    services = (document.Service("plain"),)
+    return routes.RouteTable(
+        document.Document(1, tuple(found), services, **changes)
+    )
+
+
+@given('routes for "/", "/a/" and "/a/b/" of host "one", "/a/" of host "two"')
+def _(context):
+    context.found_routes = make_table(
+        make_route("one", "one", "/"),
+        make_route("one/a", "one", "/a/"),
+        make_route("one/a/b", "one", "/a/b/"),
+        make_route("two/a", "two", "/a/"),
+    )
+
+
+@then('"{path}" of host "{host}" goes to {route}')
+def _(context, path, host, route):
+    match context.found_routes.find(host, path, ""):
+        case routes.Found(found):
+            assert found.name == route, found.name
+        case routes.NoRoute():
+            assert route == "none"
+
+
+@given('a route that needs a key of workspace "crew"')
+def _(context):
+    context.found_routes = make_table(
+        make_route("r", "h", "/", needs_key=True),
+        workspaces=(document.Workspace("crew", ("right",)),),
+    )
+
+
+@then('key "{key}" is let in as "{name}"')
+def _(context, key, name):
+    assert context.found_routes.find("h", "/x", key).workspace.name == name
+
+
+@then('key "{key}" is refused')
+def _(context, key):
+    assert isinstance(
+        context.found_routes.find("h", "/x", key), routes.WrongKey
+    )
+
+
+@then("no key is refused")
+def _(context):
+    assert isinstance(context.found_routes.find("h", "/x", ""), routes.WrongKey)
+
+
+@given('a route to service "old" with weight 90 and "new" with weight 10')
+def _(context):
+    targets = (document.Target("old", 90.0), document.Target("new", 10.0))
+    context.route = make_route("r", "h", "/", targets=targets)
+
+
+@then('of 1000 requests 850 to 950 go to "old"')
+def _(context):
+    rng = random.Random(7)
+    drawn = [routes.choose_service(context.route, rng) for _ in range(1000)]
+    assert 850 <= drawn.count("old") <= 950
+
+
+FAULTS = {
+    "an unknown service": {
+        "routes": (
+            make_route("r", "h", "/", targets=(document.Target("x", 1.0),)),
+        )
+    },
+    "two equal routes": {
+        "routes": (make_route("r", "h", "/"), make_route("s", "H", "/"))
+    },
+    "no weights": {
+        "routes": (
+            make_route("r", "h", "/", targets=(document.Target("plain", 0.0),)),
+        )
+    },
+    "no timeout": {"routes": (make_route("r", "h", "/", timeout_s=0.0),)},
+    "a shared key": {
+        "workspaces": (
+            document.Workspace("a", ("k",)),
+            document.Workspace("b", ("k",)),
+        )
+    },
+}
+
+
+@given("a configuration with {fault}")
+def _(context, fault):
+    context.document = attrs.evolve(
+        fleetworld.make_document(1), **FAULTS[fault]
+    )
+
+
+@then('it is refused because "{reason}"')
+def _(context, reason):
+    problems = document.check_document(context.document)
+    assert any(reason in problem for problem in problems), problems
