Record sessions on the platform; refuse heads that are too long

Cause: the first record of a plain call showed that a head of 3,000 bytes with its body in one read passed a limit of 2,000. Change: the head is counted by its target and headers; a stand-in for the platform's servers on real sockets; five recorded sessions; formats, settings and connections with bad input.

--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -74,11 +74,22 @@
             self._head_timer = self.loop.call_later(
                 self.limits.header_s, self._end_slow_head
             )
-        if self._in_head:
-            self._head_bytes += len(data)
         super().data_received(data)
-        if self._in_head and self._head_bytes > self.limits.header_bytes:
-            self._end_with(_TOO_LONG)
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the target."""
+        self._count_head(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        self._count_head(len(name) + len(value) + len(": \r\n"))
+        super().on_header(name, value)
+
+    def send_400_response(self, msg: str) -> None:
+        """Answers what is no request, unless an answer was given already."""
+        if not self.transport.is_closing():
+            super().send_400_response(msg)
 
     def on_headers_complete(self) -> None:
         """Takes a whole head."""
@@ -100,6 +111,13 @@
         ):
             self.transport.close()
 
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self.limits.header_bytes:
+            self._end_with(_TOO_LONG)
+            # Nothing more of this connection is read.
+            raise ValueError("the head of a request is too long")
+
     def _arm_idle(self) -> None:
         self.timeout_keep_alive_task = self.loop.call_later(
             self.limits.idle_s, self.timeout_keep_alive_handler
--- /dev/null
+++ b/src/hickorylead_standins/platform.py
@@ -0,0 +1,317 @@
+"""A stand-in for a backend server of the users' platform, on real sockets.
+
+It speaks the platform's published calls: it tells of itself to a control node,
+takes orders, and answers requests in a way that the test sets. It checks what
+a real one checks: its own id, and that a group is led by its head.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import attrs
+import httptools
+import orjson
+
+JOIN_S = 0.05
+FORM_S = 0.05
+
+
+@attrs.define
+class Received:
+    """One request that reached the server."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class _Reader:
+    """Reads requests from a connection."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpRequestParser(self)
+        self.whole: list[Received] = []
+        self._target = b""
+        self._headers: dict[str, str] = {}
+        self._body = b""
+
+    def on_message_begin(self) -> None:
+        self._target, self._headers, self._body = b"", {}, b""
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        self.whole.append(
+            Received(
+                self.parser.get_method().decode(),
+                self._target.decode(),
+                self._headers,
+                self._body,
+            )
+        )
+
+
+@attrs.define
+class Manner:
+    """How the server answers requests.
+
+    Attributes:
+        events: Events of a stream that it makes; 0 for a plain answer.
+        cut_after: Event in whose middle it resets the connection; 0 if none.
+        sheds: Whether it says that it did not run them.
+        extra: Bytes that it sends after each whole answer.
+    """
+
+    events: int = 0
+    cut_after: int = 0
+    sheds: bool = False
+    extra: bytes = b""
+
+
+class PlatformServer:
+    """One backend server."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        service: str,
+        address: str,
+        zone: str,
+        controls: list[str],
+        domain: str = "",
+    ) -> None:
+        """Makes a server; `start` opens its port.
+
+        Args:
+            name: Id of its life.
+            service: Service that it belongs to.
+            address: `ip:port`.
+            zone: Its zone.
+            controls: Addresses of control nodes.
+            domain: Its fabric domain; empty for a plain one.
+        """
+        self.name = name
+        self.manner = Manner()
+        self.received: list[Received] = []
+        self.state = "ready"
+        self._service = service
+        self._address = address
+        self._zone = zone
+        self._controls = controls
+        self._domain = domain
+        self._beats = 0
+        self._orders = 0
+        self._group: dict[str, Any] = {}
+        self._model = ""
+        self._staged: list[str] = []
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Opens the port and begins to tell of itself."""
+        ip, _, port = self._address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, ip, int(port))
+        self._spawn(self._beat())
+
+    def stop(self) -> None:
+        """Ends without a word."""
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _beat(self) -> None:
+        while True:
+            await self.tell()
+            await asyncio.sleep(0.2)
+
+    async def tell(self) -> int:
+        """Tells of itself; returns the status of the answer."""
+        self._beats += 1
+        body: dict[str, Any] = {
+            "Service": self._service,
+            "Address": self._address,
+            "Zone": self._zone,
+            "Version": "v1",
+            "Slots": 6,
+            "State": self.state,
+            "ColdLeftMs": 0,
+            "Sequence": self._beats,
+        }
+        if self._domain:
+            body["Domain"] = self._domain
+            body["Staged"] = self._staged
+            body["Models"] = [{"Name": self._model}] if self._model else []
+            body["group"] = self._group or None
+        return await self._call("heartbeat", body)
+
+    async def deregister(self) -> int:
+        """Says that it leaves for good; returns the status of the answer."""
+        return await self._call("deregister", {})
+
+    async def _call(self, verb: str, body: dict[str, Any]) -> int:
+        for control in self._controls:
+            status = await post_json(
+                control, f"/instances/{self.name}/{verb}", body
+            )
+            if status == 200:
+                return status
+        return 0
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        requests = _Reader()
+        try:
+            while data := await reader.read(65536):
+                requests.parser.feed_data(data)
+                while requests.whole:
+                    await self._answer(requests.whole.pop(0), writer)
+        except (OSError, asyncio.CancelledError):
+            # The caller closed the connection, or the test ends.
+            pass
+        finally:
+            writer.close()
+
+    async def _answer(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.target == "/order":
+            status = self._take_order(orjson.loads(request.body))
+            _write(writer, status, b"")
+            return
+        if request.target == "/report":
+            report = {"Sequence": self._orders, "group": self._group}
+            _write(writer, 200, orjson.dumps(report))
+            return
+        self.received.append(request)
+        expected = request.headers.get("expect-instance", self.name)
+        is_member = bool(self._group.get("rank"))
+        if expected != self.name or is_member:
+            _write(writer, 421, b"")
+        elif self.manner.sheds:
+            _write(writer, 503, b"", **{"Not-Executed": "1"})
+        elif self.manner.events:
+            await self._stream(request, writer)
+        else:
+            echo = request.headers.get("attempt-id", "")
+            body = f"{self.name} got {request.body.decode()}".encode()
+            headers = {"Attempt-Id": echo, "Server-Seal": f"seal.{self.name}"}
+            _write(writer, 200, body, **headers)
+            writer.write(self.manner.extra)
+
+    async def _stream(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        echo = request.headers.get("attempt-id", "")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n"
+            + f"Attempt-Id: {echo}\r\n".encode()
+            + f"Server-Seal: seal.{self.name}\r\n\r\n".encode()
+        )
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.manner.events + 1):
+            event = f"id: {number}\ndata: words {number}\n\n".encode()
+            if number == self.manner.cut_after:
+                event = event[:8]
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            if number == self.manner.cut_after:
+                writer.transport.abort()
+                return
+            await asyncio.sleep(0.005)
+        writer.write(b"0\r\n\r\n")
+
+    def _take_order(self, order: dict[str, Any]) -> int:
+        expected = order.get("Expected")
+        if expected is not None and expected != self._orders:
+            return 409
+        operation = order["Operation"]
+        if operation == "Stage":
+            self._orders += 1
+            self._staged = [order["Model"]]
+            return 202
+        if operation == "join":
+            self._orders += 1
+            self._model = order["Model"]
+            self._staged = [self._model]
+            self._group = {
+                "Name": order["group"],
+                "epoch": order["epoch"],
+                "rank": order["Members"].index(self.name),
+                "State": "joining",
+            }
+            self._spawn(self._turn("ready", JOIN_S))
+            return 202
+        if (order["group"], order["epoch"]) != (
+            self._group.get("Name"),
+            self._group.get("epoch"),
+        ):
+            return 409
+        self._orders += 1
+        if operation == "leave":
+            self._group, self._model = {}, ""
+            self._spawn(self._turn("", 0.0))
+            return 200
+        state = "open" if operation == "open" else "ready"
+        self._spawn(self._turn(state, FORM_S))
+        return 202
+
+    async def _turn(self, state: str, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        if state and self._group:
+            self._group["State"] = state
+        await self.tell()
+
+
+def _write(
+    writer: asyncio.StreamWriter, status: int, body: bytes, **headers: str
+) -> None:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append("Keep-Alive: timeout=5")
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+
+async def ask(address: str, data: bytes) -> bytes:
+    """Sends bytes to an address and returns all that comes until it closes."""
+    ip, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    try:
+        writer.write(data)
+        return await reader.read(-1)
+    finally:
+        writer.close()
+
+
+async def post_json(address: str, path: str, body: Any) -> int:
+    """Posts a JSON body; returns the status, 0 without an answer."""
+    content = body if isinstance(body, bytes) else orjson.dumps(body)
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(content)}"
+        "\r\n\r\n"
+    )
+    try:
+        answer = await ask(address, head.encode() + content)
+    except OSError:
+        # Not listening: the caller goes on to the next address.
+        return 0
+    return int(answer.split(b" ", 2)[1]) if answer else 0
--- /dev/null
+++ b/tests/platform/formats.feature
@@ -0,0 +1,47 @@
+Feature: The platform's formats
+
+  Scenario: All errors of the settings file are told at once
+    Given a platform settings file for a gateway with three faults
+    Then it is refused naming "InternalPorts", "Zone" and "Listen.Front"
+
+  Scenario: A process with a faulty settings file ends with exit code 2
+    Given a platform settings file for a gateway with three faults
+    Then the gateway's process ends with exit code 2 and one line
+
+  Scenario: Fields that are unknown are ignored
+    Given a platform settings file with an unknown field
+    Then its seeds are the peer addresses of the coordinators
+
+  Scenario Outline: A configuration that cannot be read is refused
+    Given a platform configuration with <change>
+    Then reading it fails with "<reason>"
+
+    Examples:
+      | change                 | reason                  |
+      | its end cut off        | cannot be read          |
+      | a text as version      | not a whole number      |
+      | no routes              | Routes is missing       |
+      | an unknown kind        | is missing              |
+      | a route to nowhere     | names the unknown       |
+      | a timeout of 0         | the timeout             |
+
+  Scenario Outline: A heartbeat that cannot be read is refused
+    Given a platform heartbeat with <change>
+    Then reading the heartbeat fails with "<reason>"
+
+    Examples:
+      | change           | reason            |
+      | its end cut off  | cannot be read    |
+      | no address       | Address           |
+      | a wrong address  | is not ip:port    |
+      | an unknown state | missing or wrong  |
+
+  Scenario: The key is not passed on and the workspace can't be forged
+    A caller sends the header that tells replicas its workspace. Passed on, it
+    would act for another one.
+    Given a platform request with a forged workspace
+    Then the replica is told workspace "crew" once and no key
+
+  Scenario: What concerns one connection is not passed on
+    Given a platform request with headers of its connection
+    Then the replica gets neither of them
--- /dev/null
+++ b/tests/steps/platform_steps.py
@@ -0,0 +1,366 @@
+"""Steps about the platform's formats, sessions and connections."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+
+from behave import given, then, when
+import orjson
+from returns import result
+from steps.forwarding_steps import ROUTES
+from support import platformday
+
+from hickorylead import errors
+from hickorylead.forwarding import events, model
+from hickorylead.platform import documents, headers, servers, settings
+from hickorylead.runtime import upstream
+
+GOLDEN = pathlib.Path(__file__).resolve().parent.parent / "golden/platform"
+
+
+@then('the platform session "{name}" is as recorded')
+def _(context, name):
+    found = asyncio.run(platformday.play(platformday.SESSIONS[name]))
+    file = GOLDEN / f"{name}.txt"
+    if context.config.userdata.get("golden") == "write":
+        file.write_text(found, encoding="utf-8")
+    expected = file.read_text(encoding="utf-8")
+    assert found == expected, f"{file.name} differs:\n{found}"
+
+
+# Settings.
+
+GOOD = """\
+NodeName=front-1
+Ip=127.0.0.1
+Zone=z1
+Zones.z1=r
+Zones.z2=r
+Listen.Front=127.0.0.1:7000
+Listen.ReadinessAddress=127.0.0.1:7001
+InternalPorts=7340,7355
+Seeds=127.0.0.2:7002,127.0.0.3:7002
+Bootstrap=true
+HeartbeatMs=1200
+"""
+
+
+@given("a platform settings file for a gateway with three faults")
+def _(context):
+    context.settings_text = (
+        GOOD.replace("InternalPorts=7340,7355", "InternalPorts=x,y")
+        .replace("Zone=z1\n", "")
+        .replace("Listen.Front=127.0.0.1:7000", "Listen.Front=127.0.0.1:0")
+    )
+
+
+@then('it is refused naming "{first}", "{second}" and "{third}"')
+def _(context, first, second, third):
+    try:
+        settings.parse_settings(context.settings_text, role="gateway")
+    except errors.SettingsError as error:
+        assert all(n in str(error) for n in (first, second, third)), error
+    else:
+        raise AssertionError("taken")
+
+
+@then("the gateway's process ends with exit code 2 and one line")
+def _(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write(context.settings_text)
+        file.flush()
+        ended = subprocess.run(
+            [sys.executable, "-m", "hickorylead.platform", "gateway"],
+            env={settings.PATH_VARIABLE: file.name},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    assert ended.returncode == 2, ended
+    assert len(ended.stderr.strip().splitlines()) == 1, ended.stderr
+
+
+@given("a platform settings file with an unknown field")
+def _(context):
+    context.settings_text = GOOD + "Something.New=1\n"
+
+
+@then("its seeds are the peer addresses of the coordinators")
+def _(context):
+    found = settings.parse_settings(context.settings_text, role="gateway")
+    assert found.seeds == ("127.0.0.2:7340", "127.0.0.3:7340"), found
+    assert found.zones == ("z1", "z2"), found
+
+
+# Configurations and heartbeats.
+
+
+@given("a platform configuration with {change}")
+def _(context, change):
+    body = platformday.make_configuration(4)
+    route = body["Routes"][0]
+    match change:
+        case "a text as version":
+            body["Version"] = "4"
+        case "no routes":
+            del body["Routes"]
+        case "an unknown kind":
+            route["Kind"] = "whenever"
+        case "a route to nowhere":
+            route["Service"] = "nowhere"
+        case "a timeout of 0":
+            route["TimeoutMs"] = 0
+    context.body = orjson.dumps(body)
+    if change == "its end cut off":
+        context.body = context.body[:-20]
+
+
+@then('reading it fails with "{reason}"')
+def _(context, reason):
+    match documents.read_document(context.body):
+        case result.Failure(problem):
+            assert reason in problem, problem
+        case found:
+            raise AssertionError(found)
+
+
+@given("a platform heartbeat with {change}")
+def _(context, change):
+    body = {
+        "Service": "s",
+        "Address": "127.0.0.1:80",
+        "Zone": "z1",
+        "Slots": 2,
+        "State": "ready",
+        "Sequence": 3,
+    }
+    match change:
+        case "no address":
+            del body["Address"]
+        case "a wrong address":
+            body["Address"] = "somewhere"
+        case "an unknown state":
+            body["State"] = "tired"
+    context.body = orjson.dumps(body)
+    if change == "its end cut off":
+        context.body = context.body[:-5]
+
+
+@then('reading the heartbeat fails with "{reason}"')
+def _(context, reason):
+    match servers.read_heartbeat("i-1", context.body):
+        case result.Failure(problem):
+            assert reason in problem, problem
+        case found:
+            raise AssertionError(found)
+
+
+# Headers.
+
+
+def write_head(sent):
+    """Returns the lines of a request as a replica gets it."""
+    dialect = headers.Headers()
+    request = model.Request(
+        request_id="r1",
+        terms=dialect.read_terms(sent),
+        route=ROUTES["alerts"],
+        service="plain",
+        workspace="crew",
+        method="POST",
+        target=b"/alerts/1",
+        headers=dialect.list_headers(sent, "crew"),
+        body=b"",
+        urgency=1,
+    )
+    replica = model.Replica("i-1", "plain", "", "a:1", "z1", 6)
+    opened = events.Open(request, 1, replica, 0.5, 0)
+    return dialect.write_head(opened).decode().lower().split("\r\n")
+
+
+@given("a platform request with a forged workspace")
+def _(context):
+    context.lines = write_head(
+        [
+            (b"host", b"h"),
+            (b"attempt-id", b"a1"),
+            (b"tenant", b"other"),
+            (b"authorization", b"Token secret"),
+        ]
+    )
+
+
+@then('the replica is told workspace "crew" once and no key')
+def _(context):
+    told = [line for line in context.lines if line.startswith("tenant")]
+    assert told == ["tenant: crew"], told
+    assert not any("secret" in line for line in context.lines)
+
+
+@given("a platform request with headers of its connection")
+def _(context):
+    context.lines = write_head(
+        [
+            (b"host", b"h"),
+            (b"attempt-id", b"a1"),
+            (b"connection", b"keep-alive, x-hop"),
+            (b"keep-alive", b"timeout=5"),
+            (b"x-hop", b"1"),
+            (b"x-kept", b"1"),
+        ]
+    )
+
+
+@then("the replica gets neither of them")
+def _(context):
+    names = {line.partition(":")[0] for line in context.lines}
+    assert not names & {"connection", "keep-alive", "x-hop"}, names
+    assert "x-kept" in names
+
+
+# Connections.
+
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"Content-Length: 4\r\nKeep-Alive: timeout=9\r\n\r\nbody"
+ANSWERS = {
+    "a length": (WHOLE, ""),
+    "chunks": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "",
+    ),
+    "chunks without an end": (
+        OK + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        "close",
+    ),
+    "too few bytes": (OK + b"Content-Length: 9\r\n\r\nbody", "close"),
+    "no length and a close": (OK + b"Connection: close\r\n\r\nbody", "close"),
+    "no length and a reset": (OK + b"Connection: close\r\n\r\nbody", "reset"),
+    "bytes that are no answer": (b"\0\1\2 what\r\n\r\n", ""),
+    "a length and a second answer": (WHOLE + WHOLE, ""),
+}
+
+
+class Replica:
+    """A replica that sends given bytes, then closes, resets or waits."""
+
+    def __init__(self, data: bytes, end: str) -> None:
+        self.data = data
+        self.end = end
+        self.connections = 0
+
+    async def start(self) -> str:
+        """Opens a port and returns the address."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        return f"127.0.0.1:{port}"
+
+    async def serve(self, reader, writer):
+        """Answers each request on a connection."""
+        self.connections += 1
+        try:
+            while await reader.read(65536):
+                writer.write(self.data)
+                await writer.drain()
+                if self.end == "reset":
+                    # Bytes have to arrive before the reset does.
+                    await asyncio.sleep(0.02)
+                    linger = struct.pack("ii", 1, 0)
+                    writer.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
+                    writer.transport.abort()
+                elif self.end == "close":
+                    writer.close()
+        except (OSError, asyncio.CancelledError):
+            # The test has closed its side, or ends.
+            writer.close()
+
+
+class Watcher:
+    """Keeps how an exchange ended."""
+
+    def __init__(self) -> None:
+        self.done = asyncio.get_running_loop().create_future()
+        self.body = b""
+
+    def take_head(self, status, found):
+        self.status = status
+
+    def take_piece(self, data):
+        self.body += data
+
+    def take_end(self):
+        self.done.set_result("whole")
+
+    def take_failure(self, verdict, reason):
+        self.done.set_result(verdict.value)
+
+
+async def ask_replica(replica, *, times=1, pause_s=0.0):
+    """Asks a replica over one pool; returns how each exchange ended."""
+    address = await replica.start() if replica else "127.0.0.1:1"
+    pool = upstream.Pool()
+    ends = []
+    for number in range(times):
+        if number:
+            await asyncio.sleep(pause_s)
+        watcher = Watcher()
+        pool.start(address, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n", watcher)
+        async with asyncio.timeout(5):
+            ends.append(await watcher.done)
+        await asyncio.sleep(0)
+    pool.close()
+    if replica:
+        replica.server.close()
+    return ends
+
+
+@given("a replica that answers with {answer}")
+def _(context, answer):
+    context.replica = Replica(*ANSWERS[answer])
+
+
+@given("a replica that keeps connections for 1 second")
+def _(context):
+    data = WHOLE.replace(b"timeout=9", b"timeout=1")
+    context.replica = Replica(data, "")
+
+
+@given("no replica listens")
+def _(context):
+    context.replica = None
+
+
+@when("it is asked")
+def _(context):
+    context.ends = asyncio.run(ask_replica(context.replica))
+
+
+@when("it is asked twice")
+def _(context):
+    context.ends = asyncio.run(ask_replica(context.replica, times=2))
+
+
+@when("it is asked twice with {pause:g} seconds in between")
+def _(context, pause):
+    context.ends = asyncio.run(
+        ask_replica(context.replica, times=2, pause_s=pause)
+    )
+
+
+@then("the exchange ends with {end}")
+def _(context, end):
+    wanted = "may_have_run" if end == "failure" else end
+    assert context.ends == [wanted], context.ends
+
+
+@then("the second request goes over a new connection")
+def _(context):
+    assert context.ends == ["whole", "whole"], context.ends
+    assert context.replica.connections == 2, context.replica.connections
