--- a/src/hickorylead/forwarding/fleetview.py
+++ b/src/hickorylead/forwarding/fleetview.py
@@ -55,6 +55,10 @@
         """Returns the replicas of a service and model, in a stable order."""
         return self._replicas.get((service, name), [])
 
+    def count(self) -> int:
+        """Returns how many replicas there are."""
+        return len(self._by_name)
+
     def find(self, name: str) -> model.Replica | None:
         """Returns the replica whose requests an instance takes."""
         return self._by_name.get(name)
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -548,6 +548,7 @@
                 {
                     "attempt_id": request.terms.attempt_id,
                     "route": request.route.name,
+                    "kind": request.route.kind.value,
                     "workspace": request.workspace,
                     "outcome": outcome,
                     "verdict": opened.verdict.value,
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -15,6 +15,8 @@
     from hickorylead.runtime import coordinator, gateway
 
 ROLES = ("gateway", "coordinator")
+# The deploy file names it; the settings file does not.
+METRICS_PORT = 9417
 
 
 def run_program(arguments: list[str]) -> int:
@@ -93,6 +95,7 @@
         ready_port=int(found.ready_address.rpartition(":")[2]),
         peer_port=found.peer_port,
         seeds=found.seeds,
+        metrics_port=METRICS_PORT,
         grace_s=found.grace_s,
     )
 
@@ -110,6 +113,7 @@
         control_port=found.control_port,
         peer_port=found.peer_port,
         seeds=found.seeds,
+        metrics_port=METRICS_PORT,
         may_found=found.is_first_start,
         data_folder=found.data_folder,
         heartbeat_s=found.heartbeat_s,
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -136,6 +136,13 @@
         """Takes new seeds from changed settings."""
         self._identity = attrs.evolve(self._identity, seeds=seeds)
 
+    def count_replicas(self) -> dict[str, int]:
+        """Returns how many replicas are offered, of how many instances."""
+        return {
+            "replicas": self._view.count(),
+            "instances": len(self._registry.list_present()),
+        }
+
     def count_open(self) -> int:
         """Returns how many requests have no final answer yet."""
         return self._forwarder.count_open()
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -28,6 +28,7 @@
     calls,
     clock,
     peers as peers_module,
+    scrape,
     server as server_module,
     ticker,
     upstream,
@@ -74,6 +75,7 @@
         control_port: Port for backend servers and operators.
         peer_port: Port for the other processes of the system.
         seeds: Peer addresses of a few coordinators.
+        metrics_port: Port for scrapes; 0 for none.
         may_found: Whether the whole system starts for the first time.
         data_folder: Folder on a disk.
         heartbeat_s: Pause between heartbeats of backend servers, in seconds.
@@ -87,6 +89,7 @@
     control_port: int
     peer_port: int
     seeds: tuple[str, ...]
+    metrics_port: int
     may_found: bool
     data_folder: str
     heartbeat_s: float
@@ -176,6 +179,9 @@
         )
         await self._peers.start()
         await http.start()
+        scraped = await scrape.serve(
+            self._log, self.settings.ip, self.settings.metrics_port, self._gauge
+        )
         self._log.write(notes.note("started", node=self._node))
         ticking = asyncio.ensure_future(
             ticker.tick_forever(coordinator_role.TICK_S, self._tick, self._log)
@@ -185,6 +191,8 @@
         for task in self._calls:
             task.cancel()
         await http.close()
+        if scraped is not None:
+            await scraped.close()
         await self._peers.close()
         self._pool.close()
         self._folder.close()
@@ -225,6 +233,21 @@
         if future is not None and not future.done():
             future.set_result(answer)
 
+    def _gauge(self) -> dict[str, float]:
+        now = clock.read_boottime()
+        present = self.role.registry.list_present()
+        serving = [i for i in present if i.member.state == instances.GROUP_OPEN]
+        free = [i for i in present if i.domain and not i.has_group]
+        return {
+            "configuration_version": self.role.version,
+            "log_leader": float(self.role.voter.leads(now)),
+            "voters": len(self.role.voter.voters),
+            "instances": len(present),
+            "instances_silent": sum(i.silent for i in present),
+            "groups_open": len(serving),
+            "standbys": len(free),
+        }
+
     # Events and effects.
 
     def apply(self, event: coordinator_role.CoordinatorEvent) -> None:
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -18,6 +18,7 @@
     forwarding,
     listener as listener_module,
     peers as peers_module,
+    scrape,
     server as server_module,
     ticker,
     upstream,
@@ -54,6 +55,7 @@
         ready_port: Port of the readiness check.
         peer_port: Port for the other processes of the system.
         seeds: Peer addresses of a few coordinators.
+        metrics_port: Port for scrapes; 0 for none.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
     """
 
@@ -64,6 +66,7 @@
     ready_port: int
     peer_port: int
     seeds: tuple[str, ...]
+    metrics_port: int
     grace_s: float
 
 
@@ -140,6 +143,9 @@
         await self._peers.start()
         await ready.start()
         await listener.start()
+        scraped = await scrape.serve(
+            self._log, self.settings.ip, self.settings.metrics_port, self._gauge
+        )
         self._log.write(notes.note("started", node=self.name))
         ticking = [
             asyncio.ensure_future(
@@ -158,6 +164,8 @@
         self._pool.close()
         await listener.close()
         await ready.close()
+        if scraped is not None:
+            await scraped.close()
         await self._peers.close()
         self._log.write(notes.note("stopped"))
         self._log.flush()
@@ -226,6 +234,16 @@
             self._exchanges.pop((event.request_id, event.attempt), None)
         self.apply(event)
 
+    def _gauge(self) -> dict[str, float]:
+        document = self.role.document
+        return {
+            "open_requests": self.role.count_open(),
+            "configuration_version": document.version if document else 0,
+            "ready": float(self.role.is_ready()),
+            "connections_opened_total": self._pool.opened,
+            **self.role.count_replicas(),
+        }
+
     def _receive(self, sender: str, message: seam.Message) -> None:
         self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
 
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
@@ -65,3 +66,14 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+
+def is_free(ip: str, port: int) -> bool:
+    """Says whether a port can be opened; the server ends the process if not."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+    return True
--- a/tests/support/platformday.py
+++ b/tests/support/platformday.py
@@ -17,6 +17,7 @@
 
 ZONES = ("z1", "z2", "z3")
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 7601, 7602, 7603, 7604
+METRICS_PORT = 7605
 MODEL = "tiny"
 
 
@@ -99,6 +100,7 @@
                     control_port=CONTROL_PORT,
                     peer_port=PEER_PORT,
                     seeds=seeds,
+                    metrics_port=METRICS_PORT,
                     may_found=True,
                     data_folder=str(folder / zone),
                     heartbeat_s=0.2,
@@ -121,6 +123,7 @@
                 ready_port=READY_PORT,
                 peer_port=PEER_PORT,
                 seeds=seeds,
+                metrics_port=METRICS_PORT,
                 grace_s=3.0,
             ),
             dialect=headers.Headers(),
@@ -273,6 +276,11 @@
         server.manner.events = 3
     await day.call("/drafts/one", b"words", Model=MODEL, Token_Count="5,9")
     day.note_received(since)
+    head = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    answer = await platform.ask(f"127.0.7.9:{METRICS_PORT}", head)
+    for line in answer.decode().splitlines():
+        if 'le="+Inf"' in line or line.startswith("hickorylead_replicas"):
+            day.note("metrics", line)
 
 
 async def play_resumed_stream(day: Day) -> None:
