Spread the returns of refused callers; a starting gateway says when it serves

Change: 1.2 s while a gateway starts, which is when it was seen to serve; other times to come back are spread by 0.3 of them. Shown: 100 callers refused at once come back over 0.3 s and more (failed before: all at the same time).

--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
 from hickorylead import verdict as verdict_module
@@ -18,6 +19,8 @@
 FULL_RETRY_S = 0.4
 # And to one without any replica: a group is formed anew in about a second.
 NONE_RETRY_S = 0.8
+# Returns are spread by this share around the usual time.
+SPREAD_SHARE = 0.3
 
 
 def may_wait(opened: state.Open, now: float) -> bool:
@@ -44,6 +47,18 @@
     return _refuse(opened, reason, retry_s)
 
 
+def spread_return(request_id: str, retry_s: float) -> float:
+    """Returns when one caller should come back, in seconds.
+
+    Callers that were refused in one moment would come back in one moment, and
+    find the replicas full again. Each gets a time of its own around the usual
+    one.
+    """
+    digest = hashlib.blake2b(request_id.encode(), digest_size=2).digest()
+    share = int.from_bytes(digest) / 65535
+    return retry_s * (1.0 + SPREAD_SHARE * (2.0 * share - 1.0))
+
+
 def _refuse(
     opened: state.Open, reason: str, retry_s: float | None
 ) -> events.Refuse:
@@ -51,6 +66,8 @@
     # has not, or that may run again anyway, gets it. A caller must not repeat
     # the others, so they get a status that promises nothing.
     request_id = opened.request.request_id
+    if retry_s is not None:
+        retry_s = spread_return(request_id, retry_s)
     if opened.verdict is verdict_module.Verdict.NOT_RUN:
         return events.Refuse(request_id, 503, reason, retry_s)
     return events.Refuse(
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -17,7 +17,10 @@
     from hickorylead.forwarding import dialect as dialect_module
     from hickorylead.runtime import gateway as gateway_shell
 
-_STARTING = events.Refuse("", 503, "starting", 0.5)
+# A gateway that has started with all others serves 0.8 to 1.3 s later (seen
+# after losses of power); who comes back sooner is refused again.
+STARTING_RETRY_S = 1.2
+_STARTING = events.Refuse("", 503, "starting", STARTING_RETRY_S)
 
 
 class Attempt:
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -20,6 +20,13 @@
     When a non-idempotent call is refused by every replica
     Then it ends with status 503 and a time to come back
 
+  Scenario: Callers that are refused together come back one by one
+    A burst finds all replicas full. If all came back at the same moment they
+    would find them full again.
+    Given a gateway with 0 plain replicas
+    When 100 non-idempotent calls come at once
+    Then their times to come back spread over 0.3 seconds or more
+
   Scenario: The answer to another request reaches no caller
     A late second answer of a former request comes where the answer to this
     one is due. The attempt id tells them apart.
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -243,6 +243,24 @@
     assert refusal.retry_after_s
 
 
+@when("{count:d} non-idempotent calls come at once")
+def _(context, count):
+    play = context.play
+    context.names = [play.ask("alerts") for _ in range(count)]
+    play.run(0.2)
+
+
+@then("their times to come back spread over {spread:g} seconds or more")
+def _(context, spread):
+    play = context.play
+    times = [
+        play.list_of(name, events.Refuse)[0][1].retry_after_s
+        for name in context.names
+    ]
+    assert max(times) - min(times) >= spread, (min(times), max(times))
+    assert len(set(times)) > 50
+
+
 @when("an idempotent call gets the answer to another request")
 def _(context):
     play = context.play
