--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -30,6 +30,7 @@
     from hickorylead.configuration import document as document_module
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.1
 HELLO_PERIOD_S = 0.25
 # Coordinators other than the home are greeted every so many times: most are in
 # other zones, where bytes are dear, and they need it to know who is there.
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -149,7 +149,7 @@
         self._log.write(notes.note("started", node=self.name))
         ticking = [
             asyncio.ensure_future(
-                ticker.tick_forever(gateway_role.TICK_S, self._tick, self._log)
+                ticker.tick_forever(self._choose_pause, self._tick, self._log)
             ),
             asyncio.ensure_future(
                 ticker.tick_forever(
@@ -247,6 +247,16 @@
     def _receive(self, sender: str, message: seam.Message) -> None:
         self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
 
+    def _choose_pause(self) -> float:
+        """Returns the pause to the next tick, in seconds.
+
+        Without requests nothing is to be timed but greetings; most of 360
+        gateways have none at most moments.
+        """
+        if self.role.count_open():
+            return gateway_role.TICK_S
+        return gateway_role.IDLE_TICK_S
+
     def _tick(self) -> None:
         self.apply(seam.Tick(clock.read_wall()))
 
