Leave a replica alone that cannot be reached

Change: the first one marks the replica; a connection is waited for 0.15 s. Shown: the scenario failed before (new requests went there) and passes.

--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -397,6 +397,9 @@
         kept = attempt
         if reason != "refused":
             self._book.note_failure(attempt.replica, now)
+        if reason == model.CONNECT_TIMEOUT:
+            # Cut off or dark: the next request would lose the same time.
+            self._book.mark_stalled(attempt.replica, now)
         effects = self._end_attempt(opened, verdict)
         effects.append(
             notes.Note(
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -8,6 +8,9 @@
 
 Header = tuple[bytes, bytes]
 
+# Why an attempt ended before it was sent: nothing answered in time.
+CONNECT_TIMEOUT = "connect_timeout"
+
 
 @attrs.frozen
 class Terms:
--- a/src/hickorylead/runtime/upstream.py
+++ b/src/hickorylead/runtime/upstream.py
@@ -15,6 +15,7 @@
 import httptools
 
 from hickorylead import verdict as verdict_module
+from hickorylead.forwarding import model
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,8 +23,9 @@
 Verdict = verdict_module.Verdict
 
 # A replica in the same region answers a connection within about 2 ms; one that
-# is dark never does. Lost opening packets are repeated after a second.
-CONNECT_TIMEOUT_S = 0.35
+# is dark never does, and callers wait meanwhile. A lost opening packet is
+# repeated after a second, which is too late anyway.
+CONNECT_TIMEOUT_S = 0.15
 # A kept connection is dropped this long before its server would, in seconds,
 # since a request that crosses its close is lost.
 EXPIRY_MARGIN_S = 0.6
@@ -242,7 +244,7 @@
                 connection = await self._pool.connect(self._address)
         except (OSError, TimeoutError) as error:
             reason = (
-                "connect_timeout"
+                model.CONNECT_TIMEOUT
                 if isinstance(error, TimeoutError)
                 else "unreachable"
             )
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -89,6 +89,13 @@
     When another gateway tells of a stall at a replica that gave something now
     Then its streams stay there
 
+  Scenario: A replica that cannot be reached is left alone for a while
+    Its zone was cut off without a word. Each request that tries it loses the
+    time of a connection attempt before it goes elsewhere; one is enough.
+    Given a gateway with 3 model replicas
+    When a connection to a replica times out
+    Then new requests avoid that replica
+
   Scenario: Retries stay within their share when every replica fails
     All replicas reset all idempotent calls. Retries without a bound would
     double the load just when replicas are in trouble.
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -358,6 +358,16 @@
     context.stopped_at = play.now
 
 
+@when("a connection to a replica times out")
+def _(context):
+    play = context.play
+    name = play.ask("drafts")
+    context.stopped = play.list_sent(name)[-1].replica.name
+    play.give(events.Failed(name, 1, Verdict.NOT_RUN, model.CONNECT_TIMEOUT))
+    replicas = [sent.replica.name for sent in play.list_sent(name)]
+    assert len(set(replicas)) == 2, replicas
+
+
 @then("within {seconds:g} seconds all go on elsewhere")
 def _(context, seconds):
     play = context.play
