--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -95,6 +95,7 @@
     Given a gateway with 3 model replicas
     When a connection to a replica times out
     Then new requests avoid that replica
+    And other gateways are told of it
 
   Scenario: Retries stay within their share when every replica fails
     All replicas reset all idempotent calls. Retries without a bound would
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -368,6 +368,12 @@
     assert len(set(replicas)) == 2, replicas
 
 
+@then("other gateways are told of it")
+def _(context):
+    play = context.play
+    assert context.stopped in play.book.list_stalled(play.now)
+
+
 @then("within {seconds:g} seconds all go on elsewhere")
 def _(context, seconds):
     play = context.play
