--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -19,8 +19,10 @@
     whole,
 )
 from hickorylead.fleet import (
+    descriptions,
     events,
     gateways as gateways_module,
+    identity as identity_module,
     instances,
     messages,
     neighbours as neighbours_module,
@@ -70,35 +72,12 @@
 )
 
 
-@attrs.frozen
-class Identity:
-    """Who a coordinator is, and what its settings say.
-
-    Attributes:
-        node: Its name.
-        address: `ip:port` for its peers.
-        incarnation: Name of the data folder's present life.
-        seeds: Addresses of a few control nodes, for their peers.
-        may_found: Whether the whole system starts for the first time.
-        heartbeat_s: Pause between heartbeats of backend servers, in seconds.
-        zones: All availability zones.
-    """
-
-    node: str
-    address: str
-    incarnation: str
-    seeds: tuple[str, ...]
-    may_found: bool
-    heartbeat_s: float
-    zones: tuple[str, ...]
-
-
 class Coordinator:
     """State of one coordinator."""
 
     def __init__(
         self,
-        identity: Identity,
+        identity: identity_module.Identity,
         *,
         read_document: Callable[
             [bytes], result.Result[document_module.Document, str]
@@ -131,7 +110,7 @@
         self.gateways = gateways_module.Gateways(zone=self._zone)
         self._suspects = suspects_module.Suspects(identity.heartbeat_s)
         self._planner = planner_module.Planner(
-            number=_number_node(identity.node), policy=policy
+            number=identity_module.number_node(identity.node), policy=policy
         )
         self._is_started = not identity.may_found
         # A node that knows but some servers would form groups that there are.
@@ -452,7 +431,7 @@
             seam.Send(node, news) for node in targets
         ]
         for instance in changed:
-            effects.append(_describe_change(instance, known))
+            effects.append(descriptions.describe_change(instance, known))
         return effects + self._plan(now)
 
     def _take_news(
@@ -574,7 +553,7 @@
         return [
             effect
             for item in given
-            for effect in (item, *_describe_order(item))
+            for effect in (item, *descriptions.describe_order(item))
         ]
 
     def _take_answer(
@@ -658,48 +637,3 @@
         self, sent: Iterable[tuple[str, messages.Message]]
     ) -> list[CoordinatorEffect]:
         return [seam.Send(node, message) for node, message in sent]
-
-
-def _number_node(node: str) -> int:
-    total = 0
-    for byte in node.encode():
-        total = (total * 31 + byte) % planner_module.EPOCH_STEP
-    return total
-
-
-def _describe_change(
-    instance: instances.Instance, known: instances.Instance | None
-) -> notes.Note:
-    member = instance.member
-    return notes.note(
-        "instance_changed",
-        server=instance.name,
-        service=instance.service,
-        zone=instance.zone,
-        domain=instance.domain,
-        phase=instance.phase,
-        silent=instance.silent,
-        group=member.group,
-        epoch=member.epoch,
-        state=member.state,
-        models=list(instance.models),
-        staged=list(instance.staged),
-        state_before=known.member.state if known else "new",
-    )
-
-
-def _describe_order(
-    item: orders.Give | orders.AskReport,
-) -> list[notes.Note]:
-    if isinstance(item, orders.AskReport):
-        return []
-    fields = attrs.asdict(item.order)
-    return [
-        notes.note(
-            "order_given",
-            server=item.name,
-            order=type(item.order).__name__.lower(),
-            expected=item.expected,
-            **fields,
-        )
-    ]
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -18,6 +18,7 @@
 )
 from hickorylead.fleet import (
     events,
+    identity,
     instances,
     messages as fleet_messages,
     orders,
@@ -142,7 +143,7 @@
         )
         address = f"{settings.ip}:{settings.peer_port}"
         self.role = coordinator_role.Coordinator(
-            coordinator_role.Identity(
+            identity.Identity(
                 node=self._node,
                 address=address,
                 incarnation=self._folder.incarnation,
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -22,6 +22,7 @@
 )
 from hickorylead.fleet import (
     events,
+    identity,
     instances,
     orders,
     planner as planner_module,
@@ -165,7 +166,7 @@
         """Starts a coordinator with what its disk holds."""
         disk = self.disks[node]
         self.coordinators[node] = coordinator.Coordinator(
-            coordinator.Identity(
+            identity.Identity(
                 node=node,
                 address=node,
                 incarnation=disk.incarnation,
