--- /dev/null
+++ b/tests/platform/faults.feature
@@ -0,0 +1,24 @@
+Feature: Faults of single processes on the platform, on real sockets
+
+  Scenario: A coordinator whose disk is full goes on without voting
+    The disk of one coordinator refuses every write. If it went on voting it
+    could acknowledge what a restart takes back; if it ended, its backend
+    servers would lose it as well. It stops voting, the others acknowledge a
+    change, and when the disk takes writes again it has that change, too.
+    Then a coordinator with a full disk stops voting and comes back
+
+  Scenario: A gateway that is stopped cuts nothing
+    SIGTERM comes while a stream runs, and callers go on coming until the
+    balancer has noticed. The stream ends whole, a newcomer is answered, and
+    the readiness check says at once that no more should come.
+    Then a gateway that is stopped in a stream ends it whole
+
+  Scenario: A reader of the log that stops does not stop the process
+    Nobody reads standard output. The log fills the pipe, then its own small
+    buffer, then drops lines and says how many; nothing waits for the reader.
+    Then 5000 lines into a pipe that nobody reads are written or counted
+
+  Scenario: A head that comes byte by byte is ended in time
+    A caller opens a connection and sends half a head. It would hold a
+    descriptor for ever.
+    Then half a head is answered with status 408 after the time limit
--- /dev/null
+++ b/tests/steps/platform_fault_steps.py
@@ -0,0 +1,144 @@
+"""Steps about single processes of the platform that are in trouble."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+
+from behave import then
+import orjson
+from support import platformday
+
+from hickorylead import notes
+from hickorylead.telemetry import decisions
+from hickorylead_standins import platform
+
+READINESS = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+async def fill_disk(day):
+    """Fills one coordinator's disk, changes, and empties it again."""
+    shell = day.coordinators[0]
+    opened = shell._open_folder
+
+    def refuse(*_):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    shell._folder.persist = refuse
+    shell._open_folder = refuse
+    body = orjson.dumps(platformday.make_configuration(8))
+    async with asyncio.timeout(10):
+        while await day.replace(body, 1) != 200:
+            await asyncio.sleep(0.1)
+    await day.wait_for(lambda: shell._disk_failed_at is not None)
+    # It still hears backend servers, and says nothing that it can't know.
+    server = day.servers[0]
+    status = await platform.post_json(
+        day.controls[0],
+        f"/instances/{server.name}/heartbeat",
+        {
+            "Service": "models",
+            "Address": server._address,
+            "Zone": "z1",
+            "State": "ready",
+            "Sequence": 10_000,
+        },
+    )
+    assert status == 200, status
+    answer = await platform.ask(
+        day.controls[0],
+        b"GET /config/read HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+    )
+    assert answer.startswith(b"HTTP/1.1 503"), answer[:40]
+    shell._open_folder = opened
+    await day.wait_for(lambda: shell._disk_failed_at is None)
+    await day.wait_for(
+        lambda: shell.role.voter.configuration.outside_version == 8
+    )
+
+
+@then("a coordinator with a full disk stops voting and comes back")
+def _(context):
+    asyncio.run(platformday.play(fill_disk))
+
+
+async def stop_gateway(day):
+    """Stops the gateway while a stream runs."""
+    for server in day.servers:
+        server.manner.events = 80
+    before = day.count_received()
+    stream = asyncio.ensure_future(
+        day.call("/drafts/x", b"", Model=platformday.MODEL, Token_Count="5,9")
+    )
+    await day.wait_for(
+        lambda: any(len(s.received) > before[s.name] for s in day.servers)
+    )
+    day.gateway._stop.set()
+    ready_address = f"127.0.7.9:{platformday.READY_PORT}"
+
+    async def is_unready():
+        answer = await platform.ask(ready_address, READINESS)
+        return answer.startswith(b"HTTP/1.1 503")
+
+    async with asyncio.timeout(1.0):
+        while not await is_unready():
+            await asyncio.sleep(0.01)
+    newcomer = await day.call("/alerts/1", b"late")
+    assert newcomer.startswith(b"HTTP/1.1 200"), newcomer[:40]
+    answer = await stream
+    assert answer.endswith(b"0\r\n\r\n"), answer[-60:]
+    assert answer.count(b"\nid: ") == 80, answer
+
+
+@then("a gateway that is stopped in a stream ends it whole")
+def _(context):
+    asyncio.run(platformday.play(stop_gateway))
+
+
+@then("{count:d} lines into a pipe that nobody reads are written or counted")
+def _(context, count):
+    reader, writer = os.pipe()
+    now = [10.0]
+    log = decisions.DecisionLog(
+        common={},
+        clock=lambda: now[0],
+        wall=lambda: 0.0,
+        descriptor=writer,
+    )
+    for number in range(count):
+        log.write(notes.note("tested", number=number, text="x" * 200))
+        now[0] += 0.001
+    os.set_blocking(reader, False)
+    data = b""
+    # The reader comes back; the next lines say what was dropped.
+    for _ in range(200):
+        now[0] += 1.1
+        log.write(notes.note("later"))
+        try:
+            data += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    os.close(reader)
+    os.close(writer)
+    found = [orjson.loads(line) for line in data.splitlines()]
+    written = sum(line["event"] == "tested" for line in found)
+    dropped = sum(
+        line["count"] for line in found if line["event"] == "lines_dropped"
+    )
+    assert written + dropped == count, (written, dropped)
+    assert dropped > 0
+
+
+async def send_half_head(day):
+    """Sends half a head and waits for the end of the connection."""
+    day.gateway._limits.header_s = 0.3
+    answer = await asyncio.wait_for(
+        platform.ask(day.caller_address, b"POST /alerts/1 HTTP/1.1\r\nHo"), 5
+    )
+    assert answer.startswith(b"HTTP/1.1 408"), answer
+
+
+@then("half a head is answered with status 408 after the time limit")
+def _(context):
+    asyncio.run(platformday.play(send_half_head))
