Give no group a name again, and no old state a new number

A planner that restarts saw only the groups that there were, and could give the name and epoch of one that was gone; a member of that one, cut off until then, counted as ready in the new one. Beside it: a sign of life that overtook the news of a change made the old state look newer than the news. Ruled out: the members' word itself (checked per name, epoch and rank), late opens (they name group and epoch). Change: names carry the planner's life, first epochs are far above those seen; a sign of life names the heartbeat since which its state holds.

--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -33,11 +33,13 @@
         sender: Control node that heard them.
         names: Backend servers.
         sequences: Number of the newest heartbeat of each.
+        since: Number of the heartbeat that last told something new of each.
     """
 
     sender: str
     names: tuple[str, ...]
     sequences: tuple[int, ...]
+    since: tuple[int, ...]
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -44,6 +44,10 @@
 # Epochs rise in steps; a planner's own number fills the rest, so that two
 # planners never use one epoch.
 EPOCH_STEP = 64
+# A planner's first epoch is this much above those that it sees: more than the
+# groups, 64 numbers each, that one forms in some minutes (about 100 in a day
+# of 60 s with a loss every 3 s).
+EPOCH_JUMP = 256 * EPOCH_STEP
 # Groups of one that only bring weights into memory have names of their own.
 WARM_UP_PREFIX = "w"
 
@@ -91,13 +95,15 @@
 class Planner:
     """Groups of the domains that one control node is in charge of."""
 
-    def __init__(self, *, number: int, policy: Policy) -> None:
+    def __init__(self, *, number: int, policy: Policy, life: str) -> None:
         """Makes a planner that has given no orders.
 
         Args:
             number: This planner's own number, below `EPOCH_STEP`.
             policy: The trade that the operators chose.
+            life: Tells its lives apart; a part of all names that it gives.
         """
+        self._life = life
         self._number = number % EPOCH_STEP
         self._policy = policy
         self._ledger = ledger_module.Ledger()
@@ -105,6 +111,7 @@
         self._standbys = standbys.Standbys()
         self._forming: dict[_GroupKey, _Forming] = {}
         self._highest_epoch = 0
+        self._has_epoch = False
         self._now = 0.0
         self._lost: frozenset[str] = frozenset()
         self._is_started = False
@@ -453,7 +460,7 @@
         figures: document_module.ModelFigures,
     ) -> None:
         epoch = self._make_epoch()
-        name = f"g{epoch}"
+        name = f"g{epoch}-{self._life}"
         members = tuple(i.name for i in chosen)
         cold = self._list_cold(chosen, figures.name)
         limit_s = figures.load_s if cold else figures.warm_s
@@ -522,12 +529,17 @@
         if self._ledger.is_contested(instance):
             return
         epoch = self._make_epoch()
-        name = f"{WARM_UP_PREFIX}{epoch}"
+        name = f"{WARM_UP_PREFIX}{epoch}-{self._life}"
         self._ledger.give(
             instance, orders.Join(name, epoch, model, (instance.name,))
         )
 
     def _make_epoch(self) -> int:
+        if not self._has_epoch:
+            # Groups that are gone by now had epochs that nobody tells of any
+            # more; servers refuse a lower one than they have seen.
+            self._has_epoch = True
+            self._highest_epoch += EPOCH_JUMP
         step = self._highest_epoch // EPOCH_STEP + 1
         self._highest_epoch = step * EPOCH_STEP + self._number
         return self._highest_epoch
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -25,6 +25,8 @@
         """Makes a registry that knows nobody."""
         self.instances: dict[str, instances.Instance] = {}
         self.heard_at: dict[str, float] = {}
+        # Number of the heartbeat that last told something new.
+        self.changed_at: dict[str, int] = {}
         # Counts what changed, so that others can tell cheaply.
         self.changes = 0
         self._checks: dict[str, int] = {}
@@ -44,18 +46,29 @@
         if not news.silent:
             self.heard_at[news.name] = now
         changed = known is None or not instances.says_the_same(known, news)
+        if changed:
+            self.changed_at[news.name] = news.sequence
         self.instances[news.name] = news
         if changed:
             self._note(news)
             self._end_others(news, now)
         return changed
 
-    def touch(self, name: str, sequence: int, now: float) -> bool:
-        """Takes a sign of life; says whether it ended a silence."""
+    def touch(self, name: str, sequence: int, since: int, now: float) -> bool:
+        """Takes a sign of life; says whether it ended a silence.
+
+        Args:
+            name: The server.
+            sequence: Number of its newest heartbeat.
+            since: Number of the one that last told something new. If that has
+                not come here yet, the state known here is old, and with the
+                newer number it would be kept against the news.
+            now: Present time.
+        """
         known = self.instances.get(name)
         if known is None or known.phase == instances.PHASE_GONE:
             return False
-        if sequence <= known.sequence:
+        if sequence <= known.sequence or known.sequence < since:
             return False
         self.heard_at[name] = now
         revived = known.silent
@@ -116,6 +129,7 @@
                 dropped.append(name)
                 del self.instances[name]
                 self.heard_at.pop(name, None)
+                self.changed_at.pop(name, None)
                 self._check ^= self._checks.pop(name, 0)
                 self.changes += 1
         return dropped
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -110,7 +110,9 @@
         self.gateways = gateways_module.Gateways(zone=self._zone)
         self._suspects = suspects_module.Suspects(identity.heartbeat_s)
         self._planner = planner_module.Planner(
-            number=identity_module.number_node(identity.node), policy=policy
+            number=identity_module.number_node(identity.node),
+            policy=policy,
+            life=f"{rng.getrandbits(24):x}",
         )
         self._is_started = not identity.may_found
         # A node that knows but some servers would form groups that there are.
@@ -244,6 +246,7 @@
                 self._identity.node,
                 tuple(self._alive),
                 tuple(self._alive.values()),
+                tuple(self.registry.changed_at.get(n, 0) for n in self._alive),
             )
             self._alive = {}
             effects += [
@@ -309,10 +312,12 @@
                         self._plans_from, now + TOLD_SETTLE_S
                     )
                 return self._take_news(news, now)
-            case messages.Alive(_, names, sequences):
+            case messages.Alive(_, names, sequences, since):
                 revived = False
-                for name, sequence in zip(names, sequences, strict=False):
-                    revived |= self.registry.touch(name, sequence, now)
+                for name, sequence, first in zip(
+                    names, sequences, since, strict=False
+                ):
+                    revived |= self.registry.touch(name, sequence, first, now)
                     self._suspects.clear(name)
                 return self._plan(now) if revived else []
             case messages.GatewayHello():
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -5,6 +5,7 @@
   sender @0 :Text;
   names @1 :List(Text);
   sequences @2 :List(Int64);
+  since @3 :List(Int64);
 }
 
 struct AppendLog {
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -61,6 +61,14 @@
     When all coordinators and gateways lose power and are back
     Then every gateway offers all replicas within 0.9 seconds
 
+  Scenario: A sign of life does not make old news look new
+    A server's change of group is told by one coordinator to another, and is
+    late. A sign of life that was sent after it comes first. The old state must
+    not take the new number, or the change would be refused as old.
+    Given three coordinators with gateways
+    When a sign of life overtakes the change of a server's state
+    Then the change is taken
+
   Scenario: A late heartbeat does not bring a dead life back
     A server crashed, and another one of another service took its address. A
     heartbeat of the first one, held up by a partition, comes after that.
--- a/tests/fleet/planner.feature
+++ b/tests/fleet/planner.feature
@@ -38,6 +38,14 @@
     Given a domain with 3 servers warm with large, 1 warm with small, 2 empty
     Then a group of the large model is formed at once
 
+  Scenario: A planner that restarts never uses a group's name again
+    A planner formed a group that is gone by now, but for one member which was
+    cut off and still tells that it is ready in it. The planner restarts. If it
+    gave its next group the same name and epoch, that member would count as one
+    of the new group's, and the group would serve without being whole.
+    Given a planner that formed a group, lost it and restarted
+    Then its next group has another name and a higher epoch
+
   Scenario: Loads stay within the weight store's limit
     Twelve empty servers come at once after traffic began. The store allows 4
     loads a second over three zones, so one zone starts at most 6 in 5 s.
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -567,7 +567,7 @@
 
 @then("a group of the large model is formed at once")
 def _(context):
-    subject = planner.Planner(number=1, policy=planner.Policy())
+    subject = planner.Planner(number=1, policy=planner.Policy(), life="a1")
     given = subject.plan(
         present=context.present,
         services=[context.service],
@@ -585,6 +585,78 @@
     assert sorted(joins) == ["l0", "l1", "l2", "s0"], given
 
 
+def plan_once(subject, present, service):
+    """Returns the joins of one round."""
+    given = subject.plan(
+        present=present,
+        services=[service],
+        domains=frozenset({"d1"}),
+        lost=frozenset(),
+        zones=3,
+        is_started=False,
+        now=10.0,
+    )
+    return [
+        g.order
+        for g in given
+        if isinstance(g, orders.Give) and isinstance(g.order, orders.Join)
+    ]
+
+
+@given("a planner that formed a group, lost it and restarted")
+def _(context):
+    service = fleetworld.document.Service("model", engine=fleetworld.ENGINE)
+    context.joins = []
+    for life in ("a1", "b2"):
+        # All servers are other lives by the time of the second round.
+        present = [
+            instances.Instance(
+                f"{life}{n}", "model", f"{life}{n}:1", "z1", "d1", sequence=1
+            )
+            for n in range(2)
+        ]
+        subject = planner.Planner(number=5, policy=planner.Policy(), life=life)
+        context.joins.append(plan_once(subject, present, service)[0])
+
+
+@then("its next group has another name and a higher epoch")
+def _(context):
+    first, second = context.joins
+    assert first.group != second.group, first
+    assert second.epoch >= first.epoch, (first, second)
+
+
+@when("a sign of life overtakes the change of a server's state")
+def _(context):
+    world = context.world
+    member, _ = pick_member(world)
+    role = world.coordinators[world.core[1]]
+    known = role.registry.instances[member.name]
+    changed = attrs.evolve(
+        known,
+        sequence=known.sequence + 1,
+        member=instances.Membership(),
+    )
+    alive = messages.Alive(
+        world.core[0],
+        (member.name,),
+        (known.sequence + 2,),
+        (known.sequence + 1,),
+    )
+    news = messages.InstanceNews(world.core[0], (changed,))
+    for message in (alive, news):
+        world.apply(
+            world.core[1],
+            fleetworld.seam.MessageArrived(world.core[0], message, 0.0),
+        )
+    context.found = role.registry.instances[member.name]
+
+
+@then("the change is taken")
+def _(context):
+    assert not context.found.has_group, context.found
+
+
 @then("a zone with 12 empty servers starts at most 6 loads in 5 seconds")
 def _(context):
     service = fleetworld.document.Service("model", engine=fleetworld.ENGINE)
@@ -592,7 +664,7 @@
         instances.Instance(f"i{n}", "model", f"a{n}:1", "z1", "d1", sequence=1)
         for n in range(12)
     ]
-    subject = planner.Planner(number=1, policy=planner.Policy())
+    subject = planner.Planner(number=1, policy=planner.Policy(), life="a1")
     started = []
     now = 10.0
     while now < 15.0:
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -58,9 +58,9 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.now = 100.0
+        self.planner_class = planner_class
         self.seats = [
-            Seat(planner_class(number=n, policy=planner_module.Policy()))
-            for n in (1, 2)
+            Seat(self._make_planner(planner_class, n)) for n in (1, 2)
         ]
         self.servers: dict[str, replicas.Replica] = {}
         self.count = 0
@@ -71,6 +71,21 @@
         self.late: list[tuple[float, orders.Give]] = []
         self.opened = 0
 
+    def _make_planner(self, planner_class, number):
+        return planner_class(
+            number=number,
+            policy=planner_module.Policy(),
+            life=f"{self.rng.getrandbits(24):x}",
+        )
+
+    def _restart(self) -> None:
+        """Restarts a planner; it has forgotten all that it knew."""
+        seat = self.rng.choice(self.seats)
+        number = self.seats.index(seat) + 1
+        seat.planner = self._make_planner(self.planner_class, number)
+        seat.seen.clear()
+        seat.lost.clear()
+
     def _add_server(self) -> None:
         self.count += 1
         name = f"i{self.count}"
@@ -97,7 +112,9 @@
             self._crash()
         elif chance < 0.03:
             self._drain()
-        elif chance < 0.05:
+        elif chance < 0.055:
+            self._restart()
+        elif chance < 0.075:
             seat = self.rng.choice(self.seats)
             seat.deaf_until = self.now + self.rng.uniform(1.0, 5.0)
         for seat in self.seats:
