Share the retries that operators allow among the gateways there are

Each gateway saved up to 20 retries whatever their number; 71 of them lost 18 servers of one domain at the same moment. Ruled out: a retry storm at one gateway; the refusals were spread evenly. Change: ratio and extra come from the settings; a gateway saves its part of the extra, by the greatest number of gateways that its home told in a minute. Test: forwarding/forwarder, 71 gateways that lose replicas at once; the former numbers (8 and up to 20 saved, 0.15 a request) would allow 71 x 20 + 266 = 1,686. The plain forwarder of the tests is told that there are 9 gateways.

--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -201,12 +201,13 @@
         return True
 
     def tick(
-        self, *, is_fresh: bool, now: float
+        self, *, is_fresh: bool, elsewhere: int, now: float
     ) -> list[tuple[str, messages.Message]]:
         """Returns the loads of the zone, when they are due.
 
         Args:
             is_fresh: Whether the configuration held here is surely recent.
+            elsewhere: Gateways that have another home.
             now: Present time.
         """
         if now < self._next_loads:
@@ -224,6 +225,6 @@
             for head, running in sorted(totals.items())
         )
         message = messages.ZoneLoads(
-            nodes.get_zone(self._zone), loads, is_fresh
+            nodes.get_zone(self._zone), loads, is_fresh, len(own) + elsewhere
         )
         return [(name, message) for name in own]
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -109,11 +109,13 @@
         sender: Control node.
         loads: Sum over the gateways of the zone.
         is_fresh: Whether the sender heard a leader with a majority lately.
+        gateways: How many gateways there are, of all zones.
     """
 
     sender: str
     loads: tuple[HeadLoad, ...]
     is_fresh: bool = False
+    gateways: int = 0
 
 
 @attrs.frozen
@@ -128,6 +130,7 @@
         addresses: Their addresses, in the same order.
         check: Hash over the instances it knows.
         is_empty: Whether it belongs to no cluster and may found one.
+        gateways: Gateways whose home it is.
     """
 
     node: str
@@ -137,6 +140,7 @@
     addresses: tuple[str, ...] = ()
     check: int = 0
     is_empty: bool = False
+    gateways: int = 0
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/neighbours.py
+++ b/src/hickorylead/fleet/neighbours.py
@@ -33,6 +33,7 @@
         incarnation: Member that it is in the configuration log.
         is_empty: Whether it belongs to no cluster.
         check: Hash over the instances that it knows.
+        gateways: Gateways whose home it is.
     """
 
     address: str
@@ -40,6 +41,7 @@
     incarnation: str = ""
     is_empty: bool = False
     check: int = 0
+    gateways: int = 0
 
 
 class Neighbours:
@@ -68,6 +70,7 @@
         neighbour.incarnation = hello.incarnation
         neighbour.is_empty = hello.is_empty
         neighbour.check = hello.check
+        neighbour.gateways = hello.gateways
         for node, address in zip(hello.nodes, hello.addresses, strict=False):
             if node not in self.known and node != self._node:
                 # Told by another one only: greeted, but not alive yet.
@@ -87,6 +90,10 @@
             if now - neighbour.heard_at <= SILENCE_S
         )
 
+    def count_gateways(self, now: float) -> int:
+        """Returns how many gateways the others are home to."""
+        return sum(self.known[n].gateways for n in self.list_alive(now))
+
     def list_targets(self) -> list[str]:
         """Returns whom to greet: known nodes, and seeds by address."""
         addresses = {n.address for n in self.known.values()}
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -30,10 +30,6 @@
 # Replicas that one request is sent to at most, those that refused it counted:
 # each refusal costs a round trip and a share of the common retry budget.
 MAX_SENDS = 4
-# Retries for each request: under the 0.2 that the operators' budget allows
-# over all gateways, so that uneven shares of traffic stay within it.
-RETRY_SHARE = 0.15
-FIRST_RETRIES = 8.0
 # A replica is not started on a request that has less time left, in seconds:
 # it could not answer any more.
 MIN_BUDGET_S = 0.02
@@ -53,16 +49,18 @@
         *,
         chooser: choice_module.Chooser,
         book: health_module.HealthBook,
+        limits: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS,
     ) -> None:
         """Makes a forwarder without requests.
 
         Args:
             chooser: The choice of a replica.
             book: What this gateway has seen of replicas.
+            limits: Retries that all gateways may make together.
         """
         self._chooser = chooser
         self._book = book
-        self._budgets: dict[str, budget_module.RetryBudget] = {}
+        self._budgets = budget_module.SharedBudgets(limits)
         self._open: dict[str, state.Open] = {}
         self.document: document_module.Document | None = None
 
@@ -70,6 +68,10 @@
         """Returns how many requests have no final answer yet."""
         return len(self._open)
 
+    def note_gateways(self, count: int, now: float) -> None:
+        """Takes how many gateways share the retries."""
+        self._budgets.note_gateways(count, now)
+
     def handle(self, event: events.Event, now: float) -> list[events.Effect]:
         """Handles one event."""
         match event:
@@ -157,7 +159,7 @@
             last_event=request.terms.last_event,
         )
         self._open[request.request_id] = opened
-        self._find_budget(request.service).earn()
+        self._budgets.find(request.service).earn()
         self._book.note_prompt(
             request.terms.model, request.terms.prompt_tokens, now
         )
@@ -437,7 +439,7 @@
         has_time = opened.ends_at - now > MIN_BUDGET_S
         if not (has_time and opened.may_repeat and opened.attempts < MAX_SENDS):
             return self._end_failed(opened, reason, now)
-        if not self._find_budget(opened.request.service).spend():
+        if not self._budgets.find(opened.request.service).spend():
             return self._end_failed(opened, "retry_budget_spent", now)
         return self._try(opened, now)
 
@@ -464,7 +466,7 @@
             or opened.runs + 1 >= opened.request.route.max_attempts
             or opened.attempts >= MAX_SENDS
             or opened.ends_at - now <= MIN_BUDGET_S
-            or not self._find_budget(opened.request.service).has_one()
+            or not self._budgets.find(opened.request.service).has_one()
         ):
             return False
         chosen = self._chooser.choose(
@@ -577,11 +579,3 @@
             return None
         found = self.document.find_service(service)
         return found.engine if found else None
-
-    def _find_budget(self, service: str) -> budget_module.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budget_module.RetryBudget(
-                share=RETRY_SHARE, saved=FIRST_RETRIES
-            )
-        return budget
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -106,6 +106,7 @@
         seeds=found.seeds,
         metrics_port=METRICS_PORT,
         grace_s=found.grace_s,
+        retries=found.retries,
     )
 
 
--- a/src/hickorylead/platform/settings.py
+++ b/src/hickorylead/platform/settings.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hickorylead import errors
+from hickorylead.admission import budget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -37,6 +38,7 @@
         heartbeat_s: Pause between heartbeats of backend servers, in seconds.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         lost_disks: Disks that may be lost at the same time.
+        retries: Retries that all gateways may make together.
     """
 
     vm: str
@@ -53,6 +55,7 @@
     heartbeat_s: float
     grace_s: float
     lost_disks: int
+    retries: budget.RetryLimits
 
 
 def read_settings(environment: Mapping[str, str], *, role: str) -> Settings:
@@ -120,6 +123,12 @@
         lost_disks=reader.read(
             "FaultTolerance.Machines", int, 1, optional=True
         ),
+        retries=budget.RetryLimits(
+            ratio=reader.read("Bounds.BudgetRatio", float, 0.2, optional=True),
+            extra=reader.read(
+                "Bounds.BudgetExtra", float, 100.0, optional=True
+            ),
+        ),
     )
     if reader.problems:
         raise errors.SettingsError("; ".join(reader.problems))
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -216,7 +216,11 @@
         effects += self._ask_suspects(now)
         effects += self._tell_gateways(now)
         effects += self._send_all(
-            self.gateways.tick(is_fresh=self.is_fresh(now), now=now)
+            self.gateways.tick(
+                is_fresh=self.is_fresh(now),
+                elsewhere=self.neighbours.count_gateways(now),
+                now=now,
+            )
         )
         if now >= self._next_plan:
             effects += self._plan(now)
@@ -244,6 +248,7 @@
             addresses=tuple(n.address for n in known.values()),
             check=self.registry.check,
             is_empty=self._identity.may_found and not self.voter.cluster,
+            gateways=len(self.gateways.list_own(now)),
         )
         targets = self.neighbours.list_targets()
         effects: list[CoordinatorEffect] = [
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -12,6 +12,7 @@
 from returns import result
 
 from hickorylead import notes
+from hickorylead.admission import budget as budget_module
 from hickorylead.fleet import messages, registry as registry_module
 from hickorylead.forwarding import (
     choice as choice_module,
@@ -66,11 +67,13 @@
         node: Its name.
         boot: Tells its lives apart.
         seeds: Addresses of a few coordinators, for their peers.
+        retries: Retries that all gateways may make together.
     """
 
     node: str
     boot: int
     seeds: tuple[str, ...]
+    retries: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS
 
 
 class Gateway:
@@ -105,6 +108,7 @@
                 zone=self._zone, view=self._view, book=self._book, rng=rng
             ),
             book=self._book,
+            limits=identity.retries,
         )
         self.routes: routes_module.RouteTable | None = None
         self._stale: messages.DocumentUpdate | None = None
@@ -278,10 +282,11 @@
         match message:
             case messages.InstanceNews(_, news):
                 registry_module.merge_all(self._registry, news, now)
-            case messages.ZoneLoads(_, loads, is_fresh):
+            case messages.ZoneLoads(_, loads, is_fresh, gateways):
                 self._take_loads(loads)
                 if sender == self._home:
                     self._is_home_fresh = is_fresh
+                    self._forwarder.note_gateways(gateways, now)
             case messages.StallNews(_, heads):
                 return [*self._forwarder.take_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses):
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -11,6 +11,7 @@
 from starlette import applications, responses, routing
 
 from hickorylead import notes
+from hickorylead.admission import budget as budget_module
 from hickorylead.forwarding import events, routes as routes_module
 from hickorylead.roles import gateway as gateway_role, nodes, seam
 from hickorylead.runtime import (
@@ -57,6 +58,7 @@
         seeds: Peer addresses of a few coordinators.
         metrics_port: Port for scrapes; 0 for none.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
+        retries: Retries that all gateways may make together.
     """
 
     vm: str
@@ -68,6 +70,7 @@
     seeds: tuple[str, ...]
     metrics_port: int
     grace_s: float
+    retries: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS
 
 
 class GatewayShell:
@@ -111,6 +114,7 @@
                 node=node,
                 boot=self._rng.getrandbits(40),
                 seeds=settings.seeds,
+                retries=settings.retries,
             ),
             read_document=read_document,
             rng=self._rng,
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -136,6 +136,7 @@
   addresses @4 :List(Text);
   check @5 :Int64;
   isEmpty @6 :Bool;
+  gateways @7 :Int64;
 }
 
 struct DeleteService {
@@ -597,6 +598,7 @@
   sender @0 :Text;
   loads @1 :List(HeadLoad);
   isFresh @2 :Bool;
+  gateways @3 :Int64;
 }
 
 struct Envelope {
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -104,6 +104,20 @@
     When 300 idempotent calls are all reset
     Then at most 70 were sent a second time
 
+  Scenario: Many gateways that lose replicas at once stay within the limit
+    A fabric domain goes dark, and streams at all gateways stop in the same
+    seconds. Each has saved retries for such a moment; what all of them saved
+    must stay within what the operators allow for all.
+    Given 71 gateways that share 0.2 retries a request and 284 beyond
+    When 1776 requests come to them unevenly and all fail
+    Then they retry at most 639 times, and at least 300 times
+
+  Scenario: A gateway that knows no others yet retries little
+    Gateways that all started a moment ago do not know how many they are.
+    Given 71 new gateways that share 0.2 retries and 284 beyond
+    When 1776 requests come to them unevenly and all fail
+    Then they retry at most 639 times, and at least 300 times
+
   Scenario: A caller that leaves frees the replica at once
     Given a gateway with 3 model replicas
     When a caller leaves in the middle of its stream
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from support import fleetworld
 
+from hickorylead.admission import budget
 from hickorylead.configuration import document
 from hickorylead.fleet import instances, registry
 from hickorylead.forwarding import (
@@ -43,6 +44,8 @@
             ),
             book=self.book,
         )
+        # Its coordinator has told it how many share the retries.
+        self.subject.note_gateways(9, 0.0)
         engine = attrs.evolve(
             fleetworld.ENGINE,
             models=(document.ModelFigures("large", 1, 1.0, 1.0, 1.5, 0.5),),
@@ -615,3 +618,44 @@
 def _(context, reason):
     problems = document.check_document(context.document)
     assert any(reason in problem for problem in problems), problems
+
+
+@given(
+    "71 gateways that share {ratio:g} retries a request and {extra:g} beyond"
+)
+def _(context, ratio, extra):
+    make_budgets(context, ratio, extra)
+    for shared in context.shared:
+        # It has served before, and saved what it may.
+        shared.note_gateways(len(context.shared), 1.0)
+        for _ in range(1000):
+            shared.find("model").earn()
+
+
+@given("71 new gateways that share {ratio:g} retries and {extra:g} beyond")
+def _(context, ratio, extra):
+    make_budgets(context, ratio, extra)
+
+
+def make_budgets(context, ratio, extra):
+    limits = budget.RetryLimits(ratio, extra)
+    context.shared = [budget.SharedBudgets(limits) for _ in range(71)]
+
+
+@when("{count:d} requests come to them unevenly and all fail")
+def _(context, count):
+    # Gateways are drawn by a hash of the caller: some get three times as much
+    # as others.
+    rng = random.Random(7)
+    weights = [rng.uniform(0.5, 1.5) for _ in context.shared]
+    context.retries = 0
+    for shared in rng.choices(context.shared, weights, k=count):
+        found = shared.find("model")
+        found.earn()
+        for _ in range(3):
+            context.retries += found.spend()
+
+
+@then("they retry at most {most:d} times, and at least {least:d} times")
+def _(context, most, least):
+    assert least <= context.retries <= most, context.retries
