--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -32,7 +32,7 @@
         if arguments[0] == "gateway":
             # The imports take a second of a small VM's time. A caller that
             # comes meanwhile waits, instead of being turned away twice.
-            opened = sockets.listen(found.ip, found.caller_port)
+            opened = sockets.listen(found.own_ip, found.caller_port)
         _run_role(arguments[0], found, opened)
     except errors.HickoryleadError as error:
         sys.stderr.write(f"hickorylead: {error}\n")
@@ -121,6 +121,7 @@
         vm=found.vm,
         zone=found.zone,
         ip=found.ip,
+        bind_ip=found.bind_ip,
         caller_port=found.caller_port,
         ready_port=int(found.ready_address.rpartition(":")[2]),
         peer_port=found.peer_port,
@@ -141,6 +142,7 @@
         zone=found.zone,
         zones=found.zones,
         ip=found.ip,
+        bind_ip=found.bind_ip,
         control_port=found.control_port,
         peer_port=found.peer_port,
         seeds=found.seeds,
--- a/src/hickorylead/platform/settings.py
+++ b/src/hickorylead/platform/settings.py
@@ -17,6 +17,9 @@
 _T = TypeVar("_T")
 
 PATH_VARIABLE = "HICKORYLEAD_NODE_FILE"
+# Where others reach a process by another address than its own, behind address
+# translation, this names its own one: it listens there, and calls from there.
+BIND_VARIABLE = "HICKORYLEAD_BIND_IP"
 
 
 @attrs.frozen
@@ -39,6 +42,7 @@
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         lost_disks: Disks that may be lost at the same time.
         retries: Retries that all gateways may make together.
+        bind_ip: IP number that the process binds; empty if it is `ip`.
     """
 
     vm: str
@@ -56,6 +60,12 @@
     grace_s: float
     lost_disks: int
     retries: budget.RetryLimits
+    bind_ip: str = ""
+
+    @property
+    def own_ip(self) -> str:
+        """The IP number on which the process listens."""
+        return self.bind_ip or self.ip
 
 
 def read_settings(environment: Mapping[str, str], *, role: str) -> Settings:
@@ -75,7 +85,8 @@
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
-    return parse_settings(text, role=role)
+    settings = parse_settings(text, role=role)
+    return attrs.evolve(settings, bind_ip=environment.get(BIND_VARIABLE, ""))
 
 
 def load_settings(role: str) -> Settings:
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -72,7 +72,7 @@
         vm: Name of the VM.
         zone: Its availability zone.
         zones: All availability zones.
-        ip: Its IP number.
+        ip: IP number by which others reach it.
         control_port: Port for backend servers and operators.
         peer_port: Port for the other processes of the system.
         seeds: Peer addresses of a few coordinators.
@@ -81,6 +81,7 @@
         data_folder: Folder on a disk.
         heartbeat_s: Pause between heartbeats of backend servers, in seconds.
         lost_disks: Disks that may be lost at the same time.
+        bind_ip: IP number that it binds; empty if it is `ip`.
     """
 
     vm: str
@@ -95,6 +96,12 @@
     data_folder: str
     heartbeat_s: float
     lost_disks: int
+    bind_ip: str = ""
+
+    @property
+    def own_ip(self) -> str:
+        """The IP number on which it listens."""
+        return self.bind_ip or self.ip
 
 
 class CoordinatorShell:
@@ -137,7 +144,7 @@
         self._calls: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, asyncio.Future[Any]] = {}
         self._count = 0
-        self._pool = upstream.Pool()
+        self._pool = upstream.Pool(settings.bind_ip)
         self._tuning = attrs.evolve(
             TUNING, min_voters=2 * settings.lost_disks + 1
         )
@@ -167,6 +174,7 @@
             known={},
             deliver=self._receive,
             log=log,
+            bind_ip=settings.bind_ip,
         )
 
     async def run(self) -> None:
@@ -176,12 +184,17 @@
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._take_new_settings)
         http = server_module.HttpServer(
-            self._make_app(self), self.settings.ip, self.settings.control_port
+            self._make_app(self),
+            self.settings.own_ip,
+            self.settings.control_port,
         )
         await self._peers.start()
         await http.start()
         scraped = await scrape.serve(
-            self._log, self.settings.ip, self.settings.metrics_port, self._gauge
+            self._log,
+            self.settings.own_ip,
+            self.settings.metrics_port,
+            self._gauge,
         )
         self._log.write(notes.note("started", node=self._node))
         ticking = asyncio.ensure_future(
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -52,7 +52,7 @@
     Attributes:
         vm: Name of the VM.
         zone: Its availability zone.
-        ip: Its IP number.
+        ip: IP number by which others reach it.
         caller_port: Port for callers.
         ready_port: Port of the readiness check.
         peer_port: Port for the other processes of the system.
@@ -60,6 +60,7 @@
         metrics_port: Port for scrapes; 0 for none.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         retries: Retries that all gateways may make together.
+        bind_ip: IP number that it binds; empty if it is `ip`.
     """
 
     vm: str
@@ -72,6 +73,12 @@
     metrics_port: int
     grace_s: float
     retries: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS
+    bind_ip: str = ""
+
+    @property
+    def own_ip(self) -> str:
+        """The IP number on which it listens."""
+        return self.bind_ip or self.ip
 
 
 class GatewayShell:
@@ -109,7 +116,7 @@
         self._log = log
         self._dialect = dialect
         self._limits = listener_module.ListenerLimits()
-        self._pool = upstream.Pool()
+        self._pool = upstream.Pool(settings.bind_ip)
         self._exchanges: dict[tuple[str, int], upstream.Exchange] = {}
         self._stop = asyncio.Event()
         self.callers: dict[str, forwarding.Caller] = {}
@@ -130,6 +137,7 @@
             known={},
             deliver=self._receive,
             log=log,
+            bind_ip=settings.bind_ip,
         )
 
     async def run(self) -> None:
@@ -141,19 +149,22 @@
         loop.add_signal_handler(signal.SIGHUP, self._take_new_settings)
         listener = listener_module.Listener(
             forwarding.Application(self, self._dialect),
-            settings.ip,
+            settings.own_ip,
             settings.caller_port,
             self._limits,
             opened=self._opened,
         )
         ready = server_module.HttpServer(
-            self._make_ready_app(), settings.ip, settings.ready_port
+            self._make_ready_app(), settings.own_ip, settings.ready_port
         )
         await self._peers.start()
         await ready.start()
         await listener.start()
         scraped = await scrape.serve(
-            self._log, self.settings.ip, self.settings.metrics_port, self._gauge
+            self._log,
+            self.settings.own_ip,
+            self.settings.metrics_port,
+            self._gauge,
         )
         self._log.write(notes.note("started", node=self.name))
         ticking = [
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -47,8 +47,9 @@
 class _Link:
     """The way to one node."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, bind_ip: str) -> None:
         self.address = address
+        self._bind = (bind_ip, 0) if bind_ip else None
         self.waiting: collections.deque[bytes] = collections.deque(
             maxlen=MAX_WAITING
         )
@@ -66,7 +67,9 @@
     async def _run_connection(self) -> None:
         ip, port = split_address(self.address)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(ip, port)
+            reader, writer = await asyncio.open_connection(
+                ip, port, local_addr=self._bind
+            )
         try:
             while True:
                 while self.waiting:
@@ -98,6 +101,7 @@
         known: Mapping[str, str],
         deliver: Callable[[str, seam.Message], None],
         log: Warner,
+        bind_ip: str = "",
     ) -> None:
         """Makes the connections of a process; `start` opens them.
 
@@ -107,7 +111,10 @@
             known: Addresses by node, from the settings.
             deliver: Called with each message and its sender.
             log: Where trouble is told.
+            bind_ip: IP number to listen on and to call from, if it is not
+                that of the address.
         """
+        self._bind_ip = bind_ip
         self._node = node
         self._address = address
         self._addresses = dict(known)
@@ -122,7 +129,9 @@
     async def start(self) -> None:
         """Starts to take messages."""
         ip, port = split_address(self._address)
-        self._server = await asyncio.start_server(self._serve, ip, port)
+        self._server = await asyncio.start_server(
+            self._serve, self._bind_ip or ip, port
+        )
 
     async def close(self) -> None:
         """Closes all connections."""
@@ -149,7 +158,7 @@
         if link is None or link.address != address:
             if link is not None and link.task is not None:
                 link.task.cancel()
-            link = self._links[node] = _Link(address)
+            link = self._links[node] = _Link(address, self._bind_ip)
             link.task = asyncio.create_task(link.run())
         link.waiting.append(self._encode(message))
         link.wake.set()
--- a/src/hickorylead/runtime/upstream.py
+++ b/src/hickorylead/runtime/upstream.py
@@ -257,8 +257,13 @@
 class Pool:
     """Kept connections to all replicas, newest first."""
 
-    def __init__(self) -> None:
-        """Makes a pool without connections."""
+    def __init__(self, bind_ip: str = "") -> None:
+        """Makes a pool without connections.
+
+        Args:
+            bind_ip: IP number that connections come from; empty for any.
+        """
+        self._bind = (bind_ip, 0) if bind_ip else None
         self._idle: dict[str, collections.deque[Connection]] = (
             collections.defaultdict(collections.deque)
         )
@@ -304,6 +309,7 @@
             lambda: Connection(lambda c: self._keep(address, c)),
             ip,
             int(port),
+            local_addr=self._bind,
         )
         return connection
 
--- a/src/hickorylead_standins/platform.py
+++ b/src/hickorylead_standins/platform.py
@@ -117,6 +117,7 @@
         self._staged: list[str] = []
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Opens the port and begins to tell of itself."""
@@ -178,6 +179,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         requests = _Reader()
+        self.writers.add(writer)
         try:
             while data := await reader.read(65536):
                 requests.parser.feed_data(data)
@@ -187,6 +189,7 @@
             # The caller closed the connection, or the test ends.
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -194,26 +197,26 @@
     ) -> None:
         if request.target == "/order":
             status = self._take_order(orjson.loads(request.body))
-            _write(writer, status, b"")
+            write(writer, status, b"")
             return
         if request.target == "/report":
             report = {"Sequence": self._orders, "group": self._group}
-            _write(writer, 200, orjson.dumps(report))
+            write(writer, 200, orjson.dumps(report))
             return
         self.received.append(request)
         expected = request.headers.get("expect-instance", self.name)
         is_member = bool(self._group.get("rank"))
         if expected != self.name or is_member:
-            _write(writer, 421, b"")
+            write(writer, 421, b"")
         elif self.manner.sheds:
-            _write(writer, 503, b"", **{"Not-Executed": "1"})
+            write(writer, 503, b"", **{"Not-Executed": "1"})
         elif self.manner.events:
             await self._stream(request, writer)
         else:
             echo = request.headers.get("attempt-id", "")
             body = f"{self.name} got {request.body.decode()}".encode()
             headers = {"Attempt-Id": echo, "Server-Seal": f"seal.{self.name}"}
-            _write(writer, 200, body, **headers)
+            write(writer, 200, body, **headers)
             writer.write(self.manner.extra)
 
     async def _stream(
@@ -281,19 +284,22 @@
         await self.tell()
 
 
-def _write(
+def write(
     writer: asyncio.StreamWriter, status: int, body: bytes, **headers: str
 ) -> None:
+    """Writes a whole answer."""
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     lines.append("Keep-Alive: timeout=5")
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
-async def ask(address: str, data: bytes) -> bytes:
+async def ask(address: str, data: bytes, source_ip: str = "") -> bytes:
     """Sends bytes to an address and returns all that comes until it closes."""
     ip, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(ip, int(port))
+    reader, writer = await asyncio.open_connection(
+        ip, int(port), local_addr=(source_ip, 0) if source_ip else None
+    )
     try:
         writer.write(data)
         return await reader.read(-1)
@@ -301,7 +307,9 @@
         writer.close()
 
 
-async def post_json(address: str, path: str, body: Any) -> int:
+async def post_json(
+    address: str, path: str, body: Any, source_ip: str = ""
+) -> int:
     """Posts a JSON body; returns the status, 0 without an answer."""
     content = body if isinstance(body, bytes) else orjson.dumps(body)
     head = (
@@ -310,7 +318,7 @@
         "\r\n\r\n"
     )
     try:
-        answer = await ask(address, head.encode() + content)
+        answer = await ask(address, head.encode() + content, source_ip)
     except OSError:
         # Not listening: the caller goes on to the next address.
         return 0
