--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -9,10 +9,12 @@
 
 from typing import TYPE_CHECKING
 
-from hickorylead import notes, verdict as verdict_module
+from hickorylead import verdict as verdict_module
 from hickorylead.admission import budget as budget_module
 from hickorylead.forwarding import (
+    answers,
     choice as choice_module,
+    descriptions,
     events,
     model,
     refusals,
@@ -33,9 +35,6 @@
 # A replica is not started on a request that has less time left, in seconds:
 # it could not answer any more.
 MIN_BUDGET_S = 0.02
-# An idempotent call without an answer is tried elsewhere after this many times
-# its objective: nearly all answers come within one.
-PATIENCE_OBJECTIVES = 2.0
 # Bodies of answers that are not streams are given whole up to this size, in
 # bytes, so that one that breaks off can still be asked for elsewhere.
 MAX_WHOLE_BYTES = 512 * 1024
@@ -99,7 +98,7 @@
                 effects += self._give_up(opened, now)
             elif opened.phase == "waiting":
                 effects += self._try(opened, now)
-            elif self._is_overdue(opened, now) and self._can_move(opened, now):
+            elif stalls.is_overdue(opened, now) and self._can_move(opened, now):
                 effects += self._fail(
                     opened, Verdict.MAY_HAVE_RUN, "no_answer", now
                 )
@@ -208,19 +207,8 @@
                 budget_s=opened.ends_at - now,
                 last_event=opened.last_event,
             ),
-            notes.Note(
-                "attempt_sent",
-                request.request_id,
-                {
-                    "attempt": attempt.number,
-                    "server": replica.name,
-                    "zone": replica.zone,
-                    "weighed": chosen.weighed,
-                    "estimate_s": round(chosen.estimate_s, 4),
-                    "running": seen.running,
-                    "last_event": opened.last_event,
-                },
-                level="debug" if attempt.number == 1 else "info",
+            descriptions.describe_attempt(
+                opened, attempt, chosen, running=seen.running
             ),
         ]
 
@@ -275,14 +263,14 @@
         if attempt.cutter is None:
             attempt.body += event.data
             if len(attempt.body) > MAX_WHOLE_BYTES:
-                return self._give_begun(opened)
+                return answers.give_begun(opened)
             return []
         seen = self._book.get(attempt.replica)
         seen.progress_at = now
         cut = attempt.cutter.feed(event.data)
         effects: list[events.Effect] = []
         if cut.data:
-            effects += self._start_stream(opened, now)
+            effects += answers.start_stream(opened, self._book)
             effects.append(events.Emit(event.request_id, cut.data))
             opened.last_event = attempt.cutter.last_event
         if cut.problem:
@@ -291,41 +279,6 @@
             )
         return effects
 
-    def _start_stream(
-        self, opened: state.Open, now: float
-    ) -> list[events.Effect]:
-        attempt = opened.attempt
-        assert attempt is not None
-        if not attempt.has_given:
-            attempt.has_given = True
-            seen = self._book.get(attempt.replica)
-            seen.reading -= opened.request.terms.prompt_tokens
-        if opened.started:
-            return []
-        opened.started = True
-        assert attempt.head is not None
-        head = attempt.head
-        return [
-            events.Start(opened.request.request_id, head.status, head.headers)
-        ]
-
-    def _give_begun(self, opened: state.Open) -> list[events.Effect]:
-        """Gives what there is of an answer that is too large to be kept."""
-        attempt, request_id = opened.attempt, opened.request.request_id
-        assert attempt is not None
-        assert attempt.head is not None
-        effects: list[events.Effect] = []
-        if not opened.started:
-            opened.started = True
-            effects.append(
-                events.Start(
-                    request_id, attempt.head.status, attempt.head.headers
-                )
-            )
-        effects.append(events.Emit(request_id, bytes(attempt.body)))
-        attempt.body.clear()
-        return effects
-
     def _end(self, event: events.Ended, now: float) -> list[events.Effect]:
         opened = self._find(event.request_id, event.attempt)
         if opened is None or opened.attempt is None:
@@ -336,8 +289,8 @@
                 return self._fail(
                     opened, Verdict.MAY_HAVE_RUN, "cut_in_event", now
                 )
-            effects = self._start_stream(opened, now)
-        elif self._should_ask_another(opened):
+            effects = answers.start_stream(opened, self._book)
+        elif answers.is_worth_another(opened):
             return self._fail(
                 opened,
                 Verdict.RAN,
@@ -345,7 +298,7 @@
                 now,
             )
         else:
-            effects = self._give_whole(opened)
+            effects = answers.give_whole(opened)
         head = attempt.head
         if head is not None and head.status < 500:
             self._book.note_success(attempt.replica)
@@ -354,37 +307,6 @@
         effects.append(events.Finish(event.request_id))
         return effects + self._close(opened, "answered", now)
 
-    def _should_ask_another(self, opened: state.Open) -> bool:
-        """Says whether a replica's failure is worth another try."""
-        attempt = opened.attempt
-        assert attempt is not None
-        return (
-            attempt.head is not None
-            and attempt.head.status >= 500
-            and not opened.started
-            and opened.request.route.is_repeatable
-            and opened.runs + 1 < opened.request.route.max_attempts
-        )
-
-    def _give_whole(self, opened: state.Open) -> list[events.Effect]:
-        attempt, request_id = opened.attempt, opened.request.request_id
-        assert attempt is not None
-        assert attempt.head is not None
-        effects: list[events.Effect] = []
-        if not opened.started:
-            opened.started = True
-            effects.append(
-                events.Start(
-                    request_id,
-                    attempt.head.status,
-                    attempt.head.headers,
-                    len(attempt.body),
-                )
-            )
-        if attempt.body:
-            effects.append(events.Emit(request_id, bytes(attempt.body)))
-        return effects
-
     # Failures.
 
     def _fail(
@@ -404,17 +326,8 @@
             self._book.mark_stalled(attempt.replica, now)
         effects = self._end_attempt(opened, verdict)
         effects.append(
-            notes.Note(
-                "attempt_failed",
-                opened.request.request_id,
-                {
-                    "attempt": kept.number,
-                    "server": kept.replica.name,
-                    "verdict": verdict.value,
-                    "reason": reason,
-                    "after_s": round(now - kept.sent_at, 3),
-                    "last_event": opened.last_event,
-                },
+            descriptions.describe_failure(
+                opened, kept, verdict=verdict, reason=reason, now=now
             )
         )
         return effects + self._retry(opened, reason, now)
@@ -490,12 +403,8 @@
             and opened.request.is_stream
         ]
         effects: list[events.Effect] = [
-            notes.note(
-                "replica_stalled",
-                server=replica.name,
-                epoch=replica.epoch,
-                silent_s=round(now - self._book.get(replica).progress_at, 3),
-                streams=len(streams),
+            descriptions.describe_stall(
+                replica, self._book.get(replica), len(streams), now
             )
         ]
         for opened in streams:
@@ -505,16 +414,6 @@
                 )
         return effects
 
-    def _is_overdue(self, opened: state.Open, now: float) -> bool:
-        request, attempt = opened.request, opened.attempt
-        return (
-            attempt is not None
-            and not request.is_stream
-            and attempt.head is None
-            and now - attempt.sent_at
-            > PATIENCE_OBJECTIVES * request.route.objective_s
-        )
-
     # Ends.
 
     def _give_up(self, opened: state.Open, now: float) -> list[events.Effect]:
@@ -546,23 +445,7 @@
         self._release(opened)
         request = opened.request
         del self._open[request.request_id]
-        return [
-            notes.Note(
-                "request_ended",
-                request.request_id,
-                {
-                    "attempt_id": request.terms.attempt_id,
-                    "route": request.route.name,
-                    "kind": request.route.kind.value,
-                    "workspace": request.workspace,
-                    "outcome": outcome,
-                    "verdict": opened.verdict.value,
-                    "attempts": opened.attempts,
-                    "lasted_s": round(now - opened.arrived_at, 3),
-                },
-                level="debug" if outcome == "answered" else "info",
-            )
-        ]
+        return [descriptions.describe_end(opened, outcome, now)]
 
     def _release(self, opened: state.Open) -> None:
         attempt = opened.attempt
--- a/src/hickorylead/forwarding/stalls.py
+++ b/src/hickorylead/forwarding/stalls.py
@@ -31,6 +31,21 @@
 # after this, in seconds, beyond the limit: about 120 ms pass before any first
 # event, and a full replica lets newcomers wait.
 FIRST_EVENT_S = 0.2
+# An idempotent call without an answer is tried elsewhere after this many times
+# its objective: nearly all answers come within one.
+PATIENCE_OBJECTIVES = 2.0
+
+
+def is_overdue(opened: state.Open, now: float) -> bool:
+    """Says whether a call that is no stream has waited too long."""
+    request, attempt = opened.request, opened.attempt
+    return (
+        attempt is not None
+        and not request.is_stream
+        and attempt.head is None
+        and now - attempt.sent_at
+        > PATIENCE_OBJECTIVES * request.route.objective_s
+    )
 
 
 def find_limit(
