Split the use of free servers out of the planner

Groups that there are stay in it; forming groups of free servers, standbys and fencing numbers are in fleet/former.

--- a/src/hickorylead/fleet/identity.py
+++ b/src/hickorylead/fleet/identity.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from hickorylead.fleet import planner
+from hickorylead.fleet import former
 
 
 @attrs.frozen
@@ -34,5 +34,5 @@
     """Returns a number for a node's epochs, below `EPOCH_STEP`."""
     total = 0
     for byte in node.encode():
-        total = (total * 31 + byte) % planner.EPOCH_STEP
+        total = (total * 31 + byte) % former.EPOCH_STEP
     return total
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -18,14 +18,12 @@
 import collections
 from typing import TYPE_CHECKING
 
-import attrs
-
 from hickorylead.fleet import (
+    former as former_module,
     groups as groups_module,
     instances,
     layout as layout_module,
     ledger as ledger_module,
-    loads,
     orders,
     standbys,
 )
@@ -35,67 +33,17 @@
 
     from hickorylead.configuration import document as document_module
 
-# A group whose members have not all told of themselves is given this long
-# beyond the time that its model takes to load, in seconds.
-FORM_SLACK_S = 3.0
 # A member that was never heard is waited for this long, in seconds: two
 # heartbeat periods, as one heartbeat may go to a control node that is gone.
 UNHEARD_S = 2.5
-# Epochs rise in steps; a planner's own number fills the rest, so that two
-# planners never use one epoch.
-EPOCH_STEP = 64
-# A planner's first epoch is this much above those that it sees: more than the
-# groups, 64 numbers each, that one forms in some minutes (about 100 in a day
-# of 60 s with a loss every 3 s).
-EPOCH_JUMP = 256 * EPOCH_STEP
-# Groups of one that only bring weights into memory have names of their own.
-WARM_UP_PREFIX = "w"
-
-_GroupKey = tuple[str, int]
-
-
-@attrs.frozen
-class Policy:
-    """The trade between group downtime and stranded accelerators.
-
-    Attributes:
-        spare_share: Share of a domain's VMs kept as warm standbys, 0 to 1.
-    """
-
-    spare_share: float = 0.16
-
-
-@attrs.define
-class _Forming:
-    model: str
-    members: tuple[str, ...]
-    began_at: float
-    limit_s: float
-
-
-@attrs.define
-class _Domain:
-    """One domain in one round.
-
-    Attributes:
-        engine: Figures of its engines.
-        present: Its servers by name.
-        alive: How many of them live and do not leave.
-        serving: Groups that serve or are about to, by model.
-        groups: Those groups.
-    """
-
-    engine: document_module.Engine
-    present: dict[str, instances.Instance]
-    alive: int
-    serving: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    groups: list[groups_module.Group] = attrs.field(factory=list)
 
 
 class Planner:
     """Groups of the domains that one control node is in charge of."""
 
-    def __init__(self, *, number: int, policy: Policy, life: str) -> None:
+    def __init__(
+        self, *, number: int, policy: former_module.Policy, life: str
+    ) -> None:
         """Makes a planner that has given no orders.
 
         Args:
@@ -103,24 +51,23 @@
             policy: The trade that the operators chose.
             life: Tells its lives apart; a part of all names that it gives.
         """
-        self._life = life
-        self._number = number % EPOCH_STEP
         self._policy = policy
         self._ledger = ledger_module.Ledger()
-        self._loads = loads.LoadBudget()
         self._standbys = standbys.Standbys()
-        self._forming: dict[_GroupKey, _Forming] = {}
-        self._highest_epoch = 0
-        self._has_epoch = False
-        self._now = 0.0
+        self._epochs = former_module.Epochs(number)
+        self._former = former_module.Former(
+            epochs=self._epochs,
+            policy=policy,
+            life=life,
+            ledger=self._ledger,
+            standbys_book=self._standbys,
+        )
         self._lost: frozenset[str] = frozenset()
-        self._is_started = False
-        self._supply: dict[str, float] = {}
         # Groups of this round; those that were whole once, and since when
         # the others are known.
-        self._found_keys: set[_GroupKey] = set()
-        self._seen_whole: set[_GroupKey] = set()
-        self._first_seen: dict[_GroupKey, float] = {}
+        self._found_keys: set[former_module.GroupKey] = set()
+        self._seen_whole: set[former_module.GroupKey] = set()
+        self._first_seen: dict[former_module.GroupKey, float] = {}
 
     def plan(
         self,
@@ -147,15 +94,13 @@
         """
         self._now = now
         self._lost = lost
-        self._is_started = is_started
+        self._former.open(is_started=is_started, now=now)
         everyone = {i.name: i for i in present}
         self._found_keys = set()
         self._ledger.open(everyone, now)
         self._standbys.note(everyone.values(), now)
         for instance in everyone.values():
-            self._highest_epoch = max(
-                self._highest_epoch, instance.member.epoch
-            )
+            self._epochs.note(instance.member.epoch)
         for service in services:
             if service.engine is not None:
                 self._plan_service(service, everyone, domains, zones)
@@ -184,10 +129,7 @@
     ) -> None:
         engine = service.engine
         assert engine is not None
-        if self._is_started:
-            self._loads.open(engine.loads_per_s, zones, self._now)
-        else:
-            self._loads.lift()
+        self._former.open_loads(engine.loads_per_s, zones)
         mine = [i for i in everyone.values() if i.service == service.name]
         living = [i for i in mine if self._is_living(i)]
         serving_vms = collections.Counter(
@@ -195,9 +137,9 @@
             for i in living
             if i.has_group
             and i.models
-            and not i.member.group.startswith(WARM_UP_PREFIX)
+            and not i.member.group.startswith(former_module.WARM_UP_PREFIX)
         )
-        self._supply = layout_module.measure_supply(
+        supply = layout_module.measure_supply(
             engine, serving_vms, len(living), self._policy.spare_share
         )
         by_domain: dict[str, dict[str, instances.Instance]] = (
@@ -207,8 +149,10 @@
             if instance.domain in domains:
                 by_domain[instance.domain][instance.name] = instance
         for _, present in sorted(by_domain.items()):
-            alive = sum(1 for i in present.values() if self._is_living(i))
-            self._plan_domain(_Domain(engine, present, alive))
+            living_here = [i for i in present.values() if self._is_living(i)]
+            self._plan_domain(
+                former_module.Domain(engine, present, living_here, supply)
+            )
 
     def _is_living(self, instance: instances.Instance) -> bool:
         return (
@@ -216,37 +160,43 @@
             and instance.name not in self._lost
         )
 
-    def _plan_domain(self, domain: _Domain) -> None:
+    def _plan_domain(self, domain: former_module.Domain) -> None:
         found = groups_module.collect_groups(domain.present.values())
         self._found_keys.update(found)
         for key, group in sorted(found.items()):
             if self._look_after(key, group, domain):
                 domain.serving[self._find_model(key, group)] += 1
                 domain.groups.append(group)
-        for key, forming in list(self._forming.items()):
+        for key, forming in list(self._former.forming.items()):
             if key in found or forming.members[0] not in domain.present:
                 continue
             if self._now - forming.began_at > ledger_module.EFFECT_WAIT_S:
-                del self._forming[key]
+                del self._former.forming[key]
                 continue
             domain.serving[forming.model] += 1
             self._join_missing(key, forming, domain)
-        self._use_free(domain)
+        for group in self._former.use_free(domain):
+            self._retire(group)
 
     # Groups that there are.
 
-    def _find_model(self, key: _GroupKey, group: groups_module.Group) -> str:
-        forming = self._forming.get(key)
+    def _find_model(
+        self, key: former_module.GroupKey, group: groups_module.Group
+    ) -> str:
+        forming = self._former.forming.get(key)
         return forming.model if forming else group.model
 
     def _look_after(
-        self, key: _GroupKey, group: groups_module.Group, domain: _Domain
+        self,
+        key: former_module.GroupKey,
+        group: groups_module.Group,
+        domain: former_module.Domain,
     ) -> bool:
         """Opens, keeps or takes apart a group; says whether it will serve."""
-        if group.name.startswith(WARM_UP_PREFIX):
+        if group.name.startswith(former_module.WARM_UP_PREFIX):
             self._end_warm_up(group)
             return False
-        forming = self._forming.get(key)
+        forming = self._former.forming.get(key)
         figures = domain.engine.find_model(self._find_model(key, group))
         if figures is None or any(
             member.name in self._lost for member in group.members.values()
@@ -273,7 +223,7 @@
         self._seen_whole.add(key)
         return self._advance(key, group, figures)
 
-    def _may_be_whole(self, key: _GroupKey) -> bool:
+    def _may_be_whole(self, key: former_module.GroupKey) -> bool:
         """Says whether members may just not have been heard yet.
 
         A planner that has just started hears servers one by one. To take the
@@ -285,7 +235,7 @@
 
     def _advance(
         self,
-        key: _GroupKey,
+        key: former_module.GroupKey,
         group: groups_module.Group,
         figures: document_module.ModelFigures,
     ) -> bool:
@@ -298,16 +248,16 @@
             self._take_apart(group)
             return False
         if head.member.state == instances.GROUP_OPEN:
-            self._forming.pop(key, None)
+            self._former.forming.pop(key, None)
             return True
-        forming = self._forming.get(key)
+        forming = self._former.forming.get(key)
         if forming is None:
             # Another planner formed it; it has as long as any load takes.
-            self._forming[key] = _Forming(
+            self._former.forming[key] = former_module.Forming(
                 figures.name,
                 tuple(m.name for _, m in sorted(group.members.items())),
                 self._now,
-                figures.load_s + FORM_SLACK_S,
+                figures.load_s + former_module.FORM_SLACK_S,
             )
         elif self._now - forming.began_at > forming.limit_s:
             self._take_apart(group)
@@ -317,7 +267,10 @@
         return True
 
     def _join_missing(
-        self, key: _GroupKey, forming: _Forming, domain: _Domain
+        self,
+        key: former_module.GroupKey,
+        forming: former_module.Forming,
+        domain: former_module.Domain,
     ) -> bool:
         """Orders members again that have not joined; says whether they can."""
         order = orders.Join(key[0], key[1], forming.model, forming.members)
@@ -337,7 +290,7 @@
         The head accepts requests for seconds after a member is lost, and a
         member that joined another group meanwhile would work for two.
         """
-        self._forming.pop((group.name, group.epoch), None)
+        self._former.forming.pop((group.name, group.epoch), None)
         head = group.head
         if head is not None and head.name not in self._lost:
             if head.member.state == instances.GROUP_OPEN:
@@ -375,171 +328,3 @@
             and head.member.state != instances.GROUP_JOINING
         ):
             self._ledger.give(head, orders.Leave(group.name, group.epoch))
-
-    # Free servers.
-
-    def _use_free(self, domain: _Domain) -> None:
-        free = [
-            i
-            for i in domain.present.values()
-            if not i.has_group
-            and self._is_living(i)
-            and not self._ledger.is_busy(i)
-        ]
-        layout = layout_module.choose_layout(
-            domain.engine,
-            alive=domain.alive,
-            serving=domain.serving,
-            supply=self._supply,
-            spare_share=self._policy.spare_share,
-        )
-        missing = sorted(
-            (layout - domain.serving).elements(),
-            key=lambda name: (self._supply[name], name),
-        )
-        for name in missing:
-            figures = domain.engine.find_model(name)
-            assert figures is not None
-            free = self._form_or_prepare(domain, layout, figures, free)
-        self._prepare_standbys(domain, free)
-        self._stage_beside(domain)
-
-    def _form_or_prepare(
-        self,
-        domain: _Domain,
-        layout: collections.Counter[str],
-        figures: document_module.ModelFigures,
-        free: list[instances.Instance],
-    ) -> list[instances.Instance]:
-        """Forms a group, or has servers stage for it; returns who is left."""
-        size = figures.group_size
-        free = self._standbys.sort(free, figures.name)
-        chosen = free[:size]
-        if len(chosen) == size and (
-            not self._is_started or not self._list_cold(chosen, figures.name)
-        ):
-            contested = [i for i in chosen if self._ledger.is_contested(i)]
-            if contested:
-                return free[size:]
-            self._form(chosen, figures)
-            return free[size:]
-        surplus = [
-            group
-            for group in domain.groups
-            if domain.serving[group.model] > layout[group.model]
-            and group.model != figures.name
-        ]
-        victim = surplus[0] if surplus else None
-        reserve = (
-            [m for m in victim.members.values() if self._is_living(m)]
-            if victim
-            else []
-        )
-        together = self._standbys.sort([*free, *reserve], figures.name)[:size]
-        if len(together) < size or not self._is_started:
-            return free
-        cold = self._list_cold(together, figures.name)
-        for instance in cold:
-            self._stage(instance, figures.name)
-        if not cold and victim is not None:
-            # Its members hold the scarcer model's weights now.
-            self._retire(victim)
-        # All of them stay free meanwhile: another model may need them at once.
-        return free
-
-    def _list_cold(
-        self, chosen: list[instances.Instance], model: str
-    ) -> list[instances.Instance]:
-        return [
-            i for i in chosen if self._standbys.rate(i, model) == standbys.COLD
-        ]
-
-    def _form(
-        self,
-        chosen: list[instances.Instance],
-        figures: document_module.ModelFigures,
-    ) -> None:
-        epoch = self._make_epoch()
-        name = f"g{epoch}-{self._life}"
-        members = tuple(i.name for i in chosen)
-        cold = self._list_cold(chosen, figures.name)
-        limit_s = figures.load_s if cold else figures.warm_s
-        self._forming[name, epoch] = _Forming(
-            figures.name, members, self._now, limit_s + FORM_SLACK_S
-        )
-        for instance in chosen:
-            self._ledger.give(
-                instance, orders.Join(name, epoch, figures.name, members)
-            )
-
-    def _prepare_standbys(
-        self, domain: _Domain, free: list[instances.Instance]
-    ) -> None:
-        """Lets standbys hold weights, so that they can stand in at once."""
-        held: collections.Counter[str] = collections.Counter(
-            filter(None, (i.last_model for i in free))
-        )
-        for instance in sorted(free, key=lambda i: i.name):
-            if self._ledger.is_staging(instance) or not self._standbys.is_idle(
-                instance, self._now
-            ):
-                continue
-            if instance.last_model:
-                continue
-            if instance.staged:
-                self._warm_up(instance, instance.staged[0])
-                continue
-            model = standbys.choose_model(domain.engine, domain.serving, held)
-            held[model] += 1
-            self._stage(instance, model)
-
-    def _stage_beside(self, domain: _Domain) -> None:
-        """Lets servers stage another model than the one in their memory.
-
-        A load takes 12 to 16 s, in which a domain loses more servers. One that
-        has a model in memory and another one staged can serve either within
-        0.2 to 1.6 s, and staging does not slow down what it serves.
-        """
-        for instance in sorted(domain.present.values(), key=lambda i: i.name):
-            warm = instance.last_model
-            if (
-                not warm
-                or not self._is_living(instance)
-                or instance.member.state == instances.GROUP_JOINING
-                or self._ledger.is_busy(instance)
-                or not self._standbys.is_settled(instance, self._now)
-            ):
-                continue
-            other = standbys.choose_other(domain.engine, warm)
-            if other and other not in instance.staged:
-                self._stage(instance, other)
-
-    def _stage(self, instance: instances.Instance, model: str) -> None:
-        if self._ledger.is_staging(instance) or self._loads.room <= 0:
-            return
-        if self._ledger.give(instance, orders.Stage(model)):
-            self._loads.spend(self._now)
-
-    def _warm_up(self, instance: instances.Instance, model: str) -> None:
-        """Brings staged weights into memory, in a group of one.
-
-        A server whose last group had the model joins another one of it in
-        0.2 s instead of the time to load it from its VM (1.1 to 1.6 s).
-        """
-        if self._ledger.is_contested(instance):
-            return
-        epoch = self._make_epoch()
-        name = f"{WARM_UP_PREFIX}{epoch}-{self._life}"
-        self._ledger.give(
-            instance, orders.Join(name, epoch, model, (instance.name,))
-        )
-
-    def _make_epoch(self) -> int:
-        if not self._has_epoch:
-            # Groups that are gone by now had epochs that nobody tells of any
-            # more; servers refuse a lower one than they have seen.
-            self._has_epoch = True
-            self._highest_epoch += EPOCH_JUMP
-        step = self._highest_epoch // EPOCH_STEP + 1
-        self._highest_epoch = step * EPOCH_STEP + self._number
-        return self._highest_epoch
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -21,6 +21,7 @@
 from hickorylead.fleet import (
     descriptions,
     events,
+    former as former_module,
     gateways as gateways_module,
     identity as identity_module,
     instances,
@@ -86,7 +87,7 @@
         read_document: Callable[
             [bytes], result.Result[document_module.Document, str]
         ],
-        policy: planner_module.Policy,
+        policy: former_module.Policy,
         records: Sequence[consensus_messages.Record],
         rng: random.Random,
         now: float,
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -18,11 +18,11 @@
 )
 from hickorylead.fleet import (
     events,
+    former as former_module,
     identity,
     instances,
     messages as fleet_messages,
     orders,
-    planner as planner_module,
 )
 from hickorylead.roles import coordinator as coordinator_role, nodes, seam
 from hickorylead.runtime import (
@@ -160,7 +160,7 @@
                 zones=settings.zones,
             ),
             read_document=read_document,
-            policy=planner_module.Policy(),
+            policy=former_module.Policy(),
             records=self._folder.records,
             rng=self._rng,
             now=clock.read_boottime(),
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -13,6 +13,7 @@
 from hickorylead.consensus import messages as consensus_messages
 from hickorylead.fleet import (
     events,
+    former,
     groups,
     instances,
     layout,
@@ -436,7 +437,7 @@
         isinstance(note, notes.Note)
         and note.event == "order_given"
         and note.fields["order"] == "join"
-        and not note.fields["group"].startswith(planner.WARM_UP_PREFIX)
+        and not note.fields["group"].startswith(former.WARM_UP_PREFIX)
         for at, _, note in world.notes
         if at > world.now - 5.0
     )
@@ -569,7 +570,7 @@
 
 @then("a group of the large model is formed at once")
 def _(context):
-    subject = planner.Planner(number=1, policy=planner.Policy(), life="a1")
+    subject = planner.Planner(number=1, policy=former.Policy(), life="a1")
     given = subject.plan(
         present=context.present,
         services=[context.service],
@@ -617,7 +618,7 @@
             )
             for n in range(2)
         ]
-        subject = planner.Planner(number=5, policy=planner.Policy(), life=life)
+        subject = planner.Planner(number=5, policy=former.Policy(), life=life)
         context.joins.append(plan_once(subject, present, service)[0])
 
 
@@ -666,7 +667,7 @@
         instances.Instance(f"i{n}", "model", f"a{n}:1", "z1", "d1", sequence=1)
         for n in range(12)
     ]
-    subject = planner.Planner(number=1, policy=planner.Policy(), life="a1")
+    subject = planner.Planner(number=1, policy=former.Policy(), life="a1")
     started = []
     now = 10.0
     while now < 15.0:
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -22,10 +22,10 @@
 )
 from hickorylead.fleet import (
     events,
+    former as former_module,
     identity,
     instances,
     orders,
-    planner as planner_module,
 )
 from hickorylead.roles import coordinator, gateway, nodes, seam
 from support import replicas
@@ -193,7 +193,7 @@
                 zones=ZONES,
             ),
             read_document=read_content,
-            policy=planner_module.Policy(),
+            policy=former_module.Policy(),
             records=list(disk.records),
             rng=random.Random(f"{node}{self.rng.random()}"),
             now=self.now,
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -13,7 +13,12 @@
 import attrs
 
 from hickorylead.configuration import document
-from hickorylead.fleet import instances, orders, planner as planner_module
+from hickorylead.fleet import (
+    former as former_module,
+    instances,
+    orders,
+    planner as planner_module,
+)
 from support import replicas
 
 ENGINE = document.Engine(
@@ -74,7 +79,7 @@
     def _make_planner(self, planner_class, number):
         return planner_class(
             number=number,
-            policy=planner_module.Policy(),
+            policy=former_module.Policy(),
             life=f"{self.rng.getrandbits(24):x}",
         )
 
