Split suspects and plans out of the coordinator's reducer

Which servers are dead, whose domains a node plans and when it plans are in fleet/keeper; the reducer spreads news and keeps the configuration. No behaviour changed: fleet and consensus scenarios pass as before.

--- /dev/null
+++ b/src/hickorylead/fleet/keeper.py
@@ -0,0 +1,230 @@
+"""Looks after the replica groups of the domains that a node is in charge of."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, TypeAlias
+
+from hickorylead import notes
+from hickorylead.fleet import (
+    descriptions,
+    former as former_module,
+    identity as identity_module,
+    instances,
+    orders,
+    planner as planner_module,
+    suspects as suspects_module,
+)
+from hickorylead.roles import nodes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import (
+        neighbours as neighbours_module,
+        registry as registry_module,
+    )
+
+PLAN_PERIOD_S = 0.25
+# News that come within this time of a round of planning wait for the next
+# tick, in seconds. A round looks at all servers; when 171 of them form groups
+# at once, one round for each of 150 news a second takes half a core.
+PLAN_PAUSE_S = 0.02
+# Heartbeat periods after which a node that has started has heard all servers.
+SETTLE_PERIODS = 1.4
+# With what another node knows it has them after this, in seconds.
+TOLD_SETTLE_S = 0.2
+
+Effect: TypeAlias = orders.Give | orders.AskReport | notes.Note
+
+
+class Keeper:
+    """Suspects and plans of one coordinator."""
+
+    def __init__(
+        self,
+        identity: identity_module.Identity,
+        *,
+        policy: former_module.Policy,
+        life: str,
+        registry: registry_module.Registry,
+        neighbours: neighbours_module.Neighbours,
+        has_leader: Callable[[float], bool],
+        now: float,
+    ) -> None:
+        """Makes a keeper that has just started.
+
+        Args:
+            identity: The node.
+            policy: The trade between downtime and stranded accelerators.
+            life: Tells the node's lives apart.
+            registry: Backend servers that the node knows.
+            neighbours: Other control nodes.
+            has_leader: Says whether the node hears a leader.
+            now: Present time.
+        """
+        self._identity = identity
+        self._zone = nodes.get_zone(identity.node)
+        self._registry = registry
+        self._neighbours = neighbours
+        self._has_leader = has_leader
+        self._suspects = suspects_module.Suspects(identity.heartbeat_s)
+        self._planner = planner_module.Planner(
+            number=identity_module.number_node(identity.node),
+            policy=policy,
+            life=life,
+        )
+        self._is_started = not identity.may_found
+        # A node that knows but some servers would form groups that there are.
+        settle_s = 0.0 if identity.may_found else SETTLE_PERIODS
+        self._plans_from = now + settle_s * identity.heartbeat_s
+        self._next_plan = now
+        self._planned_at = -1e9
+        self.services: tuple[document_module.Service, ...] | None = None
+
+    def knows_all(self, now: float) -> bool:
+        """Says whether it has had the time to hear all servers."""
+        return now >= self._plans_from
+
+    def note_full_news(self, now: float) -> None:
+        """Takes that another node told all servers that it knows."""
+        self._plans_from = min(self._plans_from, now + TOLD_SETTLE_S)
+
+    def note_traffic(self) -> None:
+        """Takes that callers are served: loads count from now on."""
+        self._is_started = True
+
+    # Which servers are dead.
+
+    def clear(self, name: str) -> None:
+        """Takes a sign of life of a server."""
+        self._suspects.clear(name)
+
+    def note_flow(self, head: str, at: float) -> None:
+        """Takes that a gateway got something from a replica at a time."""
+        self._suspects.note_flow(head, at)
+
+    def suspect_group(self, head: str, teller: str, now: float) -> list[Effect]:
+        """Asks the members of a group that a gateway saw stop."""
+        instance = self._registry.instances.get(head)
+        if instance is None or not self._is_mine(instance, now):
+            return []
+        members = [
+            other
+            for other in self._registry.list_present()
+            if other.name == head
+            or (
+                other.has_group
+                and other.member.group == instance.member.group
+                and other.member.epoch == instance.member.epoch
+            )
+        ]
+        asked = self._suspects.suspect(members, now)
+        if not asked:
+            return []
+        return [
+            *[orders.AskReport(m.name, m.address) for m in asked],
+            notes.note(
+                "group_suspected",
+                head=head,
+                group=instance.member.group,
+                gateway=teller,
+                asked=[m.name for m in asked],
+            ),
+        ]
+
+    def ask_silent(self, now: float) -> list[Effect]:
+        """Asks servers whose heartbeats have been missed."""
+        silent = self._registry.list_silent(self._suspects.silence_s, now)
+        mine = [i for i in silent if self._is_mine(i, now)]
+        asked = self._suspects.suspect(mine, now)
+        return [orders.AskReport(m.name, m.address) for m in asked]
+
+    def list_newly_lost(self, now: float) -> list[instances.Instance]:
+        """Returns the servers that are taken for dead from now on."""
+        lost = self._suspects.list_lost(self._registry, now)
+        return [
+            i
+            for i in self._registry.list_present()
+            if i.name in lost and not i.silent
+        ]
+
+    # Plans.
+
+    def is_due(self, now: float) -> bool:
+        """Says whether a round of planning is due."""
+        return now >= self._next_plan
+
+    def plan_soon(self, now: float) -> list[Effect]:
+        """Plans at once, or with the next tick if it was just done."""
+        if now - self._planned_at < PLAN_PAUSE_S:
+            self._next_plan = now
+            return []
+        return self.plan(now)
+
+    def plan(self, now: float) -> list[Effect]:
+        """Returns the orders that the present state asks for."""
+        self._next_plan = now + PLAN_PERIOD_S
+        self._planned_at = now
+        if self.services is None or not self.knows_all(now):
+            return []
+        present = self._registry.list_present()
+        by_domain = collections.defaultdict(list)
+        for instance in present:
+            if instance.domain:
+                by_domain[instance.domain].append(instance)
+        domains = frozenset(
+            domain
+            for domain, members in by_domain.items()
+            if self._is_mine(members[0], now)
+        )
+        if not domains:
+            return []
+        given = self._planner.plan(
+            present=present,
+            services=self.services,
+            domains=domains,
+            lost=self._suspects.list_lost(self._registry, now),
+            zones=len(self._identity.zones) or 1,
+            is_started=self._is_started,
+            now=now,
+        )
+        return [
+            effect
+            for item in given
+            for effect in (item, *descriptions.describe_order(item))
+        ]
+
+    def take_answer(self, event: orders.OrderAnswered) -> list[Effect]:
+        """Takes the answer to an order."""
+        self._planner.take_answer(event)
+        return [
+            notes.note(
+                "order_answered",
+                level="debug" if event.status < 300 else "info",
+                server=event.name,
+                order=type(event.order).__name__.lower(),
+                status=event.status,
+            )
+        ]
+
+    def take_report(
+        self, event: orders.ReportArrived, now: float
+    ) -> list[Effect]:
+        """Takes the answer, or none, to a question for a server's state."""
+        self._planner.take_report(event)
+        self._suspects.take_report(
+            event.name, answered=event.accepted is not None, now=now
+        )
+        return self.plan_soon(now)
+
+    def _is_mine(self, instance: instances.Instance, now: float) -> bool:
+        charge = self._neighbours.find_in_charge(
+            instance.zone, instance.domain, now
+        )
+        if charge != self._identity.node:
+            return False
+        # Without a leader this node is cut off from the other coordinators.
+        # They look after their zones; it would only work against them.
+        return instance.zone == self._zone or self._has_leader(now)
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -21,16 +20,14 @@
 from hickorylead.fleet import (
     descriptions,
     events,
-    former as former_module,
     gateways as gateways_module,
     identity as identity_module,
     instances,
+    keeper as keeper_module,
     messages,
     neighbours as neighbours_module,
     orders,
-    planner as planner_module,
     registry as registry_module,
-    suspects as suspects_module,
 )
 from hickorylead.roles import nodes, seam
 
@@ -39,21 +36,13 @@
     import random
 
     from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import former as former_module
 
 TICK_S = 0.05
-PLAN_PERIOD_S = 0.25
 FORGET_INSTANCE_S = 60.0
-# Heartbeat periods after which a node that has started has heard all servers.
-SETTLE_PERIODS = 1.4
 # Changes of backend servers are saved at most this often, in seconds: a save
 # takes a sync, 2 ms on an ordinary disk, during which the loop waits.
 SAVE_PERIOD_S = 1.0
-# With what another node knows it has them after this, in seconds.
-TOLD_SETTLE_S = 0.2
-# News that come within this time of a round of planning wait for the next
-# tick, in seconds. A round looks at all servers; when 171 of them form groups
-# at once, one round for each of 150 news a second takes half a core.
-PLAN_PAUSE_S = 0.02
 
 CoordinatorEvent: TypeAlias = (
     seam.Tick
@@ -113,22 +102,19 @@
             node=identity.node, seeds=identity.seeds
         )
         self.gateways = gateways_module.Gateways(zone=self._zone)
-        self._suspects = suspects_module.Suspects(identity.heartbeat_s)
-        self._planner = planner_module.Planner(
-            number=identity_module.number_node(identity.node),
+        self._keeper = keeper_module.Keeper(
+            identity,
             policy=policy,
             life=f"{rng.getrandbits(24):x}",
+            registry=self.registry,
+            neighbours=self.neighbours,
+            has_leader=lambda at: self.voter.has_leader(at),
+            now=now,
         )
-        self._is_started = not identity.may_found
-        # A node that knows but some servers would form groups that there are.
-        settle_s = 0.0 if identity.may_found else SETTLE_PERIODS
-        self._plans_from = now + settle_s * identity.heartbeat_s
         self._next_hello = now
-        self._next_plan = now
         self._alive: dict[str, int] = {}
         # News that gateways are told with the next tick, by server.
         self._untold: dict[str, instances.Instance] = {}
-        self._planned_at = -1e9
         self._saved_changes = 0
         self._next_save = now + SAVE_PERIOD_S
         self.restart_voter(records, rng, now, tuning)
@@ -195,13 +181,9 @@
                     self._whole.read(token, asker="", held=0, now=now), now
                 )
             case orders.OrderAnswered():
-                return self._take_answer(event, now)
-            case orders.ReportArrived(name):
-                self._planner.take_report(event)
-                self._suspects.take_report(
-                    name, answered=event.accepted is not None, now=now
-                )
-                return self._plan_soon(now)
+                return [*self._keeper.take_answer(event)]
+            case orders.ReportArrived():
+                return [*self._keeper.take_report(event, now)]
 
     # Time.
 
@@ -214,7 +196,8 @@
             self._next_hello = now + neighbours_module.HELLO_PERIOD_S
             effects += self._greet(now)
             effects += self._found(now)
-        effects += self._ask_suspects(now)
+        effects += self._keeper.ask_silent(now)
+        effects += self._mark_lost(now)
         effects += self._tell_gateways(now)
         effects += self._send_all(
             self.gateways.tick(
@@ -223,8 +206,8 @@
                 now=now,
             )
         )
-        if now >= self._next_plan:
-            effects += self._plan(now)
+        if self._keeper.is_due(now):
+            effects += self._keeper.plan(now)
         return effects + self._save(now)
 
     def _save(self, now: float) -> list[CoordinatorEffect]:
@@ -324,9 +307,7 @@
                 return self._take_hello(message, now)
             case messages.InstanceNews(_, news, is_full):
                 if is_full and news:
-                    self._plans_from = min(
-                        self._plans_from, now + TOLD_SETTLE_S
-                    )
+                    self._keeper.note_full_news(now)
                 return self._take_news(news, now)
             case messages.Alive(_, names, sequences, since):
                 revived = []
@@ -335,17 +316,17 @@
                 ):
                     if self.registry.touch(name, sequence, first, now):
                         revived.append(self.registry.instances[name])
-                    self._suspects.clear(name)
+                    self._keeper.clear(name)
                 if not revived:
                     return []
                 self._note_untold(revived)
-                return self._plan_soon(now)
+                return [*self._keeper.plan_soon(now)]
             case messages.GatewayHello():
                 return self._take_gateway(message, now)
             case messages.StallNews(sender, heads):
                 effects = self._pass_stalls(message, now)
                 for head in heads:
-                    effects += self._suspect_group(head, sender, now)
+                    effects += self._keeper.suspect_group(head, sender, now)
                 return effects
             case messages.ReplaceRequest(node, token, version, content):
                 return self._wrap(
@@ -381,7 +362,7 @@
         news = messages.InstanceNews(
             self._identity.node,
             tuple(self.registry.instances.values()),
-            is_full=now >= self._plans_from,
+            is_full=self._keeper.knows_all(now),
         )
         return [seam.Send(hello.node, news)]
 
@@ -389,7 +370,7 @@
         self, hello: messages.GatewayHello, now: float
     ) -> list[CoordinatorEffect]:
         if hello.loads:
-            self._is_started = True
+            self._keeper.note_traffic()
         effects = self._send_all(
             self.gateways.hear(
                 hello,
@@ -407,9 +388,9 @@
             )
         )
         for name in hello.stalled:
-            effects += self._suspect_group(name, hello.node, now)
+            effects += self._keeper.suspect_group(name, hello.node, now)
         for flow in hello.flowing:
-            self._suspects.note_flow(flow.name, now - flow.age_ms / 1000.0)
+            self._keeper.note_flow(flow.name, now - flow.age_ms / 1000.0)
         if self.gateways.needs_document(hello.node, self.version, now):
             effects.append(seam.Send(hello.node, self._make_update(now)))
         return effects
@@ -428,7 +409,7 @@
     def _hear(
         self, instance: instances.Instance, now: float
     ) -> list[CoordinatorEffect]:
-        self._suspects.clear(instance.name)
+        self._keeper.clear(instance.name)
         known = self.registry.instances.get(instance.name)
         if not self.registry.merge(instance, now):
             self._alive[instance.name] = instance.sequence
@@ -463,7 +444,7 @@
         self._note_untold(changed)
         if any(instances.is_urgent(i, known) for i in changed):
             effects += self._tell_gateways(now)
-        return effects + self._plan_soon(now)
+        return effects + self._keeper.plan_soon(now)
 
     def _note_untold(self, changed: Iterable[instances.Instance]) -> None:
         """Keeps what gateways are to be told, as it is known here.
@@ -496,42 +477,12 @@
             return []
         for instance in changed:
             if not instance.silent:
-                self._suspects.clear(instance.name)
+                self._keeper.clear(instance.name)
         self._note_untold(changed)
         effects: list[CoordinatorEffect] = []
         if any(instances.is_urgent(i, before[i.name]) for i in changed):
             effects += self._tell_gateways(now)
-        return effects + self._plan_soon(now)
-
-    def _suspect_group(
-        self, head: str, gateway: str, now: float
-    ) -> list[CoordinatorEffect]:
-        instance = self.registry.instances.get(head)
-        if instance is None or not self._is_mine(instance, now):
-            return []
-        members = [
-            other
-            for other in self.registry.list_present()
-            if other.name == head
-            or (
-                other.has_group
-                and other.member.group == instance.member.group
-                and other.member.epoch == instance.member.epoch
-            )
-        ]
-        asked = self._suspects.suspect(members, now)
-        if not asked:
-            return []
-        return [
-            *[orders.AskReport(m.name, m.address) for m in asked],
-            notes.note(
-                "group_suspected",
-                head=head,
-                group=instance.member.group,
-                gateway=gateway,
-                asked=[m.name for m in asked],
-            ),
-        ]
+        return effects + self._keeper.plan_soon(now)
 
     def _pass_stalls(
         self, news: messages.StallNews, now: float
@@ -545,93 +496,14 @@
         passed = messages.StallNews(self._identity.node, news.heads)
         return [seam.Send(node, passed) for node in targets]
 
-    def _ask_suspects(self, now: float) -> list[CoordinatorEffect]:
-        mine = [
-            i
-            for i in self.registry.list_silent(self._suspects.silence_s, now)
-            if self._is_mine(i, now)
-        ]
-        asked = self._suspects.suspect(mine, now)
-        effects: list[CoordinatorEffect] = [
-            orders.AskReport(m.name, m.address) for m in asked
-        ]
-        lost = self._suspects.list_lost(self.registry, now)
-        newly = [
-            i
-            for i in self.registry.list_present()
-            if i.name in lost and not i.silent
-        ]
-        for instance in newly:
+    def _mark_lost(self, now: float) -> list[CoordinatorEffect]:
+        effects: list[CoordinatorEffect] = []
+        for instance in self._keeper.list_newly_lost(now):
             silent = attrs.evolve(instance, silent=True)
             if self.registry.merge(silent, now):
                 effects += self._spread([silent], instance, now)
         return effects
 
-    # Groups.
-
-    def _is_mine(self, instance: instances.Instance, now: float) -> bool:
-        charge = self.neighbours.find_in_charge(
-            instance.zone, instance.domain, now
-        )
-        if charge != self._identity.node:
-            return False
-        # Without a leader this node is cut off from the other coordinators.
-        # They look after their zones; it would only work against them.
-        return instance.zone == self._zone or self.voter.has_leader(now)
-
-    def _plan_soon(self, now: float) -> list[CoordinatorEffect]:
-        """Plans at once, or with the next tick if it was just done."""
-        if now - self._planned_at < PLAN_PAUSE_S:
-            self._next_plan = now
-            return []
-        return self._plan(now)
-
-    def _plan(self, now: float) -> list[CoordinatorEffect]:
-        self._next_plan = now + PLAN_PERIOD_S
-        self._planned_at = now
-        if self.document is None or now < self._plans_from:
-            return []
-        present = self.registry.list_present()
-        by_domain = collections.defaultdict(list)
-        for instance in present:
-            if instance.domain:
-                by_domain[instance.domain].append(instance)
-        domains = frozenset(
-            domain
-            for domain, members in by_domain.items()
-            if self._is_mine(members[0], now)
-        )
-        if not domains:
-            return []
-        given = self._planner.plan(
-            present=present,
-            services=self.document.services,
-            domains=domains,
-            lost=self._suspects.list_lost(self.registry, now),
-            zones=len(self._identity.zones) or 1,
-            is_started=self._is_started,
-            now=now,
-        )
-        return [
-            effect
-            for item in given
-            for effect in (item, *descriptions.describe_order(item))
-        ]
-
-    def _take_answer(
-        self, event: orders.OrderAnswered, now: float
-    ) -> list[CoordinatorEffect]:
-        self._planner.take_answer(event)
-        return [
-            notes.note(
-                "order_answered",
-                level="debug" if event.status < 300 else "info",
-                server=event.name,
-                order=type(event.order).__name__.lower(),
-                status=event.status,
-            )
-        ]
-
     # The configuration.
 
     def _wrap(
@@ -681,7 +553,7 @@
                 leader=self.voter.leader,
             )
         )
-        return effects + self._plan(now)
+        return effects + self._keeper.plan(now)
 
     def _take_document(self) -> str:
         """Reads the configuration that the voter holds; returns a problem."""
@@ -692,6 +564,7 @@
         match self._read_document(held.content):
             case result.Success(found):
                 self.document = found
+                self._keeper.services = found.services
                 return ""
             case result.Failure(problem):
                 return str(problem)
