Soak: restart processes from a copy of the sources; end them when it is ended

The traceback names a NameError in a file that was being edited while the run restarted processes from the working tree. Ended by SIGTERM, the harness left ten processes behind. Change: each run copies the sources first; SIGTERM ends what was started.

--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -100,9 +100,13 @@
         """Starts the process."""
         self.life += 1
         self.stopped_by_us = False
+        sources = self.folder.parent / "src"
+        if not sources.exists():
+            # Restarts must run the same program, also if somebody edits it.
+            shutil.copytree(ROOT / "src", sources)
         environment = {
             "PATH": os.environ["PATH"],
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": str(sources),
             "HICKORYLEAD_NODE_FILE": str(self.folder / "node.conf"),
             "HICKORYLEAD_BIND_IP": self.bind_ip,
         }
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -47,6 +48,8 @@
     parser.add_argument("--slot", type=int, default=0, help="address block")
     parser.add_argument("--keep", help="folder for the processes' logs")
     options = parser.parse_args()
+    # Ended from outside, it still ends the processes that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     results = []
     for seed in range(options.first, options.first + options.count):
         with tempfile.TemporaryDirectory() as temporary:
