One log line for each request; the story of a request from logs alone

Cause: a request that succeeded left no line, so a caller who complained of one that was slow had no server, load or estimate to go by; and the lines of several processes had to be joined by hand.

--- a/src/hickorylead/commands/operations.py
+++ b/src/hickorylead/commands/operations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import sys
 
 import orjson
@@ -9,6 +10,7 @@
 from hickorylead import errors
 from hickorylead.commands import client as client_module, tables
 from hickorylead.configuration import changes, model
+from hickorylead.telemetry import stories
 
 
 def apply_service(
@@ -203,17 +205,24 @@
     request_id: str,
     *,
     json: bool = False,
+    logs: list[str] | None = None,
     entry: str | None = None,
     token: str | None = None,
 ) -> None:
     """Show what happened to a request: replicas weighed, attempts, verdicts.
 
     Args:
-        request_id: The id from the Request-Id header or the problem.
+        request_id: The id from the Request-Id header or the problem; with
+            logs, a caller's id of its attempt will do.
         json: Print JSON for programs.
+        logs: Files with the lines of gateways and coordinators; what they
+            tell is joined, and no process is asked.
         entry: URL of an entry [HICKORYLEAD_ENTRY].
         token: Operators' token [HICKORYLEAD_OPERATOR_TOKEN].
     """
+    if logs:
+        _explain_from_logs(request_id, logs)
+        return
     client = client_module.Client(entry=entry, token=token)
     found = client.get(f"/admin/requests/{request_id}")
     if json:
@@ -222,6 +231,22 @@
         _print(tables.render_trail(request_id, found))
 
 
+def _explain_from_logs(wanted: str, paths: list[str]) -> None:
+    try:
+        texts = [
+            pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+            for path in paths
+        ]
+    except OSError as error:
+        raise errors.SettingsError(f"a log cannot be read: {error}") from error
+    story = stories.tell_story(texts, wanted)
+    _print(stories.render_story(story).rstrip("\n"))
+    if story.unreadable:
+        sys.stderr.write(f"{story.unreadable} lines are no decisions\n")
+    if not story.lines:
+        raise errors.RefusedError(f"no log tells of {wanted}")
+
+
 def init_cluster(
     cluster: str, *, entry: str | None = None, token: str | None = None
 ) -> None:
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -2,41 +2,29 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from hickorylead import notes
 
 if TYPE_CHECKING:
     from hickorylead import verdict as verdict_module
     from hickorylead.forwarding import (
-        choice as choice_module,
         health as health_module,
         model,
         state,
     )
 
 
-def describe_attempt(
-    opened: state.Open,
-    attempt: state.Attempt,
-    chosen: choice_module.Choice,
-    *,
-    running: int,
-) -> notes.Note:
-    """Returns the line about a try; the first one is normal work."""
+def describe_attempt(opened: state.Open, attempt: state.Attempt) -> notes.Note:
+    """Returns the line about a second or later try."""
     return notes.Note(
         "attempt_sent",
         opened.request.request_id,
         {
             "attempt": attempt.number,
-            "server": attempt.replica.name,
-            "zone": attempt.replica.zone,
-            "weighed": chosen.weighed,
-            "estimate_s": round(chosen.estimate_s, 4),
-            "running": running,
             "last_event": opened.last_event,
+            **_describe_choice(attempt),
         },
-        level="debug" if attempt.number == 1 else "info",
     )
 
 
@@ -63,9 +51,18 @@
     )
 
 
-def describe_end(opened: state.Open, outcome: str, now: float) -> notes.Note:
-    """Returns the line about a request that has its final answer."""
-    request = opened.request
+def describe_end(
+    opened: state.Open, outcome: str, *, version: int, now: float
+) -> notes.Note:
+    """Returns the line about a request that has its final answer.
+
+    Args:
+        opened: The request.
+        outcome: Stable code of how it ended.
+        version: The operators' version of the configuration in force.
+        now: Present time.
+    """
+    request, last = opened.request, opened.last
     return notes.Note(
         "request_ended",
         request.request_id,
@@ -74,10 +71,13 @@
             "route": request.route.name,
             "kind": request.route.kind.value,
             "workspace": request.workspace,
+            "configuration": version,
             "outcome": outcome,
             "verdict": opened.verdict.value,
             "attempts": opened.attempts,
             "lasted_s": round(now - opened.arrived_at, 3),
+            "first_event_s": _round(opened.first_event_s),
+            **(_describe_choice(last) if last else {}),
         },
         level="debug" if outcome == "answered" else "info",
     )
@@ -92,8 +92,25 @@
         server=replica.name,
         epoch=replica.epoch,
         # None if it never gave this gateway anything.
-        silent_s=(
-            round(now - seen.progress_at, 3) if seen.progress_at > 0 else None
+        silent_s=_round(
+            now - seen.progress_at if seen.progress_at > 0 else None
         ),
         streams=streams,
     )
+
+
+def _describe_choice(attempt: state.Attempt) -> dict[str, Any]:
+    choice = attempt.choice
+    return {
+        "server": attempt.replica.name,
+        "zone": attempt.replica.zone,
+        "epoch": attempt.replica.epoch,
+        "weighed": choice.weighed,
+        "estimate_s": round(choice.estimate_s, 4),
+        "running": choice.running,
+        "load_told_ago_s": _round(choice.told_ago_s),
+    }
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -195,22 +195,29 @@
         attempt = state.Attempt(opened.attempts, replica, now, now)
         if request.is_stream:
             attempt.cutter = stream.EventCutter(opened.last_event)
-        opened.attempt = attempt
+        opened.attempt = opened.last = attempt
         seen = self._book.get(replica)
+        attempt.choice = state.Choice(
+            chosen.weighed,
+            chosen.estimate_s,
+            seen.running,
+            now - seen.told_at if seen.told_at > 0 else None,
+        )
         seen.running += 1
         seen.reading += request.terms.prompt_tokens
-        return [
+        effects: list[events.Effect] = [
             events.Open(
                 request=request,
                 attempt=attempt.number,
                 replica=replica,
                 budget_s=opened.ends_at - now,
                 last_event=opened.last_event,
-            ),
-            descriptions.describe_attempt(
-                opened, attempt, chosen, running=seen.running
-            ),
+            )
         ]
+        if attempt.number > 1:
+            # Of the first one the line at the end tells.
+            effects.append(descriptions.describe_attempt(opened, attempt))
+        return effects
 
     # What comes back.
 
@@ -270,6 +277,8 @@
         cut = attempt.cutter.feed(event.data)
         effects: list[events.Effect] = []
         if cut.data:
+            if opened.first_event_s is None:
+                opened.first_event_s = now - opened.arrived_at
             effects += answers.start_stream(opened, self._book)
             effects.append(events.Emit(event.request_id, cut.data))
             opened.last_event = attempt.cutter.last_event
@@ -445,7 +454,14 @@
         self._release(opened)
         request = opened.request
         del self._open[request.request_id]
-        return [descriptions.describe_end(opened, outcome, now)]
+        return [
+            descriptions.describe_end(
+                opened,
+                outcome,
+                version=self.document.version if self.document else 0,
+                now=now,
+            )
+        ]
 
     def _release(self, opened: state.Open) -> None:
         attempt = opened.attempt
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -12,6 +12,23 @@
 Phase = Literal["waiting", "running"]
 
 
+@attrs.frozen
+class Choice:
+    """What a replica was chosen by, for the log.
+
+    Attributes:
+        weighed: Replicas that were weighed.
+        estimate_s: Estimated time to the first token, in seconds.
+        running: Own requests that ran there.
+        told_ago_s: Age of the load that it told; None if it told none.
+    """
+
+    weighed: int = 0
+    estimate_s: float = 0.0
+    running: int = 0
+    told_ago_s: float | None = None
+
+
 @attrs.define
 class Attempt:
     """One try at one replica.
@@ -19,6 +36,7 @@
     Attributes:
         number: From 1.
         replica: Where.
+        choice: What it was chosen by, and the load seen then.
         sent_at: When it was sent.
         heard_at: When the replica last gave something to it.
         head: Head of the answer, once it came.
@@ -35,6 +53,7 @@
     body: bytearray = attrs.field(factory=bytearray)
     cutter: stream.EventCutter | None = None
     has_given: bool = False
+    choice: Choice = Choice()
 
 
 @attrs.define
@@ -54,6 +73,8 @@
         started: Whether the caller has the head of the answer.
         last_event: Id of the last event that the caller has.
         offered: Whether it was ever sent to a replica.
+        last: The last try, for the log.
+        first_event_s: Time to the first event, in seconds; None if none came.
     """
 
     request: model.Request
@@ -68,6 +89,8 @@
     started: bool = False
     last_event: int = 0
     offered: bool = False
+    last: Attempt | None = None
+    first_event_s: float | None = None
 
     @property
     def may_repeat(self) -> bool:
--- a/src/hickorylead/telemetry/decisions.py
+++ b/src/hickorylead/telemetry/decisions.py
@@ -16,8 +16,8 @@
 
     from hickorylead import notes
 
-# Most bytes written in a second; beyond it, lines of lower levels give way. At
-# 8 requests a second a gateway writes some 4 KB.
+# Most bytes written in a second; beyond it, lines of lower levels give way:
+# answered requests first. A gateway writes some 500 bytes for each request.
 BYTES_PER_S = 64 * 1024
 # Share of that budget which lines of a level may use up.
 _SHARES = {"debug": 0.3, "info": 0.7, "warning": 0.9, "error": 1.0}
@@ -34,7 +34,7 @@
         common: dict[str, str],
         clock: Callable[[], float],
         wall: Callable[[], float],
-        level: str = "info",
+        level: str = "debug",
         descriptor: int | None = None,
     ) -> None:
         """Makes a log.
--- a/tests/support/platformday.py
+++ b/tests/support/platformday.py
@@ -80,12 +80,13 @@
     """Three coordinators, a gateway and backend servers."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._null = os.open(os.devnull, os.O_WRONLY)
+        self.log_path = folder / "log.jsonl"
+        self._log = os.open(self.log_path, os.O_WRONLY | os.O_CREAT)
         log = decisions.DecisionLog(
-            common={},
+            common={"vm": "day"},
             clock=clock.read_boottime,
             wall=clock.read_wall,
-            descriptor=self._null,
+            descriptor=self._log,
         )
         self.controls = [f"127.0.7.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
         seeds = tuple(f"127.0.7.{n}:{PEER_PORT}" for n in (1, 2, 3))
@@ -175,7 +176,7 @@
         for shell in [*self.coordinators, self.gateway]:
             shell._stop.set()
         await asyncio.wait(self._tasks, timeout=10)
-        os.close(self._null)
+        os.close(self._log)
 
     async def wait_for(self, condition, limit_s: float = 15.0) -> None:
         """Waits until something holds."""
