Let requests wait for the first configuration

Change: a request waits up to 1.5 s, and a third of its caller's time, for the first configuration. Peers that do not listen yet are tried each 0.1 s (0.2 s). Test: platform/faults, a call before the configuration, and one in haste.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -24,9 +24,13 @@
     from hickorylead.forwarding import dialect as dialect_module
     from hickorylead.runtime import gateway as gateway_shell
 
-# A gateway that has started with all others serves 0.7 s after it can answer
-# (seen after a loss of power); who comes back sooner is refused again. Returns
-# are spread by 0.3 of it.
+# A gateway that has started with all others has a configuration 0.6 to 1.2 s
+# after it can answer (seen after a loss of power). A request waits for that for
+# this long, in seconds, and for this share of its caller's time: by then most
+# callers come with their last try, and one that is told to come back is lost.
+START_WAIT_S = 1.5
+START_WAIT_SHARE = 1 / 3
+# When it is told to come back then, in seconds; spread by 0.3 of it.
 STARTING_RETRY_S = 1.0
 
 
@@ -186,14 +190,16 @@
         self, scope: Any, receive: Any
     ) -> model.Request | events.Refuse | None:
         """Returns the request, its refusal, or None if the caller left."""
-        routes = self._shell.role.routes
-        if routes is None:
-            key = _find_attempt(scope, self)
-            retry_s = refusals.spread_return(key, STARTING_RETRY_S)
-            return events.Refuse("", 503, "starting", retry_s)
         terms = self._dialect.read_terms(scope["headers"])
         if isinstance(terms, str):
             return events.Refuse("", 400, "bad_header")
+        limit_s = START_WAIT_S
+        if terms.budget_s is not None:
+            limit_s = min(limit_s, START_WAIT_SHARE * terms.budget_s)
+        routes = await self._shell.wait_for_routes(limit_s)
+        if routes is None:
+            retry_s = refusals.spread_return(terms.attempt_id, STARTING_RETRY_S)
+            return events.Refuse("", 503, "starting", retry_s)
         path = scope["raw_path"].decode("latin-1")
         host = _find_header(scope, b"host").decode("latin-1")
         body = await _read_body(receive, routes.document.limits.body_bytes)
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -119,6 +119,9 @@
         self._pool = upstream.Pool(settings.bind_ip)
         self._exchanges: dict[tuple[str, int], upstream.Exchange] = {}
         self._stop = asyncio.Event()
+        self._configured = asyncio.Event()
+        # Requests that wait for the first configuration.
+        self.waiting_to_start = 0
         self.callers: dict[str, forwarding.Caller] = {}
         self.role = gateway_role.Gateway(
             gateway_role.Identity(
@@ -208,6 +211,22 @@
             await asyncio.sleep(POLL_S)
             listener.close_idle()
 
+    async def wait_for_routes(
+        self, limit_s: float
+    ) -> routes_module.RouteTable | None:
+        """Returns the routes, once there are any; None after a time."""
+        if self.role.routes is None:
+            self.waiting_to_start += 1
+            try:
+                async with asyncio.timeout(limit_s):
+                    await self._configured.wait()
+            except TimeoutError:
+                # The caller is told when to come back.
+                pass
+            finally:
+                self.waiting_to_start -= 1
+        return self.role.routes
+
     def choose_service(self, route: document_module.Route) -> str:
         """Returns a service of a route, drawn by weight."""
         return routes_module.choose_service(route, self._rng)
@@ -223,6 +242,7 @@
             case notes.Note():
                 self._log.write(effect)
                 if effect.event == "configuration_applied":
+                    self._configured.set()
                     self._take_limits()
             case seam.Send(node, message):
                 self._peers.send(node, message)
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -23,7 +23,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 ACK_TIMEOUT_S = 2.0
-RETRY_PAUSE_S = 0.2
+# A process that starts a moment after this one is met this soon, in seconds.
+RETRY_PAUSE_S = 0.1
 # A node that is away must not fill the memory; what is dropped is repeated by
 # the protocols above.
 MAX_WAITING = 2000
--- a/tests/platform/faults.feature
+++ b/tests/platform/faults.feature
@@ -13,6 +13,13 @@
     the readiness check says at once that no more should come.
     Then a gateway that is stopped in a stream ends it whole
 
+  Scenario: A request that comes before the first configuration waits for it
+    All nodes have lost power and start again. A gateway answers a second before
+    it has a configuration. Most callers come with their last try by then: told
+    to come back they would be lost.
+    Then a request to a gateway that has no configuration yet is answered by it
+    And one whose time is short is told when to come back
+
   Scenario: A reader of the log that stops does not stop the process
     Nobody reads standard output. The log fills the pipe, then its own small
     buffer, then drops lines and says how many; nothing waits for the reader.
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -64,6 +64,40 @@
     asyncio.run(platformday.play(fill_disk))
 
 
+async def call_early(day):
+    """Calls a gateway that has lost its configuration, and gives it back."""
+    shell = day.gateway
+    routes, shell.role.routes = shell.role.routes, None
+    shell._configured.clear()
+    early = asyncio.ensure_future(day.call("/alerts/1", b"tree"))
+    await day.wait_for(lambda: shell.waiting_to_start == 1)
+    assert not early.done()
+    shell.role.routes = routes
+    shell._configured.set()
+    answer = await early
+    assert answer.startswith(b"HTTP/1.1 200"), answer[:60]
+
+
+async def call_early_in_haste(day):
+    """Calls a gateway without a configuration with little time left."""
+    shell = day.gateway
+    shell.role.routes = None
+    shell._configured.clear()
+    answer = await day.call("/alerts/1", b"tree", Time_Budget="60")
+    assert answer.startswith(b"HTTP/1.1 503"), answer[:60]
+    assert b"retry-after: " in answer, answer
+
+
+@then("a request to a gateway that has no configuration yet is answered by it")
+def _(context):
+    asyncio.run(platformday.play(call_early))
+
+
+@then("one whose time is short is told when to come back")
+def _(context):
+    asyncio.run(platformday.play(call_early_in_haste))
+
+
 async def stop_gateway(day):
     """Stops the gateway while a stream runs."""
     for server in day.servers:
