Rank requests; leave newcomers room after an outage; be patient after a start

Change: priorities of routes and workspaces, then streams that go on, newcomers, late ones, as ranks for engines and for requests that wait here; requests that missed their objective fill 0.6 of a replica's slots for 1.5 s; stalls take 2.5 times longer in the first 4 s of a gateway. Tests: three scenarios of forwarding/forwarder; the backlog fails without its factor.

--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -86,6 +86,7 @@
         engine: document_module.Engine | None,
         *,
         avoid: Collection[str],
+        share: float | None = None,
         now: float,
     ) -> Choice | NoChoice:
         """Returns the replica that should answer first.
@@ -94,12 +95,15 @@
             request: The request.
             engine: Figures of the service's engines; None if it is plain.
             avoid: Replicas that this request has failed at.
+            share: Share of a replica's slots that it may fill; None if it may
+                be queued there.
             now: Present time.
         """
         known = self._view.list_replicas(request.service, request.terms.model)
         best: model.Replica | None = None
         best_s = 0.0
         full = 0
+        most = 1.0 + QUEUE_SHARE if share is None else share
         # With nothing better, one that seems to have stopped is tried again:
         # to refuse all would turn a few slow passes into an outage.
         usable = [r for r in known if not self._book.is_stalled(r, now)]
@@ -107,7 +111,7 @@
             if replica.name in avoid:
                 continue
             running = self._book.count_requests(replica, now)
-            if running >= replica.slots * (1.0 + QUEUE_SHARE):
+            if running >= replica.slots * most:
                 full += 1
                 continue
             estimate_s = self._estimate(replica, request, engine, running, now)
--- a/src/hickorylead/forwarding/events.py
+++ b/src/hickorylead/forwarding/events.py
@@ -80,6 +80,7 @@
         replica: Where to.
         budget_s: How long the replica may work on it, in seconds.
         last_event: Id of the last event that the caller has; 0 if none.
+        rank: Its rank among the replica's requests, 0 to 9; 0 goes first.
     """
 
     request: model.Request
@@ -87,6 +88,7 @@
     replica: model.Replica
     budget_s: float
     last_event: int
+    rank: int
 
 
 @attrs.frozen
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -17,6 +17,7 @@
     descriptions,
     events,
     model,
+    ranks,
     refusals,
     stalls,
     state,
@@ -49,6 +50,7 @@
         chooser: choice_module.Chooser,
         book: health_module.HealthBook,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS,
+        started_at: float = -1e9,
     ) -> None:
         """Makes a forwarder without requests.
 
@@ -56,7 +58,9 @@
             chooser: The choice of a replica.
             book: What this gateway has seen of replicas.
             limits: Retries that all gateways may make together.
+            started_at: When the gateway started.
         """
+        self._started_at = started_at
         self._chooser = chooser
         self._book = book
         self._budgets = budget_module.SharedBudgets(limits)
@@ -93,17 +97,25 @@
     def tick(self, now: float) -> list[events.Effect]:
         """Lets time pass: deadlines, silent replicas, requests that wait."""
         effects: list[events.Effect] = []
+        waiting = []
         for opened in list(self._open.values()):
             if now >= opened.ends_at:
                 effects += self._give_up(opened, now)
             elif opened.phase == "waiting":
-                effects += self._try(opened, now)
+                waiting.append(opened)
             elif stalls.is_overdue(opened, now) and self._can_move(opened, now):
                 effects += self._fail(
                     opened, Verdict.MAY_HAVE_RUN, "no_answer", now
                 )
+        waiting.sort(key=lambda o: (ranks.find_rank(o, now), o.arrived_at))
+        for opened in waiting:
+            effects += self._try(opened, now)
         for replica in stalls.find_stalled(
-            list(self._open.values()), self._book, self._find_engine, now
+            list(self._open.values()),
+            self._book,
+            self._find_engine,
+            factor=stalls.find_factor(self._started_at, now),
+            now=now,
         ):
             effects += self._leave_replica(replica, now)
         return effects
@@ -124,10 +136,15 @@
             engine = self._find_engine(replica.service)
             if engine is None:
                 continue
-            limit_s = stalls.TOLD_SHARE * stalls.find_limit(
-                replica,
-                engine,
-                self._book.find_largest_prompt(replica.model, now),
+            factor = stalls.find_factor(self._started_at, now)
+            limit_s = (
+                factor
+                * stalls.TOLD_SHARE
+                * stalls.find_limit(
+                    replica,
+                    engine,
+                    self._book.find_largest_prompt(replica.model, now),
+                )
             )
             if now - self._book.get(replica).progress_at > limit_s:
                 effects += self._leave_replica(replica, now)
@@ -151,10 +168,11 @@
         limit_s = request.route.timeout_s
         if request.terms.budget_s is not None:
             limit_s = min(limit_s, request.terms.budget_s)
+        arrived_at = now - request.waited_s
         opened = state.Open(
             request,
-            now,
-            now + limit_s,
+            arrived_at,
+            arrived_at + limit_s,
             last_event=request.terms.last_event,
         )
         self._open[request.request_id] = opened
@@ -172,6 +190,7 @@
             request,
             self._find_engine(request.service),
             avoid=opened.failed,
+            share=ranks.find_share(opened, now),
             now=now,
         )
         match chosen:
@@ -212,6 +231,7 @@
                 replica=replica,
                 budget_s=opened.ends_at - now,
                 last_event=opened.last_event,
+                rank=ranks.find_rank(opened, now),
             )
         ]
         if attempt.number > 1:
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -49,7 +49,9 @@
         target: Path and query, byte for byte as the caller sent them.
         headers: Headers to pass on.
         body: The whole body.
-        urgency: Rank among other requests; 0 is the most urgent.
+        urgency: Priority of its workspace or route; 0 is the most urgent.
+        waited_s: How long it has waited here before it could be forwarded, in
+            seconds.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     headers: tuple[Header, ...]
     body: bytes
     urgency: int
+    waited_s: float = 0.0
 
     @property
     def is_stream(self) -> bool:
--- a/src/hickorylead/forwarding/stalls.py
+++ b/src/hickorylead/forwarding/stalls.py
@@ -31,6 +31,14 @@
 # after this, in seconds, beyond the limit: about 120 ms pass before any first
 # event, and a full replica lets newcomers wait.
 FIRST_EVENT_S = 0.2
+# A gateway that has just started does not know what others have sent to a
+# replica, and after a loss of power all of them send what has waited at once. A
+# batch that reads such a backlog gives events each 0.27 s (5 steps of 2,048
+# tokens). So for this long, in seconds, it waits this much longer. Without that
+# 128 false alarms in 6 s sent streams away and read their prompts again
+# (kahikatea trouble-1).
+START_S = 4.0
+START_FACTOR = 2.5
 # An idempotent call without an answer is tried elsewhere after this many times
 # its objective: nearly all answers come within one.
 PATIENCE_OBJECTIVES = 2.0
@@ -48,6 +56,16 @@
     )
 
 
+def find_factor(started_at: float, now: float) -> float:
+    """Returns how many times longer than usual a gateway waits.
+
+    Args:
+        started_at: When it started.
+        now: Present time.
+    """
+    return START_FACTOR if now - started_at < START_S else 1.0
+
+
 def find_limit(
     replica: model.Replica,
     engine: document_module.Engine,
@@ -72,9 +90,19 @@
     opened: list[state.Open],
     book: health_module.HealthBook,
     find_engine: Callable[[str], document_module.Engine | None],
+    *,
+    factor: float,
     now: float,
 ) -> list[model.Replica]:
-    """Returns the replicas that have stopped, by their streams here."""
+    """Returns the replicas that have stopped, by their streams here.
+
+    Args:
+        opened: All open requests.
+        book: What was seen of the replicas.
+        find_engine: Returns the engine of a service.
+        factor: How many times longer than usual to wait; see `find_factor`.
+        now: Present time.
+    """
     by_replica: dict[str, list[state.Open]] = collections.defaultdict(list)
     for request in opened:
         if request.attempt is not None and request.request.is_stream:
@@ -89,7 +117,7 @@
         engine = find_engine(replica.service)
         if engine is None:
             continue
-        limit_s = find_limit(
+        limit_s = factor * find_limit(
             replica, engine, book.find_largest_prompt(replica.model, now)
         )
         if _has_stopped(requests, book, engine, limit_s, now):
--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -22,6 +22,7 @@
 _SEAL = b"server-seal"
 _NOT_RUN = b"not-executed"
 _LOAD = b"server-load"
+_RANK = b"urgency-class"
 
 # Headers that concern one connection only, and those that are written anew.
 _NOT_PASSED_ON = frozenset(
@@ -42,6 +43,7 @@
         _WORKSPACE,
         _EXPECTED,
         _LAST_EVENT,
+        _RANK,
     }
 )
 _NOT_GIVEN_BACK = frozenset(
@@ -109,6 +111,8 @@
         if attempt.last_event:
             lines.append(_LAST_EVENT + b": %d" % attempt.last_event)
         lines.append(_BUDGET + b": %d" % max(1, int(attempt.budget_s * 1000)))
+        if request.route.has_prompts:
+            lines.append(_RANK + b": %d" % attempt.rank)
         lines.append(_EXPECTED + b": " + attempt.replica.name.encode())
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             lines.append(b"content-length: %d" % len(request.body))
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -109,6 +109,7 @@
             ),
             book=self._book,
             limits=identity.retries,
+            started_at=now,
         )
         self.routes: routes_module.RouteTable | None = None
         self._stale: messages.DocumentUpdate | None = None
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -16,7 +16,7 @@
     refusals,
     routes as routes_module,
 )
-from hickorylead.runtime import listener
+from hickorylead.runtime import clock, listener
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -196,7 +196,9 @@
         limit_s = START_WAIT_S
         if terms.budget_s is not None:
             limit_s = min(limit_s, START_WAIT_SHARE * terms.budget_s)
+        began = clock.read_boottime()
         routes = await self._shell.wait_for_routes(limit_s)
+        waited_s = clock.read_boottime() - began
         if routes is None:
             retry_s = refusals.spread_return(terms.attempt_id, STARTING_RETRY_S)
             return events.Refuse("", 503, "starting", retry_s)
@@ -231,6 +233,7 @@
             headers=self._dialect.list_headers(scope["headers"], name),
             body=body,
             urgency=_choose_urgency(route, workspace),
+            waited_s=waited_s,
         )
 
     async def _forward(
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -84,6 +84,17 @@
     When a stream pauses for 0.15 seconds after a prompt of 6000 tokens
     Then it was sent once
 
+  Scenario: A backlog that all gateways bring after a restart is no stall
+    All gateways lost power and start again, and send what has waited at once.
+    Each knows its own requests only. A batch that reads the backlog of all of
+    them gives events each 0.27 seconds. To leave it would have the prompts read
+    again elsewhere, into another backlog.
+    Given a gateway with 3 model replicas
+    And the gateway has just started
+    When a stream gives an event each 0.27 seconds for 2 seconds
+    Then it stays with its replica
+    And a replica that gives nothing is still left within 1 second
+
   Scenario: A stall that another gateway tells is believed with evidence only
     Given a gateway with 3 model replicas
     When another gateway tells of a stall at a replica that gave something now
@@ -104,6 +115,23 @@
     When 300 idempotent calls are all reset
     Then at most 70 were sent a second time
 
+  Scenario: After an outage newcomers still find a slot
+    All nodes lost power. 40 requests have waited a second for the first
+    configuration, past their objective, and come to the replicas at one moment;
+    right behind them come new ones. If those that are late anyway filled every
+    batch, the new ones would be late as well.
+    Given a gateway with 3 model replicas
+    When 40 requests come that have waited 1 second, and 9 new ones after them
+    Then the 9 are sent at once, and 15 of the others
+    And the others are sent or told when to come back within 2 seconds
+
+  Scenario: Among requests of one priority, who reads already goes first
+    A replica is lost. Its streams go on elsewhere, beside newcomers and beside
+    requests that are late already. A stream's caller sees a pause; the late
+    ones have nothing more to lose. Priorities of operators come before all.
+    Then a stream that goes on ranks before a newcomer, and it before a late one
+    And a late request of priority 0 ranks before a stream of priority 1
+
   Scenario: Many gateways that lose replicas at once stay within the limit
     A fabric domain goes dark, and streams at all gateways stop in the same
     seconds. Each has saved retries for such a moment; what all of them saved
