--- a/bench/run.py
+++ b/bench/run.py
@@ -2,7 +2,7 @@
 
     .venv/bin/python bench/run.py            all
     .venv/bin/python bench/run.py policy     one of: live, policy, placement,
-                                             sizes
+                                             sizes, fleet
 
 A table stands in its page between `<!-- figures: NAME -->` and
 `<!-- end -->`; nothing else of the page is changed.
@@ -14,6 +14,7 @@
 import re
 import sys
 
+import fleet
 import live
 import placement
 import policy
@@ -26,6 +27,7 @@
     "policy": policy.run,
     "placement": lambda: placement.run(ROOT / "docs"),
     "sizes": sizes.run,
+    "fleet": fleet.run,
 }
 
 
