Soak: lost answers and orders that come late; seen failing without at-most-once

Change: servers lose answers and carry out orders 0.5 to 4 s late for a while; calls last up to 0.1 s.

--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 
+import orjson
 from support import replicas
 
 from hickorylead.fleet import instances, orders
@@ -12,12 +14,33 @@
 from soak import judge as judge_module
 
 EVENT_S = 0.02
+WORK_S = 0.05
+# An order that is carried out late comes after this, in seconds.
+LATE_S = (0.5, 4.0)
 PORT = 7810
 MODEL = "tiny"
 BEAT_S = 0.4
 CALL_S = 1.0
 
 
+class Trouble:
+    """What all servers do wrong at present; shared and mutable."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Makes servers that do everything right."""
+        self.rng = rng
+        self.lost_share = 0.0
+        self.late_share = 0.0
+
+    def loses(self) -> bool:
+        """Says whether the next answer is lost."""
+        return self.rng.random() < self.lost_share
+
+    def is_late(self) -> bool:
+        """Says whether the next order is carried out late."""
+        return self.rng.random() < self.late_share
+
+
 class Engine(platform.PlatformServer):
     """One backend server; without a domain it is a plain one."""
 
@@ -31,6 +54,7 @@
         domain: str,
         controls: list[str],
         judge: judge_module.Judge,
+        trouble: Trouble,
         everyone: dict[str, Engine],
     ) -> None:
         """Makes a server; `start` opens its port."""
@@ -48,6 +72,7 @@
         self.alive = True
         self.model = replicas.Replica(name, zone, domain)
         self._judge = judge
+        self._trouble = trouble
         self._everyone = everyone
 
     async def start(self) -> None:
@@ -148,6 +173,10 @@
             self._spawn(self.tell())
         return status
 
+    async def _take_late(self, order) -> None:
+        await asyncio.sleep(self._trouble.rng.uniform(*LATE_S))
+        self._take_order(order)
+
     def _check_two(self, join: orders.Join) -> None:
         """Checks that a server in a group that serves takes no other one."""
         member = self.model.member
@@ -169,6 +198,12 @@
     # Requests.
 
     async def _answer(self, request, writer) -> None:
+        if request.target == "/order" and self._trouble.is_late():
+            order = orjson.loads(request.body)
+            self._spawn(self._take_late(order))
+            # The caller hears nothing, and closes in the end.
+            await asyncio.sleep(LATE_S[1])
+            return
         if request.target in ("/order", "/report"):
             await super()._answer(request, writer)
             return
@@ -186,7 +221,10 @@
             await self._run_stream(request, attempt, writer)
             return
         self._begin(attempt, headers)
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self._trouble.rng.uniform(0.0, 2 * WORK_S))
+        if self._trouble.loses():
+            writer.transport.abort()
+            return
         platform.write(
             writer,
             200,
@@ -222,6 +260,9 @@
             event = judge_module.make_event(attempt, number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
+            if self._trouble.loses():
+                writer.transport.abort()
+                return
             await asyncio.sleep(EVENT_S)
         writer.write(b"0\r\n\r\n")
 
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -121,6 +121,22 @@
     racing: bool
 
 
+@attrs.frozen
+class LoseAnswers:
+    """Backend servers run requests and reset their connections, for a while."""
+
+    share: float
+    for_s: float
+
+
+@attrs.frozen
+class DelayOrders:
+    """Servers leave orders unanswered and carry them out late, for a while."""
+
+    share: float
+    for_s: float
+
+
 Fault = (
     Kill
     | KillMany
@@ -135,6 +151,8 @@
     | Crash
     | Drain
     | Change
+    | LoseAnswers
+    | DelayOrders
 )
 
 
@@ -184,6 +202,7 @@
         if not self.is_planned_only:
             kinds += [Kill, KillMany, Wipe, Pause, Cut, Delay, Reset]
             kinds += [Silence, Crash, Kill, Cut, Crash]
+            kinds += [LoseAnswers, DelayOrders]
         first = self.rng.choice(kinds)
         return [
             first if self.rng.random() < 0.5 else self.rng.choice(kinds)
@@ -225,6 +244,10 @@
                 return Crash(rng.randrange(self._servers), for_s)
             case "Drain":
                 return Drain(rng.randrange(self._servers))
+            case "LoseAnswers":
+                return LoseAnswers(rng.uniform(0.02, 0.2), for_s)
+            case "DelayOrders":
+                return DelayOrders(rng.uniform(0.2, 0.6), for_s)
         return Change(rng.random() < 0.4)
 
     def _draw_nodes(self) -> tuple[str, ...]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -57,6 +57,7 @@
                 self.nodes[name] = nodes.Node(
                     name, role, zone, first + number, slot, folder / name
                 )
+        self._trouble = engines.Trouble(random.Random(f"trouble {seed}"))
         self.engines: dict[str, engines.Engine] = {}
         self._places: list[tuple[str, str]] = [
             (zone, domain)
@@ -169,6 +170,7 @@
             domain=domain,
             controls=[f"{n.ip}:{nodes.CONTROL_PORT}" for n in (*own, *others)],
             judge=self.judge,
+            trouble=self._trouble,
             everyone=self.engines,
         )
         if (ips[0], engines.PORT) not in self._open:
@@ -236,6 +238,14 @@
                 await self._retire_server(place)
             case plan.Change(racing):
                 await operator.change(racing=racing)
+            case plan.LoseAnswers(share, for_s):
+                self._trouble.lost_share = share
+                await asyncio.sleep(for_s)
+                self._trouble.lost_share = 0.0
+            case plan.DelayOrders(share, for_s):
+                self._trouble.late_share = share
+                await asyncio.sleep(for_s)
+                self._trouble.late_share = 0.0
 
     def _find_connections(self, name: str) -> list[links.Connection]:
         return self.links.find(frozenset({self.nodes[name].bind_ip}))
