--- /dev/null
+++ b/src/hickorylead/consensus/machine.py
@@ -0,0 +1,90 @@
+"""What committed changes amount to: the configuration, and their answers."""
+
+from __future__ import annotations
+
+import collections
+
+from hickorylead.configuration import changes, model
+from hickorylead.consensus import log as log_module, messages
+
+SNAPSHOT_EVERY = 256
+REMEMBERED_OUTCOMES = 8192
+# Whole configurations in the log before a snapshot replaces them. A packed one
+# has some 10 KB, so this is about 200 changes, and the log, held in memory and
+# on disk, stays within a few MB of the 128 MB of the smallest disks.
+MAX_LOG_BYTES = 2 * 1024 * 1024
+
+
+class Machine:
+    """The state that all voters derive from the same entries."""
+
+    def __init__(self) -> None:
+        """Makes the state before the first entry."""
+        self.configuration = model.Configuration()
+        self.applied = 0
+        self._outcomes: collections.OrderedDict[str, changes.Outcome] = (
+            collections.OrderedDict()
+        )
+        self._log_bytes = 0
+
+    def find_outcome(self, change_id: str) -> changes.Outcome | None:
+        """Returns the answer that a change got; None if it is not known."""
+        return self._outcomes.get(change_id)
+
+    def load(self, snapshot: messages.Snapshot) -> None:
+        """Takes the state of a snapshot."""
+        self.applied = snapshot.index
+        self.configuration = snapshot.configuration
+        self._outcomes = collections.OrderedDict(
+            (outcome.change_id, outcome) for outcome in snapshot.outcomes
+        )
+
+    def apply(self, entry: messages.LogEntry) -> list[messages.Effect]:
+        """Applies the next committed entry; returns the answer to it."""
+        self.applied = entry.index
+        change = entry.change
+        if isinstance(change.operation, changes.NoChange | changes.SetVoters):
+            return []
+        outcome = self._outcomes.get(change.change_id)
+        if outcome is None:
+            self.configuration, outcome = changes.apply_change(
+                self.configuration, change
+            )
+            if isinstance(change.operation, changes.ReplaceWhole):
+                # A resend is answered by its version, not by its id.
+                self._log_bytes += len(change.operation.content)
+                return [messages.Answer(outcome)]
+            self._outcomes[change.change_id] = outcome
+            # An answer that was forgotten is no danger: the resend names an
+            # old version, so it loses instead of taking effect twice.
+            while len(self._outcomes) > REMEMBERED_OUTCOMES:
+                self._outcomes.popitem(last=False)
+        return [messages.Answer(outcome)]
+
+    def is_snapshot_due(self, log: log_module.Log) -> bool:
+        """Says whether a snapshot should replace the entries of a log."""
+        return (
+            len(log) >= 2 * SNAPSHOT_EVERY or self._log_bytes >= MAX_LOG_BYTES
+        )
+
+    def note_snapshot(self) -> None:
+        """Takes that a snapshot has replaced the entries of the log."""
+        self._log_bytes = 0
+
+    def make_snapshot(self, log: log_module.Log) -> messages.Snapshot:
+        """Returns the state with what the log says of the voters."""
+        term = log.get_term(self.applied)
+        assert term is not None, "the last applied entry is known"
+        voters = log.snapshot.voters
+        first = log.snapshot.index + 1
+        for entry in log.list_from(first, self.applied - first + 1):
+            match entry.change.operation:
+                case changes.SetVoters(newer):
+                    voters = newer
+        return messages.Snapshot(
+            index=self.applied,
+            term=term,
+            voters=voters,
+            configuration=self.configuration,
+            outcomes=tuple(self._outcomes.values()),
+        )
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -7,13 +7,16 @@
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING, Literal
 
 import attrs
 
 from hickorylead.configuration import changes, model
-from hickorylead.consensus import log as log_module, messages
+from hickorylead.consensus import (
+    log as log_module,
+    machine as machine_module,
+    messages,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -21,12 +24,6 @@
 
 JOIN_PERIOD_S = 1.0
 MAX_ENTRIES_PER_APPEND = 64
-SNAPSHOT_EVERY = 256
-REMEMBERED_OUTCOMES = 8192
-# Whole configurations in the log before a snapshot replaces them. A packed one
-# has some 10 KB, so this is about 200 changes, and the log, held in memory and
-# on disk, stays within a few MB of the 128 MB of the smallest disks.
-MAX_LOG_BYTES = 2 * 1024 * 1024
 
 Role = Literal["follower", "candidate", "leader"]
 
@@ -101,15 +98,10 @@
         self.is_caught_up = False
         self.log = log_module.Log()
         self.commit = 0
-        self.configuration = model.Configuration()
+        self._machine = machine_module.Machine()
         self._hard = messages.HardState(cluster="", term=0)
         self._peers = peers
         self._rng = rng
-        self._outcomes: collections.OrderedDict[str, changes.Outcome] = (
-            collections.OrderedDict()
-        )
-        self._applied = 0
-        self._log_bytes = 0
         self._votes: set[str] = set()
         self._trial = False
         self._progress: dict[str, Progress] = {}
@@ -133,6 +125,11 @@
         """Id of the cluster; empty until this voter belongs to one."""
         return self._hard.cluster
 
+    @property
+    def configuration(self) -> model.Configuration:
+        """What the committed changes amount to."""
+        return self._machine.configuration
+
     @property
     def voters(self) -> tuple[str, ...]:
         """The members that vote, as this voter knows them."""
@@ -225,7 +222,7 @@
         self, change: changes.Change, now: float
     ) -> list[messages.Effect]:
         """Appends a change; only a leader with a majority may be asked."""
-        known = self._outcomes.get(change.change_id)
+        known = self._machine.find_outcome(change.change_id)
         if known is not None:
             return [messages.Answer(known)]
         if change.change_id in self._pending.values():
@@ -443,7 +440,7 @@
         term = self.log.get_term(previous)
         node = messages.get_node(member)
         if term is None:
-            snapshot = self._make_snapshot()
+            snapshot = self._machine.make_snapshot(self.log)
             return [
                 messages.Send(
                     node,
@@ -643,6 +640,7 @@
         snapshot = request.snapshot
         if snapshot.index > self.commit:
             self.log.install(snapshot)
+            self._machine.note_snapshot()
             effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
             self._load_snapshot()
             effects.append(messages.Apply(self.configuration))
@@ -671,72 +669,25 @@
         self.commit = index
         effects: list[messages.Effect] = []
         before = self.configuration.version
-        while self._applied < self.commit:
-            entry = self.log.get_entry(self._applied + 1)
+        while self._machine.applied < self.commit:
+            entry = self.log.get_entry(self._machine.applied + 1)
             assert entry is not None, "a committed entry is in the log"
-            effects += self._apply(entry)
+            self._pending.pop(entry.index, None)
+            effects += self._machine.apply(entry)
         if self.configuration.version != before:
             effects.append(messages.Apply(self.configuration))
         if self.role == "leader" and self.member not in self.voters:
             effects += self._step_down(self.term, now)
-        if (
-            len(self.log) >= 2 * SNAPSHOT_EVERY
-            or self._log_bytes >= MAX_LOG_BYTES
-        ):
-            self._log_bytes = 0
-            snapshot = self._make_snapshot()
+        if self._machine.is_snapshot_due(self.log):
+            snapshot = self._machine.make_snapshot(self.log)
             self.log.install(snapshot)
             effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
         return effects
 
-    def _apply(self, entry: messages.LogEntry) -> list[messages.Effect]:
-        self._applied = entry.index
-        self._pending.pop(entry.index, None)
-        change = entry.change
-        if isinstance(change.operation, changes.NoChange | changes.SetVoters):
-            return []
-        outcome = self._outcomes.get(change.change_id)
-        if outcome is None:
-            self.configuration, outcome = changes.apply_change(
-                self.configuration, change
-            )
-            if isinstance(change.operation, changes.ReplaceWhole):
-                # A resend is answered by its version, not by its id.
-                self._log_bytes += len(change.operation.content)
-                return [messages.Answer(outcome)]
-            self._outcomes[change.change_id] = outcome
-            # An answer that was forgotten is no danger: the resend names an
-            # old version, so it loses instead of taking effect twice.
-            while len(self._outcomes) > REMEMBERED_OUTCOMES:
-                self._outcomes.popitem(last=False)
-        return [messages.Answer(outcome)]
-
-    def _make_snapshot(self) -> messages.Snapshot:
-        index = self._applied
-        term = self.log.get_term(index)
-        assert term is not None, "the last applied entry is known"
-        voters = self.log.snapshot.voters
-        for entry in self.log.list_from(
-            self.log.snapshot.index + 1, index - self.log.snapshot.index
-        ):
-            match entry.change.operation:
-                case changes.SetVoters(newer):
-                    voters = newer
-        return messages.Snapshot(
-            index=index,
-            term=term,
-            voters=voters,
-            configuration=self.configuration,
-            outcomes=tuple(self._outcomes.values()),
-        )
-
     def _load_snapshot(self) -> None:
         snapshot = self.log.snapshot
-        self.commit = self._applied = snapshot.index
-        self.configuration = snapshot.configuration
-        self._outcomes = collections.OrderedDict(
-            (outcome.change_id, outcome) for outcome in snapshot.outcomes
-        )
+        self.commit = snapshot.index
+        self._machine.load(snapshot)
 
     def _accepts_cluster(self, cluster: str) -> bool:
         return cluster != "" and self.cluster in ("", cluster)
