--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -100,6 +100,9 @@
             self._connections.add(connection)
             try:
                 await connection.run(reader, writer, target_ip, port)
+            except asyncio.CancelledError:
+                # The run is over.
+                writer.transport.abort()
             finally:
                 self._connections.discard(connection)
 
