Count loads at coordinators that are nobody's home; share the store among planners

Cause, by reading: with two coordinators in a zone (the grown deployments) only the home of gateways hears of requests; the other one, in charge of half of the zone's domains, took loads from the weight store for free. And each planner took a zone's part of the store's limit, twice the limit in all. Change: control nodes tell each other that callers are served; each takes a part by the number of control nodes known, silent ones counted for a minute. Tests: fleet/coordination, fails without; the planner's limit as before.

--- a/src/hickorylead/fleet/former.py
+++ b/src/hickorylead/fleet/former.py
@@ -147,10 +147,10 @@
         self._now = now
         self._is_started = is_started
 
-    def open_loads(self, loads_per_s: float, zones: int) -> None:
+    def open_loads(self, loads_per_s: float, planners: int) -> None:
         """Begins a service: what may be loaded from its store now."""
         if self._is_started:
-            self._loads.open(loads_per_s, zones, self._now)
+            self._loads.open(loads_per_s, planners, self._now)
         else:
             self._loads.lift()
 
--- a/src/hickorylead/fleet/keeper.py
+++ b/src/hickorylead/fleet/keeper.py
@@ -91,6 +91,11 @@
         """Takes that another node told all servers that it knows."""
         self._plans_from = min(self._plans_from, now + TOLD_SETTLE_S)
 
+    @property
+    def has_traffic(self) -> bool:
+        """Says whether callers are served, as far as is known."""
+        return self._is_started
+
     def note_traffic(self) -> None:
         """Takes that callers are served: loads count from now on."""
         self._is_started = True
@@ -186,7 +191,7 @@
             services=self.services,
             domains=domains,
             lost=self._suspects.list_lost(self._registry, now),
-            zones=len(self._identity.zones) or 1,
+            planners=self._count_planners(),
             is_started=self._is_started,
             now=now,
         )
@@ -219,6 +224,15 @@
         )
         return self.plan_soon(now)
 
+    def _count_planners(self) -> int:
+        """Returns how many control nodes may load, the silent ones counted.
+
+        One that is cut off goes on repairing its zone; it is forgotten only a
+        minute later.
+        """
+        known = 1 + len(self._neighbours.known)
+        return max(known, len(self._identity.zones))
+
     def _is_mine(self, instance: instances.Instance, now: float) -> bool:
         charge = self._neighbours.find_in_charge(
             instance.zone, instance.domain, now
--- a/src/hickorylead/fleet/loads.py
+++ b/src/hickorylead/fleet/loads.py
@@ -1,4 +1,4 @@
-"""Loads from the weight store: all zones together stay within its limit."""
+"""Loads from the weight store: all planners together stay within its limit."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 class LoadBudget:
     """Loads that one planner has started lately.
 
-    Each zone takes an equal part of what the store allows, whether or not it
-    hears the others, so that zones which are cut off stay within it together.
+    Each takes an equal part of what the store allows, whether or not it hears
+    the others, so that planners which are cut off stay within it together.
     """
 
     def __init__(self) -> None:
@@ -20,17 +20,17 @@
         self._started: collections.deque[float] = collections.deque()
         self.room = 0
 
-    def open(self, loads_per_s: float, zones: int, now: float) -> None:
+    def open(self, loads_per_s: float, planners: int, now: float) -> None:
         """Begins a round.
 
         Args:
             loads_per_s: Loads that may start in a second, over all VMs.
-            zones: Availability zones that share the store.
+            planners: Control nodes that share the store, heard or not.
             now: Present time.
         """
         while self._started and now - self._started[0] > WINDOW_S:
             self._started.popleft()
-        allowed = max(1, int(loads_per_s * WINDOW_S / max(1, zones)))
+        allowed = max(1, int(loads_per_s * WINDOW_S / max(1, planners)))
         self.room = allowed - len(self._started)
 
     def lift(self) -> None:
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -131,6 +131,8 @@
         check: Hash over the instances it knows.
         is_empty: Whether it belongs to no cluster and may found one.
         gateways: Gateways whose home it is.
+        has_traffic: Whether callers are served: from then on loads from the
+            weight store count.
     """
 
     node: str
@@ -141,6 +143,7 @@
     check: int = 0
     is_empty: bool = False
     gateways: int = 0
+    has_traffic: bool = False
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -76,7 +76,7 @@
         services: Iterable[document_module.Service],
         domains: frozenset[str],
         lost: frozenset[str],
-        zones: int,
+        planners: int,
         is_started: bool,
         now: float,
     ) -> list[ledger_module.Effect]:
@@ -87,7 +87,7 @@
             services: Services with their engine figures.
             domains: Fabric domains that this planner decides for now.
             lost: Instances that are taken for dead.
-            zones: Availability zones that share the weight store.
+            planners: Control nodes that share the weight store.
             is_started: Whether requests were served already; before, loads
                 are free.
             now: Present time.
@@ -103,7 +103,7 @@
             self._epochs.note(instance.member.epoch)
         for service in services:
             if service.engine is not None:
-                self._plan_service(service, everyone, domains, zones)
+                self._plan_service(service, everyone, domains, planners)
         self._seen_whole &= self._found_keys
         self._first_seen = {
             key: at
@@ -125,11 +125,11 @@
         service: document_module.Service,
         everyone: Mapping[str, instances.Instance],
         domains: frozenset[str],
-        zones: int,
+        planners: int,
     ) -> None:
         engine = service.engine
         assert engine is not None
-        self._former.open_loads(engine.loads_per_s, zones)
+        self._former.open_loads(engine.loads_per_s, planners)
         mine = [i for i in everyone.values() if i.service == service.name]
         living = [i for i in mine if self._is_living(i)]
         serving_vms = collections.Counter(
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -145,6 +145,7 @@
                 del self.instances[name]
                 self.heard_at.pop(name, None)
                 self.changed_at.pop(name, None)
+                self._former.append((now, self._check))
                 self._check ^= self._checks.pop(name, 0)
                 self.changes += 1
         return dropped
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -233,6 +233,7 @@
             check=self.registry.check,
             is_empty=self._identity.may_found and not self.voter.cluster,
             gateways=len(self.gateways.list_own(now)),
+            has_traffic=self._keeper.has_traffic,
         )
         targets = self.neighbours.list_targets()
         effects: list[CoordinatorEffect] = [
@@ -357,6 +358,9 @@
             hello.node, hello.check, self.registry.check, now
         )
         self.neighbours.hear(hello, now)
+        if hello.has_traffic:
+            # Only homes hear of requests from gateways.
+            self._keeper.note_traffic()
         if not is_new and not differs:
             return []
         news = messages.InstanceNews(
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -137,6 +137,7 @@
   check @5 :Int64;
   isEmpty @6 :Bool;
   gateways @7 :Int64;
+  hasTraffic @8 :Bool;
 }
 
 struct DeleteService {
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -92,6 +92,14 @@
     When a coordinator is cut off from the others and they acknowledge version 4
     Then every gateway holds version 4 within 3 seconds
 
+  Scenario: A coordinator that is nobody's home counts its loads, too
+    Loads from the weight store are free until callers are served. Only the home
+    of a gateway hears of requests. A second coordinator of the zone, in charge
+    of half of its domains, would go on loading without a limit.
+    Given six coordinators with 24 gateways
+    When a gateway has requests
+    Then all six coordinators count loads within 1 second, a sixth each
+
   Scenario: What is told to gateways does not grow with the coordinators
     Each coordinator told each gateway everything: with six of them a quiet
     gateway got 3.5 KB a second, and a group that forms cost 6 messages for
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -576,7 +576,7 @@
         services=[context.service],
         domains=frozenset({"d1"}),
         lost=frozenset(),
-        zones=3,
+        planners=3,
         is_started=True,
         now=10.0,
     )
@@ -595,7 +595,7 @@
         services=[service],
         domains=frozenset({"d1"}),
         lost=frozenset(),
-        zones=3,
+        planners=3,
         is_started=False,
         now=10.0,
     )
@@ -676,7 +676,7 @@
             services=[service],
             domains=frozenset({"d1"}),
             lost=frozenset(),
-            zones=3,
+            planners=3,
             is_started=True,
             now=now,
         )
@@ -803,3 +803,22 @@
     told = {k: n for k, n in context.busy.told.items() if k[0].endswith("way")}
     assert told
     assert max(told.values()) == 1, max(told.items(), key=lambda kv: kv[1])
+
+
+@when("a gateway has requests")
+def _(context):
+    world = context.world
+    name = next(iter(world.gateways))
+    head = world.list_open()[0].name
+    loads = (messages.HeadLoad(head, 3),)
+    hello = messages.GatewayHello(name, 1, 1, 0, is_home=True, loads=loads)
+    world.apply(world.core[0], fleetworld.seam.MessageArrived(name, hello, 0.0))
+
+
+@then("all six coordinators count loads within {limit:g} second, a sixth each")
+def _(context, limit):
+    world = context.world
+    keepers = [c._keeper for c in world.coordinators.values()]
+    assert len(keepers) == 6
+    world.run_until(lambda: all(k.has_traffic for k in keepers), limit)
+    assert {k._count_planners() for k in keepers} == {6}
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -180,7 +180,7 @@
             services=[SERVICE],
             domains=frozenset({"d1"}),
             lost=frozenset(seat.lost),
-            zones=1,
+            planners=1,
             is_started=self.rng.random() < 0.9,
             now=self.now,
         )
