Look at streams when one may have stopped; an answer that cannot be written ends alone

Change 1: a gateway with requests looks when a silence may be long enough, 20 to 50 ms later; at once while a request waits. Cause 2, by reading: a piece is written within the reducer's turn; an error there would end the turn, and other callers would miss their effects. Change 2: it ends that answer alone, is told, and frees the replica.

--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -39,6 +39,9 @@
 # Bodies of answers that are not streams are given whole up to this size, in
 # bytes, so that one that breaks off can still be asked for elsewhere.
 MAX_WHOLE_BYTES = 512 * 1024
+# Longest time between two looks at the open requests, in seconds: what others
+# tell of a replica may bring a stall forward.
+LONGEST_PAUSE_S = 0.25
 
 
 class Forwarder:
@@ -120,6 +123,40 @@
             effects += self._leave_replica(replica, now)
         return effects
 
+    def find_next(self, now: float) -> float:
+        """Returns when time alone may change something, at the earliest.
+
+        What comes from replicas or callers is handled as it comes; it can only
+        put this off.
+        """
+        due = now + LONGEST_PAUSE_S
+        for opened in self._open.values():
+            if opened.phase == "waiting":
+                return now
+            due = min(due, opened.ends_at)
+            if opened.attempt is not None and not opened.request.is_stream:
+                due = min(due, stalls.find_overdue(opened))
+        return min(due, self._find_next_stall(now))
+
+    def _find_next_stall(self, now: float) -> float:
+        due = now + LONGEST_PAUSE_S
+        factor = stalls.find_factor(self._started_at, now)
+        for opened in self._open.values():
+            attempt = opened.attempt
+            if attempt is None or not opened.request.is_stream:
+                continue
+            engine = self._find_engine(attempt.replica.service)
+            if engine is None:
+                continue
+            limit_s = factor * stalls.find_limit(
+                attempt.replica,
+                engine,
+                self._book.find_largest_prompt(attempt.replica.model, now),
+            )
+            seen = self._book.get(attempt.replica)
+            due = min(due, max(seen.progress_at, attempt.sent_at) + limit_s)
+        return due
+
     def take_stalls(
         self, heads: tuple[str, ...], now: float
     ) -> list[events.Effect]:
--- a/src/hickorylead/forwarding/stalls.py
+++ b/src/hickorylead/forwarding/stalls.py
@@ -46,16 +46,22 @@
 
 def is_overdue(opened: state.Open, now: float) -> bool:
     """Says whether a call that is no stream has waited too long."""
-    request, attempt = opened.request, opened.attempt
+    attempt = opened.attempt
     return (
         attempt is not None
-        and not request.is_stream
+        and not opened.request.is_stream
         and attempt.head is None
-        and now - attempt.sent_at
-        > PATIENCE_OBJECTIVES * request.route.objective_s
+        and now > find_overdue(opened)
     )
 
 
+def find_overdue(opened: state.Open) -> float:
+    """Returns when a call under way will have waited too long."""
+    assert opened.attempt is not None
+    objective_s = opened.request.route.objective_s
+    return opened.attempt.sent_at + PATIENCE_OBJECTIVES * objective_s
+
+
 def find_factor(started_at: float, now: float) -> float:
     """Returns how many times longer than usual a gateway waits.
 
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -30,7 +30,11 @@
 
     from hickorylead.configuration import document as document_module
 
+# Shortest and longest time between two ticks with requests, and without any, in
+# seconds. A request that begins to wait for a replica is looked at with the next
+# tick; it waits 0.12 s at most where the objective is 0.3 s.
 TICK_S = 0.02
+LONGEST_TICK_S = 0.05
 IDLE_TICK_S = 0.1
 HELLO_PERIOD_S = 0.25
 # Without requests a greeting has nothing new to tell most times.
@@ -155,6 +159,17 @@
         """Takes new seeds from changed settings."""
         self._identity = attrs.evolve(self._identity, seeds=seeds)
 
+    def find_pause(self, now: float) -> float:
+        """Returns the time to the next tick, in seconds.
+
+        Most ticks found nothing to do: a replica gives something to each of
+        its streams several times within the silence that shows a stall.
+        """
+        if not self._forwarder.count_open():
+            return IDLE_TICK_S
+        due_s = self._forwarder.find_next(now) - now
+        return min(LONGEST_TICK_S, max(TICK_S, due_s))
+
     def count_replicas(self) -> dict[str, int]:
         """Returns how many replicas are offered, of how many instances."""
         return {
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
-from hickorylead import verdict as verdict_module
+from hickorylead import notes, verdict as verdict_module
 from hickorylead.configuration import document as document_module
 from hickorylead.forwarding import (
     events,
@@ -84,13 +83,17 @@
     the loop: 2.2 for each piece, 1.2 without.
     """
 
-    def __init__(self, scope: Any, send: Any) -> None:
+    def __init__(
+        self, scope: Any, send: Any, tell: Callable[[notes.Note], None]
+    ) -> None:
         """Makes the way to a caller that has got nothing yet.
 
         Args:
             scope: ASGI scope of its request.
             send: Sends an ASGI message.
+            tell: Takes log lines.
         """
+        self._tell = tell
         extensions = scope.get("extensions") or {}
         found = extensions.get(listener.CONNECTION_KEY) or {}
         self._connection: listener.CallerProtocol | None = found.get("protocol")
@@ -99,16 +102,41 @@
         # Whether the task has an effect that is not sent yet; what comes
         # after it must not overtake it.
         self._is_sending = False
+        self.has_failed = False
 
     def take(self, effect: events.Effect) -> None:
         """Gives the caller an effect, now or after those before it."""
+        if self.has_failed:
+            return
         if self._is_free() and isinstance(effect, events.Start | events.Emit):
-            # It ends without a wait, as the connection takes bytes.
-            with contextlib.suppress(StopIteration):
-                self._send(_write_message(effect)).send(None)
+            self._write(effect)
         else:
             self._effects.put_nowait(effect)
 
+    def _write(self, effect: events.Start | events.Emit) -> None:
+        """Sends a piece without a wait.
+
+        What goes wrong concerns this caller alone: raised here, it would end
+        the turn of the reducer, and other callers would miss their effects.
+        """
+        sending = self._send(_write_message(effect))
+        try:
+            sending.send(None)
+        except StopIteration:
+            return
+        except Exception as error:  # noqa: BLE001 - told, and this answer ends
+            why = repr(error)
+        else:
+            sending.close()
+            why = "the connection did not take it at once"
+        self.has_failed = True
+        self._tell(
+            notes.Note(
+                "answer_not_sent", effect.request_id, {"why": why}, "error"
+            )
+        )
+        self._effects.put_nowait(events.Break(effect.request_id))
+
     async def answer(self) -> events.Refuse | None:
         """Sends until the answer is over; returns a refusal to be sent."""
         while True:
@@ -239,7 +267,7 @@
     async def _forward(
         self, request: model.Request, scope: Any, receive: Any, send: Any
     ) -> None:
-        caller = Caller(scope, send)
+        caller = Caller(scope, send, self._shell.tell)
         self._shell.callers[request.request_id] = caller
         watching = asyncio.ensure_future(self._watch(request, receive))
         try:
@@ -252,6 +280,9 @@
         finally:
             watching.cancel()
             self._shell.callers.pop(request.request_id, None)
+            if caller.has_failed:
+                # Its replica need not go on.
+                self._shell.apply(events.CallerLeft(request.request_id))
 
     async def _watch(self, request: model.Request, receive: Any) -> None:
         """Tells the reducer when the caller has closed its connection."""
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -227,6 +227,10 @@
                 self.waiting_to_start -= 1
         return self.role.routes
 
+    def tell(self, note: notes.Note) -> None:
+        """Writes a line of the log."""
+        self._log.write(note)
+
     def choose_service(self, route: document_module.Route) -> str:
         """Returns a service of a route, drawn by weight."""
         return routes_module.choose_service(route, self._rng)
@@ -288,14 +292,8 @@
         self.apply(seam.MessageArrived(sender, message, clock.read_wall()))
 
     def _choose_pause(self) -> float:
-        """Returns the pause to the next tick, in seconds.
-
-        Without requests nothing is to be timed but greetings; most of 360
-        gateways have none at most moments.
-        """
-        if self.role.count_open():
-            return gateway_role.TICK_S
-        return gateway_role.IDLE_TICK_S
+        """Returns the pause to the next tick, in seconds."""
+        return self.role.find_pause(clock.read_boottime())
 
     def _tick(self) -> None:
         self.apply(seam.Tick(clock.read_wall()))
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -95,6 +95,14 @@
     Then it stays with its replica
     And a replica that gives nothing is still left within 1 second
 
+  Scenario: A gateway looks at its streams when one may have stopped
+    It looked 50 times a second whatever its streams did. What matters is that
+    it looks once a silence is long enough, and at once while a request waits.
+    Given a gateway with 3 model replicas
+    When a stream has given an event just now
+    Then nothing is due before its replica may count as stopped
+    And with a request that waits for a replica something is due at once
+
   Scenario: A stall that another gateway tells is believed with evidence only
     Given a gateway with 3 model replicas
     When another gateway tells of a stall at a replica that gave something now
--- a/tests/runtime/callers.feature
+++ b/tests/runtime/callers.feature
@@ -8,6 +8,14 @@
     When two more pieces come, one before and one after it takes bytes again
     Then the caller gets all pieces in order
 
+  Scenario: An answer that cannot be written ends alone
+    A replica's header has a byte that the HTTP server refuses to write. Pieces
+    are written within the turn of the reducer; an error raised there would end
+    that turn, and other callers would miss their effects.
+    Given a caller whose connection refuses the head of an answer
+    When the answer comes
+    Then nothing is raised, the answer ends broken, and the log tells why
+
   Scenario: A caller that comes while the program is loaded waits for it
     All gateways lose power and start again. Their ports are open at once, a
     second before the rest is loaded. A caller that connects meanwhile is
--- a/tests/steps/caller_steps.py
+++ b/tests/steps/caller_steps.py
@@ -41,7 +41,7 @@
         scope = {
             "extensions": {listener.CONNECTION_KEY: {"protocol": connection}}
         }
-        caller = forwarding.Caller(scope, connection.send)
+        caller = forwarding.Caller(scope, connection.send, print)
         task = asyncio.ensure_future(caller.answer())
         caller.take(events.Start("r", 200, ()))
         caller.take(events.Emit("r", context.pieces[0]))
@@ -67,6 +67,43 @@
     assert [b["more_body"] for b in bodies] == [True, True, True, False]
 
 
+@given("a caller whose connection refuses the head of an answer")
+def _(context):
+    async def refuse(message):
+        raise RuntimeError(f"invalid header in {message['type']}")
+
+    context.refuse = refuse
+
+
+@when("the answer comes")
+def _(context):
+    context.lines = []
+
+    async def play():
+        scope = {
+            "extensions": {
+                listener.CONNECTION_KEY: {"protocol": SlowConnection()}
+            }
+        }
+        caller = forwarding.Caller(scope, context.refuse, context.lines.append)
+        task = asyncio.ensure_future(caller.answer())
+        caller.take(events.Start("r", 200, ((b"x", b"\x7f"),)))
+        caller.take(events.Emit("r", b"piece"))
+        async with asyncio.timeout(5):
+            context.refusal = await task
+        context.caller = caller
+
+    asyncio.run(play())
+
+
+@then("nothing is raised, the answer ends broken, and the log tells why")
+def _(context):
+    assert context.caller.has_failed
+    assert context.refusal is None
+    assert [line.event for line in context.lines] == ["answer_not_sent"]
+    assert "invalid header" in context.lines[0].fields["why"]
+
+
 @given("a port that was opened before anything else")
 def _(context):
     context.opened = sockets.listen("127.0.0.1", 0)
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -748,3 +748,31 @@
 def _(context):
     context.play.run(1.0)
     assert len(context.play.list_sent(context.name)) == 2
+
+
+@when("a stream has given an event just now")
+def _(context):
+    play = context.play
+    context.name = play.ask("drafts", prompt=1000)
+    attempt = play.begin(context.name)
+    play.send_events(context.name, [1], attempt=attempt)
+
+
+@then("nothing is due before its replica may count as stopped")
+def _(context):
+    play = context.play
+    due_s = play.subject.find_next(play.now) - play.now
+    assert due_s > 0.08, due_s
+    # A look just before finds nothing, one some passes later does.
+    play.run(due_s - 0.02)
+    assert len(play.list_sent(context.name)) == 1
+    play.run(due_s + 0.1)
+    assert len(play.list_sent(context.name)) == 2
+
+
+@then("with a request that waits for a replica something is due at once")
+def _(context):
+    play = context.play
+    for _ in range(60):
+        play.ask("drafts")
+    assert play.subject.find_next(play.now) <= play.now
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -180,7 +180,7 @@
         urgency=1,
     )
     replica = model.Replica("i-1", "plain", "", "a:1", "z1", 6)
-    opened = events.Open(request, 1, replica, 0.5, 0)
+    opened = events.Open(request, 1, replica, 0.5, 0, rank=4)
     return dialect.write_head(opened).decode().lower().split("\r\n")
 
 
