--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -31,8 +31,8 @@
     from hickorylead.configuration import document as document_module
 
 # Shortest and longest time between two ticks with requests, and without any, in
-# seconds. A request that begins to wait for a replica is looked at with the next
-# tick; it waits 0.12 s at most where the objective is 0.3 s.
+# seconds. A request that begins to wait for a replica is looked at with the
+# next tick; it waits 0.12 s at most where the objective is 0.3 s.
 TICK_S = 0.02
 LONGEST_TICK_S = 0.05
 IDLE_TICK_S = 0.1
