Greet nodes that were only told of by their address

The first answers of the others were lost, sent on connections to the process that had the address before. From then on the gateway knew those by name from the first one's list, and greeted them by name; but connections know the way to a name from that node's own messages alone, and drop the rest without a word. Two coordinators that are no seeds never met at all. Ruled out: rules of when a coordinator sends a configuration; in given time, with names that always lead somewhere, each of them did. Change: whoever was not heard yet is greeted by its address. The test world now drops what is sent to a name that was not heard, as connections do. Tests: the scenario of a gateway beside a coordinator that is behind fails in that world without the change; two new ones of fleet/coordination fail, too.

--- a/src/hickorylead/fleet/neighbours.py
+++ b/src/hickorylead/fleet/neighbours.py
@@ -95,10 +95,18 @@
         return sum(self.known[n].gateways for n in self.list_alive(now))
 
     def list_targets(self) -> list[str]:
-        """Returns whom to greet: known nodes, and seeds by address."""
+        """Returns whom to greet: nodes by name, those not heard by address.
+
+        Connections know the way to a name from that node's own messages alone.
+        Two nodes that were only told of each other would never meet.
+        """
         addresses = {n.address for n in self.known.values()}
         unknown = [f"@{s}" for s in self.seeds if s not in addresses]
-        return [*sorted(self.known), *unknown]
+        known = [
+            node if neighbour.incarnation else f"@{neighbour.address}"
+            for node, neighbour in sorted(self.known.items())
+        ]
+        return [*known, *unknown]
 
     def find_in_charge(self, zone: str, domain: str, now: float) -> str:
         """Returns the control node that plans a domain.
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -227,8 +227,13 @@
 
     def _greet(self, home: str, now: float) -> list[GatewayEffect]:
         known = set(self._coordinators.values())
+        # One that was only told of is greeted by its address: connections know
+        # the way to a name from that node's own messages alone.
         targets = [
-            *self._coordinators,
+            *(
+                node if node in self._heard_at else f"@{address}"
+                for node, address in self._coordinators.items()
+            ),
             *(f"@{s}" for s in self._identity.seeds if s not in known),
         ]
         if home != self._home:
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -92,6 +92,21 @@
     When a coordinator is cut off from the others and they acknowledge version 4
     Then every gateway holds version 4 within 3 seconds
 
+  Scenario: Coordinators that only know each other from a third one meet
+    Seeds name three of six coordinators. The others hear of each other from
+    those, with addresses. A name alone leads nowhere: the way to a node is
+    known from its own messages. They must greet each other all the same.
+    Given six coordinators with 24 gateways
+    Then every coordinator hears all five others
+
+  Scenario: A gateway reaches a coordinator whose first answer was lost
+    A gateway greets its seeds. One answer is lost, with a connection to the
+    process that had its address before. From then on it knows that seed's name
+    from the others, and must still reach it.
+    Given six coordinators with 24 gateways
+    When a gateway starts and the first answers but one are lost
+    Then it hears all six coordinators within 1 second
+
   Scenario: A coordinator that is nobody's home counts its loads, too
     Loads from the weight store are free until callers are served. Only the home
     of a gateway hears of requests. A second coordinator of the zone, in charge
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -865,3 +865,30 @@
         )
 
     world.run_until(is_back, limit)
+
+
+@then("every coordinator hears all five others")
+def _(context):
+    world = context.world
+    for role in world.coordinators.values():
+        assert len(role.neighbours.list_alive(world.now)) == 5
+
+
+@when("a gateway starts and the first answers but one are lost")
+def _(context):
+    world = context.world
+    context.node = nodes.name_node("z1", "front99", nodes.GATEWAY)
+    for other in world.core[1:]:
+        world.cut(context.node, other)
+    world.start_gateway(context.node)
+    world.run(0.1)
+    world.heal()
+
+
+@then("it hears all six coordinators within {limit:g} second")
+def _(context, limit):
+    world = context.world
+    # It starts without knowing of a leader, so it greets all of them.
+    gateway = world.gateways[context.node]
+    gateway._next_far = world.now
+    world.run_until(lambda: len(gateway._heard_at) == 6, limit)
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -155,6 +155,8 @@
         self.frozen: set[str] = set()
         # What came while a node was frozen, in order.
         self.buffers: dict[str, list[Any]] = {}
+        # Whom each node has heard since it started.
+        self.heard: dict[str, set[str]] = {}
         self.cuts: set[frozenset[str]] = set()
         self.answers: dict[str, Any] = {}
         self.notes: list[tuple[float, str, Any]] = []
@@ -187,6 +189,7 @@
     def start(self, node: str, *, first: bool = False) -> None:
         """Starts a coordinator with what its disk holds."""
         disk = self.disks[node]
+        self.heard.pop(node, None)
         self.coordinators[node] = coordinator.Coordinator(
             identity.Identity(
                 node=node,
@@ -211,6 +214,7 @@
     def start_gateway(self, node: str) -> None:
         """Starts a gateway, which knows nothing."""
         self._boots += 1
+        self.heard.pop(node, None)
         self.gateways[node] = gateway.Gateway(
             gateway.Identity(node, self._boots, self.seeds),
             read_document=read_content,
@@ -303,13 +307,21 @@
     def _carry_out(self, node: str, effect: Any) -> None:
         match effect:
             case seam.Send(target, message):
+                # As connections do: a name can be sent to only once a message
+                # of that node told where it is; "@" is followed by an address.
+                if (
+                    not target.startswith("@")
+                    and target != node
+                    and target not in self.heard.get(node, ())
+                ):
+                    return
                 target = target.removeprefix("@")
                 if self.watch is not None:
                     self.watch(node, target, message)
                 if frozenset((node, target)) in self.cuts:
                     return
                 arrived = seam.MessageArrived(node, message, 0.0)
-                self._at(LATENCY_S, lambda: self.apply(target, arrived))
+                self._at(LATENCY_S, lambda: self._arrive(target, arrived))
             case consensus_messages.Persist(record):
                 self.disks[node].records.append(record)
             case events.SaveInstances(known):
@@ -327,6 +339,11 @@
             case _:
                 self.notes.append((self.now, node, effect))
 
+    def _arrive(self, target: str, arrived: seam.MessageArrived) -> None:
+        if self._find(target) is not None and target not in self.frozen:
+            self.heard.setdefault(target, set()).add(arrived.sender)
+        self.apply(target, arrived)
+
     def _give(self, node: str, give: orders.Give) -> None:
         server = self.servers.get(give.name)
         if server is None or frozenset((node, give.name)) in self.cuts:
