Leave a home that hears no leader for one that does

Cause, by reading, after gateways were told through one home: a coordinator that is cut off from the others, but not from its gateways, knows neither their news nor a new configuration. Change: coordinators tell whether they hear a leader; after 1.2 s without, a gateway takes one that does for its home, its own zone first. Test: fleet/coordination, a home that is cut off; fails without.

--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -148,11 +148,19 @@
 
 @attrs.frozen
 class KnownCoordinators:
-    """A control node tells a gateway which control nodes there are."""
+    """A control node tells a gateway which control nodes there are.
+
+    Attributes:
+        sender: Control node that tells.
+        nodes: Their names.
+        addresses: Their addresses, in the same order.
+        is_fresh: Whether the sender heard a leader with a majority lately.
+    """
 
     sender: str
     nodes: tuple[str, ...]
     addresses: tuple[str, ...]
+    is_fresh: bool = False
 
 
 @attrs.frozen
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -386,6 +386,7 @@
                         self._identity.address,
                         *(n.address for n in self.neighbours.known.values()),
                     ),
+                    self.is_fresh(now),
                 ),
                 sender=self._identity.node,
                 now=now,
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -49,6 +49,10 @@
 # A coordinator that was not heard for this long is no home, in seconds: it
 # tells the loads of its zone each 0.25 s, and may wait for a disk meanwhile.
 HOME_SILENCE_S = 1.2
+# A home that has not heard a leader for this long is left for one that has, in
+# seconds. It is cut off from the others and knows neither their news nor a new
+# configuration; after a lost leader the next one is elected in about a second.
+UNFRESH_S = 1.2
 # A configuration from a coordinator that may be behind is taken at a start
 # only after this long, in seconds: one that is up to date answers before.
 STALE_WAIT_S = 1.2
@@ -125,7 +129,10 @@
         self._told_stalled: set[str] = set()
         self._next_far = now
         self._home = ""
-        self._is_home_fresh = True
+        # Which coordinators hear a leader, as they told last; since when the
+        # home does not.
+        self._fresh: dict[str, bool] = {}
+        self._unfresh_since: float | None = None
         self._stopping = False
 
     @property
@@ -237,17 +244,18 @@
             *(f"@{s}" for s in self._identity.seeds if s not in known),
         ]
         if home != self._home:
-            self._home, self._is_home_fresh = home, False
+            self._home, self._unfresh_since = home, None
+        is_home_fresh = self._fresh.get(home, False)
         document = self.document
         effects: list[GatewayEffect] = []
         stalled = self._book.list_stalled(now)
         stalled_zones = self._find_zones(stalled)
         # One that starts beside a home that may be behind hears all of them.
-        is_unsure = self.routes is None and not self._is_home_fresh
+        is_unsure = self.routes is None and not is_home_fresh
         is_far_due = not home or is_unsure or now >= self._next_far
         if is_far_due:
             self._next_far = now + FAR_PERIOD_S
-        elif not self._is_home_fresh or stalled_zones - {self._zone}:
+        elif not is_home_fresh or stalled_zones - {self._zone}:
             self._next_far = min(self._next_far, now + FAR_URGENT_PERIOD_S)
         for node in targets:
             is_home = node == home
@@ -278,15 +286,32 @@
         alive = [
             node for node in self._coordinators if self._is_heard(node, now)
         ]
+        fresh = [n for n in alive if self._fresh.get(n)]
         own = [n for n in alive if nodes.get_zone(n) == self._zone]
-        if self._home in (own or alive):
+        pool = [n for n in own if n in fresh] or own or alive
+        is_cut_off = (
+            self._unfresh_since is not None
+            and now - self._unfresh_since > UNFRESH_S
+        )
+        if is_cut_off and fresh and not set(pool) & set(fresh):
+            pool = fresh
+        if self._home in pool:
             # A change of home costs a list of all servers.
             return self._home
-        return min(own or alive, default="")
+        return min(pool, default="")
 
     def _is_heard(self, node: str, now: float) -> bool:
         return now - self._heard_at.get(node, -1e9) < HOME_SILENCE_S
 
+    def _note_fresh(self, node: str, is_fresh: bool, now: float) -> None:
+        self._fresh[node] = is_fresh
+        if node != self._home:
+            return
+        if is_fresh:
+            self._unfresh_since = None
+        elif self._unfresh_since is None:
+            self._unfresh_since = now
+
     def _list_loads(self) -> tuple[messages.HeadLoad, ...]:
         return tuple(
             messages.HeadLoad(name, seen.running)
@@ -305,12 +330,13 @@
                 registry_module.merge_all(self._registry, news, now)
             case messages.ZoneLoads(_, loads, is_fresh, gateways):
                 self._take_loads(loads)
+                self._note_fresh(sender, is_fresh, now)
                 if sender == self._home:
-                    self._is_home_fresh = is_fresh
                     self._forwarder.note_gateways(gateways, now)
             case messages.StallNews(_, heads):
                 return [*self._forwarder.take_stalls(heads, now)]
-            case messages.KnownCoordinators(_, names, addresses):
+            case messages.KnownCoordinators(_, names, addresses, is_fresh):
+                self._note_fresh(sender, is_fresh, now)
                 # One that has just started knows few others yet.
                 heard = {
                     node: address
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -301,6 +301,7 @@
   sender @0 :Text;
   nodes @1 :List(Text);
   addresses @2 :List(Text);
+  isFresh @3 :Bool;
 }
 
 struct LeaderLoad {
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -115,6 +115,14 @@
     When a gateway has requests
     Then all six coordinators count loads within 1 second, a sixth each
 
+  Scenario: A gateway leaves a home that is cut off from the others
+    A home loses the other coordinators, but not its gateways. A server of
+    another zone, then, says that it drains: the home never hears of it. Within
+    2 seconds after the gateways had the time to notice, nobody is sent there.
+    Given three coordinators with gateways
+    When a home is cut off for 3 seconds and then a member elsewhere drains
+    Then no gateway offers the group with it after 2 seconds
+
   Scenario: What is told to gateways does not grow with the coordinators
     Each coordinator told each gateway everything: with six of them a quiet
     gateway got 3.5 KB a second, and a group that forms cost 6 messages for
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -892,3 +892,18 @@
     gateway = world.gateways[context.node]
     gateway._next_far = world.now
     world.run_until(lambda: len(gateway._heard_at) == 6, limit)
+
+
+@when("a home is cut off for 3 seconds and then a member elsewhere drains")
+def _(context):
+    world = context.world
+    for other in world.core[1:]:
+        world.cut(world.core[0], other)
+    world.run(3.0)
+    member, context.head = pick_member(world, zone="z2")
+    context.epoch = context.head.member.epoch
+    for node in (world.core[0],):
+        # Its heartbeats reach the others only.
+        world.cut(node, member.name)
+    member.phase = instances.PHASE_DRAINING
+    world._tell(member)
