Load by need, and no more at once than the store serves at full speed

Cause: a third of the living servers stood empty for most of a minute. All servers that served and lacked the other model were told to stage it at the same moment, first after a restart of the coordinators; the store serves 7 loads at full speed, so each took 40 s and more, and servers that had come empty waited with them. A stage order that got no answer was never given again.

Ruled out: the planner's layout (it asked for the groups that were missing), lost heartbeats (all servers told of themselves within 2 s).

Change: a planner collects what could be loaded and starts what is needed most: a missing group, then empty standbys, then the other model of servers that serve. Coordinators tell each other how many loads they have under way.

--- a/src/hickorylead/configuration/document.py
+++ b/src/hickorylead/configuration/document.py
@@ -111,6 +111,9 @@
         stride: Steps between two events of a stream.
         models: The models.
         loads_per_s: Loads that may start in a second, over all VMs.
+        loads_at_once: Loads that the weight store serves at full speed at the
+            same time, over all VMs; more of them slow each other down. 0 if
+            unsaid.
         staged_models: Models that a VM keeps staged.
         form_s: Time from the order to serve until a replica serves.
     """
@@ -125,6 +128,7 @@
     stride: int
     models: tuple[ModelFigures, ...]
     loads_per_s: float
+    loads_at_once: int = 0
     staged_models: int = 1
     form_s: float = 0.3
 
--- a/src/hickorylead/fleet/former.py
+++ b/src/hickorylead/fleet/former.py
@@ -147,13 +147,23 @@
         self._now = now
         self._is_started = is_started
 
-    def open_loads(self, loads_per_s: float, planners: int) -> None:
+    def open_loads(
+        self, engine: document_module.Engine, *, planners: int, elsewhere: int
+    ) -> None:
         """Begins a service: what may be loaded from its store now."""
         if self._is_started:
-            self._loads.open(loads_per_s, planners, self._now)
+            self._loads.open(
+                engine, planners=planners, elsewhere=elsewhere, now=self._now
+            )
         else:
             self._loads.lift()
 
+    def start_loads(self) -> None:
+        """Ends a service: starts the loads that are needed most."""
+        for wish in self._loads.grant(self._ledger.count_staging()):
+            if self._ledger.give(wish.instance, orders.Stage(wish.model)):
+                self._loads.spend(self._now)
+
     def use_free(self, domain: Domain) -> list[groups_module.Group]:
         """Uses the free servers of a domain.
 
@@ -222,7 +232,7 @@
             return free
         cold = self._list_cold(together, figures.name)
         for instance in cold:
-            self._stage(instance, figures.name)
+            self._wish(instance, figures.name, loads.Need.GROUP, len(cold))
         if not cold and victim is not None:
             # Its members hold the scarcer model's weights now.
             retired.append(victim)
@@ -273,7 +283,7 @@
                 continue
             model = standbys.choose_model(domain.engine, domain.serving, held)
             held[model] += 1
-            self._stage(instance, model)
+            self._wish(instance, model, loads.Need.STANDBY)
 
     def _stage_beside(self, domain: Domain) -> None:
         """Lets servers stage another model than the one in their memory.
@@ -293,13 +303,17 @@
                 continue
             other = standbys.choose_other(domain.engine, warm)
             if other and other not in instance.staged:
-                self._stage(instance, other)
+                self._wish(instance, other, loads.Need.BESIDE)
 
-    def _stage(self, instance: instances.Instance, model: str) -> None:
-        if self._ledger.is_staging(instance) or self._loads.room <= 0:
-            return
-        if self._ledger.give(instance, orders.Stage(model)):
-            self._loads.spend(self._now)
+    def _wish(
+        self,
+        instance: instances.Instance,
+        model: str,
+        need: loads.Need,
+        missing: int = 0,
+    ) -> None:
+        if not self._ledger.is_staging(instance):
+            self._loads.wish(loads.Wish(instance, model, need, missing))
 
     def _warm_up(self, instance: instances.Instance, model: str) -> None:
         """Brings staged weights into memory, in a group of one.
--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -37,6 +37,14 @@
 ASK_PERIOD_S = 0.3
 
 
+# An order to stage that was not answered is given again after this, in seconds:
+# it may have been lost. If it was taken after all, the server counts it and
+# refuses the second one.
+STAGE_RETRY_S = 2.0
+# A load that shows no effect for this long has failed, in seconds: four times
+# the longest load that was seen under way with others.
+STAGE_LIMIT_S = 100.0
+
 _NOT_SEEN = -1
 
 
@@ -209,7 +217,18 @@
     def is_staging(self, instance: instances.Instance) -> bool:
         """Says whether the server was told to stage a model, and has not."""
         pending = self._pending.get(instance.name)
-        return pending is not None and isinstance(pending.order, orders.Stage)
+        return pending is not None and self._is_load(pending)
+
+    def count_staging(self) -> int:
+        """Returns how many servers were told to stage a model, and have not."""
+        return sum(map(self._is_load, self._pending.values()))
+
+    def _is_load(self, pending: _Pending) -> bool:
+        wait_s = STAGE_LIMIT_S if pending.answered else STAGE_RETRY_S
+        return (
+            isinstance(pending.order, orders.Stage)
+            and self._now - pending.given_at < wait_s
+        )
 
     def _ask(self, instance: instances.Instance) -> None:
         if instance.name in self._reported:
--- a/src/hickorylead/fleet/loads.py
+++ b/src/hickorylead/fleet/loads.py
@@ -3,41 +3,135 @@
 from __future__ import annotations
 
 import collections
+import enum
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import instances
 
 # The store counts loads over this long, in seconds.
 WINDOW_S = 5.0
+# Loads that only prepare servers which serve already begin while fewer than
+# this share of the loads at once are under way anywhere: a load can't be called
+# back, and an empty server that comes a moment later would wait for one to end.
+# Servers that came empty each 3 s waited 17 s at most for a load of 14 s; when
+# each planner minded its own loads alone, 36 s.
+BESIDE_SHARE = 0.33
+
+
+class Need(enum.IntEnum):
+    """What a load is for; the lowest goes first."""
+
+    GROUP = 0
+    STANDBY = 1
+    BESIDE = 2
+
+
+@attrs.frozen
+class Wish:
+    """A load that would be of use.
+
+    Attributes:
+        instance: The server.
+        model: What it should stage.
+        need: What for.
+        missing: Loads that its group still lacks, this one included.
+    """
+
+    instance: instances.Instance
+    model: str
+    need: Need
+    missing: int = 0
 
 
 class LoadBudget:
-    """Loads that one planner has started lately.
+    """Loads that one planner has started lately, and those that it may start.
 
-    Each takes an equal part of what the store allows, whether or not it hears
-    the others, so that planners which are cut off stay within it together.
+    Each takes an equal part of what the store allows in a window, whether or
+    not it hears the others, so that planners which are cut off stay within it
+    together.
+
+    The load this answers: servers are lost and come empty every few seconds,
+    each load takes 12 to 16 s, and the store serves 7 at full speed. Without a
+    bound on loads at once, 25 started after a restart, most of them beside a
+    model that served already; each took 40 s and more, and a third of the
+    living servers stood empty meanwhile.
     """
 
     def __init__(self) -> None:
         """Makes a budget of which nothing is spent."""
         self._started: collections.deque[float] = collections.deque()
-        self.room = 0
+        self._wishes: dict[str, Wish] = {}
+        self._room = 0
+        self._at_once = math.inf
+        self._most_beside = math.inf
 
-    def open(self, loads_per_s: float, planners: int, now: float) -> None:
+    def open(
+        self,
+        engine: document_module.Engine,
+        *,
+        planners: int,
+        elsewhere: int,
+        now: float,
+    ) -> None:
         """Begins a round.
 
         Args:
-            loads_per_s: Loads that may start in a second, over all VMs.
+            engine: Figures of the service's engines.
             planners: Control nodes that share the store, heard or not.
+            elsewhere: Loads that the others have under way, as last told.
             now: Present time.
         """
+        self._wishes = {}
         while self._started and now - self._started[0] > WINDOW_S:
             self._started.popleft()
-        allowed = max(1, int(loads_per_s * WINDOW_S / max(1, planners)))
-        self.room = allowed - len(self._started)
+        planners = max(1, planners)
+        allowed = max(1, int(engine.loads_per_s * WINDOW_S / planners))
+        self._room = allowed - len(self._started)
+        if engine.loads_at_once:
+            # What others leave, and an equal part whatever they have: one that
+            # is cut off must not wait for their loads.
+            part = math.ceil(engine.loads_at_once / planners)
+            self._at_once = max(part, engine.loads_at_once - elsewhere)
+            few = math.ceil(BESIDE_SHARE * engine.loads_at_once)
+            self._most_beside = few - elsewhere
+        else:
+            self._at_once = self._most_beside = math.inf
 
     def lift(self) -> None:
         """Begins a round in which loads are free: nothing was served yet."""
-        self.room = 1_000_000
+        self._wishes = {}
+        self._room = 1_000_000
+        self._at_once = self._most_beside = math.inf
+
+    def wish(self, wish: Wish) -> None:
+        """Takes a load that would be of use; the first for a server counts."""
+        self._wishes.setdefault(wish.instance.name, wish)
+
+    def grant(self, under_way: int) -> list[Wish]:
+        """Returns the loads that are to be started now, most needed first.
+
+        Args:
+            under_way: Loads that this planner has under way.
+        """
+        granted: list[Wish] = []
+        ordered = sorted(
+            self._wishes.values(),
+            key=lambda w: (w.need, w.missing, w.instance.name),
+        )
+        for wish in ordered:
+            is_beside = wish.need is Need.BESIDE
+            most = self._most_beside if is_beside else self._at_once
+            if len(granted) >= self._room or under_way + len(granted) >= most:
+                break
+            granted.append(wish)
+        return granted
 
     def spend(self, now: float) -> None:
         """Counts a load."""
         self._started.append(now)
-        self.room -= 1
+        self._room -= 1
--- a/src/hickorylead/platform/documents.py
+++ b/src/hickorylead/platform/documents.py
@@ -133,6 +133,7 @@
             for model in found.get("Models") or ()
         ),
         loads_per_s=float(found.get("LoadsPerS", 1.0)),
+        loads_at_once=int(found.get("loads_at_once", 0)),
         staged_models=int(found.get("RetainedCount", 1)),
         form_s=float(found.get("FormMs", 0.0)) * _MS,
     )
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -234,6 +234,7 @@
             is_empty=self._identity.may_found and not self.voter.cluster,
             gateways=len(self.gateways.list_own(now)),
             has_traffic=self._keeper.has_traffic,
+            loading=self._keeper.count_loading(),
         )
         targets = self.neighbours.list_targets()
         effects: list[CoordinatorEffect] = [
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -138,6 +138,7 @@
   isEmpty @6 :Bool;
   gateways @7 :Int64;
   hasTraffic @8 :Bool;
+  loading @9 :Int64;
 }
 
 struct DeleteService {
