Tell lives of a server apart that starts again under its id

Cause: a server may start again under the id that it had, and tells when each life began (`born`). Its heartbeats count from 1 again, so the product took them for old: the server was never used again, counted as warm with what it had in memory before, and refused orders that named the former life's number.

Change: news of a server are ordered by life, then by number. What a life held, and what it was ordered, ends with it; late heartbeats, signs of life, reports and farewells of a former one change nothing. Heartbeats whose fields have other types, or that name a state of a group that is not known, are refused whole.

--- a/src/hickorylead/fleet/dialect.py
+++ b/src/hickorylead/fleet/dialect.py
@@ -25,6 +25,19 @@
     body: bytes | None = None
 
 
+@attrs.frozen
+class Report:
+    """What a server answers to the question for its state.
+
+    Attributes:
+        accepted: Orders that it has accepted in this life.
+        born: When this life began, in Unix milliseconds; 0 if it does not tell.
+    """
+
+    accepted: int
+    born: int = 0
+
+
 class ServerDialect(Protocol):
     """Names and formats between coordinators and backend servers."""
 
@@ -34,5 +47,5 @@
     def write_report_question(self) -> Call:
         """Returns the call that asks for a server's state."""
 
-    def read_report(self, body: bytes) -> int | None:
-        """Returns the orders that a server says it has accepted."""
+    def read_report(self, body: bytes) -> Report | None:
+        """Returns what a server tells of its state; None if unreadable."""
--- a/src/hickorylead/fleet/events.py
+++ b/src/hickorylead/fleet/events.py
@@ -16,9 +16,15 @@
 
 @attrs.frozen
 class InstanceLeft:
-    """Event: a backend server said that it leaves for good."""
+    """Event: a backend server said that it leaves for good.
+
+    Attributes:
+        name: The server.
+        born: When the life began that said so; 0 if it does not tell.
+    """
 
     name: str
+    born: int = 0
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/instances.py
+++ b/src/hickorylead/fleet/instances.py
@@ -37,7 +37,8 @@
     """One life of a backend server.
 
     Attributes:
-        name: Id of this life; a restart has a new one.
+        name: Its id. A server may start again under the id that it had; `born`
+            tells these lives apart.
         service: Service it belongs to.
         address: `ip:port`.
         zone: Its availability zone.
@@ -52,6 +53,8 @@
         last_model: Model of its last group, which it still has in memory;
             empty if it was in none. It does not tell this; those who saw the
             group pass it on, so that a node that restarts knows it as well.
+        born: When this life began, in Unix milliseconds; 0 where servers do not
+            tell it, and each life has an id of its own.
     """
 
     name: str
@@ -67,6 +70,7 @@
     member: Membership = Membership()
     silent: bool = False
     last_model: str = ""
+    born: int = 0
 
     @property
     def has_group(self) -> bool:
@@ -79,10 +83,14 @@
 
     Heartbeats come through any control node and may be overtaken. That a life
     has ended is never taken back: a late heartbeat of it would bring back an
-    address that now belongs to another service.
+    address that now belongs to another service. A later life under the same id
+    counts its heartbeats anew; whatever is heard of the former one, its number
+    may be higher, but it is old.
     """
     if known is None:
         return True
+    if news.born != known.born:
+        return news.born > known.born
     if known.phase == PHASE_GONE:
         return False
     if news.phase == PHASE_GONE:
@@ -97,6 +105,9 @@
 def keep_last_model(news: Instance, known: Instance | None) -> Instance:
     """Returns news with the model of the last group, as far as it is known."""
     last_model = news.last_model
+    if known is not None and known.born != news.born:
+        # A life that begins has nothing in memory.
+        known = None
     if news.has_group and news.models:
         last_model = news.models[0]
     elif known is not None and not last_model:
--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -73,6 +73,7 @@
         self._pending: dict[str, _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._contested: set[str] = set()
+        self._born: dict[str, int] = {}
         # Servers whose number was asked for, with the heartbeat known then.
         self._reported: dict[str, int] = {}
         self._asked: dict[str, float] = {}
@@ -85,6 +86,7 @@
         """Begins a round: takes what servers tell of the orders' effects."""
         self._now = now
         self._effects = []
+        self._forget_former(everyone)
         for name in [n for n in self._pending if n not in everyone]:
             del self._pending[name]
         for name in [n for n in self._accepted if n not in everyone]:
@@ -112,6 +114,27 @@
                 # It has taken the order and is elsewhere already.
                 del self._pending[name]
 
+    def _forget_former(
+        self, everyone: Mapping[str, instances.Instance]
+    ) -> None:
+        """Forgets what was ordered of former lives under the same ids.
+
+        A life that begins has accepted nothing. With the number of the former
+        one, each order would be refused.
+        """
+        for name, instance in everyone.items():
+            before = self._born.get(name, instance.born)
+            self._born[name] = instance.born
+            if before == instance.born:
+                continue
+            self._pending.pop(name, None)
+            self._accepted.pop(name, None)
+            self._reported.pop(name, None)
+            self._asked.pop(name, None)
+            self._contested.discard(name)
+        for name in [n for n in self._born if n not in everyone]:
+            del self._born[name]
+
     def _settle_reports(
         self, everyone: Mapping[str, instances.Instance]
     ) -> None:
@@ -152,6 +175,9 @@
 
     def take_report(self, event: orders.ReportArrived) -> None:
         """Takes how many orders a server says it has accepted."""
+        if event.born != self._born.get(event.name, event.born):
+            # Of another life than the one that is planned for.
+            return
         if event.accepted is not None:
             self._accepted[event.name] = event.accepted
             if event.name in self._contested:
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -34,12 +34,14 @@
         names: Backend servers.
         sequences: Number of the newest heartbeat of each.
         since: Number of the heartbeat that last told something new of each.
+        born: When the life of each began; see `Instance`.
     """
 
     sender: str
     names: tuple[str, ...]
     sequences: tuple[int, ...]
     since: tuple[int, ...]
+    born: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/orders.py
+++ b/src/hickorylead/fleet/orders.py
@@ -113,7 +113,9 @@
     Attributes:
         name: The server.
         accepted: Orders it has accepted in this life; None without an answer.
+        born: When the life began that answered; 0 if it does not tell.
     """
 
     name: str
     accepted: int | None
+    born: int = 0
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -69,7 +69,9 @@
             self._end_others(news, now)
         return changed
 
-    def touch(self, name: str, sequence: int, since: int, now: float) -> bool:
+    def touch(
+        self, name: str, sequence: int, since: int, now: float, *, born: int = 0
+    ) -> bool:
         """Takes a sign of life; says whether it ended a silence.
 
         Args:
@@ -79,10 +81,14 @@
                 not come here yet, the state known here is old, and with the
                 newer number it would be kept against the news.
             now: Present time.
+            born: When the life began that sent them. With the higher number of
+                a former life, the heartbeats of the present one would seem old.
         """
         known = self.instances.get(name)
         if known is None or known.phase == instances.PHASE_GONE:
             return False
+        if known.born != born:
+            return False
         if sequence <= known.sequence or known.sequence < since:
             return False
         self.heard_at[name] = now
@@ -112,6 +118,11 @@
             if self.merge(old, now):
                 self.heard_at[old.name] = now
 
+    def find_born(self, name: str) -> int:
+        """Returns when the present life of a server began; 0 if unknown."""
+        known = self.instances.get(name)
+        return known.born if known else 0
+
     def list_present(self) -> list[instances.Instance]:
         """Returns the instances whose life has not ended."""
         return [
@@ -173,6 +184,8 @@
     def _is_older(
         self, other: instances.Instance, news: instances.Instance
     ) -> bool:
+        if other.born and news.born:
+            return other.born < news.born
         # A life that begins counts its heartbeats from the start. A held-up
         # heartbeat of an older life comes with a number that is no lower
         # than those of the life that took its address.
--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -54,8 +54,14 @@
         raise AssertionError("a result is a success or a failure")
 
     async def end(self, request: requests.Request) -> responses.Response:
-        self._shell.end(request.path_params["name"])
-        return _answer({})
+        body = await _read_body(request, MAX_HEARTBEAT_BYTES)
+        match servers.read_born(body or b""):
+            case result.Success(born):
+                self._shell.end(request.path_params["name"], born)
+                return _answer({})
+            case result.Failure(problem):
+                return _refuse(400, problem)
+        raise AssertionError("a result is a success or a failure")
 
     async def replace(self, request: requests.Request) -> responses.Response:
         body = await _read_body(request, MAX_CONFIGURATION_BYTES)
--- a/src/hickorylead/platform/documents.py
+++ b/src/hickorylead/platform/documents.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from hickorylead.configuration import document
+from hickorylead.platform import values
 
 _MS = 0.001
 
@@ -49,7 +50,7 @@
     limits = found.get("Limits") or {}
     default = document.Limits()
     return document.Document(
-        version=_read_whole(found["Version"]),
+        version=values.read_whole(found["Version"]),
         routes=tuple(_read_route(route) for route in found["Routes"]),
         services=tuple(_read_service(s) for s in found["Services"]),
         limits=document.Limits(
@@ -62,8 +63,8 @@
         ),
         workspaces=tuple(
             document.Workspace(
-                name=_read_text(tenant["Name"]),
-                keys=tuple(map(_read_text, tenant.get("ApiKeys") or ())),
+                name=values.read_text(tenant["Name"]),
+                keys=tuple(map(values.read_text, tenant.get("ApiKeys") or ())),
                 priority=tenant.get("Priority"),
             )
             for tenant in found.get("Tenants") or ()
@@ -75,15 +76,17 @@
     split = found.get("TrafficSplit")
     if split:
         targets = tuple(
-            document.Target(_read_text(part["Service"]), float(part["Weight"]))
+            document.Target(
+                values.read_text(part["Service"]), float(part["Weight"])
+            )
             for part in split
         )
     else:
-        targets = (document.Target(_read_text(found["Service"]), 1.0),)
+        targets = (document.Target(values.read_text(found["Service"]), 1.0),)
     return document.Route(
-        name=_read_text(found["Name"]),
-        host=_read_text(found["Hostname"]),
-        prefix=_read_text(found["PathPrefix"]),
+        name=values.read_text(found["Name"]),
+        host=values.read_text(found["Hostname"]),
+        prefix=values.read_text(found["PathPrefix"]),
         kind=_KINDS[found["Kind"]],
         targets=targets,
         timeout_s=float(found["TimeoutMs"]) * _MS,
@@ -103,7 +106,7 @@
 def _read_service(found: dict[str, Any]) -> document.Service:
     engine = found.get("Engine")
     return document.Service(
-        name=_read_text(found["Name"]),
+        name=values.read_text(found["Name"]),
         health_path=str(found.get("HealthPath", "/health")),
         max_connections=int(found.get("MaxConnections", 100)),
         engine=_read_engine(engine) if engine else None,
@@ -123,7 +126,7 @@
         stride=int(found.get("Stride", 1)),
         models=tuple(
             document.ModelFigures(
-                name=_read_text(model["Name"]),
+                name=values.read_text(model["Name"]),
                 group_size=int(model["size"]),
                 share=float(model.get("Share", 0.0)),
                 pace=float(model.get("pace", 1.0)),
@@ -142,15 +145,3 @@
 def _read_ms(found: dict[str, Any], name: str, default: float) -> float:
     value = found.get(name)
     return default if value is None else float(value) * _MS
-
-
-def _read_text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r:.40} is not a text")
-    return value
-
-
-def _read_whole(value: Any) -> int:
-    if type(value) is not int:
-        raise TypeError(f"{value!r:.40} is not a whole number")
-    return value
--- a/src/hickorylead/platform/servers.py
+++ b/src/hickorylead/platform/servers.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from hickorylead.fleet import dialect, instances, orders
+from hickorylead.platform import values
 
 _PHASES = {
     "ready": instances.PHASE_READY,
@@ -16,69 +17,101 @@
 }
 
 
+_GROUP_STATES = frozenset(
+    (
+        instances.GROUP_JOINING,
+        instances.GROUP_READY,
+        instances.GROUP_OPEN,
+        instances.GROUP_CLOSING,
+        instances.GROUP_BROKEN,
+    )
+)
+
+
 def read_heartbeat(
     name: str, body: bytes
 ) -> result.Result[instances.Instance, str]:
     """Returns what a heartbeat tells, or why it cannot be read.
 
+    Heartbeats may come from other programs. One with a field that is missing or
+    of another type, or with a state that is not known here, is refused whole:
+    what it says of the rest can't be trusted either.
+
     Args:
-        name: Id of the server's life, from the path of the call.
+        name: Id of the server, from the path of the call.
         body: The call's body.
     """
     try:
-        found = orjson.loads(body)
+        found = values.read_table(orjson.loads(body))
         return result.Success(
             instances.Instance(
                 name=name,
-                service=str(found["Service"]),
+                service=values.read_text(found["Service"]),
                 address=_read_address(found["Address"]),
-                zone=str(found["Zone"]),
-                domain=str(found.get("Domain") or ""),
-                slots=int(found.get("Slots") or 1),
-                phase=_PHASES[found["State"]],
+                zone=values.read_text(found["Zone"]),
+                domain=values.read_text(found.get("Domain") or ""),
+                slots=max(1, values.read_whole(found.get("Slots", 1))),
+                phase=_PHASES[values.read_text(found["State"])],
                 # On this call it counts heartbeats; elsewhere, orders.
-                sequence=int(found["Sequence"]),
-                models=tuple(
-                    str(model["Name"]) for model in found.get("Models") or ()
-                ),
-                staged=_read_staged(found.get("Staged")),
+                sequence=values.read_whole(found["Sequence"]),
+                models=_read_names(found.get("Models")),
+                staged=_read_names(found.get("Staged")),
                 member=_read_member(found.get("group")),
+                born=values.read_whole(found.get("born", 0)),
             )
         )
     except KeyError as error:
         return result.Failure(f"the field {error.args[0]} is missing or wrong")
-    except (
-        orjson.JSONDecodeError,
-        ValueError,
-        TypeError,
-        AttributeError,
-    ) as error:
+    except (orjson.JSONDecodeError, ValueError, TypeError) as error:
+        return result.Failure(f"cannot be read: {error}")
+
+
+def read_born(body: bytes) -> result.Result[int, str]:
+    """Returns when the life began that a call is about; 0 if unsaid."""
+    if not body.strip():
+        return result.Success(0)
+    try:
+        found = orjson.loads(body)
+        if not isinstance(found, dict):
+            return result.Success(0)
+        return result.Success(values.read_whole(found.get("born", 0)))
+    except (orjson.JSONDecodeError, TypeError) as error:
         return result.Failure(f"cannot be read: {error}")
 
 
 def _read_address(value: Any) -> str:
-    address = str(value)
+    address = values.read_text(value)
     ip, colon, port = address.rpartition(":")
     if not colon or not ip or not port.isdigit():
         raise ValueError(f"{address!r:.40} is not ip:port")
     return address
 
 
-def _read_staged(found: Any) -> tuple[str, ...]:
+def _read_names(found: Any) -> tuple[str, ...]:
+    if found is None:
+        return ()
+    if not isinstance(found, list):
+        raise TypeError(f"{found!r:.40} is not a list")
     return tuple(
-        str(model["Name"]) if isinstance(model, dict) else str(model)
-        for model in found or ()
+        values.read_text(model["Name"] if isinstance(model, dict) else model)
+        for model in found
     )
 
 
-def _read_member(found: Any) -> instances.Membership:
-    if not found or not found.get("Name"):
+def _read_member(value: Any) -> instances.Membership:
+    if value is None:
+        return instances.Membership()
+    found = values.read_table(value)
+    if not found.get("Name"):
         return instances.Membership()
+    state = values.read_text(found["State"])
+    if state not in _GROUP_STATES:
+        raise ValueError(f"{state!r:.40} is no state of a group")
     return instances.Membership(
-        group=str(found["Name"]),
-        epoch=int(found["epoch"]),
-        rank=int(found["rank"]),
-        state=str(found["State"]),
+        group=values.read_text(found["Name"]),
+        epoch=values.read_whole(found["epoch"]),
+        rank=values.read_whole(found["rank"]),
+        state=state,
     )
 
 
@@ -97,12 +130,16 @@
         """Returns the call that asks for a server's state."""
         return dialect.Call("GET", "/report")
 
-    def read_report(self, body: bytes) -> int | None:
-        """Returns the orders that a server says it has accepted."""
+    def read_report(self, body: bytes) -> dialect.Report | None:
+        """Returns what a server tells of its state; None if unreadable."""
         try:
-            # On this call it counts orders; in heartbeats, heartbeats.
-            return int(orjson.loads(body)["Sequence"])
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+            found = values.read_table(orjson.loads(body))
+            return dialect.Report(
+                # On this call it counts orders; in heartbeats, heartbeats.
+                accepted=values.read_whole(found["Sequence"]),
+                born=values.read_whole(found.get("born", 0)),
+            )
+        except (orjson.JSONDecodeError, KeyError, TypeError):
             return None
 
 
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -163,8 +163,8 @@
                 return self._receive(sender, message, now)
             case events.HeartbeatArrived(instance):
                 return self._hear(instance, now)
-            case events.InstanceLeft(name):
-                return self._end(name, now)
+            case events.InstanceLeft(name, born):
+                return self._end(name, born, now)
             case events.ReplaceAsked(token, version, content):
                 return self._wrap(
                     self._whole.replace(
@@ -248,6 +248,7 @@
                 tuple(self._alive),
                 tuple(self._alive.values()),
                 tuple(self.registry.changed_at.get(n, 0) for n in self._alive),
+                tuple(self.registry.find_born(n) for n in self._alive),
             )
             self._alive = {}
             effects += [
@@ -311,18 +312,8 @@
                 if is_full and news:
                     self._keeper.note_full_news(now)
                 return self._take_news(news, now)
-            case messages.Alive(_, names, sequences, since):
-                revived = []
-                for name, sequence, first in zip(
-                    names, sequences, since, strict=False
-                ):
-                    if self.registry.touch(name, sequence, first, now):
-                        revived.append(self.registry.instances[name])
-                    self._keeper.clear(name)
-                if not revived:
-                    return []
-                self._note_untold(revived)
-                return [*self._keeper.plan_soon(now)]
+            case messages.Alive():
+                return self._take_alive(message, now)
             case messages.GatewayHello():
                 return self._take_gateway(message, now)
             case messages.StallNews(sender, heads):
@@ -351,6 +342,22 @@
             case _:
                 return []
 
+    def _take_alive(
+        self, alive: messages.Alive, now: float
+    ) -> list[CoordinatorEffect]:
+        revived = []
+        for name, sequence, since, born in zip(
+            alive.names, alive.sequences, alive.since, alive.born, strict=False
+        ):
+            if self.registry.touch(name, sequence, since, now, born=born):
+                revived.append(self.registry.instances[name])
+            if self.registry.find_born(name) == born:
+                self._keeper.clear(name)
+        if not revived:
+            return []
+        self._note_untold(revived)
+        return [*self._keeper.plan_soon(now)]
+
     def _take_hello(
         self, hello: messages.CoordinatorHello, now: float
     ) -> list[CoordinatorEffect]:
@@ -415,17 +422,24 @@
     def _hear(
         self, instance: instances.Instance, now: float
     ) -> list[CoordinatorEffect]:
-        self._keeper.clear(instance.name)
         known = self.registry.instances.get(instance.name)
+        if known is not None and instance.born < known.born:
+            # A heartbeat of a former life, held up on its way, says nothing
+            # about whether the present one lives.
+            return []
+        self._keeper.clear(instance.name)
         if not self.registry.merge(instance, now):
             self._alive[instance.name] = instance.sequence
             return []
         return self._spread([instance], known, now)
 
-    def _end(self, name: str, now: float) -> list[CoordinatorEffect]:
+    def _end(self, name: str, born: int, now: float) -> list[CoordinatorEffect]:
         known = self.registry.instances.get(name)
         if known is None or known.phase == instances.PHASE_GONE:
             return []
+        if born and born < known.born:
+            # A former life under this id ended; the news of it came late.
+            return []
         gone = attrs.evolve(known, phase=instances.PHASE_GONE)
         self.registry.merge(gone, now)
         return self._spread([gone], known, now)
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -220,9 +220,9 @@
         """Takes a heartbeat of a backend server."""
         self.apply(events.HeartbeatArrived(instance))
 
-    def end(self, name: str) -> None:
+    def end(self, name: str, born: int) -> None:
         """Takes that a backend server leaves for good."""
-        self.apply(events.InstanceLeft(name))
+        self.apply(events.InstanceLeft(name, born))
 
     async def replace(self, version: int, content: bytes) -> bool:
         """Takes a whole configuration; says whether it lasts for sure."""
@@ -407,10 +407,14 @@
             self._dialect.write_report_question(),
             REPORT_TIMEOUT_S,
         )
-        accepted = None
+        report = None
         match answer:
             case calls.Answer(200, body):
-                accepted = self._dialect.read_report(body)
+                report = self._dialect.read_report(body)
+                if report is None:
+                    self._log.write(
+                        notes.note("report_unreadable", server=question.name)
+                    )
             case calls.Answer(status):
                 # Another server has the address by now.
                 self._log.write(
@@ -424,7 +428,13 @@
                         "report_unanswered", server=question.name, why=reason
                     )
                 )
-        self.apply(orders.ReportArrived(question.name, accepted))
+        if report is None:
+            arrived = orders.ReportArrived(question.name, None)
+        else:
+            arrived = orders.ReportArrived(
+                question.name, report.accepted, report.born
+            )
+        self.apply(arrived)
 
     def _take_new_settings(self) -> None:
         try:
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -6,6 +6,7 @@
   names @1 :List(Text);
   sequences @2 :List(Int64);
   since @3 :List(Int64);
+  born @4 :List(Int64);
 }
 
 struct AppendLog {
@@ -286,6 +287,7 @@
   member @10 :Membership;
   silent @11 :Bool;
   lastModel @12 :Text;
+  born @13 :Int64;
 }
 
 struct InstanceNews {
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -35,6 +35,18 @@
       | no address       | Address           |
       | a wrong address  | is not ip:port    |
       | an unknown state | missing or wrong  |
+      | a list as body   | is not a table    |
+      | a number as zone | is not a text     |
+      | a text as slots  | is not a whole    |
+      | a text as born   | is not a whole    |
+      | a number as list | is not a list     |
+      | a group unknown  | no state of a     |
+      | a group's epoch  | is not a whole    |
+
+  Scenario: What tells a server's life is read wherever it is told
+    Given a server that began at 1784102400123
+    Then its heartbeat, its report and its last call tell that
+    And a last call without a body tells nothing of it
 
   Scenario: The key is not passed on and the workspace can't be forged
     A caller sends the header that tells replicas its workspace. Passed on, it
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -147,9 +147,57 @@
             body["Address"] = "somewhere"
         case "an unknown state":
             body["State"] = "tired"
+        case "a number as zone":
+            body["Zone"] = 7
+        case "a text as slots":
+            body["Slots"] = "two"
+        case "a text as born":
+            body["born"] = "yesterday"
+        case "a number as list":
+            body["Models"] = 3
+        case "a group unknown":
+            body["group"] = make_platform_group(State="napping")
+        case "a group's epoch":
+            body["group"] = make_platform_group(epoch="x")
     context.body = orjson.dumps(body)
     if change == "its end cut off":
         context.body = context.body[:-5]
+    if change == "a list as body":
+        context.body = b"[" + context.body + b"]"
+
+
+def make_platform_group(**changes):
+    """Returns a membership as servers tell it."""
+    return {"Name": "g1", "epoch": 1, "rank": 0, "State": "open", **changes}
+
+
+@given("a server that began at {born:d}")
+def _(context, born):
+    context.born = born
+
+
+@then("its heartbeat, its report and its last call tell that")
+def _(context):
+    heartbeat = {
+        "Service": "s",
+        "Address": "127.0.0.1:80",
+        "Zone": "z1",
+        "State": "ready",
+        "Sequence": 3,
+        "born": context.born,
+    }
+    found = servers.read_heartbeat("i-1", orjson.dumps(heartbeat)).unwrap()
+    assert found.born == context.born
+    report = orjson.dumps({"Sequence": 2, "born": context.born})
+    found = servers.Servers().read_report(report)
+    assert (found.accepted, found.born) == (2, context.born)
+    last = orjson.dumps({"born": context.born})
+    assert servers.read_born(last).unwrap() == context.born
+
+
+@then("a last call without a body tells nothing of it")
+def _(context):
+    assert servers.read_born(b"").unwrap() == 0
 
 
 @then('reading the heartbeat fails with "{reason}"')
