Tell from logs alone what callers lost, by cause

For it `request_ended` tells the objective, the longest pause with its limit, and when the request was first sent; a loop that comes back more than 0.1 s late says so.

Not done: the blind check against twenty requests whose causes are known from elsewhere.

--- a/src/hickorylead/commands/operations.py
+++ b/src/hickorylead/commands/operations.py
@@ -10,7 +10,7 @@
 from hickorylead import errors
 from hickorylead.commands import client as client_module, tables
 from hickorylead.configuration import changes, model
-from hickorylead.telemetry import stories
+from hickorylead.telemetry import losses, stories
 
 
 def apply_service(
@@ -231,15 +231,32 @@
         _print(tables.render_trail(request_id, found))
 
 
-def _explain_from_logs(wanted: str, paths: list[str]) -> None:
+def show_losses(logs: list[str]) -> None:
+    """Show what callers lost over a stretch of logs, by cause.
+
+    Args:
+        logs: Files with the lines of gateways and coordinators.
+    """
+    if not logs:
+        raise errors.SettingsError("losses: name the files of the logs")
+    found = losses.find_losses(_read_logs(logs))
+    if not found.requests:
+        raise errors.RefusedError("no line of these logs tells of a request")
+    _print(losses.render_losses(found).rstrip("\n"))
+
+
+def _read_logs(paths: list[str]) -> list[str]:
     try:
-        texts = [
+        return [
             pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
             for path in paths
         ]
     except OSError as error:
         raise errors.SettingsError(f"a log cannot be read: {error}") from error
-    story = stories.tell_story(texts, wanted)
+
+
+def _explain_from_logs(wanted: str, paths: list[str]) -> None:
+    story = stories.tell_story(_read_logs(paths), wanted)
     _print(stories.render_story(story).rstrip("\n"))
     if story.unreadable:
         sys.stderr.write(f"{story.unreadable} lines are no decisions\n")
--- a/src/hickorylead/commands/program.py
+++ b/src/hickorylead/commands/program.py
@@ -30,6 +30,7 @@
     "drain": operations.drain,
     "status": operations.show_status,
     "explain": operations.explain,
+    "losses": operations.show_losses,
 }
 
 
--- a/src/hickorylead/fleet/former.py
+++ b/src/hickorylead/fleet/former.py
@@ -76,6 +76,7 @@
         supply: What each model has everywhere; see `layout`.
         serving: Groups that serve or are about to, by model.
         groups: Those groups.
+        leaving: Living servers of groups that end.
     """
 
     engine: document_module.Engine
@@ -84,6 +85,7 @@
     supply: dict[str, float]
     serving: collections.Counter[str] = attrs.field(factory=collections.Counter)
     groups: list[groups_module.Group] = attrs.field(factory=list)
+    leaving: list[instances.Instance] = attrs.field(factory=list)
 
 
 class Epochs:
@@ -191,6 +193,7 @@
             figures = domain.engine.find_model(name)
             assert figures is not None
             free = self._form_or_prepare(domain, layout, figures, free, retired)
+        free = self._fill_in(domain, free)
         self._prepare_standbys(domain, free)
         self._stage_beside(domain)
         return retired
@@ -203,7 +206,7 @@
         free: list[instances.Instance],
         retired: list[groups_module.Group],
     ) -> list[instances.Instance]:
-        """Forms a group, or has servers stage for it; returns who is left."""
+        """Forms a group, or prepares it; returns who is free for others."""
         size = figures.group_size
         free = self._standbys.sort(free, figures.name)
         chosen = free[:size]
@@ -215,28 +218,82 @@
                 return free[size:]
             self._form(chosen, figures)
             return free[size:]
-        surplus = [
-            group
-            for group in domain.groups
-            if domain.serving[group.model] > layout[group.model]
-            and group.model != figures.name
-        ]
-        victim = surplus[0] if surplus else None
-        reserve = (
-            [m for m in victim.members.values() if m in domain.living]
-            if victim
-            else []
-        )
-        together = self._standbys.sort([*free, *reserve], figures.name)[:size]
-        if len(together) < size or not self._is_started:
+        if not self._is_started:
+            return free
+        victims = self._find_victims(domain, layout, figures, size - len(free))
+        movable = [m for group in victims for m in group.members.values()]
+        coming = [i for i in [*domain.leaving, *movable] if i in domain.living]
+        together = self._standbys.sort([*free, *coming], figures.name)[:size]
+        if len(together) < size:
             return free
         cold = self._list_cold(together, figures.name)
         for instance in cold:
             self._wish(instance, figures.name, loads.Need.GROUP, len(cold))
-        if not cold and victim is not None:
-            # Its members hold the scarcer model's weights now.
-            retired.append(victim)
-        # All of them stay free meanwhile: another model may need them at once.
+        if cold:
+            # Who is free serves something else meanwhile.
+            return free
+        # The others come within seconds. Until then those who are free wait:
+        # in another group they would have to be called back.
+        retired += [
+            group
+            for group in victims
+            if any(m in together for m in group.members.values())
+        ]
+        return [i for i in free if i not in together]
+
+    def _find_victims(
+        self,
+        domain: Domain,
+        layout: collections.Counter[str],
+        figures: document_module.ModelFigures,
+        lacking: int,
+    ) -> list[groups_module.Group]:
+        """Returns groups beyond the layout whose servers would be enough.
+
+        Args:
+            domain: The domain.
+            layout: Groups that it should have.
+            figures: The model that lacks a group.
+            lacking: Servers that are missing for it.
+        """
+        lacking -= len(domain.leaving)
+        beyond = domain.serving - layout
+        victims = []
+        for group in domain.groups:
+            if lacking <= 0:
+                break
+            if group.model != figures.name and beyond[group.model] > 0:
+                beyond[group.model] -= 1
+                lacking -= len(group.members)
+                victims.append(group)
+        return victims
+
+    def _fill_in(
+        self, domain: Domain, free: list[instances.Instance]
+    ) -> list[instances.Instance]:
+        """Forms groups beyond the layout of servers that would stand idle.
+
+        A model that the domain lacks may have to be loaded first, for 12 s and
+        more; until then what is free beyond the standbys serves another model.
+        Such a group is retired once its servers can form the missing one.
+        """
+        reserve = round(self._policy.spare_share * len(domain.living))
+        by_need = sorted(
+            domain.engine.models, key=lambda m: (domain.supply[m.name], m.name)
+        )
+        for figures in by_need:
+            size = figures.group_size
+            while len(free) - reserve >= size:
+                chosen = [
+                    i
+                    for i in self._standbys.sort(free, figures.name)
+                    if self._standbys.rate(i, figures.name) != standbys.COLD
+                    and not self._ledger.is_contested(i)
+                ][:size]
+                if len(chosen) < size:
+                    break
+                self._form(chosen, figures)
+                free = [i for i in free if i not in chosen]
         return free
 
     def _list_cold(
--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -74,6 +74,9 @@
         self._accepted: dict[str, int] = {}
         self._contested: set[str] = set()
         self._born: dict[str, int] = {}
+        # Empty servers that load what another planner ordered, since when.
+        self._loading: dict[str, float] = {}
+        self._empty: set[str] = set()
         # Servers whose number was asked for, with the heartbeat known then.
         self._reported: dict[str, int] = {}
         self._asked: dict[str, float] = {}
@@ -86,7 +89,15 @@
         """Begins a round: takes what servers tell of the orders' effects."""
         self._now = now
         self._effects = []
+        self._empty = {n for n, i in everyone.items() if _is_empty(i)}
         self._forget_former(everyone)
+        self._loading = {
+            name: at
+            for name, at in self._loading.items()
+            if name in everyone
+            and _is_empty(everyone[name])
+            and now - at < STAGE_LIMIT_S
+        }
         for name in [n for n in self._pending if n not in everyone]:
             del self._pending[name]
         for name in [n for n in self._accepted if n not in everyone]:
@@ -128,6 +139,7 @@
             if before == instance.born:
                 continue
             self._pending.pop(name, None)
+            self._loading.pop(name, None)
             self._accepted.pop(name, None)
             self._reported.pop(name, None)
             self._asked.pop(name, None)
@@ -171,6 +183,11 @@
                 self._contested.add(event.name)
                 self._reported.pop(event.name, None)
                 self._asked[event.name] = self._now
+                if event.name in self._empty:
+                    # It has accepted an order, and nothing but a load is
+                    # ordered of an empty server: a former life of this planner
+                    # began it. A second one would slow down both.
+                    self._loading[event.name] = self._now
             del self._pending[event.name]
 
     def take_report(self, event: orders.ReportArrived) -> None:
@@ -243,11 +260,14 @@
     def is_staging(self, instance: instances.Instance) -> bool:
         """Says whether the server was told to stage a model, and has not."""
         pending = self._pending.get(instance.name)
-        return pending is not None and self._is_load(pending)
+        return instance.name in self._loading or (
+            pending is not None and self._is_load(pending)
+        )
 
     def count_staging(self) -> int:
         """Returns how many servers were told to stage a model, and have not."""
-        return sum(map(self._is_load, self._pending.values()))
+        own = {n for n, p in self._pending.items() if self._is_load(p)}
+        return len(own | set(self._loading))
 
     def _is_load(self, pending: _Pending) -> bool:
         wait_s = STAGE_LIMIT_S if pending.answered else STAGE_RETRY_S
@@ -269,6 +289,10 @@
         self._accepted[name] = self._accepted.get(name, 0) + 1
 
 
+def _is_empty(instance: instances.Instance) -> bool:
+    return not (instance.staged or instance.last_model or instance.has_group)
+
+
 def _shows_effect(order: orders.Order, instance: instances.Instance) -> bool:
     """Says whether a server tells that an order has had its effect."""
     member = instance.member
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -178,6 +178,10 @@
             if self._look_after(key, group, domain):
                 domain.serving[self._find_model(key, group)] += 1
                 domain.groups.append(group)
+            elif not group.name.startswith(former_module.WARM_UP_PREFIX):
+                domain.leaving += [
+                    m for m in group.members.values() if self._is_living(m)
+                ]
         for key, forming in list(self._former.forming.items()):
             if key in found or forming.members[0] not in domain.present:
                 continue
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -77,6 +77,14 @@
             "attempts": opened.attempts,
             "lasted_s": round(now - opened.arrived_at, 3),
             "first_event_s": _round(opened.first_event_s),
+            "objective_s": request.route.objective_s,
+            "longest_pause_s": round(opened.longest_pause_s, 3),
+            "pause_limit_s": request.route.pause_s,
+            "sent_after_s": _round(
+                opened.first_sent_at - opened.arrived_at
+                if opened.first_sent_at is not None
+                else None
+            ),
             **(_describe_choice(last) if last else {}),
         },
         level="debug" if outcome == "answered" else "info",
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -247,6 +247,8 @@
     ) -> list[events.Effect]:
         request, replica = opened.request, chosen.replica
         opened.attempts += 1
+        if opened.first_sent_at is None:
+            opened.first_sent_at = now
         opened.phase = "running"
         opened.offered = True
         attempt = state.Attempt(opened.attempts, replica, now, now)
@@ -334,8 +336,7 @@
         cut = attempt.cutter.feed(event.data)
         effects: list[events.Effect] = []
         if cut.data:
-            if opened.first_event_s is None:
-                opened.first_event_s = now - opened.arrived_at
+            opened.note_events(now)
             effects += answers.start_stream(opened, self._book)
             effects.append(events.Emit(event.request_id, cut.data))
             opened.last_event = attempt.cutter.last_event
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -75,6 +75,10 @@
         offered: Whether it was ever sent to a replica.
         last: The last try, for the log.
         first_event_s: Time to the first event, in seconds; None if none came.
+        first_sent_at: When it was first sent to a replica; None if it never
+            was.
+        event_at: When its caller was last given an event.
+        longest_pause_s: Longest time between two events, in seconds.
     """
 
     request: model.Request
@@ -91,6 +95,18 @@
     offered: bool = False
     last: Attempt | None = None
     first_event_s: float | None = None
+    first_sent_at: float | None = None
+    event_at: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def note_events(self, now: float) -> None:
+        """Takes that its caller is given events."""
+        if self.first_event_s is None:
+            self.first_event_s = now - self.arrived_at
+        else:
+            pause_s = now - self.event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.event_at = now
 
     @property
     def may_repeat(self) -> bool:
--- a/src/hickorylead/runtime/ticker.py
+++ b/src/hickorylead/runtime/ticker.py
@@ -14,6 +14,11 @@
     from hickorylead.telemetry import decisions
 
 
+# A tick that comes this much too late is told, in seconds: a third of the
+# shortest objective. The process was busy, or got no processor.
+LATE_S = 0.1
+
+
 async def tick_forever(
     period_s: float | Callable[[], float],
     tick: Callable[[], None],
@@ -29,6 +34,7 @@
         tick: The function.
         log: Where errors are told.
     """
+    loop = asyncio.get_running_loop()
     while True:
         try:
             tick()
@@ -41,4 +47,13 @@
                     place=traceback.format_exc(limit=-3),
                 )
             )
-        await asyncio.sleep(period_s() if callable(period_s) else period_s)
+        pause_s = period_s() if callable(period_s) else period_s
+        began = loop.time()
+        await asyncio.sleep(pause_s)
+        late_s = loop.time() - began - pause_s
+        if late_s > LATE_S:
+            log.write(
+                notes.note(
+                    "loop_late", level="warning", late_s=round(late_s, 3)
+                )
+            )
--- a/src/hickorylead/telemetry/stories.py
+++ b/src/hickorylead/telemetry/stories.py
@@ -53,7 +53,7 @@
     unreadable = 0
     for text in texts:
         for row in text.splitlines():
-            line = _read_line(row)
+            line = read_line(row)
             if line is None:
                 unreadable += 1
             else:
@@ -91,7 +91,8 @@
     return "\n".join(row.rstrip() for row in rows) + "\n"
 
 
-def _read_line(row: str) -> Line | None:
+def read_line(row: str) -> Line | None:
+    """Returns a line of a log; None if it is no decision of a process."""
     try:
         found = orjson.loads(row)
         return Line(
