--- a/src/hickorylead/fleet/former.py
+++ b/src/hickorylead/fleet/former.py
@@ -150,19 +150,23 @@
         self._is_started = is_started
 
     def open_loads(
-        self, engine: document_module.Engine, *, planners: int, elsewhere: int
+        self,
+        engine: document_module.Engine,
+        *,
+        planners: int,
+        under_way: loads.UnderWay,
     ) -> None:
         """Begins a service: what may be loaded from its store now."""
         if self._is_started:
             self._loads.open(
-                engine, planners=planners, elsewhere=elsewhere, now=self._now
+                engine, planners=planners, under_way=under_way, now=self._now
             )
         else:
             self._loads.lift()
 
     def start_loads(self) -> None:
         """Ends a service: starts the loads that are needed most."""
-        for wish in self._loads.grant(self._ledger.count_staging()):
+        for wish in self._loads.grant():
             if self._ledger.give(wish.instance, orders.Stage(wish.model)):
                 self._loads.spend(self._now)
 
--- a/src/hickorylead/fleet/instances.py
+++ b/src/hickorylead/fleet/instances.py
@@ -55,6 +55,8 @@
             group pass it on, so that a node that restarts knows it as well.
         born: When this life began, in Unix milliseconds; 0 where servers do not
             tell it, and each life has an id of its own.
+        loading: Model that a control node had it stage and that it does not
+            tell yet; empty if there is none. It does not tell this either.
     """
 
     name: str
@@ -71,6 +73,7 @@
     silent: bool = False
     last_model: str = ""
     born: int = 0
+    loading: str = ""
 
     @property
     def has_group(self) -> bool:
@@ -99,11 +102,13 @@
         return news.sequence > known.sequence
     if news.silent != known.silent:
         return news.silent
+    if news.loading and not known.loading:
+        return True
     return bool(news.last_model) and not known.last_model
 
 
-def keep_last_model(news: Instance, known: Instance | None) -> Instance:
-    """Returns news with the model of the last group, as far as it is known."""
+def keep_known(news: Instance, known: Instance | None) -> Instance:
+    """Returns news with what a server does not tell, as far as it is known."""
     last_model = news.last_model
     if known is not None and known.born != news.born:
         # A life that begins has nothing in memory.
@@ -112,7 +117,10 @@
         last_model = news.models[0]
     elif known is not None and not last_model:
         last_model = known.last_model
-    return attrs.evolve(news, last_model=last_model)
+    loading = news.loading or (known.loading if known is not None else "")
+    if loading in news.staged:
+        loading = ""
+    return attrs.evolve(news, last_model=last_model, loading=loading)
 
 
 def says_the_same(first: Instance, second: Instance) -> bool:
--- a/src/hickorylead/fleet/keeper.py
+++ b/src/hickorylead/fleet/keeper.py
@@ -96,10 +96,6 @@
         """Says whether callers are served, as far as is known."""
         return self._is_started
 
-    def count_loading(self) -> int:
-        """Returns how many loads this node has under way."""
-        return self._planner.count_loading()
-
     def note_traffic(self) -> None:
         """Takes that callers are served: loads count from now on."""
         self._is_started = True
@@ -198,7 +194,6 @@
             planners=self._count_planners(),
             is_started=self._is_started,
             now=now,
-            loading_elsewhere=self._neighbours.count_loading(now),
         )
         return [
             effect
--- a/src/hickorylead/fleet/ledger.py
+++ b/src/hickorylead/fleet/ledger.py
@@ -74,7 +74,7 @@
         self._accepted: dict[str, int] = {}
         self._contested: set[str] = set()
         self._born: dict[str, int] = {}
-        # Empty servers that load what another planner ordered, since when.
+        # Servers that load what some planner ordered, since when.
         self._loading: dict[str, float] = {}
         self._empty: set[str] = set()
         # Servers whose number was asked for, with the heartbeat known then.
@@ -91,13 +91,7 @@
         self._effects = []
         self._empty = {n for n, i in everyone.items() if _is_empty(i)}
         self._forget_former(everyone)
-        self._loading = {
-            name: at
-            for name, at in self._loading.items()
-            if name in everyone
-            and _is_empty(everyone[name])
-            and now - at < STAGE_LIMIT_S
-        }
+        self._note_loading(everyone)
         for name in [n for n in self._pending if n not in everyone]:
             del self._pending[name]
         for name in [n for n in self._accepted if n not in everyone]:
@@ -147,6 +141,19 @@
         for name in [n for n in self._born if n not in everyone]:
             del self._born[name]
 
+    def _note_loading(self, everyone: Mapping[str, instances.Instance]) -> None:
+        """Takes which servers load what any planner ordered."""
+        found = {
+            name: at
+            for name, at in self._loading.items()
+            if name in everyone
+            and (everyone[name].loading or _is_empty(everyone[name]))
+        }
+        for name, instance in everyone.items():
+            if instance.loading:
+                found.setdefault(name, self._now)
+        self._loading = found
+
     def _settle_reports(
         self, everyone: Mapping[str, instances.Instance]
     ) -> None:
@@ -259,15 +266,19 @@
 
     def is_staging(self, instance: instances.Instance) -> bool:
         """Says whether the server was told to stage a model, and has not."""
-        pending = self._pending.get(instance.name)
-        return instance.name in self._loading or (
-            pending is not None and self._is_load(pending)
-        )
+        return self._is_loading(instance.name)
+
+    def list_loading(self) -> list[str]:
+        """Returns the servers, of any planner, that load from the store."""
+        names = self._pending.keys() | self._loading.keys()
+        return [name for name in names if self._is_loading(name)]
 
-    def count_staging(self) -> int:
-        """Returns how many servers were told to stage a model, and have not."""
-        own = {n for n, p in self._pending.items() if self._is_load(p)}
-        return len(own | set(self._loading))
+    def _is_loading(self, name: str) -> bool:
+        pending = self._pending.get(name)
+        if pending is not None and self._is_load(pending):
+            return True
+        since = self._loading.get(name)
+        return since is not None and self._now - since < STAGE_LIMIT_S
 
     def _is_load(self, pending: _Pending) -> bool:
         wait_s = STAGE_LIMIT_S if pending.answered else STAGE_RETRY_S
--- a/src/hickorylead/fleet/loads.py
+++ b/src/hickorylead/fleet/loads.py
@@ -48,6 +48,19 @@
     missing: int = 0
 
 
+@attrs.frozen
+class UnderWay:
+    """Loads from the store that go on.
+
+    Attributes:
+        own: Of servers that this planner is in charge of.
+        elsewhere: Of all other servers.
+    """
+
+    own: int
+    elsewhere: int
+
+
 class LoadBudget:
     """Loads that one planner has started lately, and those that it may start.
 
@@ -67,6 +80,7 @@
         self._started: collections.deque[float] = collections.deque()
         self._wishes: dict[str, Wish] = {}
         self._room = 0
+        self._own = 0
         self._at_once = math.inf
         self._most_beside = math.inf
 
@@ -75,7 +89,7 @@
         engine: document_module.Engine,
         *,
         planners: int,
-        elsewhere: int,
+        under_way: UnderWay,
         now: float,
     ) -> None:
         """Begins a round.
@@ -83,10 +97,11 @@
         Args:
             engine: Figures of the service's engines.
             planners: Control nodes that share the store, heard or not.
-            elsewhere: Loads that the others have under way, as last told.
+            under_way: Loads that go on.
             now: Present time.
         """
         self._wishes = {}
+        self._own = under_way.own
         while self._started and now - self._started[0] > WINDOW_S:
             self._started.popleft()
         planners = max(1, planners)
@@ -96,9 +111,11 @@
             # What others leave, and an equal part whatever they have: one that
             # is cut off must not wait for their loads.
             part = math.ceil(engine.loads_at_once / planners)
-            self._at_once = max(part, engine.loads_at_once - elsewhere)
+            self._at_once = max(
+                part, engine.loads_at_once - under_way.elsewhere
+            )
             few = math.ceil(BESIDE_SHARE * engine.loads_at_once)
-            self._most_beside = few - elsewhere
+            self._most_beside = few - under_way.elsewhere
         else:
             self._at_once = self._most_beside = math.inf
 
@@ -112,12 +129,8 @@
         """Takes a load that would be of use; the first for a server counts."""
         self._wishes.setdefault(wish.instance.name, wish)
 
-    def grant(self, under_way: int) -> list[Wish]:
-        """Returns the loads that are to be started now, most needed first.
-
-        Args:
-            under_way: Loads that this planner has under way.
-        """
+    def grant(self) -> list[Wish]:
+        """Returns the loads that are to be started now, most needed first."""
         granted: list[Wish] = []
         ordered = sorted(
             self._wishes.values(),
@@ -126,7 +139,7 @@
         for wish in ordered:
             is_beside = wish.need is Need.BESIDE
             most = self._most_beside if is_beside else self._at_once
-            if len(granted) >= self._room or under_way + len(granted) >= most:
+            if len(granted) >= self._room or self._own + len(granted) >= most:
                 break
             granted.append(wish)
         return granted
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -135,7 +135,6 @@
         gateways: Gateways whose home it is.
         has_traffic: Whether callers are served: from then on loads from the
             weight store count.
-        loading: Loads from the weight store that it has under way.
     """
 
     node: str
@@ -147,7 +146,6 @@
     is_empty: bool = False
     gateways: int = 0
     has_traffic: bool = False
-    loading: int = 0
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/neighbours.py
+++ b/src/hickorylead/fleet/neighbours.py
@@ -34,7 +34,6 @@
         is_empty: Whether it belongs to no cluster.
         check: Hash over the instances that it knows.
         gateways: Gateways whose home it is.
-        loading: Loads from the weight store that it has under way.
     """
 
     address: str
@@ -43,7 +42,6 @@
     is_empty: bool = False
     check: int = 0
     gateways: int = 0
-    loading: int = 0
 
 
 class Neighbours:
@@ -73,7 +71,6 @@
         neighbour.is_empty = hello.is_empty
         neighbour.check = hello.check
         neighbour.gateways = hello.gateways
-        neighbour.loading = hello.loading
         for node, address in zip(hello.nodes, hello.addresses, strict=False):
             if node not in self.known and node != self._node:
                 # Told by another one only: greeted, but not alive yet.
@@ -97,10 +94,6 @@
         """Returns how many gateways the others are home to."""
         return sum(self.known[n].gateways for n in self.list_alive(now))
 
-    def count_loading(self, now: float) -> int:
-        """Returns how many loads the others have under way."""
-        return sum(self.known[n].loading for n in self.list_alive(now))
-
     def list_targets(self) -> list[str]:
         """Returns whom to greet: nodes by name, those not heard by address.
 
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -24,6 +24,7 @@
     instances,
     layout as layout_module,
     ledger as ledger_module,
+    loads,
     orders,
     standbys,
 )
@@ -63,7 +64,6 @@
             standbys_book=self._standbys,
         )
         self._lost: frozenset[str] = frozenset()
-        self._loading_elsewhere = 0
         # Groups of this round; those that were whole once, and since when
         # the others are known.
         self._found_keys: set[former_module.GroupKey] = set()
@@ -80,7 +80,6 @@
         planners: int,
         is_started: bool,
         now: float,
-        loading_elsewhere: int = 0,
     ) -> list[ledger_module.Effect]:
         """Returns the orders that the present state asks for.
 
@@ -93,10 +92,8 @@
             is_started: Whether requests were served already; before, loads
                 are free.
             now: Present time.
-            loading_elsewhere: Loads that the other planners have under way.
         """
         self._now = now
-        self._loading_elsewhere = loading_elsewhere
         self._lost = lost
         self._former.open(is_started=is_started, now=now)
         everyone = {i.name: i for i in present}
@@ -120,10 +117,6 @@
         """Takes the answer to an order."""
         self._ledger.take_answer(event)
 
-    def count_loading(self) -> int:
-        """Returns how many loads were begun by this planner and go on."""
-        return self._ledger.count_staging()
-
     def take_report(self, event: orders.ReportArrived) -> None:
         """Takes how many orders a server says it has accepted."""
         self._ledger.take_report(event)
@@ -137,8 +130,12 @@
     ) -> None:
         engine = service.engine
         assert engine is not None
+        loading = self._ledger.list_loading()
+        own = sum(everyone[name].domain in domains for name in loading)
         self._former.open_loads(
-            engine, planners=planners, elsewhere=self._loading_elsewhere
+            engine,
+            planners=planners,
+            under_way=loads.UnderWay(own, len(loading) - own),
         )
         mine = [i for i in everyone.values() if i.service == service.name]
         living = [i for i in mine if self._is_living(i)]
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -57,7 +57,7 @@
         known = self.instances.get(news.name)
         if not instances.is_newer(news, known):
             return False
-        news = instances.keep_last_model(news, known)
+        news = instances.keep_known(news, known)
         if not news.silent:
             self.heard_at[news.name] = now
         changed = known is None or not instances.says_the_same(known, news)
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -181,7 +181,10 @@
                     self._whole.read(token, asker="", held=0, now=now), now
                 )
             case orders.OrderAnswered():
-                return [*self._keeper.take_answer(event)]
+                return [
+                    *self._note_load(event, now),
+                    *self._keeper.take_answer(event),
+                ]
             case orders.ReportArrived():
                 return [*self._keeper.take_report(event, now)]
 
@@ -234,7 +237,6 @@
             is_empty=self._identity.may_found and not self.voter.cluster,
             gateways=len(self.gateways.list_own(now)),
             has_traffic=self._keeper.has_traffic,
-            loading=self._keeper.count_loading(),
         )
         targets = self.neighbours.list_targets()
         effects: list[CoordinatorEffect] = [
@@ -433,6 +435,26 @@
             return []
         return self._spread([instance], known, now)
 
+    def _note_load(
+        self, answered: orders.OrderAnswered, now: float
+    ) -> list[CoordinatorEffect]:
+        """Tells all nodes that a server loads a model; it does not tell so.
+
+        A planner that restarts, or takes over from another one, would start
+        more loads than the store serves at full speed.
+        """
+        known = self.registry.instances.get(answered.name)
+        if (
+            known is None
+            or answered.status != 202
+            or not isinstance(answered.order, orders.Stage)
+        ):
+            return []
+        news = attrs.evolve(known, loading=answered.order.model)
+        if not self.registry.merge(news, now):
+            return []
+        return self._spread([news], known, now)
+
     def _end(self, name: str, born: int, now: float) -> list[CoordinatorEffect]:
         known = self.registry.instances.get(name)
         if known is None or known.phase == instances.PHASE_GONE:
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -139,7 +139,6 @@
   isEmpty @6 :Bool;
   gateways @7 :Int64;
   hasTraffic @8 :Bool;
-  loading @9 :Int64;
 }
 
 struct DeleteService {
@@ -288,6 +287,7 @@
   silent @11 :Bool;
   lastModel @12 :Text;
   born @13 :Int64;
+  loading @14 :Text;
 }
 
 struct InstanceNews {
--- a/tests/fleet/loads.feature
+++ b/tests/fleet/loads.feature
@@ -29,3 +29,11 @@
     Given a planner whose order to an empty server gets no answer
     Then the order is given again after 2 seconds, with the same number
     And not while an answered load goes on
+
+  Scenario: Every coordinator knows which servers load
+    A server does not tell that it loads. The coordinator that ordered it
+    restarts; another one may be in charge meanwhile. Either would start more
+    loads than the store serves at full speed, and all would take longer.
+    Given three coordinators, one of which had an empty server load
+    When it restarts with what its disk holds
+    Then all three know that the server loads, until it tells the model
--- a/tests/fleet/planner.feature
+++ b/tests/fleet/planner.feature
@@ -58,3 +58,32 @@
     Twelve empty servers come at once after traffic began. The store allows 4
     loads a second over three zones, so one zone starts at most 6 in 5 s.
     Then a zone with 12 empty servers starts at most 6 loads in 5 seconds
+
+  Scenario: Servers serve what they can while a missing model loads
+    A domain lost its large group. Two servers came empty and must load for it;
+    four others have the small model in memory. They stood idle for the 16 s of
+    the load, as large was missing first.
+    Given a domain with one small group, 4 free servers warm with small, 2 empty
+    Then two more small groups are formed, and the empty ones load large
+
+  Scenario: A missing group takes the servers of several others
+    Three small groups stand where one large and one small should. All have the
+    large model staged. One small group has too few servers for a large one, so
+    two give way, after the work that they have.
+    Given a domain with three small groups that have large staged
+    Then two small groups are retired
+    And once they have ended a large group is formed
+
+  Scenario: Free servers wait for those that are to join them
+    A small group gives way for the missing large one and still works for some
+    seconds. A third server is free. Were it used for something else meanwhile,
+    the large group would be missing again.
+    Given a domain where a small group gives way to complete a large one
+    Then its free servers are left free
+
+  Scenario: Loads that go on are known after a restart
+    A planner had three empty servers load, and restarts. It does not know, and
+    orders loads anew; the servers refuse, as they have accepted an order. Did it
+    order them again by another number, each load would take twice as long.
+    Given a planner whose loads are refused by three empty servers
+    Then it counts 3 loads under way and orders none of them again
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -6,7 +6,14 @@
 from behave import given, then, when
 from support import fleetworld
 
-from hickorylead.fleet import former, instances, loads, orders, planner
+from hickorylead.fleet import (
+    events,
+    former,
+    instances,
+    loads,
+    orders,
+    planner,
+)
 
 LOAD_S = 14.0
 STEP_S = 0.25
@@ -68,9 +75,10 @@
             if name in empty:
                 context.took.append(now - empty.pop(name))
         for number, budget in enumerate(budgets):
-            elsewhere = sum(map(len, own)) - len(own[number])
+            mine = len(own[number])
+            under_way = loads.UnderWay(mine, sum(map(len, own)) - mine)
             budget.open(
-                context.engine, planners=3, elsewhere=elsewhere, now=now
+                context.engine, planners=3, under_way=under_way, now=now
             )
             for name in context.beside[number] - set(store.left):
                 wish = loads.Wish(make_server(name), "other", loads.Need.BESIDE)
@@ -81,7 +89,7 @@
                         make_server(name), "model", loads.Need.STANDBY
                     )
                     budget.wish(wish)
-            for wish in budget.grant(len(own[number])):
+            for wish in budget.grant():
                 budget.spend(now)
                 store.left[wish.instance.name] = LOAD_S
                 own[number].add(wish.instance.name)
@@ -109,17 +117,19 @@
     """Returns how many of 12 wanted loads a planner starts."""
     budget = loads.LoadBudget()
     engine = attrs.evolve(context.engine, loads_per_s=10.0)
-    budget.open(engine, planners=planners, elsewhere=elsewhere, now=0.0)
+    under_way = loads.UnderWay(0, elsewhere)
+    budget.open(engine, planners=planners, under_way=under_way, now=0.0)
     for number in range(12):
         server = make_server(f"i{number}")
         budget.wish(loads.Wish(server, "large", loads.Need.STANDBY))
-    return len(budget.grant(0))
+    return len(budget.grant())
 
 
 @then("loads start for the second group, the first, the standby, no other")
 def _(context):
     budget = loads.LoadBudget()
-    budget.open(context.engine, planners=1, elsewhere=0, now=0.0)
+    under_way = loads.UnderWay(0, 0)
+    budget.open(context.engine, planners=1, under_way=under_way, now=0.0)
     wishes = [
         ("a", loads.Need.BESIDE, 0),
         ("b", loads.Need.STANDBY, 0),
@@ -128,7 +138,7 @@
     ]
     for name, need, missing in wishes:
         budget.wish(loads.Wish(make_server(name), "large", need, missing))
-    names = [wish.instance.name for wish in budget.grant(0)]
+    names = [wish.instance.name for wish in budget.grant()]
     assert names == ["d", "c", "b"], names
 
 
@@ -179,3 +189,192 @@
     answer = orders.OrderAnswered(item.name, item.order, 202)
     context.subject.take_answer(answer)
     assert not play_rounds(context, 15.0, 30.0)
+
+
+# What becomes of free servers while something loads.
+
+
+def make_member(name, group, rank, state, model, staged):
+    """Returns a server in a group."""
+    return make_server(
+        name,
+        models=(model,),
+        staged=(staged,) if staged else (),
+        member=instances.Membership(group, int(group[1:]), rank, state),
+    )
+
+
+def make_small_group(number, state=instances.GROUP_OPEN):
+    """Returns the two members of a small group that have large staged."""
+    group = f"g{64 * number}"
+    return [
+        make_member(f"{group}a", group, 0, state, "small", "large"),
+        make_member(
+            f"{group}b", group, 1, instances.GROUP_READY, "small", "large"
+        ),
+    ]
+
+
+def make_warm(count):
+    """Returns free servers with small in memory."""
+    return [
+        make_server(f"w{n}", last_model="small", staged=("small",))
+        for n in range(count)
+    ]
+
+
+def plan_round(subject, present, now):
+    """Returns what a planner gives in one round."""
+    service = fleetworld.document.Service("model", engine=fleetworld.ENGINE)
+    return subject.plan(
+        present=present,
+        services=[service],
+        domains=frozenset({"d1"}),
+        lost=frozenset(),
+        planners=1,
+        is_started=True,
+        now=now,
+    )
+
+
+def list_given(given, kind):
+    """Returns the orders of a kind, by server."""
+    return {
+        item.name: item.order
+        for item in given
+        if isinstance(item, orders.Give) and isinstance(item.order, kind)
+    }
+
+
+@given("a domain with one small group, 4 free servers warm with small, 2 empty")
+def _(context):
+    context.subject = make_planner()
+    empty = [make_server("e0"), make_server("e1")]
+    context.present = [*make_small_group(1), *make_warm(4), *empty]
+
+
+def make_planner():
+    """Returns a planner that has given no orders."""
+    return planner.Planner(number=1, policy=former.Policy(), life="a1")
+
+
+@then("two more small groups are formed, and the empty ones load large")
+def _(context):
+    plan_round(context.subject, context.present, 10.0)
+    given = plan_round(make_planner(), context.present, 12.0)
+    joins = list_given(given, orders.Join)
+    assert sorted(joins) == ["w0", "w1", "w2", "w3"], joins
+    assert {o.model for o in joins.values()} == {"small"}
+    assert len({o.group for o in joins.values()}) == 2
+    staged = list_given(given, orders.Stage)
+    assert {n: o.model for n, o in staged.items() if n[0] == "e"} == {
+        "e0": "large",
+        "e1": "large",
+    }, staged
+
+
+@given("a domain with three small groups that have large staged")
+def _(context):
+    context.subject = make_planner()
+    context.groups = [make_small_group(n) for n in (1, 2, 3)]
+
+
+@then("two small groups are retired")
+def _(context):
+    present = [m for group in context.groups for m in group]
+    closes = list_given(
+        plan_round(context.subject, present, 10.0), orders.Close
+    )
+    assert len(closes) == 2, closes
+    assert not any(o.cut for o in closes.values())
+    context.closed = {o.group for o in closes.values()}
+
+
+@then("once they have ended a large group is formed")
+def _(context):
+    present = [m for group in context.groups for m in group]
+    ended = [
+        attrs.evolve(
+            member,
+            sequence=2,
+            models=(),
+            member=instances.Membership(),
+            last_model="small",
+        )
+        if member.member.group in context.closed
+        else member
+        for member in present
+    ]
+    joins = list_given(plan_round(context.subject, ended, 12.0), orders.Join)
+    assert len(joins) == 3, joins
+    assert {o.model for o in joins.values()} == {"large"}
+
+
+@given("a domain where a small group gives way to complete a large one")
+def _(context):
+    context.subject = make_planner()
+    closing = make_small_group(1, instances.GROUP_CLOSING)
+    free = [
+        make_server(f"f{n}", last_model="large", staged=("small",))
+        for n in range(2)
+    ]
+    context.present = [*make_small_group(2), *closing, *free]
+
+
+@then("its free servers are left free")
+def _(context):
+    given = plan_round(context.subject, context.present, 10.0)
+    assert not list_given(given, orders.Join), given
+
+
+@given("a planner whose loads are refused by three empty servers")
+def _(context):
+    context.subject = make_planner()
+    context.present = [make_server(f"e{n}") for n in range(3)]
+    context.again = {}
+    now = 10.0
+    while now < 20.0:
+        given = plan_round(context.subject, context.present, now)
+        for name, order in list_given(given, orders.Stage).items():
+            context.again[name] = context.again.get(name, 0) + 1
+            answer = orders.OrderAnswered(name, order, 409)
+            context.subject.take_answer(answer)
+        now += STEP_S
+
+
+@then("it counts 3 loads under way and orders none of them again")
+def _(context):
+    assert len(context.subject._ledger.list_loading()) == 3
+    assert context.again == {"e0": 1, "e1": 1, "e2": 1}, context.again
+
+
+@given("three coordinators, one of which had an empty server load")
+def _(context):
+    context.world = fleetworld.FleetWorld()
+    context.world.settle()
+    context.server = make_server("i1")
+    world, node = context.world, context.world.core[0]
+    world.apply(node, events.HeartbeatArrived(context.server))
+    order = orders.Stage("large")
+    world.apply(node, orders.OrderAnswered("i1", order, 202))
+    world.run(1.2)
+
+
+@when("it restarts with what its disk holds")
+def _(context):
+    world, node = context.world, context.world.core[0]
+    world.kill(node)
+    world.start(node)
+    world.run(0.1)
+
+
+@then("all three know that the server loads, until it tells the model")
+def _(context):
+    world = context.world
+    for role in world.coordinators.values():
+        assert role.registry.instances["i1"].loading == "large"
+    told = attrs.evolve(context.server, sequence=9, staged=("large",))
+    world.apply(world.core[0], events.HeartbeatArrived(told))
+    world.run(0.1)
+    for role in world.coordinators.values():
+        assert not role.registry.instances["i1"].loading
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -151,9 +151,7 @@
             if self.rng.random() < 0.85:
                 known = seat.seen.get(server.name)
                 if instances.is_newer(told, known):
-                    seat.seen[server.name] = instances.keep_last_model(
-                        told, known
-                    )
+                    seat.seen[server.name] = instances.keep_known(told, known)
                 seat.lost.discard(server.name)
 
     def _crash(self) -> None:
