Remove what held late requests back: worth nothing any more

Cause: ablation. Requests that had missed their objective ranked behind others and waited for a replica with two fifths of its slots free, for up to 1.5 s. It answered the backlog after a loss of power, whose symptom was a second wave of late requests; most of that wave were streams moved for false stalls.

A stream that goes on still ranks before newcomers, and priorities of operators before that.

--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -86,7 +86,6 @@
         engine: document_module.Engine | None,
         *,
         avoid: Collection[str],
-        share: float | None = None,
         now: float,
     ) -> Choice | NoChoice:
         """Returns the replica that should answer first.
@@ -95,15 +94,13 @@
             request: The request.
             engine: Figures of the service's engines; None if it is plain.
             avoid: Replicas that this request has failed at.
-            share: Share of a replica's slots that it may fill; None if it may
-                be queued there.
             now: Present time.
         """
         known = self._view.list_replicas(request.service, request.terms.model)
         best: model.Replica | None = None
         best_s = 0.0
         full = 0
-        most = 1.0 + QUEUE_SHARE if share is None else share
+        most = 1.0 + QUEUE_SHARE
         # With nothing better, one that seems to have stopped is tried again:
         # to refuse all would turn a few slow passes into an outage.
         usable = [r for r in known if not self._book.is_stalled(r, now)]
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -110,7 +110,7 @@
                 effects += self._fail(
                     opened, Verdict.MAY_HAVE_RUN, "no_answer", now
                 )
-        waiting.sort(key=lambda o: (ranks.find_rank(o, now), o.arrived_at))
+        waiting.sort(key=lambda o: (ranks.find_rank(o), o.arrived_at))
         for opened in waiting:
             effects += self._try(opened, now)
         for stall in stalls.find_stalled(
@@ -228,7 +228,6 @@
             request,
             self._find_engine(request.service),
             avoid=opened.failed,
-            share=ranks.find_share(opened, now),
             now=now,
         )
         match chosen:
@@ -271,7 +270,7 @@
                 replica=replica,
                 budget_s=opened.ends_at - now,
                 last_event=opened.last_event,
-                rank=ranks.find_rank(opened, now),
+                rank=ranks.find_rank(opened),
             )
         ]
         if attempt.number > 1:
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hickorylead import verdict as verdict_module
-from hickorylead.forwarding import events, ranks
+from hickorylead.forwarding import events
 
 if TYPE_CHECKING:
     from hickorylead.forwarding import choice as choice_module, state
@@ -28,10 +28,6 @@
     if opened.started:
         # Its caller holds a part of the answer; the rest is worth a wait.
         return True
-    if ranks.find_share(opened, now) is not None:
-        # It missed its objective while nobody could take it, and is let in
-        # as soon as others have what they need.
-        return True
     wait_s = WAIT_SHARE * opened.request.route.objective_s
     return now - opened.arrived_at < wait_s
 
