Do not take servers for lost that were not heard yet after a restart

A coordinator that starts knows servers from its disk, as silent, and plans 1.68 s later; all silent ones counted as lost. The heartbeat of one member came at 1.88 s, so its group was closed at 1.85 s while it worked.

Change: a server known from the disk alone is not lost until 2.5 s after the start. One that is really dead is noticed 0.8 s later than before, after a restart only.

--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -17,6 +17,11 @@
 # heartbeat of it is known for what it is. Heartbeats that a partition held up
 # come when it heals; partitions that we were told of last seconds.
 REMEMBER_GONE_S = 120.0
+# A server that is known from the disk alone is not taken for lost for this long
+# after a restart, in seconds: two heartbeat periods, as one heartbeat may go to
+# a control node that is gone. A working group was closed, 1.85 s after all
+# control nodes restarted, as the heartbeat of one member came at 1.88 s.
+UNHEARD_S = 2.5
 # A node whose hash was ours this long ago or less is not told everything: the
 # changes since are on their way. In seconds; a batch of changes leaves within
 # 0.05 s, and the greeting with the hash comes each 0.25 s.
@@ -32,6 +37,8 @@
         self.heard_at: dict[str, float] = {}
         # Number of the heartbeat that last told something new.
         self.changed_at: dict[str, int] = {}
+        # Servers known from the disk that were not heard yet, since when.
+        self._recalled: dict[str, float] = {}
         # Counts what changed, so that others can tell cheaply.
         self.changes = 0
         self._checks: dict[str, int] = {}
@@ -60,6 +67,7 @@
         news = instances.keep_known(news, known)
         if not news.silent:
             self.heard_at[news.name] = now
+            self._recalled.pop(news.name, None)
         changed = known is None or not instances.says_the_same(known, news)
         if changed:
             self.changed_at[news.name] = news.sequence
@@ -117,6 +125,12 @@
             )
             if self.merge(old, now):
                 self.heard_at[old.name] = now
+                self._recalled[old.name] = now
+
+    def may_be_unheard(self, name: str, now: float) -> bool:
+        """Says whether a silent server may just not have been heard yet."""
+        recalled_at = self._recalled.get(name)
+        return recalled_at is not None and now - recalled_at < UNHEARD_S
 
     def find_born(self, name: str) -> int:
         """Returns when the present life of a server began; 0 if unknown."""
@@ -156,6 +170,7 @@
                 del self.instances[name]
                 self.heard_at.pop(name, None)
                 self.changed_at.pop(name, None)
+                self._recalled.pop(name, None)
                 self._former.append((now, self._check))
                 self._check ^= self._checks.pop(name, 0)
                 self.changes += 1
--- a/src/hickorylead/fleet/suspects.py
+++ b/src/hickorylead/fleet/suspects.py
@@ -113,6 +113,8 @@
         lost.update(
             i.name
             for i in registry.list_present()
-            if i.silent and (i.member.group, i.member.epoch) not in flowing
+            if i.silent
+            and (i.member.group, i.member.epoch) not in flowing
+            and not registry.may_be_unheard(i.name, now)
         )
         return frozenset(lost)
