Make the test of a queue at a replica notice a stream that is moved

Cause: on the code before its change the scenario passed: the stream was taken from its replica at 0.31 s and then waited, so it had still been sent once.

Change: it asserts that the stream was never taken from its replica.

--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -103,7 +103,7 @@
     Given a gateway with 3 model replicas
     And other gateways have 9 requests at each replica
     When a stream waits 1 second for its first event
-    Then it was sent once
+    Then it was never taken from its replica
 
   Scenario: A replica that nobody else uses is left soon if it gives nothing
     Nobody reads from the replica, so nobody else would notice.
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -438,6 +438,13 @@
     context.play.run(seconds)
 
 
+@then("it was never taken from its replica")
+def _(context):
+    play = context.play
+    assert len(play.list_sent(context.name)) == 1
+    assert not play.list_of(context.name, events.Cancel)
+
+
 @then("it was sent again to another replica")
 def _(context):
     assert len(context.play.list_sent(context.name)) == 2
