Tell in the log whether two submissions ask for the same thing

Cause: the lines of a request name its submission, not what it asks for. So three explanations of the incident could not be told apart: one content that comes back, a cascade of load, or bystanders that were moved.

Ruled out: the workspace and the route, which are in the lines: the workspace concerned sends most requests of its route.

Change: `attempt_failed` and `request_ended` have `content`, a hash of workspace, method, target and body. No decision hangs on it.

--- /dev/null
+++ b/src/hickorylead/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the backend servers which run them."""
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hickorylead import notes
+from hickorylead.crashes import contents
 
 if TYPE_CHECKING:
     from hickorylead import verdict as verdict_module
@@ -47,6 +48,7 @@
             "reason": reason,
             "after_s": round(now - attempt.sent_at, 3),
             "last_event": opened.last_event,
+            "content": contents.write_content(opened.content),
         },
     )
 
@@ -71,6 +73,7 @@
             "route": request.route.name,
             "kind": request.route.kind.value,
             "workspace": request.workspace,
+            "content": contents.write_content(opened.content),
             "configuration": version,
             "outcome": outcome,
             "verdict": opened.verdict.value,
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.admission import budget as budget_module
+from hickorylead.crashes import contents
 from hickorylead.forwarding import (
     answers,
     choice as choice_module,
@@ -212,6 +213,10 @@
             arrived_at,
             arrived_at + limit_s,
             last_event=request.terms.last_event,
+            content=contents.hash_content(
+                request.workspace,
+                (request.method.encode(), request.target, request.body),
+            ),
         )
         self._open[request.request_id] = opened
         self._budgets.find(request.service).earn()
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -79,6 +79,7 @@
             was.
         event_at: When its caller was last given an event.
         longest_pause_s: Longest time between two events, in seconds.
+        content: Hash of what is asked for, the same when it is asked again.
     """
 
     request: model.Request
@@ -98,6 +99,7 @@
     first_sent_at: float | None = None
     event_at: float = 0.0
     longest_pause_s: float = 0.0
+    content: int = 0
 
     def note_events(self, now: float) -> None:
         """Takes that its caller is given events."""
