Show that a request which ends its replica is sent to one after the other

Cause: what a gateway knows of a request ends with its final answer, and is told to nobody. A caller that sends it again, through any gateway, has two more tries each time, and each ends a replica with all its other streams.

Ruled out: a larger number of tries for one submission; each had two at most, here and in the logs.

No code of the product.

--- /dev/null
+++ b/tests/support/crashplay.py
@@ -0,0 +1,218 @@
+"""Callers and replicas in a fleet, some of whose requests end their replica."""
+
+from __future__ import annotations
+
+import itertools
+
+import attrs
+
+from hickorylead.fleet import instances
+from hickorylead.forwarding import events, model
+from hickorylead.verdict import Verdict
+from support import fleetworld
+
+STEP_S = 0.01
+# From the sending of a request to the moment at which its run ends its
+# replica, or gives an event, in seconds.
+RUN_S = 0.15
+# An ordinary stream gives this many events, one each 0.1 s.
+EVENTS = 5
+# A server that ended is replaced by an empty one after this, in seconds.
+REPLACED_S = 2.5
+OK = model.Head(200, is_sealed=True)
+ROUTES = {r.name: r for r in fleetworld.make_document(1).routes}
+
+
+@attrs.define
+class Submission:
+    """One submission of a request, with what became of it.
+
+    Attributes:
+        name: The gateway's name for it.
+        gateway: Where it was sent to.
+        body: What it asks.
+        sent: When it reached replicas, and which.
+        status: Status of a refusal; 200 for a whole answer; 0 if neither.
+        reason: Reason of a refusal.
+        retry_after_s: When its caller may come back, if it was told.
+    """
+
+    name: str
+    gateway: str
+    body: bytes
+    sent: list[tuple[float, str]] = attrs.field(factory=list)
+    status: int = 0
+    reason: str = ""
+    retry_after_s: float | None = None
+
+
+@attrs.define
+class _Run:
+    submission: Submission
+    attempt: int
+    server: str
+    began: float
+    given: int = 0
+
+
+class CrashPlay:
+    """Plays the callers and the replicas of a fleet."""
+
+    def __init__(self, world: fleetworld.FleetWorld) -> None:
+        """Makes a play.
+
+        Args:
+            world: Coordinators, gateways and servers, with open groups.
+        """
+        self.world = world
+        # Bodies that end the replica that runs them.
+        self.deadly: set[bytes] = set()
+        self.submissions: dict[str, Submission] = {}
+        # When servers ended, and under which bodies.
+        self.ended: list[tuple[float, str, frozenset[bytes]]] = []
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._count = itertools.count(1)
+        self._seen = len(world.gateway_effects)
+        # Servers that come back, by time.
+        self._due: list[tuple[float, instances.Instance]] = []
+        self.replaces = True
+
+    def ask(
+        self, gateway: str, body: bytes, *, last_event: int = 0
+    ) -> Submission:
+        """Sends a request to a gateway."""
+        name = f"r{next(self._count)}"
+        submission = Submission(name, gateway, body)
+        self.submissions[name] = submission
+        route = ROUTES["drafts"]
+        request = model.Request(
+            request_id=name,
+            terms=model.Terms(
+                f"try-{name}",
+                budget_s=route.timeout_s,
+                model="large",
+                prompt_tokens=100,
+                last_event=last_event,
+            ),
+            route=route,
+            service="model",
+            workspace="crew",
+            method="POST",
+            target=b"/drafts/",
+            headers=(),
+            body=body,
+            urgency=1,
+        )
+        self.world.apply(gateway, events.Arrived(request))
+        self._follow()
+        return submission
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.world.now + seconds
+        while self.world.now < end - 1e-9:
+            self.world.run(STEP_S)
+            self._follow()
+            self._serve()
+            self._replace()
+
+    def find_lost(self, body: bytes) -> list[float]:
+        """Returns when servers ended under a body, in order."""
+        return [at for at, _, bodies in self.ended if body in bodies]
+
+    def list_sent(self, body: bytes) -> list[float]:
+        """Returns when a body reached replicas, in order."""
+        return sorted(
+            at
+            for submission in self.submissions.values()
+            if submission.body == body
+            for at, _ in submission.sent
+        )
+
+    def end_server(self, name: str) -> None:
+        """Ends a server; all that it runs is closed at the same moment."""
+        server = self.world.servers[name]
+        running = [r for r in self._runs.values() if r.server == name]
+        bodies = frozenset(r.submission.body for r in running)
+        self.ended.append((self.world.now, name, bodies))
+        self._due.append((self.world.now + REPLACED_S, server))
+        self.world.crash(name)
+        for run in running:
+            self._fail(run, Verdict.MAY_HAVE_RUN, "closed")
+
+    def list_running(self) -> list[str]:
+        """Returns the servers that run something, each once, sorted."""
+        return sorted({run.server for run in self._runs.values()})
+
+    # Replicas.
+
+    def _follow(self) -> None:
+        """Takes what the gateways did since."""
+        found = self.world.gateway_effects
+        while self._seen < len(found):
+            _, node, effect = found[self._seen]
+            self._seen += 1
+            self._take(node, effect)
+
+    def _take(self, node: str, effect: events.Effect) -> None:
+        match effect:
+            case events.Open(request, attempt, replica):
+                submission = self.submissions[request.request_id]
+                run = _Run(submission, attempt, replica.name, self.world.now)
+                self._runs[request.request_id, attempt] = run
+                if replica.name not in self.world.servers:
+                    self._fail(run, Verdict.NOT_RUN, "unreachable")
+                else:
+                    submission.sent.append((self.world.now, replica.name))
+            case events.Cancel(request_id, attempt):
+                self._runs.pop((request_id, attempt), None)
+            case events.Refuse(request_id, status, reason, retry_after_s):
+                submission = self.submissions[request_id]
+                submission.status = status
+                submission.reason = reason
+                submission.retry_after_s = retry_after_s
+            case events.Finish(request_id):
+                self.submissions[request_id].status = 200
+            case _:
+                pass
+
+    def _serve(self) -> None:
+        for run in list(self._runs.values()):
+            age_s = self.world.now - run.began
+            if age_s < RUN_S or run.server not in self.world.servers:
+                continue
+            if run.submission.body in self.deadly:
+                self.end_server(run.server)
+                continue
+            if age_s >= RUN_S + 0.1 * run.given:
+                self._give_event(run)
+
+    def _give_event(self, run: _Run) -> None:
+        name, gateway = run.submission.name, run.submission.gateway
+        if not run.given:
+            head = attrs.evolve(OK, echo=f"try-{name}")
+            self._tell(gateway, events.Began(name, run.attempt, head))
+        run.given += 1
+        data = b"id: %d\ndata: x\n\n" % run.given
+        self._tell(gateway, events.PieceCame(name, run.attempt, data))
+        if run.given == EVENTS:
+            self._runs.pop((name, run.attempt), None)
+            self._tell(gateway, events.Ended(name, run.attempt))
+
+    def _fail(self, run: _Run, verdict: Verdict, reason: str) -> None:
+        name = run.submission.name
+        self._runs.pop((name, run.attempt), None)
+        failed = events.Failed(name, run.attempt, verdict, reason)
+        self._tell(run.submission.gateway, failed)
+
+    def _tell(self, gateway: str, event: events.Event) -> None:
+        self.world.apply(gateway, event)
+        self._follow()
+
+    def _replace(self) -> None:
+        for due, server in list(self._due):
+            if self.replaces and self.world.now >= due:
+                self._due.remove((due, server))
+                domain = int(server.domain.rpartition("d")[2])
+                name = f"{server.name}+"
+                self.world.add_server(name, server.zone, domain)
