Block a request that ended three servers, at all gateways

Cause: what a gateway knew of a request ended with its final answer, and nobody else heard of it. A request that ends each server which runs it came again through other gateways, and each submission ended two more servers with all their streams. The class: evidence about a request was kept per submission and per node, where its cause outlives both.

Ruled out: fewer tries for a submission (the caller comes back); blocking on broken connections alone (servers that live on close them too); blocking at one gateway.

Change: gateways tell their home the runs that they lost; coordinators find out which servers ended (they ask one that closed a connection in the middle of an answer at once), tell each other, and have all gateways refuse, as not run, a content under which three servers' lives ended. A content that was answered lately is not blamed.

Measured: the scenario that failed (7 sends later than 1 s after the third end) passes with none.

--- /dev/null
+++ b/src/hickorylead/crashes/exchange.py
@@ -0,0 +1,164 @@
+"""What one coordinator does about requests that end servers.
+
+Gateways tell their home which runs they lost. Coordinators tell each other,
+find out which servers ended, and tell their gateways what no replica may get.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeAlias
+
+from hickorylead import notes
+from hickorylead.crashes import contents, guard, ledger, messages
+from hickorylead.fleet import differences
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+Sent: TypeAlias = tuple[str, messages.Message]
+
+FORGET_PERIOD_S = 1.0
+
+
+class Exchange:
+    """The ledger of one coordinator, and whom it tells of it."""
+
+    def __init__(self, node: str) -> None:
+        """Makes an exchange that knows of no lost run.
+
+        Args:
+            node: Name of the coordinator.
+        """
+        self._node = node
+        self._ledger = ledger.Ledger()
+        self._told: frozenset[int] = frozenset()
+        self._next_forget = 0.0
+        self._coordinators = differences.Differences()
+        self._gateways = differences.Differences()
+
+    @property
+    def check(self) -> int:
+        """A hash over all that is known, the same at those that know it."""
+        return self._ledger.check
+
+    def count_blocked(self) -> int:
+        """Returns how many contents are blocked."""
+        return len(self._ledger.find_blocked())
+
+    def take(
+        self, news: messages.CrashNews, others: Iterable[str], now: float
+    ) -> list[Sent]:
+        """Takes news; returns what others are to be told.
+
+        Args:
+            news: Lost runs and cleared contents.
+            others: Coordinators that have not heard it; none if one of them
+                tells.
+            now: Present time.
+        """
+        crashes = tuple(c for c in news.crashes if self._ledger.take(c, now))
+        cleared = tuple(
+            c for c in news.clearances if self._ledger.clear(c, now)
+        )
+        if not crashes and not cleared:
+            return []
+        passed = messages.CrashNews(self._node, crashes, cleared)
+        return [(node, passed) for node in others]
+
+    def recall(self, remembered: messages.CrashNews, now: float) -> None:
+        """Takes what was known before a restart.
+
+        Its ages are those of the time when it was saved; another node that
+        knows how old it really is goes first.
+        """
+        self.take(remembered, (), now)
+
+    def compare_coordinator(
+        self, node: str, check: int, *, is_new: bool, now: float
+    ) -> list[Sent]:
+        """Returns what another coordinator lacks, by the hash that it told.
+
+        Both tell all they know. One that was cut off or lost its disk knows
+        the same after that.
+        """
+        differs = self._coordinators.differs(node, check, self.check, now)
+        if not differs and not (is_new and check != self.check):
+            return []
+        return [(node, self.describe_all(now))]
+
+    def compare_gateway(
+        self, node: str, check: int, *, is_new: bool, now: float
+    ) -> list[Sent]:
+        """Returns what a gateway lacks, by the hash that it told.
+
+        One that has started or turned here is told at once: it would send what
+        all others block.
+        """
+        ours = guard.hash_contents(self._ledger.find_blocked())
+        differs = self._gateways.differs(node, check, ours, now)
+        if not differs and not (is_new and check != ours):
+            return []
+        return [(node, self._describe_blocked(now))]
+
+    def tick(
+        self,
+        has_ended: Callable[[ledger.Life], bool],
+        gateways: Iterable[str],
+        now: float,
+    ) -> tuple[list[Sent], list[notes.Note]]:
+        """Lets time pass: servers end, contents are blocked.
+
+        Args:
+            has_ended: Says whether a server's life is known to have ended.
+            gateways: Gateways whose home this coordinator is.
+            now: Present time.
+        """
+        self._ledger.confirm(has_ended)
+        if now >= self._next_forget:
+            self._next_forget = now + FORGET_PERIOD_S
+            self._ledger.forget(now)
+        blocked = frozenset(self._ledger.find_blocked())
+        if blocked == self._told:
+            return [], []
+        written = self._describe_change(blocked)
+        self._told = blocked
+        news = self._describe_blocked(now)
+        return [(node, news) for node in gateways], written
+
+    def describe_all(self, now: float) -> messages.CrashNews:
+        """Returns all that is known, for another node or for the disk."""
+        return messages.CrashNews(
+            self._node,
+            self._ledger.list_crashes(now),
+            self._ledger.list_clearances(now),
+        )
+
+    def _describe_blocked(self, now: float) -> messages.BlockNews:
+        blocked = self._ledger.find_blocked()
+        blocks = tuple(
+            messages.Block(content, max(0, int((until - now) * 1000)))
+            for content, until in sorted(blocked.items())
+        )
+        cleared = tuple(
+            c.content
+            for c in self._ledger.list_clearances(now)
+            if c.content not in blocked
+        )
+        return messages.BlockNews(self._node, blocks, cleared)
+
+    def _describe_change(self, blocked: frozenset[int]) -> list[notes.Note]:
+        found = [
+            notes.note(
+                "content_blocked",
+                content=contents.write_content(content),
+                servers=self._ledger.list_servers(content),
+            )
+            for content in sorted(blocked - self._told)
+        ]
+        found += [
+            notes.note(
+                "content_unblocked", content=contents.write_content(content)
+            )
+            for content in sorted(self._told - blocked)
+        ]
+        return found
--- a/src/hickorylead/fleet/events.py
+++ b/src/hickorylead/fleet/events.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from hickorylead.crashes import messages
 from hickorylead.fleet import instances
 
 
@@ -60,6 +61,17 @@
     known: tuple[instances.Instance, ...]
 
 
+@attrs.frozen
+class SaveCrashes:
+    """Effect: remember lost runs, for after a restart.
+
+    Attributes:
+        known: All that are known now, with their ages.
+    """
+
+    known: messages.CrashNews
+
+
 @attrs.frozen
 class AnswerReplace:
     """Effect: answer an operator's configuration.
--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hickorylead.fleet import messages
+from hickorylead.fleet import differences, messages
 from hickorylead.roles import nodes
 
 if TYPE_CHECKING:
@@ -21,10 +21,6 @@
 # seconds; a list of six takes 400 bytes. One that looks for a home is told each
 # time: it takes the answer for a sign of life.
 KNOWN_PERIOD_S = 5.0
-# Two nodes may differ for a moment, while news are on the way. Everything is
-# told anew only if they still differ after this, in seconds.
-DIFFER_S = 0.7
-RESEND_S = 1.5
 # A gateway that holds an older configuration gets the newer one from its home
 # at once. Others send it only to one that they have seen behind for this long,
 # in seconds: 6 control nodes that all sent 30 KB to 71 gateways at each change
@@ -50,13 +46,6 @@
     sent_document_at: float = -1e9
 
 
-@attrs.define
-class _Difference:
-    check: int
-    since: float
-    told_at: float = -1e9
-
-
 class Gateways:
     """Gateways by name."""
 
@@ -68,7 +57,7 @@
         """
         self._zone = zone
         self._gateways: dict[str, _Gateway] = {}
-        self._differences: dict[str, _Difference] = {}
+        self._differences = differences.Differences()
         self._next_loads = 0.0
 
     def list_all(self, now: float) -> list[str]:
@@ -83,6 +72,14 @@
         """Returns those that count on this coordinator first."""
         return [n for n in self.list_all(now) if self._gateways[n].is_home]
 
+    def is_home_to(self, node: str, boot: int) -> bool:
+        """Says whether a gateway counted on this coordinator when last heard.
+
+        Not one that has just started, nor one that turns here.
+        """
+        gateway = self._gateways.get(node)
+        return gateway is not None and gateway.boot == boot and gateway.is_home
+
     def hear(
         self,
         hello: messages.GatewayHello,
@@ -146,9 +143,11 @@
         """Says whether a gateway is told everything; its home does that."""
         if not hello.is_home or registry.had_check(hello.check, now):
             # What it lacks is on its way, or another one sends it.
-            self._differences.pop(hello.node, None)
+            self._differences.forget(hello.node)
             return False
-        return self.differs(hello.node, hello.check, registry.check, now)
+        return self._differences.differs(
+            hello.node, hello.check, registry.check, now
+        )
 
     def needs_document(self, node: str, version: int, now: float) -> bool:
         """Says whether a gateway is sent the configuration held here.
@@ -178,28 +177,6 @@
         for node in nodes_sent:
             self._gateways[node].sent_document_at = now
 
-    def differs(self, node: str, theirs: int, ours: int, now: float) -> bool:
-        """Says whether a node must be told everything anew.
-
-        A message that was lost would leave it wrong for ever; the hash shows
-        it, whatever was lost.
-        """
-        if theirs == ours:
-            self._differences.pop(node, None)
-            return False
-        found = self._differences.get(node)
-        if found is None:
-            self._differences[node] = _Difference(theirs, now)
-            return False
-        if found.check != theirs and now - found.since < RESEND_S:
-            # It still changes, so news reach it.
-            found.check = theirs
-            return False
-        if now - found.since < DIFFER_S or now - found.told_at < RESEND_S:
-            return False
-        found.told_at = now
-        return True
-
     def tick(
         self, *, is_fresh: bool, elsewhere: int, now: float
     ) -> list[tuple[str, messages.Message]]:
--- a/src/hickorylead/fleet/keeper.py
+++ b/src/hickorylead/fleet/keeper.py
@@ -18,7 +18,7 @@
 from hickorylead.roles import nodes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from hickorylead.configuration import document as document_module
     from hickorylead.fleet import (
@@ -139,6 +139,17 @@
             ),
         ]
 
+    def suspect_servers(self, names: Iterable[str], now: float) -> list[Effect]:
+        """Asks servers that closed a connection in the middle of an answer.
+
+        If they have ended they would be missed only with their heartbeats, 0.9
+        to 2.0 s later; meanwhile a request that ended one ended others.
+        """
+        found = [self._registry.instances.get(name) for name in names]
+        mine = [i for i in found if i is not None and self._is_mine(i, now)]
+        asked = self._suspects.suspect(mine, now)
+        return [orders.AskReport(m.name, m.address) for m in asked]
+
     def ask_silent(self, now: float) -> list[Effect]:
         """Asks servers whose heartbeats have been missed."""
         silent = self._registry.list_silent(self._suspects.silence_s, now)
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -78,6 +78,7 @@
         loads: Its requests by replica, only for its home.
         stalled: Replicas whose streams all stopped lately, by head.
         flowing: Replicas that gave something lately, by head.
+        blocked: Hash over the contents that it sends to no replica.
     """
 
     node: str
@@ -88,6 +89,7 @@
     loads: tuple[HeadLoad, ...] = ()
     stalled: tuple[str, ...] = ()
     flowing: tuple[HeadFlow, ...] = ()
+    blocked: int = 0
 
 
 @attrs.frozen
@@ -135,6 +137,7 @@
         gateways: Gateways whose home it is.
         has_traffic: Whether callers are served: from then on loads from the
             weight store count.
+        crashes: Hash over the lost runs that it knows.
     """
 
     node: str
@@ -146,6 +149,7 @@
     is_empty: bool = False
     gateways: int = 0
     has_traffic: bool = False
+    crashes: int = 0
 
 
 @attrs.frozen
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -132,6 +132,23 @@
         recalled_at = self._recalled.get(name)
         return recalled_at is not None and now - recalled_at < UNHEARD_S
 
+    def has_ended(self, name: str, born: int, now: float) -> bool:
+        """Says whether a life of a server is known to have ended by itself.
+
+        One that said so before has not: whatever it still ran was cut by its
+        planned end.
+        """
+        known = self.instances.get(name)
+        if known is None:
+            return False
+        if known.born != born:
+            return known.born > born
+        return (
+            known.silent
+            and known.phase != instances.PHASE_GONE
+            and not self.may_be_unheard(name, now)
+        )
+
     def find_born(self, name: str) -> int:
         """Returns when the present life of a server began; 0 if unknown."""
         known = self.instances.get(name)
--- a/src/hickorylead/forwarding/fleetview.py
+++ b/src/hickorylead/forwarding/fleetview.py
@@ -114,4 +114,5 @@
         slots=max(1, slots),
         epoch=instance.member.epoch,
         is_silent=instance.silent,
+        born=instance.born,
     )
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -11,7 +11,7 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.admission import budget as budget_module
-from hickorylead.crashes import contents
+from hickorylead.crashes import contents, guard as guard_module
 from hickorylead.forwarding import (
     answers,
     choice as choice_module,
@@ -40,6 +40,10 @@
 # Bodies of answers that are not streams are given whole up to this size, in
 # bytes, so that one that breaks off can still be asked for elsewhere.
 MAX_WHOLE_BYTES = 512 * 1024
+# A try that gave nothing for this long when its caller or its time ended it may
+# have lost its server, in seconds; a replica that works gives something each
+# 0.1 s, and the first event within 0.3 s.
+SILENT_S = 0.5
 # Longest time between two looks at the open requests, in seconds: what others
 # tell of a replica may bring a stall forward.
 LONGEST_PAUSE_S = 0.25
@@ -53,6 +57,7 @@
         *,
         chooser: choice_module.Chooser,
         book: health_module.HealthBook,
+        guard: guard_module.Guard,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS,
         started_at: float = -1e9,
     ) -> None:
@@ -61,12 +66,14 @@
         Args:
             chooser: The choice of a replica.
             book: What this gateway has seen of replicas.
+            guard: Contents that no replica may get, and lost runs.
             limits: Retries that all gateways may make together.
             started_at: When the gateway started.
         """
         self._started_at = started_at
         self._chooser = chooser
         self._book = book
+        self._guard = guard
         self._budgets = budget_module.SharedBudgets(limits)
         self._open: dict[str, state.Open] = {}
         self.document: document_module.Document | None = None
@@ -229,6 +236,13 @@
         request = opened.request
         if opened.ends_at - now < MIN_BUDGET_S:
             return self._give_up(opened, now)
+        # A request that ends its server is sent again by its caller, through
+        # any gateway; without a look here, each time two more ended. What all
+        # gateways know counts, and arrivals, retries and waiting requests all
+        # come by here.
+        blocked_s = self._guard.find_block(opened.content, now)
+        if blocked_s is not None:
+            return self._refuse_blocked(opened, blocked_s, now)
         chosen = self._chooser.choose(
             request,
             self._find_engine(request.service),
@@ -373,6 +387,8 @@
         head = attempt.head
         if head is not None and head.status < 500:
             self._book.note_success(attempt.replica)
+            if attempt.cutter is None or attempt.has_given:
+                self._guard.note_answered(opened.content, now)
         elif head is not None:
             self._book.note_failure(attempt.replica, now)
         effects.append(events.Finish(event.request_id))
@@ -395,6 +411,8 @@
         if reason == model.CONNECT_TIMEOUT:
             # Cut off or dark: the next request would lose the same time.
             self._book.mark_stalled(attempt.replica, now)
+        if verdict is Verdict.MAY_HAVE_RUN:
+            self._note_lost(opened, attempt, now)
         effects = self._end_attempt(opened, verdict)
         effects.append(
             descriptions.describe_failure(
@@ -490,18 +508,39 @@
     # Ends.
 
     def _give_up(self, opened: state.Open, now: float) -> list[events.Effect]:
-        effects: list[events.Effect] = []
-        if opened.attempt is not None:
-            effects += self._end_attempt(opened, Verdict.MAY_HAVE_RUN)
+        effects = self._end_unanswered(opened, now)
         return effects + self._end_failed(opened, "deadline", now)
 
+    def _refuse_blocked(
+        self, opened: state.Open, blocked_s: float, now: float
+    ) -> list[events.Effect]:
+        if opened.started:
+            return self._end_failed(opened, refusals.BLOCKED, now)
+        refusal = refusals.describe_block(opened, blocked_s)
+        return self._refuse(opened, refusal, now)
+
+    def _end_unanswered(
+        self, opened: state.Open, now: float
+    ) -> list[events.Effect]:
+        """Ends a try that is under way, if there is one."""
+        attempt = opened.attempt
+        if attempt is None:
+            return []
+        if now - attempt.heard_at > SILENT_S:
+            self._note_lost(opened, attempt, now)
+        return self._end_attempt(opened, Verdict.MAY_HAVE_RUN)
+
+    def _note_lost(
+        self, opened: state.Open, attempt: state.Attempt, now: float
+    ) -> None:
+        replica = attempt.replica
+        self._guard.note_lost(opened.content, replica.name, replica.born, now)
+
     def _leave(self, request_id: str, now: float) -> list[events.Effect]:
         opened = self._open.get(request_id)
         if opened is None:
             return []
-        effects: list[events.Effect] = []
-        if opened.attempt is not None:
-            effects += self._end_attempt(opened, Verdict.MAY_HAVE_RUN)
+        effects = self._end_unanswered(opened, now)
         return effects + self._close(opened, "caller_left", now)
 
     def _refuse(
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -117,6 +117,7 @@
         slots: Requests that it runs at once.
         epoch: Fencing number of the group; 0 for plain services.
         is_silent: Whether control nodes have not heard it for long.
+        born: When its present life began, in Unix milliseconds; 0 if unsaid.
     """
 
     name: str
@@ -127,3 +128,4 @@
     slots: int
     epoch: int = 0
     is_silent: bool = False
+    born: int = 0
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -19,6 +19,8 @@
 FULL_RETRY_S = 0.4
 # And to one without any replica: a group is formed anew in about a second.
 NONE_RETRY_S = 0.8
+# Reason of a request that no replica gets.
+BLOCKED = "ends_servers"
 # Returns are spread by this share around the usual time.
 SPREAD_SHARE = 0.3
 
@@ -41,6 +43,16 @@
     return _refuse(opened, reason, retry_s)
 
 
+def describe_block(opened: state.Open, left_s: float) -> events.Refuse:
+    """Returns the answer to a request that ended the servers which ran it.
+
+    To come back sooner is of no use: all gateways refuse it until then.
+    """
+    if opened.verdict is not verdict_module.Verdict.NOT_RUN:
+        return _refuse(opened, BLOCKED, None)
+    return events.Refuse(opened.request.request_id, 503, BLOCKED, left_s)
+
+
 def describe_failure(opened: state.Open, reason: str) -> events.Refuse:
     """Returns the answer to a request whose tries all failed."""
     retry_s = None if reason == "deadline" else FULL_RETRY_S
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -17,8 +17,14 @@
     voter as voter_module,
     whole,
 )
+from hickorylead.crashes import (
+    exchange as exchange_module,
+    ledger as ledger_module,
+    messages as crash_messages,
+)
 from hickorylead.fleet import (
     descriptions,
+    differences,
     events,
     gateways as gateways_module,
     identity as identity_module,
@@ -60,6 +66,7 @@
     | events.AnswerReplace
     | events.AnswerRead
     | events.SaveInstances
+    | events.SaveCrashes
     | orders.Give
     | orders.AskReport
     | notes.Note
@@ -102,6 +109,10 @@
             node=identity.node, seeds=identity.seeds
         )
         self.gateways = gateways_module.Gateways(zone=self._zone)
+        self._differences = differences.Differences()
+        # Beside the registry, as a restart recalls both from the disk.
+        self.crashes = exchange_module.Exchange(identity.node)
+        self._saved_crashes = 0
         self._keeper = keeper_module.Keeper(
             identity,
             policy=policy,
@@ -209,19 +220,45 @@
                 now=now,
             )
         )
+        effects += self._block(now)
         if self._keeper.is_due(now):
             effects += self._keeper.plan(now)
         return effects + self._save(now)
 
     def _save(self, now: float) -> list[CoordinatorEffect]:
-        if (
-            now < self._next_save
-            or self.registry.changes == self._saved_changes
-        ):
+        if now < self._next_save:
             return []
-        self._next_save = now + SAVE_PERIOD_S
-        self._saved_changes = self.registry.changes
-        return [events.SaveInstances(tuple(self.registry.list_present()))]
+        effects: list[CoordinatorEffect] = []
+        if self.registry.changes != self._saved_changes:
+            self._saved_changes = self.registry.changes
+            known = tuple(self.registry.list_present())
+            effects.append(events.SaveInstances(known))
+        if self.crashes.check != self._saved_crashes:
+            self._saved_crashes = self.crashes.check
+            effects.append(events.SaveCrashes(self.crashes.describe_all(now)))
+        if effects:
+            self._next_save = now + SAVE_PERIOD_S
+        return effects
+
+    # Requests that end servers.
+
+    def _take_crashes(
+        self, news: crash_messages.CrashNews, now: float
+    ) -> list[CoordinatorEffect]:
+        own = news.sender in self.gateways.list_all(now)
+        others = self.neighbours.list_alive(now) if own else []
+        effects = self._send_all(self.crashes.take(news, others, now))
+        servers = {c.server for c in news.crashes if not c.has_ended}
+        return [*effects, *self._keeper.suspect_servers(sorted(servers), now)]
+
+    def _block(self, now: float) -> list[CoordinatorEffect]:
+        def has_ended(life: ledger_module.Life) -> bool:
+            return self.registry.has_ended(life.server, life.born, now)
+
+        sent, written = self.crashes.tick(
+            has_ended, self.gateways.list_own(now), now
+        )
+        return [*self._send_all(sent), *written]
 
     def _greet(self, now: float) -> list[CoordinatorEffect]:
         self.neighbours.forget_old(now)
@@ -237,6 +274,7 @@
             is_empty=self._identity.may_found and not self.voter.cluster,
             gateways=len(self.gateways.list_own(now)),
             has_traffic=self._keeper.has_traffic,
+            crashes=self.crashes.check,
         )
         targets = self.neighbours.list_targets()
         effects: list[CoordinatorEffect] = [
@@ -318,6 +356,8 @@
                 return self._take_alive(message, now)
             case messages.GatewayHello():
                 return self._take_gateway(message, now)
+            case crash_messages.CrashNews():
+                return self._take_crashes(message, now)
             case messages.StallNews(sender, heads):
                 effects = self._pass_stalls(message, now)
                 for head in heads:
@@ -364,28 +404,39 @@
         self, hello: messages.CoordinatorHello, now: float
     ) -> list[CoordinatorEffect]:
         is_new = hello.node not in self.neighbours.list_alive(now)
-        differs = self.gateways.differs(
+        differs = self._differences.differs(
             hello.node, hello.check, self.registry.check, now
         )
         self.neighbours.hear(hello, now)
         if hello.has_traffic:
             # Only homes hear of requests from gateways.
             self._keeper.note_traffic()
+        effects = self._send_all(
+            self.crashes.compare_coordinator(
+                hello.node, hello.crashes, is_new=is_new, now=now
+            )
+        )
         if not is_new and not differs:
-            return []
+            return effects
         news = messages.InstanceNews(
             self._identity.node,
             tuple(self.registry.instances.values()),
             is_full=self._keeper.knows_all(now),
         )
-        return [seam.Send(hello.node, news)]
+        return [*effects, seam.Send(hello.node, news)]
 
     def _take_gateway(
         self, hello: messages.GatewayHello, now: float
     ) -> list[CoordinatorEffect]:
         if hello.loads:
             self._keeper.note_traffic()
+        is_new = not self.gateways.is_home_to(hello.node, hello.boot)
         effects = self._send_all(
+            self.crashes.compare_gateway(
+                hello.node, hello.blocked, is_new=is_new, now=now
+            )
+        )
+        effects += self._send_all(
             self.gateways.hear(
                 hello,
                 registry=self.registry,
@@ -613,6 +664,6 @@
         raise AssertionError("a result is a success or a failure")
 
     def _send_all(
-        self, sent: Iterable[tuple[str, messages.Message]]
+        self, sent: Iterable[tuple[str, seam.Message]]
     ) -> list[CoordinatorEffect]:
         return [seam.Send(node, message) for node, message in sent]
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -13,6 +13,10 @@
 
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
+from hickorylead.crashes import (
+    guard as guard_module,
+    messages as crash_messages,
+)
 from hickorylead.fleet import messages, registry as registry_module
 from hickorylead.forwarding import (
     choice as choice_module,
@@ -111,11 +115,13 @@
         self._registry = registry_module.Registry()
         self._view = fleetview.FleetView(self._registry)
         self._book = health.HealthBook()
+        self._guard = guard_module.Guard(identity.node)
         self._forwarder = forwarder_module.Forwarder(
             chooser=choice_module.Chooser(
                 zone=self._zone, view=self._view, book=self._book, rng=rng
             ),
             book=self._book,
+            guard=self._guard,
             limits=identity.retries,
             started_at=now,
         )
@@ -184,6 +190,10 @@
             "instances": len(self._registry.list_present()),
         }
 
+    def count_blocked(self) -> int:
+        """Returns how many contents no replica gets."""
+        return self._guard.count_blocked()
+
     def count_open(self) -> int:
         """Returns how many requests have no final answer yet."""
         return self._forwarder.count_open()
@@ -206,6 +216,7 @@
         stalled = set(self._book.list_stalled(now))
         news = stalled - self._told_stalled
         home = self._find_home(now)
+        effects += [seam.Send(*sent) for sent in self._guard.tell(home, now)]
         # A home that is lost or found is greeted about at once: until then
         # nobody tells this gateway anything.
         if now >= self._next_hello or news or home != self._home:
@@ -273,6 +284,7 @@
                     messages.HeadFlow(name, int(age_s * 1000))
                     for name, age_s in self._book.list_flowing(FLOW_S, now)
                 ),
+                blocked=self._guard.find_check(now),
             )
             effects.append(seam.Send(node, hello))
         return effects
@@ -333,6 +345,8 @@
                 self._note_fresh(sender, is_fresh, now)
                 if sender == self._home:
                     self._forwarder.note_gateways(gateways, now)
+            case crash_messages.BlockNews():
+                self._guard.take(message, now)
             case messages.StallNews(_, heads):
                 return [*self._forwarder.take_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses, is_fresh):
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -19,6 +19,7 @@
     from hickorylead.claims import messages as claim_messages
     from hickorylead.configuration import changes, messages as config_messages
     from hickorylead.consensus import messages as consensus_messages
+    from hickorylead.crashes import messages as crash_messages
     from hickorylead.fleet import messages as fleet_messages
     from hickorylead.lease import messages as lease_messages
     from hickorylead.membership import (
@@ -34,6 +35,7 @@
     "claim_messages.Message "
     "| config_messages.Message "
     "| consensus_messages.Message "
+    "| crash_messages.Message "
     "| fleet_messages.Message "
     "| lease_messages.Message "
     "| member_messages.Message "
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -16,6 +16,7 @@
     messages as consensus_messages,
     voter as voter_module,
 )
+from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import (
     events,
     former as former_module,
@@ -167,8 +168,10 @@
             now=clock.read_boottime(),
             tuning=self._tuning,
         )
-        self._memo = memo.Memo(pathlib.Path(settings.data_folder), "servers")
-        self._recall_instances()
+        data_folder = pathlib.Path(settings.data_folder)
+        self._servers_memo = memo.Memo(data_folder, "servers")
+        self._crashes_memo = memo.Memo(data_folder, "crashes")
+        self._recall()
         self._peers = peers_module.Peers(
             node=self._node,
             address=address,
@@ -260,6 +263,7 @@
             "instances": len(present),
             "instances_silent": sum(i.silent for i in present),
             "groups_open": len(serving),
+            "blocked_contents": self.role.crashes.count_blocked(),
             "standbys": len(free),
         }
 
@@ -291,7 +295,10 @@
                 if self._disk_failed_at is None:
                     self._folder.persist(record)
             case events.SaveInstances(known):
-                self._save_instances(known)
+                news = fleet_messages.InstanceNews(self._node, known)
+                self._remember(self._servers_memo, news)
+            case events.SaveCrashes(known):
+                self._remember(self._crashes_memo, known)
             case events.AnswerReplace(token, accepted):
                 self._end_call(token, accepted and self._disk_failed_at is None)
             case events.AnswerRead(token, version, content):
@@ -318,22 +325,29 @@
 
     # The disk.
 
-    def _recall_instances(self) -> None:
-        value = self._memo.value
-        if value is None:
-            return
-        match codec.decode_envelope(value):
+    def _recall(self) -> None:
+        now = clock.read_boottime()
+        servers = self._read(self._servers_memo)
+        if isinstance(servers, fleet_messages.InstanceNews):
+            self.role.registry.recall(servers.news, now)
+        crashes = self._read(self._crashes_memo)
+        if isinstance(crashes, crash_messages.CrashNews):
+            self.role.crashes.recall(crashes, now)
+
+    def _read(self, source: memo.Memo) -> seam.Message | None:
+        if source.value is None:
+            return None
+        match codec.decode_envelope(source.value):
             case result.Success(envelope):
-                now = clock.read_boottime()
-                self.role.registry.recall(envelope.message.news, now)
+                return envelope.message
             case result.Failure(problem):
                 self._log.write(notes.note("memo_unreadable", why=problem))
+        return None
 
-    def _save_instances(self, known: tuple[instances.Instance, ...]) -> None:
-        message = fleet_messages.InstanceNews(self._node, known)
+    def _remember(self, target: memo.Memo, message: seam.Message) -> None:
         value = codec.encode_envelope(codec.Envelope(self._node, "", message))
         try:
-            self._memo.save(value)
+            target.save(value)
         except OSError as error:
             # Of use only after a restart, and told anew by then.
             self._log.write(notes.note("memo_not_saved", why=str(error)))
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -282,6 +282,7 @@
         document = self.role.document
         return {
             "open_requests": self.role.count_open(),
+            "blocked_contents": self.role.count_blocked(),
             "configuration_version": document.version if document else 0,
             "ready": float(self.role.is_ready()),
             "connections_opened_total": self._pool.opened,
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -39,6 +39,7 @@
 _CONFIG = "configuration.messages"
 _CHANGES = "configuration.changes"
 _CONSENSUS = "consensus.messages"
+_CRASHES = "crashes.messages"
 _FLEET = "fleet.messages"
 _LEASE = "lease.messages"
 _MEMBER = "membership.messages"
@@ -89,6 +90,8 @@
     Variant(_FLEET, "ReadRequest"),
     Variant(_FLEET, "ReadReply"),
     Variant(_FLEET, "StallNews"),
+    Variant(_CRASHES, "CrashNews"),
+    Variant(_CRASHES, "BlockNews"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -41,6 +41,17 @@
   service @0 :Service;
 }
 
+struct Block {
+  content @0 :Int64;
+  leftMs @1 :Int64;
+}
+
+struct BlockNews {
+  sender @0 :Text;
+  blocks @1 :List(Block);
+  cleared @2 :List(Int64);
+}
+
 struct Change {
   changeId @0 :Text;
   expectedVersion @1 :Int64;
@@ -87,6 +98,11 @@
   wall @5 :Float64;
 }
 
+struct Clearance {
+  content @0 :Int64;
+  ageMs @1 :Int64;
+}
+
 struct Configuration {
   version @0 :Int64;
   services @1 :List(Service);
@@ -139,6 +155,21 @@
   isEmpty @6 :Bool;
   gateways @7 :Int64;
   hasTraffic @8 :Bool;
+  crashes @9 :Int64;
+}
+
+struct Crash {
+  content @0 :Int64;
+  server @1 :Text;
+  born @2 :Int64;
+  ageMs @3 :Int64;
+  hasEnded @4 :Bool;
+}
+
+struct CrashNews {
+  sender @0 :Text;
+  crashes @1 :List(Crash);
+  clearances @2 :List(Clearance);
 }
 
 struct DeleteService {
@@ -227,6 +258,7 @@
   loads @5 :List(HeadLoad);
   stalled @6 :List(Text);
   flowing @7 :List(HeadFlow);
+  blocked @8 :Int64;
 }
 
 struct Gone {
@@ -388,6 +420,8 @@
     readRequest @40 :ReadRequest;
     readReply @41 :ReadReply;
     stallNews @42 :StallNews;
+    crashNews @43 :CrashNews;
+    blockNews @44 :BlockNews;
   }
 }
 
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -5,7 +5,12 @@
 from behave import given, then, when
 from support import crashplay, fleetworld
 
+from hickorylead.forwarding import refusals
+
 DEADLY = b"ends its replica"
+# What many callers ask again and again.
+COMMON = b"asked by many"
+BLOCKED = refusals.BLOCKED
 # Other callers send one request each so many seconds.
 OTHERS_S = 0.05
 
@@ -89,3 +94,208 @@
     answered = [s for s in others if s.status == 200]
     assert len(others) > 50, len(others)
     assert len(answered) >= 0.9 * len(others), (len(answered), len(others))
+
+
+# Requests that are not to blame.
+
+
+@when(
+    "a head that runs something ends each {each_s:g} seconds, {count:d} times"
+)
+def _(context, each_s, count):
+    play = context.play
+    for _ in range(count):
+        send(play, each_s)
+        play.end_server(play.list_running()[0])
+    send(play, 3.0)
+    assert len(play.ended) == count
+    assert any(len(bodies) > 2 for _, _, bodies in play.ended), play.ended
+
+
+@then("no request is refused for the servers that it ended")
+def _(context):
+    refused = [s for s in list_others(context.play) if s.reason == BLOCKED]
+    assert not refused, refused
+    answered = [s for s in list_others(context.play) if s.status == 200]
+    assert len(answered) > 50, len(answered)
+
+
+@then("no other request is refused for the servers that it ended")
+def _(context):
+    refused = [
+        s
+        for s in context.play.submissions.values()
+        if s.body != DEADLY and s.reason == BLOCKED
+    ]
+    assert not refused, refused
+    lost = {body for _, _, bodies in context.play.ended for body in bodies}
+    assert len(lost) > 5, lost
+
+
+@then("no node blocks anything")
+def _(context):
+    world = context.play.world
+    for role in world.coordinators.values():
+        assert role.crashes.count_blocked() == 0
+        # They did hear of the lost runs.
+        assert role.crashes.check != 0
+    assert not any(g.count_blocked() for g in world.gateways.values())
+
+
+@when("all heads that run something end at once under the same request")
+def _(context):
+    play = context.play
+    for number in range(40):
+        gateways = sorted(play.world.gateways)
+        play.ask(gateways[number % len(gateways)], COMMON)
+        play.run(0.05)
+    running = play.list_running()
+    for name in running:
+        play.end_server(name)
+    assert len(play.find_lost(COMMON)) >= 3, play.ended
+    play.run(1.0)
+
+
+@then("that request is answered again within {limit_s:g} seconds")
+def _(context, limit_s):
+    play = context.play
+    gateways = sorted(play.world.gateways)
+    asked = []
+    for number in range(round(limit_s / 0.2)):
+        asked.append(play.ask(gateways[number % len(gateways)], COMMON))
+        play.run(0.2)
+    play.run(2.0)
+    late = asked[-len(gateways) :]
+    assert [s.status for s in late] == [200] * len(late), late
+
+
+# Nodes that start again or are cut off.
+
+
+def end_servers(play, count, gateways):
+    """Has a request end so many servers, by way of some gateways."""
+    before = len(play.find_lost(DEADLY))
+    # Otherwise a submission ends two.
+    play.leaves_early = True
+    for number in range(count):
+        play.ask(gateways[number % len(gateways)], DEADLY)
+        play.run(0.5)
+    play.leaves_early = False
+    assert len(play.find_lost(DEADLY)) == before + count, play.ended
+
+
+@given("a request that is blocked everywhere")
+def _(context):
+    play = context.play
+    end_servers(play, 3, sorted(play.world.gateways))
+    play.run(1.0)
+    check_refused(play)
+
+
+def check_refused(play):
+    """Checks that each gateway refuses the request."""
+    for node in sorted(play.world.gateways):
+        submission = play.ask(node, DEADLY)
+        assert submission.reason == BLOCKED, (node, submission)
+        assert submission.status == 503, submission
+        assert not submission.sent, submission
+
+
+@when("a gateway starts again")
+def _(context):
+    world = context.play.world
+    context.node = sorted(world.gateways)[0]
+    world.kill(context.node)
+    world.start_gateway(context.node)
+
+
+@then("it refuses the request as soon as it has a configuration")
+def _(context):
+    play = context.play
+    role = play.world.gateways[context.node]
+    for _ in range(300):
+        play.run(crashplay.STEP_S)
+        if role.is_ready():
+            break
+    assert role.is_ready()
+    assert play.ask(context.node, DEADLY).reason == BLOCKED
+
+
+@when("all coordinators and gateways lose power and start again")
+def _(context):
+    play = context.play
+    nodes = [*play.world.core, *sorted(play.world.gateways)]
+    for node in nodes:
+        play.world.kill(node)
+    play.run(1.0)
+    for node in nodes:
+        if node in play.world.core:
+            play.world.start(node)
+        else:
+            play.world.start_gateway(node)
+
+
+@when("the coordinators lose their disks one after the other")
+def _(context):
+    play = context.play
+    for node in play.world.core:
+        play.world.kill(node)
+        play.world.wipe(node)
+        play.run(0.5)
+        play.world.start(node)
+        play.run(8.0)
+
+
+@then("every gateway refuses the request {seconds:g} seconds later")
+def _(context, seconds):
+    context.play.run(seconds)
+    check_refused(context.play)
+
+
+def cut_off(world, zone):
+    """Cuts a zone's nodes off from those of the other zones."""
+    nodes = [*world.core, *sorted(world.gateways)]
+    inside = [node for node in nodes if node.startswith(f"{zone}/")]
+    for node in inside:
+        for other in nodes:
+            if other not in inside:
+                world.cut(node, other)
+    return inside, [node for node in nodes if node not in inside]
+
+
+@when("a zone is cut off and a request is blocked in the others")
+def _(context):
+    play = context.play
+    _, outside = cut_off(play.world, "z1")
+    play.run(3.0)
+    end_servers(play, 3, [n for n in outside if n in play.world.gateways])
+    play.run(1.0)
+
+
+@when("a zone is cut off and a request ends 1 server there and 2 elsewhere")
+def _(context):
+    play = context.play
+    inside, outside = cut_off(play.world, "z1")
+    play.run(3.0)
+    end_servers(play, 1, [n for n in inside if n in play.world.gateways])
+    end_servers(play, 2, [n for n in outside if n in play.world.gateways])
+    play.run(1.0)
+
+
+@when("the networks are joined again")
+def _(context):
+    context.play.world.heal()
+
+
+@when(
+    "all coordinators are away for {seconds:g} seconds"
+    " and a request ends 3 servers"
+)
+def _(context, seconds):
+    play = context.play
+    for node in play.world.core:
+        play.world.kill(node)
+    end_servers(play, 3, sorted(play.world.gateways))
+    play.run(seconds - 1.5)
+    for node in play.world.core:
+        play.world.start(node)
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -10,6 +10,7 @@
 
 from hickorylead.admission import budget
 from hickorylead.configuration import document
+from hickorylead.crashes import guard
 from hickorylead.fleet import instances, registry
 from hickorylead.forwarding import (
     choice,
@@ -45,6 +46,7 @@
                 zone="z1", view=view, book=self.book, rng=random.Random(1)
             ),
             book=self.book,
+            guard=guard.Guard("z1/front1"),
         )
         # Its coordinator has told it how many share the retries.
         self.subject.note_gateways(9, 0.0)
--- a/tests/support/crashplay.py
+++ b/tests/support/crashplay.py
@@ -75,7 +75,8 @@
         self._seen = len(world.gateway_effects)
         # Servers that come back, by time.
         self._due: list[tuple[float, instances.Instance]] = []
-        self.replaces = True
+        # Whether the caller of such a body leaves once its run is lost.
+        self.leaves_early = False
 
     def ask(
         self, gateway: str, body: bytes, *, last_event: int = 0
@@ -183,6 +184,9 @@
                 continue
             if run.submission.body in self.deadly:
                 self.end_server(run.server)
+                if self.leaves_early:
+                    left = events.CallerLeft(run.submission.name)
+                    self._tell(run.submission.gateway, left)
                 continue
             if age_s >= RUN_S + 0.1 * run.given:
                 self._give_event(run)
@@ -211,7 +215,7 @@
 
     def _replace(self) -> None:
         for due, server in list(self._due):
-            if self.replaces and self.world.now >= due:
+            if self.world.now >= due:
                 self._due.remove((due, server))
                 domain = int(server.domain.rpartition("d")[2])
                 name = f"{server.name}+"
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -20,6 +20,7 @@
     messages as consensus_messages,
     voter as voter_module,
 )
+from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import (
     events,
     former as former_module,
@@ -130,6 +131,7 @@
     incarnation: str
     records: list[consensus_messages.Record] = attrs.field(factory=list)
     servers: tuple[instances.Instance, ...] = ()
+    crashes: crash_messages.CrashNews | None = None
 
 
 class FleetWorld:
@@ -209,6 +211,8 @@
         )
         life = self.coordinators[node]
         life.registry.recall(disk.servers, self.now)
+        if disk.crashes is not None:
+            life.crashes.recall(disk.crashes, self.now)
         self._at(0.0, lambda: self._tick(node, life, coordinator.TICK_S))
 
     def start_gateway(self, node: str) -> None:
@@ -326,6 +330,8 @@
                 self.disks[node].records.append(record)
             case events.SaveInstances(known):
                 self.disks[node].servers = known
+            case events.SaveCrashes(known):
+                self.disks[node].crashes = known
             case events.AnswerReplace(token, accepted):
                 self.answers[token] = accepted
             case events.AnswerRead(token, version, content):
