Pass on lost runs of a gateway that has just turned to this home

Cause: such a gateway tells its lost runs before its first greeting here. It was not known as a gateway then, so the other coordinators got them only once hashes had differed for 0.7 s.

Change: news are passed on unless a coordinator told them.

--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -245,8 +245,9 @@
     def _take_crashes(
         self, news: crash_messages.CrashNews, now: float
     ) -> list[CoordinatorEffect]:
-        own = news.sender in self.gateways.list_all(now)
-        others = self.neighbours.list_alive(now) if own else []
+        # A gateway that has turned here tells before it is heard as one.
+        is_passed = news.sender in self.neighbours.known
+        others = [] if is_passed else self.neighbours.list_alive(now)
         effects = self._send_all(self.crashes.take(news, others, now))
         servers = {c.server for c in news.crashes if not c.has_ended}
         return [*effects, *self._keeper.suspect_servers(sorted(servers), now)]
