Show that entries, too, have one request end server after server

An entry forgets a request with its final answer, and beside this it tries one submission again for as long as the common budget for retries lasts.

Ruled out: calls under a key that is sent again (the claim answers them); calls that may run once are not tried again after a doubt.

No code of the product.

--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -99,3 +99,20 @@
     Then it got less than 60 in 100 of what its neighbour got, and some
     When it is as fast as the others for 120 s
     Then it got more than 60 in 100 of what its neighbour got, and some
+
+  Scenario: One submission does not end server after server
+    A request ends each server that runs it, 0.1 s after it began. Nothing of
+    its answer ever comes. Tried again for as long as the budget for retries
+    lasted, one submission ended all replicas with everything they ran.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted once
+    And 20 s pass
+    Then it ended 3 servers at most, and is refused as may_have_run
+
+  Scenario: A request that ended servers is not run again by its entry
+    Its caller submits it again, with the same body. The entry remembered
+    nothing of the former submissions.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted 5 times to one entry
+    Then it ended 3 servers at most, and is refused as not_run
+    And another request is answered
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -312,3 +312,48 @@
 def _(context, share):
     slow, fast = context.got
     assert fast > 0 and slow > share / 100 * fast, context.got
+
+
+DEADLY = b"ends its server"
+
+
+def submit_deadly(context):
+    """Submits a request that ends each server which runs it."""
+    world = context.world
+    world.deadly.add(DEADLY)
+    context.last = world.submit(
+        world.entries[0], "assistant", max_tokens=20, body=DEADLY
+    )
+
+
+@when("a request that ends its servers is submitted once")
+def _(context):
+    submit_deadly(context)
+
+
+@when(
+    "a request that ends its servers is submitted {count:d} times to one entry"
+)
+def _(context, count):
+    for _ in range(count):
+        submit_deadly(context)
+        context.world.run(6.0)
+
+
+@then("it ended {count:d} servers at most, and is refused as {verdict}")
+def _(context, count, verdict):
+    world = context.world
+    ended = [vm for vm, s in world.servers.items() if not s.alive]
+    assert 1 <= len(ended) <= count, ended
+    final = context.last.final
+    assert isinstance(final, events.Refuse), final
+    assert final.problem.code == "ends_servers", final
+    assert final.problem.verdict.value == verdict, final
+
+
+@then("another request is answered")
+def _(context):
+    world = context.world
+    answer = world.submit(world.entries[0], "assistant", max_tokens=20)
+    world.run(10.0)
+    assert isinstance(answer.final, events.FinishStream), answer.final
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -95,6 +95,8 @@
         self.paused: dict[str, float] = {}
         self.skew: dict[str, float] = collections.defaultdict(float)
         self.cuts: set[tuple[str, str]] = set()
+        # Bodies that end the server which runs them, soon after they begin.
+        self.deadly: set[bytes] = set()
         self.group_size = 2
         self.loss = 0.0
         self.delay_s = 0.001
@@ -551,6 +553,10 @@
         if request.key:
             self.key_runs[request.key] += 1
         server.streams[attempt.attempt_id] = (node, request.request_id)
+        if request.body in self.deadly:
+            vm = server.state.vm
+            self.after(0.1, lambda: self.kill_server(vm))
+            return
         if server.is_plain:
             self.after(
                 server.service_s, lambda: self._answer_plain(server, attempt)
