Have entries stop a request that ends its servers

Cause: an entry tried one submission again for as long as the common budget for retries lasted, and remembered nothing of it after its final answer.

Ruled out: the budget alone (20 saved retries are 20 replicas); a limit of tries for all (streams that go on after a loss have given something).

Change: three tries that may have run and gave nothing new end a submission, with a reason of its own; the two failing scenarios now name both reasons, and are as strict in what they count. An entry keeps the runs that it lost as gateways do, and blocks a content under which three replicas left the table. It judges by its own requests only.

--- a/src/hickorylead/requests/dispatcher.py
+++ b/src/hickorylead/requests/dispatcher.py
@@ -12,6 +12,7 @@
 from hickorylead import verdict as verdict_module
 from hickorylead.admission import budget as budget_module, queue
 from hickorylead.claims import claimant, messages as claim_messages
+from hickorylead.crashes import contents, guard as guard_module, ledger
 from hickorylead.requests import events, model, outcomes, state, trail
 from hickorylead.routing import policy as policy_module
 
@@ -39,6 +40,7 @@
         table: table.Table,
         book: health.HealthBook,
         policy: policy_module.Policy,
+        guard: guard_module.Guard,
     ) -> None:
         """Makes a dispatcher without requests.
 
@@ -48,12 +50,14 @@
             table: Replicas that serve.
             book: What this entry has seen of them.
             policy: The choice of a replica.
+            guard: Contents that no replica may get, and lost runs.
         """
         self._entry = entry
         self._controls = controls
         self._table = table
         self._book = book
         self._policy = policy
+        self._guard = guard
         self._budget = budget_module.RetryBudget()
         self._open: dict[str, state.Open] = {}
         self._by_attempt: dict[str, str] = {}
@@ -138,6 +142,15 @@
             request,
             now,
             non_idempotent=bool(service and service.non_idempotent),
+            content=contents.hash_content(
+                request.workspace,
+                (
+                    request.service.encode(),
+                    request.method.encode(),
+                    request.path.encode(),
+                    request.body,
+                ),
+            ),
         )
         self._open[request.request_id] = opened
         problem = self._check_arrival(opened, service)
@@ -247,6 +260,12 @@
 
     def _enqueue(self, opened: state.Open, now: float) -> list[Effect]:
         request = opened.request
+        # Arrivals and retries both come by here; without a look, each
+        # submission of a request that ends its server ended some more.
+        blocked_s = self._guard.find_block(opened.content, now)
+        if blocked_s is not None:
+            problem = outcomes.describe_block(opened.verdict, blocked_s)
+            return self._refuse(opened, problem, now)
         waiting = self.queues.setdefault(request.service, queue.FairQueue())
         opened.phase = "queued"
         if not opened.attempts:
@@ -434,6 +453,7 @@
             known_s + (duration_s - known_s) * 0.1
         )
         self._end_attempt(opened, now)
+        self._guard.note_answered(opened.content, now)
         self._book.get(attempt.replica.group).failures = 0
         self.trails.add(request.request_id, now, "ran")
         del self._open[request.request_id]
@@ -486,6 +506,10 @@
         opened.failed.add(attempt.replica.group)
         if reason != "busy":
             self._book.note_failure(attempt.replica.group, now)
+        if verdict is Verdict.MAY_HAVE_RUN:
+            opened.fruitless += not attempt.framed
+            group = attempt.replica.group
+            self._guard.note_lost(opened.content, group, 0, now)
         if opened.position:
             verdict = Verdict.MAY_HAVE_RUN
         opened.verdict = verdict_module.combine_verdicts(
@@ -534,6 +558,11 @@
                 f"the deadline passed; the last failure was {reason}",
                 outcomes.MIN_RETRY_AFTER_S,
             )
+        # Whether its replicas have ended is known only after a second. By then
+        # one submission, tried for as long as the budget lasted, had ended six
+        # of nine.
+        if opened.fruitless >= ledger.LIMIT:
+            return outcomes.describe_fruitless()
         if not self._budget.spend():
             return model.Problem(
                 503,
--- a/src/hickorylead/requests/outcomes.py
+++ b/src/hickorylead/requests/outcomes.py
@@ -8,6 +8,7 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.claims import messages as claim_messages
+from hickorylead.crashes import ledger
 from hickorylead.requests import model
 
 if TYPE_CHECKING:
@@ -80,6 +81,36 @@
     )
 
 
+def describe_block(
+    verdict: verdict_module.Verdict, left_s: float
+) -> model.Problem:
+    """Returns the problem of a request that ended the servers which ran it.
+
+    Args:
+        verdict: Whether this submission may have run.
+        left_s: How much longer it is blocked, in seconds.
+    """
+    ran = verdict is not Verdict.NOT_RUN
+    return model.Problem(
+        502 if ran else 503,
+        "ends_servers",
+        verdict,
+        "backend servers ended while they ran this request; it is run by none"
+        " until some time has passed",
+        None if ran else float(math.ceil(left_s)),
+    )
+
+
+def describe_fruitless() -> model.Problem:
+    """Returns the problem of a request that several replicas gave nothing."""
+    return model.Problem(
+        502,
+        "replicas_failed",
+        Verdict.MAY_HAVE_RUN,
+        f"{ledger.LIMIT} replicas failed while they ran it, and gave nothing",
+    )
+
+
 def clamp_retry(wait_s: float) -> float:
     """Returns a waiting time as whole seconds within bounds."""
     return min(
--- a/src/hickorylead/requests/state.py
+++ b/src/hickorylead/requests/state.py
@@ -44,6 +44,8 @@
         verdict: The worst of the attempts that ended.
         position: Tokens that the caller has.
         pieces: Their text.
+        content: Hash of what is asked for, the same when it is asked again.
+        fruitless: Attempts that may have run and gave nothing new.
     """
 
     request: model.Request
@@ -57,3 +59,5 @@
     verdict: verdict_module.Verdict = verdict_module.Verdict.NOT_RUN
     position: int = 0
     pieces: list[str] = attrs.field(factory=list)
+    content: int = 0
+    fruitless: int = 0
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -15,6 +15,12 @@
     follower as follower_module,
     messages as config_messages,
 )
+from hickorylead.crashes import (
+    exchange as exchange_module,
+    guard as guard_module,
+    ledger as ledger_module,
+    messages as crash_messages,
+)
 from hickorylead.membership import listener, messages as member_messages
 from hickorylead.requests import dispatcher as dispatcher_module, events
 from hickorylead.roles import nodes, operations, seam, status
@@ -76,6 +82,10 @@
         )
         self._table = table_module.Table()
         self._book = health.HealthBook()
+        # An entry judges by its own requests: it is its own home. That the
+        # same request ended servers by way of other entries is not known here.
+        self._guard = guard_module.Guard(identity.node)
+        self._crashes = exchange_module.Exchange(identity.node)
         self._dispatcher = dispatcher_module.Dispatcher(
             entry=identity.node,
             controls=by_zone,
@@ -84,6 +94,7 @@
             policy=policy_module.Policy(
                 zone=self._zone, table=self._table, book=self._book, rng=rng
             ),
+            guard=self._guard,
         )
         self._operations = operations.Operations(
             node=identity.node,
@@ -176,10 +187,25 @@
         if now >= self._next_refresh:
             self._next_refresh = now + REFRESH_PERIOD_S
             effects += self._refresh(now)
+        effects += self._block(now)
         effects += _wrap(self._dispatcher.tick(now))
         effects += self._operations.tick(now)
         return effects + self._check_stopped()
 
+    def _block(self, now: float) -> list[seam.EntryEffect]:
+        """Finds the requests under which too many replicas ended."""
+        for _, news in self._guard.tell(self._node, now):
+            self._crashes.take(news, (), now)
+
+        def has_ended(life: ledger_module.Life) -> bool:
+            return self._table.has_lost(life.server)
+
+        sent, written = self._crashes.tick(has_ended, (self._node,), now)
+        for _, told in sent:
+            if isinstance(told, crash_messages.BlockNews):
+                self._guard.take(told, now)
+        return [*written]
+
     def _refresh(self, now: float) -> list[seam.EntryEffect]:
         for zone, known in list(self._table.zones.items()):
             if zone != self._zone and now - known.heard_at > REMOTE_SILENCE_S:
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -16,6 +16,7 @@
 # A process loads the messages of its own roles only, when it first meets them:
 # all of them take a sixth of the time that a gateway needs to start.
 if TYPE_CHECKING:
+    from hickorylead import notes
     from hickorylead.claims import messages as claim_messages
     from hickorylead.configuration import changes, messages as config_messages
     from hickorylead.consensus import messages as consensus_messages
@@ -188,6 +189,7 @@
     "| AnswerExplain "
     "| AnswerFounding "
     "| Stopped "
+    "| notes.Note "
     "| request_events.Effect"
 )
 ControlEffect: TypeAlias = "Send | consensus_messages.Persist | orders.Give"
--- a/src/hickorylead/routing/table.py
+++ b/src/hickorylead/routing/table.py
@@ -8,6 +8,9 @@
 
 # Withdrawals remembered; each is of use until the next update only.
 MAX_WITHDRAWN = 1000
+# Groups that left the table and are remembered, to tell whether a run that was
+# lost was lost with its replica; a zone has 120 replicas.
+MAX_REMOVED = 1000
 
 
 @attrs.define
@@ -42,6 +45,7 @@
         self.zones: dict[str, ZoneTable] = {}
         self.loads: dict[str, ReportedLoad] = {}
         self._withdrawn: dict[tuple[str, int], None] = {}
+        self._removed: dict[str, None] = {}
         self._by_service: dict[str, list[messages.Replica]] | None = None
 
     def update(self, update: messages.TableUpdate, now: float) -> bool:
@@ -55,6 +59,8 @@
         if update.full:
             if update.fence == zone.fence and update.sequence < zone.sequence:
                 return False
+            for group in zone.replicas.keys() - {r.group for r in update.added}:
+                self._note_removed(group)
             zone.replicas = {}
             zone.complete = True
         elif update.fence == zone.fence and update.sequence < expected:
@@ -72,6 +78,7 @@
         for group in update.removed:
             zone.replicas.pop(group, None)
             self.loads.pop(group, None)
+            self._note_removed(group)
         for replica in update.added:
             zone.replicas[replica.group] = replica
         self._take_loads(zone, update.loads, now)
@@ -114,6 +121,15 @@
                     )
         return self._by_service.get(service, [])
 
+    def has_lost(self, group: str) -> bool:
+        """Says whether a replica has left the table of a zone that is heard."""
+        return group in self._removed
+
+    def _note_removed(self, group: str) -> None:
+        self._removed[group] = None
+        while len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
     def has_replica(self, replica: messages.Replica) -> bool:
         """Says whether exactly this replica still takes requests."""
         zone = self.zones.get(replica.zone)
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from hickorylead import verdict as verdict_module
+from hickorylead import notes, verdict as verdict_module
 from hickorylead.requests import events
 from hickorylead.roles import entry as entry_role, nodes, seam
 from hickorylead.runtime import (
@@ -174,6 +174,8 @@
                 self._end(
                     request_id, problem.verdict, effect, reason=problem.code
                 )
+            case notes.Note(event):
+                self.log.info(event, **effect.fields)
             case seam.AnswerChange(change_id):
                 self.changes.answer(change_id, effect)
             case seam.AnswerStatus(token):
--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -48,6 +48,7 @@
     Given a deployment with 12 engines a zone in 3 domains and 3 replicas
     When traffic runs and one domain of each zone goes dark
     Then extra attempts are below 10 in 100 requests
+    And no request is refused for the servers that it ended or that failed
 
   Scenario: An entry stops gracefully
     An entry is asked to stop. It takes no new request, says so as not run
@@ -107,12 +108,14 @@
     Given a deployment with 12 engines a zone in 3 domains and 3 replicas
     When a request that ends its servers is submitted once
     And 20 s pass
-    Then it ended 3 servers at most, and is refused as may_have_run
+    Then it ended 3 servers at most
+    And it is refused as may_have_run with code "replicas_failed"
 
   Scenario: A request that ended servers is not run again by its entry
     Its caller submits it again, with the same body. The entry remembered
     nothing of the former submissions.
     Given a deployment with 12 engines a zone in 3 domains and 3 replicas
     When a request that ends its servers is submitted 5 times to one entry
-    Then it ended 3 servers at most, and is refused as not_run
+    Then it ended 3 servers at most
+    And it is refused as not_run with code "ends_servers"
     And another request is answered
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -340,17 +340,31 @@
         context.world.run(6.0)
 
 
-@then("it ended {count:d} servers at most, and is refused as {verdict}")
-def _(context, count, verdict):
-    world = context.world
-    ended = [vm for vm, s in world.servers.items() if not s.alive]
+@then("it ended {count:d} servers at most")
+def _(context, count):
+    servers = context.world.servers
+    ended = [vm for vm, server in servers.items() if not server.alive]
     assert 1 <= len(ended) <= count, ended
+
+
+@then('it is refused as {verdict} with code "{code}"')
+def _(context, verdict, code):
     final = context.last.final
     assert isinstance(final, events.Refuse), final
-    assert final.problem.code == "ends_servers", final
+    assert final.problem.code == code, final
     assert final.problem.verdict.value == verdict, final
 
 
+@then("no request is refused for the servers that it ended or that failed")
+def _(context):
+    codes = [
+        answer.final.problem.code
+        for answer in context.answers
+        if isinstance(answer.final, events.Refuse)
+    ]
+    assert not {"ends_servers", "replicas_failed"} & set(codes), codes
+
+
 @then("another request is answered")
 def _(context):
     world = context.world
