Join what entries find about requests that end servers

Cause: each entry judged by its own requests only; a caller that goes through all of them ended three servers at each.

Ruled out: to confirm at the control processes: one zone's know nothing of another zone's replicas, while an entry has the table of all zones.

Change: entries tell their zone's control processes which runs ended with their replica; these tell the other zones' and block at their entries. What blocks something is told again each 5 s, so that a zone that restarted has it back; it is not on disk here.

--- a/src/hickorylead/crashes/exchange.py
+++ b/src/hickorylead/crashes/exchange.py
@@ -18,6 +18,9 @@
 Sent: TypeAlias = tuple[str, messages.Message]
 
 FORGET_PERIOD_S = 1.0
+# Where hashes are not compared, all is told again this often, in seconds, while
+# there is anything: within it a process that restarted knows what is blocked.
+RETELL_PERIOD_S = 5.0
 
 
 class Exchange:
@@ -98,7 +101,7 @@
         differs = self._gateways.differs(node, check, ours, now)
         if not differs and not (is_new and check != ours):
             return []
-        return [(node, self._describe_blocked(now))]
+        return [(node, self.describe_blocked(now))]
 
     def tick(
         self,
@@ -122,18 +125,11 @@
             return [], []
         written = self._describe_change(blocked)
         self._told = blocked
-        news = self._describe_blocked(now)
+        news = self.describe_blocked(now)
         return [(node, news) for node in gateways], written
 
-    def describe_all(self, now: float) -> messages.CrashNews:
-        """Returns all that is known, for another node or for the disk."""
-        return messages.CrashNews(
-            self._node,
-            self._ledger.list_crashes(now),
-            self._ledger.list_clearances(now),
-        )
-
-    def _describe_blocked(self, now: float) -> messages.BlockNews:
+    def describe_blocked(self, now: float) -> messages.BlockNews:
+        """Returns what gateways are told: all that is blocked."""
         blocked = self._ledger.find_blocked()
         blocks = tuple(
             messages.Block(content, max(0, int((until - now) * 1000)))
@@ -146,6 +142,27 @@
         )
         return messages.BlockNews(self._node, blocks, cleared)
 
+    def describe_proof(self, now: float) -> messages.CrashNews:
+        """Returns the lost runs for which something is blocked, no others.
+
+        After the loss of a zone thousands of runs are known that block nothing.
+        """
+        blocked = self._ledger.find_blocked()
+        crashes = tuple(
+            crash
+            for crash in self._ledger.list_crashes(now)
+            if crash.content in blocked and crash.has_ended
+        )
+        return messages.CrashNews(self._node, crashes)
+
+    def describe_all(self, now: float) -> messages.CrashNews:
+        """Returns all that is known, for another node or for the disk."""
+        return messages.CrashNews(
+            self._node,
+            self._ledger.list_crashes(now),
+            self._ledger.list_clearances(now),
+        )
+
     def _describe_change(self, blocked: frozenset[int]) -> list[notes.Note]:
         found = [
             notes.note(
--- a/src/hickorylead/crashes/ledger.py
+++ b/src/hickorylead/crashes/ledger.py
@@ -46,6 +46,15 @@
     born: int
 
 
+@attrs.frozen(order=True)
+class Run:
+    """A content at one life of a server."""
+
+    content: int
+    server: str
+    born: int
+
+
 @attrs.define
 class _Loss:
     at: float
--- a/src/hickorylead/roles/control.py
+++ b/src/hickorylead/roles/control.py
@@ -19,6 +19,10 @@
     messages as consensus_messages,
     voter as voter_module,
 )
+from hickorylead.crashes import (
+    exchange as exchange_module,
+    messages as crash_messages,
+)
 from hickorylead.lease import messages as lease_messages, zone as lease_zone
 from hickorylead.membership import (
     announcements,
@@ -84,6 +88,7 @@
             wall: Wall-clock time, in Unix seconds.
         """
         self._identity = identity
+        self._others = tuple(n for n in identity.controls if n != identity.node)
         self._zone = nodes.get_zone(identity.node)
         by_zone = nodes.group_by_zone(identity.controls)
         zone_controls = by_zone[self._zone]
@@ -94,11 +99,10 @@
             all_controls=identity.controls,
         )
         if identity.incarnation:
-            others = [n for n in identity.controls if n != identity.node]
             self._voter = voter_module.Voter(
                 node=identity.node,
                 incarnation=identity.incarnation,
-                peers=tuple(others),
+                peers=self._others,
                 rng=rng,
                 now=now,
             )
@@ -119,6 +123,8 @@
         self._claims = claim_holder.Holder(
             node=identity.node, started_at=wall, max_skew_s=max_skew_s
         )
+        self._crashes = exchange_module.Exchange(identity.node)
+        self._next_retell = now
         self._askers: dict[str, str] = {}
         self._founding = founding_module.Founding(
             node=identity.node, controls=identity.controls
@@ -163,8 +169,36 @@
         effects += _wrap(self._lease.tick(now))
         effects += _wrap(self._follower.poll(now))
         known = self._follower.configuration if self._follower.ready else None
+        effects += self._block(now)
         return effects + _wrap(self._holder.tick(known, now))
 
+    # Requests that end servers.
+
+    def _take_crashes(
+        self, news: crash_messages.CrashNews, now: float
+    ) -> list[seam.ControlEffect]:
+        is_passed = news.sender in self._others
+        others = () if is_passed else self._others
+        return _send_all(self._crashes.take(news, others, now))
+
+    def _block(self, now: float) -> list[seam.ControlEffect]:
+        """Tells the zone's entries what is blocked, at once and again later.
+
+        Another zone's control processes are told why, as they may all have
+        restarted.
+        """
+        entries = sorted(self._registry.entries)
+        # Entries find out which replicas ended; nothing is told before.
+        sent, _ = self._crashes.tick(lambda _: False, entries, now)
+        if now >= self._next_retell:
+            self._next_retell = now + exchange_module.RETELL_PERIOD_S
+            if self._crashes.count_blocked():
+                news = self._crashes.describe_blocked(now)
+                sent = [(node, news) for node in entries]
+                proof = self._crashes.describe_proof(now)
+                sent += [(n, proof) for n in self._others]
+        return _send_all(sent)
+
     def _receive(
         self, sender: str, message: seam.Message, now: float, wall: float
     ) -> list[seam.ControlEffect]:
@@ -183,6 +217,8 @@
                 | claim_messages.ClaimFinish()
             ):
                 return _wrap(self._claims.receive(message, wall))
+            case crash_messages.CrashNews():
+                return self._take_crashes(message, now)
             case lease_messages.LeaseRequest() | lease_messages.LeaseReply():
                 return _wrap(self._lease.receive(message, now))
             case (
@@ -400,6 +436,12 @@
         )
 
 
+def _send_all(
+    sent: Iterable[exchange_module.Sent],
+) -> list[seam.ControlEffect]:
+    return [seam.Send(node, message) for node, message in sent]
+
+
 def _wrap(effects: Iterable) -> list[seam.ControlEffect]:
     """Returns the effects of the parts as effects of the role."""
     return [
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -82,10 +82,13 @@
         )
         self._table = table_module.Table()
         self._book = health.HealthBook()
-        # An entry judges by its own requests: it is its own home. That the
-        # same request ended servers by way of other entries is not known here.
+        # An entry finds out itself which replicas ended, from the table of all
+        # zones. So it is its own home; control processes join what all found.
         self._guard = guard_module.Guard(identity.node)
         self._crashes = exchange_module.Exchange(identity.node)
+        self._told_crashes: set[ledger_module.Run] = set()
+        self._seen_crashes = 0
+        self._next_retell = 0.0
         self._dispatcher = dispatcher_module.Dispatcher(
             entry=identity.node,
             controls=by_zone,
@@ -194,8 +197,12 @@
 
     def _block(self, now: float) -> list[seam.EntryEffect]:
         """Finds the requests under which too many replicas ended."""
+        effects: list[seam.EntryEffect] = []
         for _, news in self._guard.tell(self._node, now):
             self._crashes.take(news, (), now)
+            if news.clearances:
+                cleared = attrs.evolve(news, crashes=())
+                effects += self._tell_controls(cleared)
 
         def has_ended(life: ledger_module.Life) -> bool:
             return self._table.has_lost(life.server)
@@ -204,7 +211,43 @@
         for _, told in sent:
             if isinstance(told, crash_messages.BlockNews):
                 self._guard.take(told, now)
-        return [*written]
+        return [*effects, *written, *self._tell_crashes(now)]
+
+    def _tell_crashes(self, now: float) -> list[seam.EntryEffect]:
+        """Tells which requests ended replicas, at once and some again later.
+
+        Control processes keep it in memory only; one that restarts has back
+        what is blocked with the next time.
+        """
+        effects: list[seam.EntryEffect] = []
+        if self._crashes.check != self._seen_crashes:
+            self._seen_crashes = self._crashes.check
+            effects += self._tell_controls(self._find_untold(now))
+        if now >= self._next_retell:
+            self._next_retell = now + exchange_module.RETELL_PERIOD_S
+            effects += self._tell_controls(self._crashes.describe_proof(now))
+        return effects
+
+    def _find_untold(self, now: float) -> crash_messages.CrashNews:
+        """Returns the ended runs that no control process was told yet."""
+        news = self._crashes.describe_all(now)
+        ended = {
+            ledger_module.Run(c.content, c.server, c.born): c
+            for c in news.crashes
+            if c.has_ended
+        }
+        untold = ended.keys() - self._told_crashes
+        self._told_crashes = set(ended)
+        return crash_messages.CrashNews(
+            self._node, tuple(ended[run] for run in sorted(untold))
+        )
+
+    def _tell_controls(
+        self, news: crash_messages.CrashNews
+    ) -> list[seam.EntryEffect]:
+        if not news.crashes and not news.clearances:
+            return []
+        return [seam.Send(node, news) for node in self._zone_controls]
 
     def _refresh(self, now: float) -> list[seam.EntryEffect]:
         for zone, known in list(self._table.zones.items()):
@@ -243,6 +286,9 @@
                 return _wrap(self._dispatcher.receive_claim(message, now))
             case member_messages.ResendRequest():
                 return _wrap(self._listener.resend(sender))
+            case crash_messages.BlockNews():
+                self._guard.take(message, now)
+                return []
             case config_messages.ConfigurationUpdate():
                 self._follower.receive(message, now)
                 return []
--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -119,3 +119,18 @@
     Then it ended 3 servers at most
     And it is refused as not_run with code "ends_servers"
     And another request is answered
+
+  Scenario: All entries refuse a request that ended servers by way of some
+    Its caller submits it to another entry each time. What each entry found is
+    joined by the control processes of all zones.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted to 5 entries in turn
+    Then it ended 4 servers at most
+    And all entries refuse it as not_run with code "ends_servers"
+
+  Scenario: An entry that starts again refuses what the others refuse
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted to 5 entries in turn
+    And all entries and control processes of a zone start again
+    And 10 s pass
+    Then all entries refuse it as not_run with code "ends_servers"
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -317,12 +317,12 @@
 DEADLY = b"ends its server"
 
 
-def submit_deadly(context):
-    """Submits a request that ends each server which runs it."""
+def submit_deadly(context, number=0):
+    """Submits a request that ends each server which runs it to an entry."""
     world = context.world
     world.deadly.add(DEADLY)
     context.last = world.submit(
-        world.entries[0], "assistant", max_tokens=20, body=DEADLY
+        world.entries[number], "assistant", max_tokens=20, body=DEADLY
     )
 
 
@@ -340,6 +340,36 @@
         context.world.run(6.0)
 
 
+@when(
+    "a request that ends its servers is submitted to {count:d} entries in turn"
+)
+def _(context, count):
+    for number in range(count):
+        submit_deadly(context, number)
+        context.world.run(6.0)
+
+
+@when("all entries and control processes of a zone start again")
+def _(context):
+    world = context.world
+    zone = world.zones[0]
+    for node in (*world.controls, *world.entries):
+        if node.startswith(f"{zone}/"):
+            world.start(node)
+
+
+@then('all entries refuse it as not_run with code "{code}"')
+def _(context, code):
+    world = context.world
+    for number, node in enumerate(world.entries):
+        submit_deadly(context, number)
+        world.run(0.5)
+        final = context.last.final
+        assert isinstance(final, events.Refuse), (node, final)
+        assert final.problem.code == code, (node, final)
+        assert final.problem.verdict is Verdict.NOT_RUN, (node, final)
+
+
 @then("it ended {count:d} servers at most")
 def _(context, count):
     servers = context.world.servers
