Test what a gateway blames on a request, and what it does not

Cause: the first scenarios play whole fleets; which runs count, and which status a blocked request gets at each stage, was held by few of them.

No code of the product.

--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -128,6 +128,13 @@
     Then it ended 4 servers at most
     And all entries refuse it as not_run with code "ends_servers"
 
+  Scenario: Servers that ended by way of entries of several zones add up
+    Its caller leaves once a server has ended, and goes to another zone. No
+    entry has seen more than one.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request ends one server by way of an entry of each zone
+    Then all entries refuse it as not_run with code "ends_servers"
+
   Scenario: An entry that starts again refuses what the others refuse
     Given a deployment with 12 engines a zone in 3 domains and 3 replicas
     When a request that ends its servers is submitted to 5 entries in turn
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -13,8 +13,7 @@
 from behave import given, then, when
 import orjson
 from returns import result
-from steps.forwarding_steps import ROUTES
-from support import platformday
+from support import forwardplay, platformday
 
 from hickorylead import errors
 from hickorylead.forwarding import events, model
@@ -218,7 +217,7 @@
     request = model.Request(
         request_id="r1",
         terms=dialect.read_terms(sent),
-        route=ROUTES["alerts"],
+        route=forwardplay.ROUTES["alerts"],
         service="plain",
         workspace="crew",
         method="POST",
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -349,6 +349,25 @@
         context.world.run(6.0)
 
 
+@when("a request ends one server by way of an entry of each zone")
+def _(context):
+    world = context.world
+    for zone in world.zones:
+        node = next(n for n in world.entries if n.startswith(f"{zone}/"))
+        submit_deadly(context, world.entries.index(node))
+        before = count_ended(world)
+        world.run_until(lambda known=before: count_ended(world) > known)
+        left = events.CallerLeft(context.last.request.request_id)
+        world.give(node, left)
+        world.run(5.0)
+        assert count_ended(world) == before + 1
+
+
+def count_ended(world):
+    """Returns how many servers have ended."""
+    return sum(not server.alive for server in world.servers.values())
+
+
 @when("all entries and control processes of a zone start again")
 def _(context):
     world = context.world
@@ -372,9 +391,8 @@
 
 @then("it ended {count:d} servers at most")
 def _(context, count):
-    servers = context.world.servers
-    ended = [vm for vm, server in servers.items() if not server.alive]
-    assert 1 <= len(ended) <= count, ended
+    ended = count_ended(context.world)
+    assert 1 <= ended <= count, ended
 
 
 @then('it is refused as {verdict} with code "{code}"')
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -503,6 +503,12 @@
             return
         self.after(self._flight_s(), lambda: self._serve(node, attempt))
 
+    def _end_under(
+        self, server: servers_module.Server, attempt: events.OpenAttempt
+    ) -> None:
+        if server.alive and attempt.attempt_id in server.streams:
+            self.kill_server(server.state.vm)
+
     def _serve(self, node: str, attempt: events.OpenAttempt) -> None:
         server = self.servers[attempt.replica.vm]
         if not server.alive:
@@ -554,8 +560,7 @@
             self.key_runs[request.key] += 1
         server.streams[attempt.attempt_id] = (node, request.request_id)
         if request.body in self.deadly:
-            vm = server.state.vm
-            self.after(0.1, lambda: self.kill_server(vm))
+            self.after(0.1, lambda: self._end_under(server, attempt))
             return
         if server.is_plain:
             self.after(
