Say in the regression test what the evidence was, and no more

Cause: its story said that the servers which ended had one content in common. The logs of that play had no content in their lines; it is inferred.

Change: words only.

--- a/tests/crashes/crashes.feature
+++ b/tests/crashes/crashes.feature
@@ -7,9 +7,10 @@
     its replica 0.1 s after it began; the gateway tried another one, and that
     ended as well. A gateway forgot the request with its final answer, and no
     other gateway heard of it, so each submission could end two more.
-    The evidence: in the logs both tries of such a submission end as closed
-    without an event, each together with all other requests of its head, at
-    changing gateways; the servers that ended have this content in common.
+    The evidence: in the logs both tries of the request that was reported end as
+    closed without an event, each at the moment at which all other requests of
+    its head are closed. Here nothing but that body tells it from others, and
+    without what nodes remember of it, heads end in the same way.
     Given gateways with 24 replicas' servers and callers
     When a caller sends a request each 0.3 seconds that ends its replica
     Then from 1 second after the third one ended it reaches no replica
