--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -48,6 +48,7 @@
     Given a deployment with 12 engines a zone in 3 domains and 3 replicas
     When traffic runs and one domain of each zone goes dark
     Then extra attempts are below 10 in 100 requests
+    And no request is refused for the servers that it ended or that failed
 
   Scenario: An entry stops gracefully
     An entry is asked to stop. It takes no new request, says so as not run
@@ -99,3 +100,44 @@
     Then it got less than 60 in 100 of what its neighbour got, and some
     When it is as fast as the others for 120 s
     Then it got more than 60 in 100 of what its neighbour got, and some
+
+  Scenario: One submission does not end server after server
+    A request ends each server that runs it, 0.1 s after it began. Nothing of
+    its answer ever comes. Tried again for as long as the budget for retries
+    lasted, one submission ended all replicas with everything they ran.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted once
+    And 20 s pass
+    Then it ended 3 servers at most
+    And it is refused as may_have_run with code "replicas_failed"
+
+  Scenario: A request that ended servers is not run again by its entry
+    Its caller submits it again, with the same body. The entry remembered
+    nothing of the former submissions.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted 5 times to one entry
+    Then it ended 3 servers at most
+    And it is refused as not_run with code "ends_servers"
+    And another request is answered
+
+  Scenario: All entries refuse a request that ended servers by way of some
+    Its caller submits it to another entry each time. What each entry found is
+    joined by the control processes of all zones.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted to 5 entries in turn
+    Then it ended 4 servers at most
+    And all entries refuse it as not_run with code "ends_servers"
+
+  Scenario: Servers that ended by way of entries of several zones add up
+    Its caller leaves once a server has ended, and goes to another zone. No
+    entry has seen more than one.
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request ends one server by way of an entry of each zone
+    Then all entries refuse it as not_run with code "ends_servers"
+
+  Scenario: An entry that starts again refuses what the others refuse
+    Given a deployment with 12 engines a zone in 3 domains and 3 replicas
+    When a request that ends its servers is submitted to 5 entries in turn
+    And all entries and control processes of a zone start again
+    And 10 s pass
+    Then all entries refuse it as not_run with code "ends_servers"
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -312,3 +312,110 @@
 def _(context, share):
     slow, fast = context.got
     assert fast > 0 and slow > share / 100 * fast, context.got
+
+
+DEADLY = b"ends its server"
+
+
+def submit_deadly(context, number=0):
+    """Submits a request that ends each server which runs it to an entry."""
+    world = context.world
+    world.deadly.add(DEADLY)
+    context.last = world.submit(
+        world.entries[number], "assistant", max_tokens=20, body=DEADLY
+    )
+
+
+@when("a request that ends its servers is submitted once")
+def _(context):
+    submit_deadly(context)
+
+
+@when(
+    "a request that ends its servers is submitted {count:d} times to one entry"
+)
+def _(context, count):
+    for _ in range(count):
+        submit_deadly(context)
+        context.world.run(6.0)
+
+
+@when(
+    "a request that ends its servers is submitted to {count:d} entries in turn"
+)
+def _(context, count):
+    for number in range(count):
+        submit_deadly(context, number)
+        context.world.run(6.0)
+
+
+@when("a request ends one server by way of an entry of each zone")
+def _(context):
+    world = context.world
+    for zone in world.zones:
+        node = next(n for n in world.entries if n.startswith(f"{zone}/"))
+        submit_deadly(context, world.entries.index(node))
+        before = count_ended(world)
+        world.run_until(lambda known=before: count_ended(world) > known)
+        left = events.CallerLeft(context.last.request.request_id)
+        world.give(node, left)
+        world.run(5.0)
+        assert count_ended(world) == before + 1
+
+
+def count_ended(world):
+    """Returns how many servers have ended."""
+    return sum(not server.alive for server in world.servers.values())
+
+
+@when("all entries and control processes of a zone start again")
+def _(context):
+    world = context.world
+    zone = world.zones[0]
+    for node in (*world.controls, *world.entries):
+        if node.startswith(f"{zone}/"):
+            world.start(node)
+
+
+@then('all entries refuse it as not_run with code "{code}"')
+def _(context, code):
+    world = context.world
+    for number, node in enumerate(world.entries):
+        submit_deadly(context, number)
+        world.run(0.5)
+        final = context.last.final
+        assert isinstance(final, events.Refuse), (node, final)
+        assert final.problem.code == code, (node, final)
+        assert final.problem.verdict is Verdict.NOT_RUN, (node, final)
+
+
+@then("it ended {count:d} servers at most")
+def _(context, count):
+    ended = count_ended(context.world)
+    assert 1 <= ended <= count, ended
+
+
+@then('it is refused as {verdict} with code "{code}"')
+def _(context, verdict, code):
+    final = context.last.final
+    assert isinstance(final, events.Refuse), final
+    assert final.problem.code == code, final
+    assert final.problem.verdict.value == verdict, final
+
+
+@then("no request is refused for the servers that it ended or that failed")
+def _(context):
+    codes = [
+        answer.final.problem.code
+        for answer in context.answers
+        if isinstance(answer.final, events.Refuse)
+    ]
+    assert not {"ends_servers", "replicas_failed"} & set(codes), codes
+
+
+@then("another request is answered")
+def _(context):
+    world = context.world
+    answer = world.submit(world.entries[0], "assistant", max_tokens=20)
+    world.run(10.0)
+    assert isinstance(answer.final, events.FinishStream), answer.final
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -95,6 +95,8 @@
         self.paused: dict[str, float] = {}
         self.skew: dict[str, float] = collections.defaultdict(float)
         self.cuts: set[tuple[str, str]] = set()
+        # Bodies that end the server which runs them, soon after they begin.
+        self.deadly: set[bytes] = set()
         self.group_size = 2
         self.loss = 0.0
         self.delay_s = 0.001
@@ -501,6 +503,12 @@
             return
         self.after(self._flight_s(), lambda: self._serve(node, attempt))
 
+    def _end_under(
+        self, server: servers_module.Server, attempt: events.OpenAttempt
+    ) -> None:
+        if server.alive and attempt.attempt_id in server.streams:
+            self.kill_server(server.state.vm)
+
     def _serve(self, node: str, attempt: events.OpenAttempt) -> None:
         server = self.servers[attempt.replica.vm]
         if not server.alive:
@@ -551,6 +559,9 @@
         if request.key:
             self.key_runs[request.key] += 1
         server.streams[attempt.attempt_id] = (node, request.request_id)
+        if request.body in self.deadly:
+            self.after(0.1, lambda: self._end_under(server, attempt))
+            return
         if server.is_plain:
             self.after(
                 server.service_s, lambda: self._answer_plain(server, attempt)
