--- a/src/hickorylead/crashes/ledger.py
+++ b/src/hickorylead/crashes/ledger.py
@@ -17,14 +17,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# Servers that ended under a content until it is blocked. Two are no proof: of
-# the streams at a server that ends, each goes on elsewhere, and in a time of
-# many losses one in twenty loses that server as well. A third one is met by
-# none of them, as a submission has two tries and its caller one more.
+# Servers that ended under a content until it is blocked. Two are no proof: a
+# stream that loses its server goes on at another one, which may end as well. A
+# request and its caller's retry have four tries, so one that is innocent can
+# meet a third end; how often was not measured. It then loses its last try.
 LIMIT = 3
 # A lost run counts only if the life of its server ends within this, in seconds.
-# That is known within 0.5 s where coordinators run; they may be away for some
-# seconds themselves.
+# Coordinators may be away for some seconds and hear of servers only after that.
+# Chosen by that, not measured.
 PENDING_S = 30.0
 # A content is blocked until the third last server under it ended this long ago,
 # in seconds: long against the seconds in which a caller tries again, and short
