Answer every scrape of the metrics, not just the first

What operators saw: metrics of the moment of the first scrape, errors from then on. Cause: collectors without a registry of their own join one of the whole process, which refuses a name that it has. Each scrape made its collectors anew. Ruled out: the metrics port (the first scrape came through) and load. Change: each scrape's collectors are given that scrape's registry.

--- a/src/hickorylead/telemetry/figures.py
+++ b/src/hickorylead/telemetry/figures.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    import aioprometheus
+
     from hickorylead import notes
 
 # Upper bounds of the buckets, in seconds: around the objectives that we know
@@ -71,35 +73,43 @@
         import aioprometheus
         from aioprometheus import formats
 
+        # Each collector is given the registry of this scrape. Without one it
+        # joins a registry of the whole process, which refuses its name the
+        # second time: all scrapes but the first one failed.
         registry = aioprometheus.Registry()
         events = aioprometheus.Counter(
-            "hickorylead_decisions_total", "Decisions by event and detail"
+            "hickorylead_decisions_total",
+            "Decisions by event and detail",
+            registry=registry,
         )
-        registry.register(events)
         for (event, detail), count in self._events.items():
             events.set({"event": event, "detail": detail}, count)
         self._render_durations(registry)
         for name, value in gauges.items():
-            gauge = aioprometheus.Gauge(f"hickorylead_{name}", name)
-            registry.register(gauge)
+            gauge = aioprometheus.Gauge(
+                f"hickorylead_{name}", name, registry=registry
+            )
             gauge.set({}, value)
         return formats.text.TextFormatter().marshall(registry)
 
-    def _render_durations(self, registry: object) -> None:
+    def _render_durations(self, registry: aioprometheus.Registry) -> None:
         import aioprometheus
 
         buckets = aioprometheus.Counter(
             "hickorylead_request_seconds_bucket",
             "Requests that ended within a time, by kind and end",
+            registry=registry,
         )
         total = aioprometheus.Counter(
-            "hickorylead_request_seconds_sum", "Seconds of all requests"
+            "hickorylead_request_seconds_sum",
+            "Seconds of all requests",
+            registry=registry,
         )
         number = aioprometheus.Counter(
-            "hickorylead_request_seconds_count", "Requests that ended"
+            "hickorylead_request_seconds_count",
+            "Requests that ended",
+            registry=registry,
         )
-        for part in (buckets, total, number):
-            registry.register(part)  # type: ignore[attr-defined]
         for (kind, end), counts in self._durations.items():
             labels = {"kind": kind, "end": end}
             for bound_s, count in zip(BUCKETS_S, counts, strict=False):
--- /dev/null
+++ b/tests/steps/figure_steps.py
@@ -0,0 +1,32 @@
+"""Steps about the figures of a process."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from hickorylead import notes
+from hickorylead.telemetry import figures
+
+
+@given("a process that has counted {count:d} decisions")
+def _(context, count):
+    context.figures = figures.Figures()
+    for _ in range(count):
+        context.figures.take(notes.note("replica_stalled"))
+
+
+@when("its metrics are scraped")
+def _(context):
+    context.scraped = context.figures.render({"open_requests": 7}).decode()
+
+
+@when("it counts another decision")
+def _(context):
+    context.figures.take(notes.note("replica_stalled"))
+
+
+@then("the last scrape counts {count:d} decisions and shows the present values")
+def _(context, count):
+    line = 'hickorylead_decisions_total{detail="",event="replica_stalled"}'
+    assert f"{line} {count}" in context.scraped, context.scraped
+    assert "hickorylead_open_requests 7" in context.scraped, context.scraped
