Tell in the log which limit a server names, and what was known at each try

Cause: lines about requests did not tell whether a gateway knew that a server had named a limit, so that one that ignores it looks like one that never heard of it. Change: the header is decoded in the adapter; a line when a server names another limit; the limit known when a try was sent is in the lines of tries. No decision uses it.

--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -11,6 +11,7 @@
     from hickorylead import verdict as verdict_module
     from hickorylead.forwarding import (
         health as health_module,
+        model,
         stalls,
         state,
     )
@@ -111,6 +112,15 @@
     )
 
 
+def describe_limit(
+    replica: model.Replica, limit_per_s: float | None
+) -> notes.Note:
+    """Returns the line about a replica that names another limit, or none."""
+    return notes.note(
+        "server_limit", server=replica.name, limit_per_s=limit_per_s
+    )
+
+
 def _describe_choice(attempt: state.Attempt) -> dict[str, Any]:
     choice = attempt.choice
     return {
@@ -120,6 +130,7 @@
         "weighed": choice.weighed,
         "estimate_s": round(choice.estimate_s, 4),
         "running": choice.running,
+        "limit_per_s": choice.limit_per_s,
         "load_told_ago_s": _round(choice.told_ago_s),
     }
 
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -279,6 +279,7 @@
             chosen.estimate_s,
             seen.running,
             now - seen.told_at if seen.told_at > 0 else None,
+            seen.limit_per_s,
         )
         seen.running += 1
         seen.reading += request.terms.prompt_tokens
@@ -335,6 +336,10 @@
         attempt.heard_at = now
         if attempt.cutter is not None and head.status != 200:
             attempt.cutter = None
+        if self._book.note_limit(attempt.replica, head.limit_per_s):
+            return [
+                descriptions.describe_limit(attempt.replica, head.limit_per_s)
+            ]
         return []
 
     def _take_piece(
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -93,6 +93,8 @@
         not_run: Whether the replica says that it did not run the request.
         is_encoded: Whether something on the way changed the body's encoding.
         load: The replica's load, if told.
+        limit_per_s: Requests a second that the replica takes from all gateways
+            together, as long as it says so; None if it takes what comes.
     """
 
     status: int
@@ -102,6 +104,7 @@
     not_run: bool = False
     is_encoded: bool = False
     load: Load | None = None
+    limit_per_s: float | None = None
 
 
 @attrs.frozen
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -21,12 +21,14 @@
         estimate_s: Estimated time to the first token, in seconds.
         running: Own requests that ran there.
         told_ago_s: Age of the load that it told; None if it told none.
+        limit_per_s: Limit that it had named here by then; None if none.
     """
 
     weighed: int = 0
     estimate_s: float = 0.0
     running: int = 0
     told_ago_s: float | None = None
+    limit_per_s: float | None = None
 
 
 @attrs.define
--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import orjson
@@ -22,6 +23,7 @@
 _SEAL = b"server-seal"
 _NOT_RUN = b"not-executed"
 _LOAD = b"server-load"
+_LIMIT = b"server-limit"
 _RANK = b"urgency-class"
 
 # Headers that concern one connection only, and those that are written anew.
@@ -134,6 +136,7 @@
             not_run=_NOT_RUN in found or status == 421,
             is_encoded=encoding not in (b"", b"identity"),
             load=_read_load(found.get(_LOAD)),
+            limit_per_s=_read_limit(found.get(_LIMIT)),
         )
 
     def write_refusal(
@@ -166,3 +169,15 @@
         # good as none.
         return None
     return model.Load(running, waiting, slots)
+
+
+def _read_limit(value: bytes | None) -> float | None:
+    if not value:
+        return None
+    try:
+        limit_per_s = float(value)
+    except ValueError:
+        # How much it takes is not known, and to spare it altogether would idle
+        # a server for a header that was spoiled on its way.
+        return None
+    return max(0.0, limit_per_s) if math.isfinite(limit_per_s) else None
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -57,3 +57,17 @@
   Scenario: What concerns one connection is not passed on
     Given a platform request with headers of its connection
     Then the replica gets neither of them
+
+  Scenario Outline: The limit that a replica names is read
+    Given a replica's answer that names the limit "<text>"
+    Then its limit is <limit>
+
+    Examples:
+      | text  | limit |
+      | 1.5   | 1.5   |
+      | 0     | 0     |
+      | -2    | 0     |
+      |       | none  |
+      | soon  | none  |
+      | nan   | none  |
+      | inf   | none  |
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -411,3 +411,20 @@
 def _(context):
     assert context.ends == ["whole", "whole"], context.ends
     assert context.replica.connections == 2, context.replica.connections
+
+
+@given('a replica\'s answer that names the limit "{text}"')
+def _(context, text):
+    given_headers = [(b"server-limit", text.encode())]
+    context.head = headers.Headers().read_head(200, given_headers)
+
+
+@given('a replica\'s answer that names the limit ""')
+def _(context):
+    context.head = headers.Headers().read_head(200, [(b"server-limit", b"")])
+
+
+@then("its limit is {limit}")
+def _(context, limit):
+    expected = None if limit == "none" else float(limit)
+    assert context.head.limit_per_s == expected, context.head
