Show that a server which names a limit gets as many requests as before

What servers saw: two heads that had named about one request a second got 18 and 12 in 4 s, where 12 are allowed.

--- a/tests/support/crashplay.py
+++ b/tests/support/crashplay.py
@@ -73,6 +73,8 @@
         self._runs: dict[tuple[str, int], _Run] = {}
         self._count = itertools.count(1)
         self._seen = len(world.gateway_effects)
+        # Requests a second that servers name with their answers.
+        self.limits: dict[str, float] = {}
         # Servers that come back, by time.
         self._due: list[tuple[float, instances.Instance]] = []
         # Whether the caller of such a body leaves once its run is lost.
@@ -130,6 +132,15 @@
             for at, _ in submission.sent
         )
 
+    def list_arrivals(self, server: str) -> list[tuple[float, str]]:
+        """Returns when requests reached a server, and from which gateway."""
+        return sorted(
+            (at, submission.gateway)
+            for submission in self.submissions.values()
+            for at, name in submission.sent
+            if name == server
+        )
+
     def end_server(self, name: str) -> None:
         """Ends a server; all that it runs is closed at the same moment."""
         server = self.world.servers[name]
@@ -194,7 +205,8 @@
     def _give_event(self, run: _Run) -> None:
         name, gateway = run.submission.name, run.submission.gateway
         if not run.given:
-            head = attrs.evolve(OK, echo=f"try-{name}")
+            limit_per_s = self.limits.get(run.server)
+            head = attrs.evolve(OK, echo=f"try-{name}", limit_per_s=limit_per_s)
             self._tell(gateway, events.Began(name, run.attempt, head))
         run.given += 1
         data = b"id: %d\ndata: x\n\n" % run.given
