Give a server that names a rate limit no more than that from all gateways

What servers saw: two heads that had named about one request a second got 18 and 12 requests in 4 s, as many as before. Cause: gateways passed the limit on with the answer and chose by slots and load alone; and nothing that one gateway knows could keep a limit that holds for all. Ruled out by the logs: retries, and a limit kept by each gateway for itself. Change: a server that names a limit gets a request only for a permit. One coordinator a server, of its own zone while one is alive, gives permits from a token bucket to gateways that have a use for them; a request with nowhere else to go asks at once. Permits end within 1 to 3 s and come back unused; they count from the asking, so a late reply brings none. A coordinator that takes over begins in debt; one that hears no leader gives half. A gateway without coordinators sends its own part. Weighed: equal parts for each gateway (below one request each), each by what others were seen to send (all see the same free place at once), one gateway a server (the callers of the others are refused).

--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -12,6 +12,7 @@
 
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import fleetview, health as health_module, model
+    from hickorylead.ratelimits import permits as permits_module
 
 # A replica of another zone is taken if it is this much faster, in seconds: a
 # round trip is about 2 ms, and bytes between zones are dear. Nobody feels the
@@ -32,11 +33,19 @@
 
 @attrs.frozen
 class Choice:
-    """The replica chosen, and how many were weighed."""
+    """The replica chosen, and how many were weighed.
+
+    Attributes:
+        replica: The replica.
+        estimate_s: Estimated time to the first token, in seconds.
+        weighed: Replicas that were weighed.
+        withheld: A better one that may get no request without a permit.
+    """
 
     replica: model.Replica
     estimate_s: float
     weighed: int
+    withheld: model.Replica | None = None
 
 
 @attrs.frozen
@@ -46,10 +55,29 @@
     Attributes:
         known: Replicas that are known, whether or not they can.
         is_full: Whether there are some, but all are full.
+        withheld: The best of those that would take it but for a permit.
+        permit_s: When there may be one for it, in seconds; 0 if unknown.
     """
 
     known: int
     is_full: bool
+    withheld: model.Replica | None = None
+    permit_s: float = 0.0
+
+
+@attrs.frozen
+class _Candidate:
+    """A replica that a request could be sent to.
+
+    Attributes:
+        replica: The replica.
+        estimate_s: Estimated time to the first token, in seconds.
+        permit_s: When there may be a permit for it, in seconds.
+    """
+
+    replica: model.Replica
+    estimate_s: float
+    permit_s: float = 0.0
 
 
 class Chooser:
@@ -61,6 +89,7 @@
         zone: str,
         view: fleetview.FleetView,
         book: health_module.HealthBook,
+        permits: permits_module.Permits,
         rng: random.Random,
     ) -> None:
         """Makes a chooser.
@@ -69,11 +98,13 @@
             zone: Zone of the gateway.
             view: Replicas that may be used.
             book: What was seen of them.
+            permits: Permits for those that name a rate limit.
             rng: Source of the spread.
         """
         self._zone = zone
         self._view = view
         self._book = book
+        self._permits = permits
         self._rng = rng
 
     def find(self, name: str) -> model.Replica | None:
@@ -97,8 +128,8 @@
             now: Present time.
         """
         known = self._view.list_replicas(request.service, request.terms.model)
-        best: model.Replica | None = None
-        best_s = 0.0
+        best: _Candidate | None = None
+        withheld: _Candidate | None = None
         full = 0
         most = 1.0 + QUEUE_SHARE
         # With nothing better, one that seems to have stopped is tried again:
@@ -112,11 +143,32 @@
                 full += 1
                 continue
             estimate_s = self._estimate(replica, request, engine, running, now)
-            if best is None or estimate_s < best_s:
-                best, best_s = replica, estimate_s
+            if self._permits.may_send(replica, now):
+                found = _Candidate(replica, estimate_s)
+                best = found if best is None else min(best, found, key=_rank)
+                continue
+            # It named a limit for all gateways together. Each sent it what
+            # seemed right by itself, and it got many times what it takes.
+            permit_s = self._permits.find_wait(replica, now)
+            found = _Candidate(replica, estimate_s, permit_s)
+            withheld = (
+                found if withheld is None else min(withheld, found, key=_rank)
+            )
         if best is None:
-            return NoChoice(len(known), full > 0)
-        return Choice(best, best_s, len(known))
+            if withheld is None:
+                return NoChoice(len(known), full > 0)
+            return NoChoice(
+                len(known), full > 0, withheld.replica, withheld.permit_s
+            )
+        is_better = (
+            withheld is not None and withheld.estimate_s < best.estimate_s
+        )
+        return Choice(
+            best.replica,
+            best.estimate_s,
+            len(known),
+            withheld.replica if withheld and is_better else None,
+        )
 
     def _estimate(
         self,
@@ -149,3 +201,8 @@
         return estimate_s + pace * (
             step_s * engine.stride + reading * engine.read_s + usual_s
         )
+
+
+def _rank(candidate: _Candidate) -> tuple[float, float]:
+    """Returns what the better of two candidates has the lesser of."""
+    return candidate.permit_s, candidate.estimate_s
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import health as health_module
+    from hickorylead.ratelimits import permits as permits_module
 
 Verdict = verdict_module.Verdict
 
@@ -58,6 +59,7 @@
         chooser: choice_module.Chooser,
         book: health_module.HealthBook,
         guard: guard_module.Guard,
+        permits: permits_module.Permits,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS,
         started_at: float = -1e9,
     ) -> None:
@@ -67,6 +69,7 @@
             chooser: The choice of a replica.
             book: What this gateway has seen of replicas.
             guard: Contents that no replica may get, and lost runs.
+            permits: Permits for replicas that name a rate limit.
             limits: Retries that all gateways may make together.
             started_at: When the gateway started.
         """
@@ -74,6 +77,7 @@
         self._chooser = chooser
         self._book = book
         self._guard = guard
+        self._permits = permits
         self._budgets = budget_module.SharedBudgets(limits)
         self._open: dict[str, state.Open] = {}
         self.document: document_module.Document | None = None
@@ -85,6 +89,7 @@
     def note_gateways(self, count: int, now: float) -> None:
         """Takes how many gateways share the retries."""
         self._budgets.note_gateways(count, now)
+        self._permits.note_gateways(count)
 
     def handle(self, event: events.Event, now: float) -> list[events.Effect]:
         """Handles one event."""
@@ -108,19 +113,14 @@
     def tick(self, now: float) -> list[events.Effect]:
         """Lets time pass: deadlines, silent replicas, requests that wait."""
         effects: list[events.Effect] = []
-        waiting = []
         for opened in list(self._open.values()):
             if now >= opened.ends_at:
                 effects += self._give_up(opened, now)
-            elif opened.phase == "waiting":
-                waiting.append(opened)
             elif stalls.is_overdue(opened, now) and self._can_move(opened, now):
                 effects += self._fail(
                     opened, Verdict.MAY_HAVE_RUN, "no_answer", now
                 )
-        waiting.sort(key=lambda o: (ranks.find_rank(o), o.arrived_at))
-        for opened in waiting:
-            effects += self._try(opened, now)
+        effects += self.try_waiting(now)
         for stall in stalls.find_stalled(
             list(self._open.values()),
             self._book,
@@ -131,6 +131,15 @@
             effects += self._leave_replica(stall, now)
         return effects
 
+    def try_waiting(self, now: float) -> list[events.Effect]:
+        """Tries the requests that wait for a replica, the most urgent first."""
+        waiting = [o for o in self._open.values() if o.phase == "waiting"]
+        waiting.sort(key=lambda o: (ranks.find_rank(o), o.arrived_at))
+        effects: list[events.Effect] = []
+        for opened in waiting:
+            effects += self._try(opened, now)
+        return effects
+
     def find_next(self, now: float) -> float:
         """Returns when time alone may change something, at the earliest.
 
@@ -250,10 +259,14 @@
             now=now,
         )
         match chosen:
-            case choice_module.Choice():
+            case choice_module.Choice(withheld=withheld):
+                if withheld is not None:
+                    self._permits.want(withheld, is_needed=False, now=now)
                 return self._send(opened, chosen, now)
-            case choice_module.NoChoice():
-                if refusals.may_wait(opened, now):
+            case choice_module.NoChoice(withheld=withheld, permit_s=permit_s):
+                if withheld is not None:
+                    self._permits.want(withheld, is_needed=True, now=now)
+                if refusals.may_wait(opened, now + permit_s):
                     opened.phase = "waiting"
                     return []
                 return self._refuse(
@@ -279,8 +292,9 @@
             chosen.estimate_s,
             seen.running,
             now - seen.told_at if seen.told_at > 0 else None,
-            seen.limit_per_s,
+            self._permits.find_limit(replica, now),
         )
+        self._permits.spend(replica, now)
         seen.running += 1
         seen.reading += request.terms.prompt_tokens
         effects: list[events.Effect] = [
@@ -319,6 +333,37 @@
         assert attempt is not None
         if head.load is not None:
             self._book.note_load(attempt.replica, head.load, now)
+        effects = self._note_limit(opened, attempt.replica, head, now)
+        return effects + self._take_head(opened, attempt, head, now)
+
+    def _note_limit(
+        self,
+        opened: state.Open,
+        replica: model.Replica,
+        head: model.Head,
+        now: float,
+    ) -> list[events.Effect]:
+        """Takes whether a replica names a rate limit.
+
+        An answer of another server at its address says nothing about it, nor
+        does one to another request. A refusal may leave out what an answer
+        tells, so it ends no limit.
+        """
+        if head.echo != opened.request.terms.attempt_id or (
+            head.not_run and head.limit_per_s is None
+        ):
+            return []
+        if not self._permits.note_answer(replica, head.limit_per_s, now):
+            return []
+        return [descriptions.describe_limit(replica, head.limit_per_s)]
+
+    def _take_head(
+        self,
+        opened: state.Open,
+        attempt: state.Attempt,
+        head: model.Head,
+        now: float,
+    ) -> list[events.Effect]:
         if head.echo != opened.request.terms.attempt_id:
             # The answer to another request: this connection is mixed up, and
             # nothing of it may reach this caller.
@@ -336,10 +381,6 @@
         attempt.heard_at = now
         if attempt.cutter is not None and head.status != 200:
             attempt.cutter = None
-        if self._book.note_limit(attempt.replica, head.limit_per_s):
-            return [
-                descriptions.describe_limit(attempt.replica, head.limit_per_s)
-            ]
         return []
 
     def _take_piece(
--- a/src/hickorylead/forwarding/health.py
+++ b/src/hickorylead/forwarding/health.py
@@ -35,8 +35,6 @@
         noticed_until: The same, if running streams here showed the stall.
         failures: Failures lately; falls with time.
         failed_at: When it last failed.
-        limit_per_s: Requests a second that it named with its last answer, for
-            all gateways together; None if it named none.
     """
 
     epoch: int = 0
@@ -50,7 +48,6 @@
     noticed_until: float = -1e9
     failures: float = 0.0
     failed_at: float = -1e9
-    limit_per_s: float | None = None
 
 
 class HealthBook:
@@ -92,14 +89,6 @@
         seen.told = max(0, load.running + load.waiting - seen.running)
         seen.told_at = now
 
-    def note_limit(
-        self, replica: model.Replica, limit_per_s: float | None
-    ) -> bool:
-        """Takes the limit that a replica named; says whether it is new."""
-        seen = self.get(replica)
-        before, seen.limit_per_s = seen.limit_per_s, limit_per_s
-        return before != limit_per_s
-
     def note_failure(self, replica: model.Replica, now: float) -> None:
         """Takes a failure of a replica."""
         seen = self.get(replica)
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -38,6 +38,8 @@
     opened: state.Open, chosen: choice_module.NoChoice
 ) -> events.Refuse:
     """Returns the answer to a request that no replica can take."""
+    if chosen.withheld is not None:
+        return _refuse(opened, "limited", chosen.permit_s or FULL_RETRY_S)
     retry_s = FULL_RETRY_S if chosen.is_full else NONE_RETRY_S
     reason = "overloaded" if chosen.is_full else "no_replica"
     return _refuse(opened, reason, retry_s)
--- /dev/null
+++ b/src/hickorylead/ratelimits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits that backend servers name, kept by all gateways together."""
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -26,6 +26,10 @@
     health,
     routes as routes_module,
 )
+from hickorylead.ratelimits import (
+    messages as limit_messages,
+    permits as permits_module,
+)
 from hickorylead.roles import nodes, seam
 
 if TYPE_CHECKING:
@@ -116,12 +120,20 @@
         self._view = fleetview.FleetView(self._registry)
         self._book = health.HealthBook()
         self._guard = guard_module.Guard(identity.node)
+        self._permits = permits_module.Permits(
+            identity.node, first=identity.boot, rng=rng
+        )
         self._forwarder = forwarder_module.Forwarder(
             chooser=choice_module.Chooser(
-                zone=self._zone, view=self._view, book=self._book, rng=rng
+                zone=self._zone,
+                view=self._view,
+                book=self._book,
+                permits=self._permits,
+                rng=rng,
             ),
             book=self._book,
             guard=self._guard,
+            permits=self._permits,
             limits=identity.retries,
             started_at=now,
         )
@@ -194,6 +206,10 @@
         """Returns how many contents no replica gets."""
         return self._guard.count_blocked()
 
+    def count_limited(self) -> int:
+        """Returns how many replicas name a rate limit."""
+        return self._permits.table.count_named()
+
     def count_open(self) -> int:
         """Returns how many requests have no final answer yet."""
         return self._forwarder.count_open()
@@ -209,7 +225,12 @@
                 self._stopping = True
                 return [notes.note("stopping", open=self.count_open())]
             case _:
-                return [*self._forwarder.handle(event, now)]
+                effects = [*self._forwarder.handle(event, now)]
+                if self._permits.is_needed:
+                    # The request waits: a tick later is too late.
+                    home = self._find_home(now)
+                    return [*effects, *self._tell_limits(home, now)]
+                return [*effects]
 
     def _tick(self, now: float) -> list[GatewayEffect]:
         effects: list[GatewayEffect] = [*self._forwarder.tick(now)]
@@ -217,6 +238,7 @@
         news = stalled - self._told_stalled
         home = self._find_home(now)
         effects += [seam.Send(*sent) for sent in self._guard.tell(home, now)]
+        effects += self._tell_limits(home, now)
         # A home that is lost or found is greeted about at once: until then
         # nobody tells this gateway anything.
         if now >= self._next_hello or news or home != self._home:
@@ -239,8 +261,12 @@
             self._next_forget = now + FORGET_PERIOD_S
             self._registry.forget(now, FORGET_INSTANCE_S)
             self._book.forget(set(self._registry.instances))
+            self._permits.forget(now)
         return effects
 
+    def _tell_limits(self, home: str, now: float) -> list[GatewayEffect]:
+        return [seam.Send(*sent) for sent in self._permits.tell(home, now)]
+
     # Coordinators.
 
     def _greet(self, home: str, now: float) -> list[GatewayEffect]:
@@ -347,6 +373,11 @@
                     self._forwarder.note_gateways(gateways, now)
             case crash_messages.BlockNews():
                 self._guard.take(message, now)
+            case limit_messages.LimitNews(_, limits):
+                self._permits.take_news(limits, now)
+            case limit_messages.PermitReply():
+                if self._permits.take_reply(message, now):
+                    return [*self._forwarder.try_waiting(now)]
             case messages.StallNews(_, heads):
                 return [*self._forwarder.take_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses, is_fresh):
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -28,6 +28,7 @@
         messages as member_messages,
     )
     from hickorylead.placement import orders
+    from hickorylead.ratelimits import messages as limit_messages
     from hickorylead.requests import events as request_events
     from hickorylead.roles import status
     from hickorylead.routing import messages as routing_messages
@@ -39,6 +40,7 @@
     "| crash_messages.Message "
     "| fleet_messages.Message "
     "| lease_messages.Message "
+    "| limit_messages.Message "
     "| member_messages.Message "
     "| routing_messages.Message "
     "| status.Message"
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -283,6 +283,7 @@
         return {
             "open_requests": self.role.count_open(),
             "blocked_contents": self.role.count_blocked(),
+            "limited_replicas": self.role.count_limited(),
             "configuration_version": document.version if document else 0,
             "ready": float(self.role.is_ready()),
             "connections_opened_total": self._pool.opened,
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -44,6 +44,7 @@
 _LEASE = "lease.messages"
 _MEMBER = "membership.messages"
 _STATUS = "roles.status"
+_RATES = "ratelimits.messages"
 _ROUTING = "routing.messages"
 
 MESSAGES: tuple[Variant, ...] = (
@@ -92,6 +93,9 @@
     Variant(_FLEET, "StallNews"),
     Variant(_CRASHES, "CrashNews"),
     Variant(_CRASHES, "BlockNews"),
+    Variant(_RATES, "LimitNews"),
+    Variant(_RATES, "PermitRequest"),
+    Variant(_RATES, "PermitReply"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -41,6 +41,13 @@
   service @0 :Service;
 }
 
+struct Ask {
+  limit @0 :RateLimit;
+  wanted @1 :Int64;
+  isNeeded @2 :Bool;
+  returned @3 :Int64;
+}
+
 struct Block {
   content @0 :Int64;
   leftMs @1 :Int64;
@@ -357,6 +364,11 @@
   round @2 :Int64;
 }
 
+struct LimitNews {
+  sender @0 :Text;
+  limits @1 :List(RateLimit);
+}
+
 struct Load {
   running @0 :Int64;
   queued @1 :Int64;
@@ -422,6 +434,9 @@
     stallNews @42 :StallNews;
     crashNews @43 :CrashNews;
     blockNews @44 :BlockNews;
+    limitNews @45 :LimitNews;
+    permitRequest @46 :PermitRequest;
+    permitReply @47 :PermitReply;
   }
 }
 
@@ -449,11 +464,40 @@
   detail @4 :Text;
 }
 
+struct PermitReply {
+  gateway @0 :Text;
+  number @1 :Int64;
+  permits @2 :List(Permits);
+}
+
+struct PermitRequest {
+  gateway @0 :Text;
+  number @1 :Int64;
+  asks @2 :List(Ask);
+}
+
+struct Permits {
+  server @0 :Text;
+  born @1 :Int64;
+  count @2 :Int64;
+  leaseMs @3 :Int64;
+  waitMs @4 :Int64;
+}
+
 struct Preset {
   name @0 :Text;
   shares @1 :List(Share);
 }
 
+struct RateLimit {
+  server @0 :Text;
+  born @1 :Int64;
+  perS @2 :Float64;
+  isNamed @3 :Bool;
+  ageMs @4 :Int64;
+  namedMs @5 :Int64;
+}
+
 struct ReadReply {
   token @0 :Text;
   known @1 :Bool;
--- a/tests/support/crashplay.py
+++ b/tests/support/crashplay.py
@@ -35,6 +35,7 @@
         status: Status of a refusal; 200 for a whole answer; 0 if neither.
         reason: Reason of a refusal.
         retry_after_s: When its caller may come back, if it was told.
+        ended_at: When it was refused.
     """
 
     name: str
@@ -44,6 +45,7 @@
     status: int = 0
     reason: str = ""
     retry_after_s: float | None = None
+    ended_at: float = 0.0
 
 
 @attrs.define
@@ -183,6 +185,7 @@
                 submission.status = status
                 submission.reason = reason
                 submission.retry_after_s = retry_after_s
+                submission.ended_at = self.world.now
             case events.Finish(request_id):
                 self.submissions[request_id].status = 200
             case _:
--- a/tests/support/forwardplay.py
+++ b/tests/support/forwardplay.py
@@ -17,6 +17,7 @@
     health,
     model,
 )
+from hickorylead.ratelimits import permits
 from support import fleetworld
 
 OK = model.Head(200, is_sealed=True)
@@ -35,13 +36,20 @@
             self._add(f"m{number}", "model", number + 1)
         self.book = health.HealthBook()
         self.guard = guard.Guard("z1/front1")
+        rng = random.Random(1)
+        self.permits = permits.Permits("z1/front1", first=1, rng=rng)
         view = fleetview.FleetView(self.registry)
         self.subject = forwarder.Forwarder(
             chooser=choice.Chooser(
-                zone="z1", view=view, book=self.book, rng=random.Random(1)
+                zone="z1",
+                view=view,
+                book=self.book,
+                permits=self.permits,
+                rng=rng,
             ),
             book=self.book,
             guard=self.guard,
+            permits=self.permits,
         )
         # Its coordinator has told it how many share the retries.
         self.subject.note_gateways(9, 0.0)
