Leave servers that name a limit to requests with nowhere else to go

What callers could see: with all replicas limited above what is asked for, 1 to 4 of some 420 requests were refused, as permits went to requests that had another replica. Cause: those asked as well, and got what came first. Change: while some have nowhere else to go, others leave half of a bucket to them.

--- a/src/hickorylead/ratelimits/allocator.py
+++ b/src/hickorylead/ratelimits/allocator.py
@@ -36,10 +36,11 @@
 LEAST_PER_S = 0.1
 # Permits that one gateway gets for a server at once; it asks again.
 MAX_PERMITS = 8
-# Requests that got no permit and have nowhere else to go count for about this
-# long, in seconds: in it others, which have, get none, and who asks is told to
-# come back after those that are waiting.
+# Requests that have nowhere else to go count for about this long, in seconds.
+# In it others, which have, leave them a part of what the bucket can hold, and
+# who gets no permit is told to come back after those that got none before.
 NEED_MEMORY_S = 1.0
+RESERVED_SHARE = 0.5
 # Longest time after which a gateway is told to ask again, in seconds.
 LONGEST_WAIT_S = 10.0
 
@@ -82,12 +83,13 @@
         bucket = self._fill(server, known, per_s, now)
         most = _find_most(per_s)
         bucket.tokens = min(most, bucket.tokens + max(0, ask.returned))
-        wanted = min(MAX_PERMITS, max(0, ask.wanted))
-        count = min(wanted, max(0, int(bucket.tokens)))
+        reserved = 0.0
         if ask.is_needed:
             bucket.needed_at = now
         elif now - bucket.needed_at < NEED_MEMORY_S:
-            count = 0
+            reserved = RESERVED_SHARE * most
+        wanted = min(MAX_PERMITS, max(0, ask.wanted))
+        count = min(wanted, max(0, int(bucket.tokens - reserved)))
         bucket.tokens -= count
         unmet = wanted - count
         lease_ms = int(1000 * find_lease(known.per_s))
