Ask a server once whether it lives for each run that it lost

What servers saw: two questions for each run that was reset, where one answer had told that they live; status checks cost them a moment. Cause: gateways tell a lost run again after 1.5 s, in case the first message was lost, and coordinators asked anew each time. Change: only a lost run that a coordinator had not heard of has its server asked. Measured: the scenario counts 2 questions on the code before, 1 now; tests/crashes pass.

--- a/src/hickorylead/crashes/exchange.py
+++ b/src/hickorylead/crashes/exchange.py
@@ -48,6 +48,18 @@
         """Returns how many contents are blocked."""
         return len(self._ledger.find_blocked())
 
+    def list_new(self, news: messages.CrashNews) -> list[str]:
+        """Returns the servers of lost runs that were not told before.
+
+        Those that are not known to have ended, each once, sorted.
+        """
+        found = {
+            crash.server
+            for crash in news.crashes
+            if not crash.has_ended and not self._ledger.knows(crash)
+        }
+        return sorted(found)
+
     def take(
         self, news: messages.CrashNews, others: Iterable[str], now: float
     ) -> list[Sent]:
--- a/src/hickorylead/crashes/ledger.py
+++ b/src/hickorylead/crashes/ledger.py
@@ -81,6 +81,11 @@
         """A hash over all of it, the same at nodes that know the same."""
         return self._check
 
+    def knows(self, crash: messages.Crash) -> bool:
+        """Says whether a lost run was told before."""
+        life = Life(crash.server, crash.born)
+        return life in self._losses.get(crash.content, {})
+
     def take(self, crash: messages.Crash, now: float) -> bool:
         """Takes a lost run; says whether it tells anything new."""
         at = now - crash.age_ms / 1000.0
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -256,9 +256,11 @@
         # A gateway that has turned here tells before it is heard as one.
         is_passed = news.sender in self.neighbours.known
         others = [] if is_passed else self.neighbours.list_alive(now)
+        # Each lost run is told twice, and again to a new home; a server that
+        # answered the first time lives, and was asked for each of them.
+        servers = self.crashes.list_new(news)
         effects = self._send_all(self.crashes.take(news, others, now))
-        servers = {c.server for c in news.crashes if not c.has_ended}
-        return [*effects, *self._keeper.suspect_servers(sorted(servers), now)]
+        return [*effects, *self._keeper.suspect_servers(servers, now)]
 
     def _block(self, now: float) -> list[CoordinatorEffect]:
         def has_ended(life: ledger_module.Life) -> bool:
--- a/tests/crashes/crashes.feature
+++ b/tests/crashes/crashes.feature
@@ -80,3 +80,10 @@
     Given gateways with 24 replicas' servers and callers
     When all coordinators are away for 4 seconds and a request ends 3 servers
     Then every gateway refuses the request 4 seconds later
+
+  Scenario: A server that lives is asked once for each run that it lost
+    Gateways tell a lost run twice, as the first message may be lost, and tell
+    all of them to a new home. Each question costs the server a moment.
+    Given gateways with 24 replicas' servers and callers
+    When a connection to a head that lives is reset in the middle of an answer
+    Then that head is asked once whether it lives
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -299,3 +299,30 @@
     play.run(seconds - 1.5)
     for node in play.world.core:
         play.world.start(node)
+
+
+@when("a connection to a head that lives is reset in the middle of an answer")
+def _(context):
+    play = context.play
+    context.reported = []
+    report = play.world._report
+
+    def watch(node, question):
+        context.reported.append(question.name)
+        report(node, question)
+
+    play.world._report = watch
+    play.run(3.0)
+    gateway = sorted(play.world.gateways)[0]
+    submission = play.ask(gateway, b"is reset")
+    play.run(crashplay.RUN_S + 0.05)
+    context.head = submission.sent[0][1]
+    play.reset(submission)
+    context.reported.clear()
+    play.run(4.0)
+
+
+@then("that head is asked once whether it lives")
+def _(context):
+    found = context.reported.count(context.head)
+    assert found == 1, context.reported
--- a/tests/support/crashplay.py
+++ b/tests/support/crashplay.py
@@ -154,6 +154,12 @@
         for run in running:
             self._fail(run, Verdict.MAY_HAVE_RUN, "closed")
 
+    def reset(self, submission: Submission) -> None:
+        """Resets the connection of a submission; its server goes on."""
+        for run in list(self._runs.values()):
+            if run.submission is submission:
+                self._fail(run, Verdict.MAY_HAVE_RUN, "reset")
+
     def list_running(self) -> list[str]:
         """Returns the servers that run something, each once, sorted."""
         return sorted({run.server for run in self._runs.values()})
