--- a/bench/limits.py
+++ b/bench/limits.py
@@ -9,6 +9,7 @@
 import time
 import tracemalloc
 
+from hickorylead.fleet import gateways, neighbours, registry
 from hickorylead.forwarding import model
 from hickorylead.ratelimits import (
     allocator,
@@ -61,6 +62,16 @@
     )
 
 
+def make_exchange() -> exchange.Exchange:
+    """Returns the exchange of a coordinator that is alone."""
+    return exchange.Exchange(
+        HOME,
+        registry=registry.Registry(),
+        neighbours=neighbours.Neighbours(node=HOME, seeds=()),
+        gateways=gateways.Gateways(zone=HOME),
+    )
+
+
 def print_sizes(limits: tuple[messages.RateLimit, ...]) -> None:
     """Prints the sizes of messages."""
     asks = tuple(messages.Ask(limit, 2) for limit in limits[:ASKED])
@@ -90,8 +101,8 @@
     print(f"gateway, {ALL} limits and accounts: {used / 1e6:.2f} MB")
     tracemalloc.reset_peak()
     before, _ = tracemalloc.get_traced_memory()
-    coordinator = exchange.Exchange(HOME)
-    coordinator.take_news(make_limits(ALL), (), 100.0)
+    coordinator = make_exchange()
+    coordinator.take_news(messages.LimitNews(HOME, make_limits(ALL)), 100.0)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     print(f"coordinator, {ALL} limits: {(after - before) / 1e6:.2f} MB")
@@ -99,20 +110,14 @@
 
 def print_times(limits: tuple[messages.RateLimit, ...]) -> None:
     """Prints the processor time of a request for permits, on its way."""
-    subject = exchange.Exchange(HOME)
-    subject.take_news(limits, (), 100.0)
+    subject = make_exchange()
+    subject.take_news(messages.LimitNews(HOME, limits), 100.0)
     asks = tuple(messages.Ask(limit, 2) for limit in limits[:ASKED])
     request = messages.PermitRequest(GATEWAY, 1, asks)
     packed = codec.encode_envelope(codec.Envelope(GATEWAY, "", request))
 
     def answer() -> None:
-        subject.answer(
-            request,
-            GATEWAY,
-            find_in_charge=lambda _: HOME,
-            is_fresh=True,
-            now=100.0,
-        )
+        subject.answer(request, GATEWAY, is_fresh=True, now=100.0)
 
     print(f"answering a request of {ASKED}: {measure_time(answer):.0f} us")
     decode_us = measure_time(lambda: codec.decode_envelope(packed))
--- a/src/hickorylead/ratelimits/exchange.py
+++ b/src/hickorylead/ratelimits/exchange.py
@@ -14,9 +14,16 @@
 import attrs
 
 from hickorylead.ratelimits import allocator, messages, table as table_module
+from hickorylead.roles import nodes
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
+
+    from hickorylead.fleet import (
+        gateways as gateways_module,
+        neighbours as neighbours_module,
+        registry as registry_module,
+    )
 
 Sent: TypeAlias = tuple[str, messages.Message]
 
@@ -27,46 +34,49 @@
 class Exchange:
     """The limits that one coordinator knows, and the permits it gives."""
 
-    def __init__(self, node: str) -> None:
+    def __init__(
+        self,
+        node: str,
+        *,
+        registry: registry_module.Registry,
+        neighbours: neighbours_module.Neighbours,
+        gateways: gateways_module.Gateways,
+    ) -> None:
         """Makes an exchange that knows of no limit.
 
         Args:
             node: Name of the coordinator.
+            registry: Backend servers that it knows.
+            neighbours: The other coordinators.
+            gateways: The gateways that it knows.
         """
         self._node = node
-        self.table = table_module.Table()
+        self._registry = registry
+        self._neighbours = neighbours
+        self._gateways = gateways
+        self._table = table_module.Table()
         self._allocator = allocator.Allocator()
         self._next_retell = 0.0
 
-    def count(self) -> int:
-        """Returns how many servers are known to have named a limit lately."""
-        return len(self.table)
-
-    def take_news(
-        self,
-        limits: Iterable[messages.RateLimit],
-        targets: Iterable[str],
-        now: float,
-    ) -> list[Sent]:
+    def take_news(self, news: messages.LimitNews, now: float) -> list[Sent]:
         """Takes limits; returns what others are to be told.
 
-        Args:
-            limits: The limits.
-            targets: Nodes that have not heard of them.
-            now: Present time.
+        What another coordinator tells, it has told all coordinators.
         """
-        found = [x.server for x in limits if self.table.take(x, now)]
+        found = [x.server for x in news.limits if self._table.take(x, now)]
         if not found:
             return []
-        news = messages.LimitNews(self._node, self.table.describe(found, now))
-        return [(node, news) for node in targets]
+        told = messages.LimitNews(self._node, self._table.describe(found, now))
+        targets = self._gateways.list_own(now)
+        if news.sender not in self._neighbours.known:
+            targets += self._neighbours.list_alive(now)
+        return [(node, told) for node in targets]
 
     def answer(
         self,
         request: messages.PermitRequest,
         sender: str,
         *,
-        find_in_charge: Callable[[str], str],
         is_fresh: bool,
         now: float,
     ) -> list[Sent]:
@@ -75,60 +85,73 @@
         Args:
             request: The request.
             sender: Who sent it here: the gateway, or its home.
-            find_in_charge: Returns the coordinator that gives the permits of a
-                server. What another coordinator passed on is decided here,
-                whoever is in charge by now.
             is_fresh: Whether this coordinator heard a leader lately.
             now: Present time.
         """
-        is_passed = sender != request.gateway
+        # The gateway may know of a limit that its home has not heard of.
+        limits = tuple(ask.limit for ask in request.asks)
+        sent = self.take_news(messages.LimitNews(sender, limits), now)
         asks = collections.defaultdict(list)
         for ask in request.asks:
-            server = ask.limit.server
-            node = self._node if is_passed else find_in_charge(server)
+            # What another coordinator passed on is decided here, whoever is in
+            # charge by now: it could go round in a circle.
+            is_passed = sender != request.gateway
+            node = self._node if is_passed else self._find_in_charge(ask, now)
             asks[node].append(ask)
         own = asks.pop(self._node, [])
-        sent: list[Sent] = [
+        sent += [
             (node, attrs.evolve(request, asks=tuple(others)))
             for node, others in asks.items()
         ]
         if own:
+            permits = tuple(self._allot(ask, is_fresh, now) for ask in own)
             reply = messages.PermitReply(
-                request.gateway,
-                request.number,
-                tuple(self._allot(ask, is_fresh, now) for ask in own),
+                request.gateway, request.number, permits
             )
             sent.append((sender, reply))
         return sent
 
-    def describe_all(self, now: float) -> messages.LimitNews:
-        """Returns all limits, as another node is told them."""
-        return messages.LimitNews(self._node, self.table.describe_all(now))
+    def describe_new(self, gateway: str, now: float) -> list[Sent]:
+        """Returns what a gateway is told that has started or turned here.
 
-    def is_due(self, now: float) -> bool:
-        """Says whether `tick` has something to do."""
-        return now >= self._next_retell
-
-    def tick(self, targets: Iterable[str], now: float) -> list[Sent]:
-        """Drops what is over; returns what is told again.
-
-        Args:
-            targets: Gateways whose home this is, and the other coordinators.
-            now: Present time.
+        It would send freely to servers in need until each told it.
         """
+        return self._describe_all([gateway], now)
+
+    def tick(self, now: float) -> list[Sent]:
+        """Lets time pass; returns what is told again."""
+        if now < self._next_retell:
+            return []
         self._next_retell = now + RETELL_PERIOD_S
-        self.table.forget(now)
+        self._table.forget(now)
         self._allocator.forget(now)
-        if not len(self.table):
+        targets = self._gateways.list_own(now)
+        return self._describe_all(
+            [*targets, *self._neighbours.list_alive(now)], now
+        )
+
+    def _describe_all(self, targets: Iterable[str], now: float) -> list[Sent]:
+        if not len(self._table):
             return []
-        news = self.describe_all(now)
+        news = messages.LimitNews(self._node, self._table.describe_all(now))
         return [(node, news) for node in targets]
 
+    def _find_in_charge(self, ask: messages.Ask, now: float) -> str:
+        """Returns the coordinator that gives the permits of a server.
+
+        One of the server's own zone while any is alive: when that zone is cut
+        off, the gateways that reach the server reach it as well.
+        """
+        server = ask.limit.server
+        known = self._registry.instances.get(server)
+        zone = known.zone if known else nodes.get_zone(self._node)
+        return self._neighbours.find_in_charge(zone, server, now)
+
     def _allot(
         self, ask: messages.Ask, is_fresh: bool, now: float
     ) -> messages.Permits:
         limit = ask.limit
-        known = self.table.find(limit.server, limit.born, now)
+        known = self._table.find(limit.server, limit.born, now)
         if known is None:
             # It has stopped to name a limit, and the gateway is told so by
             # itself: until then it may send what it wants to.
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -117,7 +117,12 @@
         # Beside the registry, as a restart recalls both from the disk.
         self.crashes = exchange_module.Exchange(identity.node)
         self._saved_crashes = 0
-        self._limits = limit_exchange.Exchange(identity.node)
+        self._limits = limit_exchange.Exchange(
+            identity.node,
+            registry=self.registry,
+            neighbours=self.neighbours,
+            gateways=self.gateways,
+        )
         self._keeper = keeper_module.Keeper(
             identity,
             policy=policy,
@@ -226,9 +231,7 @@
             )
         )
         effects += self._block(now)
-        if self._limits.is_due(now):
-            targets = self._list_listeners(now)
-            effects += self._send_all(self._limits.tick(targets, now))
+        effects += self._send_all(self._limits.tick(now))
         if self._keeper.is_due(now):
             effects += self._keeper.plan(now)
         return effects + self._save(now)
@@ -271,42 +274,6 @@
         )
         return [*self._send_all(sent), *written]
 
-    # Servers that name a rate limit.
-
-    def _list_listeners(self, now: float) -> list[str]:
-        own = self.gateways.list_own(now)
-        return [*own, *self.neighbours.list_alive(now)]
-
-    def _take_limits(
-        self, news: limit_messages.LimitNews, now: float
-    ) -> list[CoordinatorEffect]:
-        is_passed = news.sender in self.neighbours.known
-        if is_passed:
-            targets = self.gateways.list_own(now)
-        else:
-            targets = self._list_listeners(now)
-        return self._send_all(self._limits.take_news(news.limits, targets, now))
-
-    def _answer_permits(
-        self, sender: str, request: limit_messages.PermitRequest, now: float
-    ) -> list[CoordinatorEffect]:
-        def find_in_charge(server: str) -> str:
-            known = self.registry.instances.get(server)
-            zone = known.zone if known else nodes.get_zone(request.gateway)
-            return self.neighbours.find_in_charge(zone, server, now)
-
-        # The gateway may know of a limit that its home has not heard of.
-        limits = tuple(ask.limit for ask in request.asks)
-        told = self._take_limits(limit_messages.LimitNews(sender, limits), now)
-        sent = self._limits.answer(
-            request,
-            sender,
-            find_in_charge=find_in_charge,
-            is_fresh=self.is_fresh(now),
-            now=now,
-        )
-        return [*told, *self._send_all(sent)]
-
     def _greet(self, now: float) -> list[CoordinatorEffect]:
         self.neighbours.forget_old(now)
         self.registry.forget(now, FORGET_INSTANCE_S)
@@ -406,9 +373,13 @@
             case crash_messages.CrashNews():
                 return self._take_crashes(message, now)
             case limit_messages.LimitNews():
-                return self._take_limits(message, now)
+                return self._send_all(self._limits.take_news(message, now))
             case limit_messages.PermitRequest():
-                return self._answer_permits(sender, message, now)
+                return self._send_all(
+                    self._limits.answer(
+                        message, sender, is_fresh=self.is_fresh(now), now=now
+                    )
+                )
             case limit_messages.PermitReply(gateway):
                 return [seam.Send(gateway, message)]
             case messages.StallNews(sender, heads):
@@ -489,10 +460,9 @@
                 hello.node, hello.blocked, is_new=is_new, now=now
             )
         )
-        if is_new and self._limits.count():
-            # It would send freely to servers in need until each told it.
-            told = self._limits.describe_all(now)
-            effects.append(seam.Send(hello.node, told))
+        if is_new:
+            told = self._limits.describe_new(hello.node, now)
+            effects += self._send_all(told)
         effects += self._send_all(
             self.gateways.hear(
                 hello,
