--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -57,6 +57,23 @@
     When a stream skips from event 2 to event 4
     Then its caller got events 1 to 2 once
 
+  Scenario Outline: A stream whose next replica fails does not look whole
+    A caller got a stream that ended as whole in its middle. Its replica broke off
+    after two events; the next one, asked to go on, failed by itself with an
+    answer that was whole. That end was taken for the end of the stream.
+    The evidence: the next replica's run ended with status 500 in the same
+    millisecond in which the caller's answer ended as whole, too short.
+    Given a gateway with 3 model replicas
+    When a stream breaks after event 2 and the next replica answers <status>
+    Then the answer ends so that it does not look whole
+    And its caller got events 1 to 2 once
+
+    Examples:
+      | status |
+      | 500    |
+      | 504    |
+      | 404    |
+
   Scenario: A stream that may not be repeated ends so that it looks cut
     Given a gateway with 3 model replicas
     When a stream breaks twice after event 2
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -194,6 +194,19 @@
         play.give(events.Failed(name, attempt, Verdict.MAY_HAVE_RUN, "reset"))
 
 
+@when("a stream breaks after event 2 and the next replica answers {status:d}")
+def _(context, status):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    attempt = play.begin(name)
+    play.send_events(name, [1, 2], attempt=attempt)
+    play.give(events.Failed(name, attempt, Verdict.MAY_HAVE_RUN, "reset"))
+    head = model.Head(status, echo=f"try-{name}", is_sealed=True)
+    attempt = play.begin(name, head)
+    play.give(events.PieceCame(name, attempt, b"it failed"))
+    play.give(events.Ended(name, attempt))
+
+
 @then("the answer ends so that it does not look whole")
 def _(context):
     play = context.play
