End a stream as cut if the replica that goes on with it fails

Cause: an answer with another status than 200 is kept and given whole; nobody asked whether the caller had a part of a stream already. Its end then ended the stream. Ruled out: the new permits; the way is older and has no limit in it. Change: such an answer counts as a run that failed: the stream goes on elsewhere if it may, or breaks off. Measured: the scenario fails on the code before with 500, 504 and 404, passes now; 84 scenarios of tests/forwarding and tests/crashes pass.

--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -377,6 +377,10 @@
             return self._fail(
                 opened, Verdict.MAY_HAVE_RUN, "spoiled_answer", now
             )
+        if opened.started and head.status != 200:
+            # The caller has a part of a stream. The whole answer of a replica
+            # that failed to go on would end it as whole, and too short.
+            return self._fail(opened, Verdict.RAN, f"status_{head.status}", now)
         attempt.head = head
         attempt.heard_at = now
         if attempt.cutter is not None and head.status != 200:
