Play a named limit and the file of lost runs with the real processes

Cause: both were tested with reducers in given time only; what reaches the sockets and what one process writes for the next was not. Change: two scenarios on real sockets; the stand-in of a server can name a limit.

--- a/src/hickorylead_standins/platform.py
+++ b/src/hickorylead_standins/platform.py
@@ -70,12 +70,14 @@
         cut_after: Event in whose middle it resets the connection; 0 if none.
         sheds: Whether it says that it did not run them.
         extra: Bytes that it sends after each whole answer.
+        limit_per_s: Requests a second that it says it takes; None if unsaid.
     """
 
     events: int = 0
     cut_after: int = 0
     sheds: bool = False
     extra: bytes = b""
+    limit_per_s: float | None = None
 
 
 class PlatformServer:
@@ -216,6 +218,8 @@
             echo = request.headers.get("attempt-id", "")
             body = f"{self.name} got {request.body.decode()}".encode()
             headers = {"Attempt-Id": echo, "Server-Seal": f"seal.{self.name}"}
+            if self.manner.limit_per_s is not None:
+                headers["Server-Limit"] = str(self.manner.limit_per_s)
             write(writer, 200, body, **headers)
             writer.write(self.manner.extra)
 
--- a/tests/platform/faults.feature
+++ b/tests/platform/faults.feature
@@ -29,3 +29,16 @@
     A caller opens a connection and sends half a head. It would hold a
     descriptor for ever.
     Then half a head is answered with status 408 after the time limit
+
+  Scenario: Servers that name a limit get no more than that, on real sockets
+    Both servers of a plain service tell that they take a request each ten
+    seconds. A gateway and the coordinators are real: the first call to each
+    tells the limit, the permits that are there at once serve two more, and all
+    others are refused as not run.
+    Then of 10 calls in a row to two servers that name a limit 4 are served
+    And the others are told when to come back
+
+  Scenario: The lost runs that a coordinator wrote are known to its next process
+    All coordinators start again. A request that ended three servers would end
+    three more, if the file that one process writes were not what the next reads.
+    Then a content that was blocked before a coordinator starts again still is
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -5,12 +5,17 @@
 import asyncio
 import errno
 import os
+import pathlib
 
 from behave import then
 import orjson
 from support import platformday
 
 from hickorylead import notes
+from hickorylead.crashes import messages as crash_messages
+from hickorylead.platform import documents
+from hickorylead.runtime import clock, coordinator
+from hickorylead.storage import memo
 from hickorylead.telemetry import decisions
 from hickorylead_standins import platform
 
@@ -177,3 +182,57 @@
 @then("half a head is answered with status 408 after the time limit")
 def _(context):
     asyncio.run(platformday.play(send_half_head))
+
+
+@then(
+    "of {count:d} calls in a row to two servers that name a limit {served:d} "
+    "are served"
+)
+def _(context, count, served):
+    context.answers = []
+
+    async def call_limited(day):
+        for server in day.servers:
+            server.manner.limit_per_s = 0.1
+        for number in range(count):
+            answer = await day.call(f"/alerts/{number}", b"tree")
+            context.answers.append(answer)
+
+    asyncio.run(platformday.play(call_limited))
+    found = [a.startswith(b"HTTP/1.1 200") for a in context.answers]
+    assert sum(found) == served, context.answers
+
+
+@then("the others are told when to come back")
+def _(context):
+    refused = [a for a in context.answers if b"HTTP/1.1 200" not in a[:12]]
+    for answer in refused:
+        assert answer.startswith(b"HTTP/1.1 503"), answer
+        assert b"retry-after: " in answer and b"limited" in answer, answer
+
+
+async def restart_blocking(day):
+    """Has a coordinator block a content, and reads what it wrote."""
+    shell = day.coordinators[0]
+    crashes = tuple(
+        crash_messages.Crash(4711, f"s{n}", n + 1, 0, has_ended=True)
+        for n in range(3)
+    )
+    news = crash_messages.CrashNews("z1/front1/gateway", crashes)
+    shell.role.crashes.take(news, (), clock.read_boottime())
+    folder = pathlib.Path(shell.settings.data_folder)
+    await day.wait_for(lambda: memo.Memo(folder, "crashes").value)
+    follower = coordinator.CoordinatorShell(
+        shell.settings,
+        dialect=shell._dialect,
+        read_document=documents.read_packed,
+        make_app=shell._make_app,
+        reload=shell._reload,
+        log=shell._log,
+    )
+    assert follower.role.crashes.count_blocked() == 1
+
+
+@then("a content that was blocked before a coordinator starts again still is")
+def _(context):
+    asyncio.run(platformday.play(restart_blocking))
