--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -345,9 +345,8 @@
     ) -> list[events.Effect]:
         """Takes whether a replica names a rate limit.
 
-        An answer of another server at its address says nothing about it, nor
-        does one to another request. A refusal may leave out what an answer
-        tells, so it ends no limit.
+        An answer to another request may have been held up for long. A refusal
+        may leave out what other answers tell, so it ends no limit.
         """
         if head.echo != opened.request.terms.attempt_id or (
             head.not_run and head.limit_per_s is None
