--- a/tests/limits/limits.feature
+++ b/tests/limits/limits.feature
@@ -122,3 +122,8 @@
     When two heads name a limit of 1 a second for 8 seconds
     And a gateway starts again with the limits in force
     Then it knows the limits as soon as it knows the servers
+
+  Scenario: Random schedules of faults keep the limit
+    Nodes are lost, frozen and cut off one after the other, before those that
+    took over have settled.
+    Then random schedules 0 to 7 of faults keep the limit
--- a/tests/steps/allocator_steps.py
+++ b/tests/steps/allocator_steps.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from steps import limit_steps
+from support import limitfaults
 
 from hickorylead.ratelimits import allocator, messages, table
 
@@ -98,7 +98,8 @@
     "no window of {window_s:g} seconds sees more requests than the limit allows"
 )
 def _(context, window_s):
-    allowed = limit_steps.SHARE * window_s * context.limit + limit_steps.EXTRA
+    assert window_s == limitfaults.WINDOW_S
+    allowed = limitfaults.find_allowed(context.limit)
     for begin, _ in context.given:
         # Used as late as may be before the window, and at once within it.
         seen = sum(
--- a/tests/steps/limit_steps.py
+++ b/tests/steps/limit_steps.py
@@ -6,44 +6,15 @@
 
 from behave import given, then, when
 from steps import crash_steps
-from support import crashplay, fleetworld
-
-# A limit is kept if what comes in any such time, in seconds, is within one and
-# a half times what it allows, and so many requests more.
-WINDOW_S = 4.0
-SHARE = 1.5
-EXTRA = 5
-# Nodes tell each other of a new limit within this, in seconds.
-SETTLE_S = 3.0
-# Requests a second of all callers together.
-DEMAND_PER_S = 20.0
+from support import crashplay, fleetworld, limitfaults
+
 # How long faults are played, in seconds.
 FAULT_S = 20.0
 
 
 def send(play, seconds, seed=5):
     """Has callers send requests at random moments to random gateways."""
-    rng = random.Random(seed)
-    due = play.world.now
-    end = due + seconds
-    while play.world.now < end - 1e-9:
-        while due <= play.world.now:
-            due += rng.expovariate(DEMAND_PER_S)
-            gateways = sorted(play.world.gateways)
-            if gateways:
-                body = b"asked %d" % len(play.submissions)
-                asked = play.ask(rng.choice(gateways), body)
-                play.asked_at[asked.name] = play.world.now
-        play.run(crashplay.STEP_S)
-
-
-def find_most(arrivals, since):
-    """Returns the most requests that came in one window, from a time on."""
-    times = [at for at, _ in arrivals if at >= since]
-    return max(
-        (sum(1 for at in times if 0 <= at - first < WINDOW_S))
-        for first in times or [since]
-    )
+    limitfaults.send(play, seconds, random.Random(seed))
 
 
 def name_limit(context, limit, count=None):
@@ -66,7 +37,7 @@
     ]
 
 
-def count_arrivals(context, head, since_s=SETTLE_S):
+def count_arrivals(context, head, since_s=limitfaults.SETTLE_S):
     """Returns how many requests a head got, from a time on."""
     since = context.named_at + since_s
     return sum(at >= since for at, _ in context.play.list_arrivals(head))
@@ -219,11 +190,10 @@
 
 def cut_coordinators(context):
     """Cuts all coordinators from each other; gateways reach all of them."""
-    core = context.play.world.core
-    for first in core:
-        for second in core:
-            if first != second:
-                context.play.world.cut(first, second)
+    world = context.play.world
+    for first in world.core:
+        others = [node for node in world.core if node != first]
+        limitfaults.cut(world, [first], others)
     send(context.play, 10.0)
 
 
@@ -231,10 +201,8 @@
     """Cuts the nodes of one zone off from all others."""
     world = context.play.world
     nodes = [*world.core, *world.gateways]
-    for first in nodes:
-        for second in nodes:
-            if first.startswith("z1/") and not second.startswith("z1/"):
-                world.cut(first, second)
+    inside = [node for node in nodes if node.startswith("z1/")]
+    limitfaults.cut(world, inside, [n for n in nodes if n not in inside])
     send(context.play, 10.0)
 
 
@@ -265,11 +233,11 @@
     "in {window_s:g} seconds"
 )
 def _(context, late_s, most, window_s):
-    assert window_s == WINDOW_S
+    assert window_s == limitfaults.WINDOW_S
     since = context.named_at + late_s
     for head in context.play.limits:
         arrivals = context.play.list_arrivals(head)
-        found = find_most(arrivals, since)
+        found = limitfaults.find_most(arrivals, since)
         late = [a for a in arrivals if a[0] > since]
         assert found <= most, (head, found, late)
 
@@ -280,8 +248,8 @@
 def _(context, which, late_s):
     since = context.named_at + late_s
     for head, limit in context.play.limits.items():
-        most = SHARE * WINDOW_S * limit + EXTRA
-        found = find_most(context.play.list_arrivals(head), since)
+        most = limitfaults.find_allowed(limit)
+        found = limitfaults.find_most(context.play.list_arrivals(head), since)
         assert found <= most, (head, found, most)
 
 
@@ -296,7 +264,7 @@
 @then("it gets at least half of what it takes")
 def _(context):
     (head, limit), *_ = context.play.limits.items()
-    seconds = context.play.world.now - context.named_at - SETTLE_S
+    seconds = context.play.world.now - context.named_at - limitfaults.SETTLE_S
     found = count_arrivals(context, head)
     assert found >= 0.5 * limit * seconds, (found, limit * seconds)
 
@@ -304,7 +272,7 @@
 @then("together they get nine tenths of what they take")
 def _(context):
     limits = context.play.limits
-    seconds = context.play.world.now - context.named_at - SETTLE_S
+    seconds = context.play.world.now - context.named_at - limitfaults.SETTLE_S
     found = sum(count_arrivals(context, head) for head in limits)
     assert found >= 0.9 * sum(limits.values()) * seconds, (found, limits)
 
@@ -374,3 +342,10 @@
     ]
     late = sum(delay_s > limit_s + 1e-9 for delay_s in delays)
     assert late <= 0.1 * len(delays), (late, len(delays))
+
+
+@then("random schedules {first:d} to {last:d} of faults keep the limit")
+def _(context, first, last):
+    for seed in range(first, last + 1):
+        found = limitfaults.explore(seed)
+        assert found.most <= found.allowed, (seed, found)
