--- a/src/hickorylead/admission/budget.py
+++ b/src/hickorylead/admission/budget.py
@@ -80,8 +80,8 @@
     """One gateway's part of the retries that all may make.
 
     Each may save its part of what is allowed beyond the ratio. With a fixed
-    number for each, 71 gateways that all lost replicas at the same moment
-    made 644 retries in 10 s where 639 were allowed.
+    number for each, many gateways that lose replicas at the same moment would
+    make more retries together than are allowed.
     """
 
     def __init__(self, limits: RetryLimits) -> None:
--- a/src/hickorylead/crashes/ledger.py
+++ b/src/hickorylead/crashes/ledger.py
@@ -20,11 +20,10 @@
 # Servers that ended under a content until it is blocked. Two are no proof: a
 # stream that loses its server goes on at another one, which may end as well. A
 # request and its caller's retry have four tries, so one that is innocent can
-# meet a third end; how often was not measured. It then loses its last try.
+# meet a third end, and loses its last try then.
 LIMIT = 3
 # A lost run counts only if the life of its server ends within this, in seconds.
 # Coordinators may be away for some seconds and hear of servers only after that.
-# Chosen by that, not measured.
 PENDING_S = 30.0
 # A content is blocked until the third last server under it ended this long ago,
 # in seconds: long against the seconds in which a caller tries again, and short
