Show that a gateway which got no reply once sends something of its own later

What servers would see: many requests at once from gateways that had asked as a coordinator was lost, and had nothing to ask for since.

--- a/tests/limits/permits.feature
+++ b/tests/limits/permits.feature
@@ -57,6 +57,24 @@
     And a call comes that may run once
     Then its next request for permits gives 2 back
 
+  Scenario: One request for permits that got no reply long ago is no loss
+    A coordinator was lost as the gateway asked, and nobody asked anything since.
+    If the gateway took itself for alone for that, it would send what it saved by
+    itself, and all that asked in that moment would do so at once.
+    Given a gateway with 1 replica of each kind
+    When the plain replica names a limit of 2 a second
+    And a call comes that may run once
+    And 50 seconds pass
+    And a call comes that may run once
+    Then the call is not sent
+    And the gateway asks its home for 1 permit that a request needs
+
+  Scenario: One of nine gateways that asks in vain sends its own part
+    Given a gateway with 1 replica of each kind
+    When the plain replica names a limit of 4.5 a second
+    And calls come for 6 seconds, and no reply
+    Then it sends 2 to 3 of them, from 1.5 seconds on
+
   Scenario: What servers tell merges in any order
     News come late and twice, and from nodes that have heard less. What a server
     told last counts, and only its present life.
--- a/tests/steps/permit_steps.py
+++ b/tests/steps/permit_steps.py
@@ -232,3 +232,26 @@
     context.play.now += seconds
     context.play.permits.forget(context.play.now)
     assert not len(context.play.permits.table)
+
+
+@when("calls come for {seconds:g} seconds, and no reply")
+def _(context, seconds):
+    play = context.play
+    context.began = play.now
+    context.names = []
+    while play.now < context.began + seconds:
+        context.names.append(play.ask("alerts"))
+        play.run(0.1, each=lambda: ask(play))
+
+
+@then("it sends {least:d} to {most:d} of them, from {late_s:g} seconds on")
+def _(context, least, most, late_s):
+    play = context.play
+    times = [
+        at
+        for at, effect in play.effects
+        if isinstance(effect, events.Open)
+        and effect.request.request_id in context.names
+    ]
+    assert least <= len(times) <= most, times
+    assert min(times) >= context.began + late_s, times
