Take a gateway for alone only while it asks in vain

What servers would see: gateways that had asked as a coordinator was lost, and had nothing to ask for since, each sent a request of their own when callers came back. Cause: a request without a reply was remembered without end. Change: what got no reply before the last series of requests says nothing any more.

--- a/src/hickorylead/ratelimits/permits.py
+++ b/src/hickorylead/ratelimits/permits.py
@@ -80,6 +80,7 @@
         # When the requests without a reply were sent, by number.
         self._asked: dict[int, float] = {}
         self._unanswered_since: float | None = None
+        self._last_asked_at = -1e9
         self._next_ask = -1e9
         self._next_retell = -1e9
         self._is_untold = False
@@ -208,6 +209,11 @@
                 sent.append((home, news))
         asks = self._list_asks(now)
         if asks:
+            if now - self._last_asked_at > ALONE_S:
+                # What got no reply before that says nothing about now: a
+                # coordinator may have been lost just then, and one is back.
+                self._unanswered_since = None
+            self._last_asked_at = now
             self._note_unanswered(now)
             number = next(self._numbers)
             self._asked[number] = now
@@ -306,7 +312,8 @@
     ) -> bool:
         """Says whether the gateway may send one without coordinators."""
         since = self._unanswered_since
-        if since is None or now - since < ALONE_S:
+        is_asking = self._is_homeless or now - self._last_asked_at <= ALONE_S
+        if since is None or now - since < ALONE_S or not is_asking:
             account.alone_at = None
             return False
         if account.alone_at is None:
