--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -50,10 +50,20 @@
             "after_s": round(now - attempt.sent_at, 3),
             "last_event": opened.last_event,
             "content": contents.write_content(opened.content),
+            **_describe_refusal(attempt.head),
         },
     )
 
 
+def describe_unreadable(
+    replica: model.Replica, names: tuple[str, ...]
+) -> notes.Note:
+    """Returns the line about headers of an answer that can't be read."""
+    return notes.note(
+        "header_unreadable", server=replica.name, headers=list(names)
+    )
+
+
 def describe_end(
     opened: state.Open, outcome: str, *, version: int, now: float
 ) -> notes.Note:
@@ -135,5 +145,15 @@
     }
 
 
+def _describe_refusal(head: model.Head | None) -> dict[str, Any]:
+    if head is None or not head.not_run:
+        return {}
+    return {
+        "status": head.status,
+        "retry_after_s": head.retry_after_s,
+        "leaving": head.is_leaving,
+    }
+
+
 def _round(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 3)
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -331,9 +331,16 @@
             return []
         attempt, head = opened.attempt, event.head
         assert attempt is not None
+        attempt.head = head
         if head.load is not None:
             self._book.note_load(attempt.replica, head.load, now)
         effects = self._note_limit(opened, attempt.replica, head, now)
+        if head.unreadable:
+            effects.append(
+                descriptions.describe_unreadable(
+                    attempt.replica, head.unreadable
+                )
+            )
         return effects + self._take_head(opened, attempt, head, now)
 
     def _note_limit(
@@ -380,7 +387,6 @@
             # The caller has a part of a stream. The whole answer of a replica
             # that failed to go on would end it as whole, and too short.
             return self._fail(opened, Verdict.RAN, f"status_{head.status}", now)
-        attempt.head = head
         attempt.heard_at = now
         if attempt.cutter is not None and head.status != 200:
             attempt.cutter = None
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -95,6 +95,10 @@
         load: The replica's load, if told.
         limit_per_s: Requests a second that the replica takes from all gateways
             together, as long as it says so; None if it takes what comes.
+        retry_after_s: How long the replica wants no request from this gateway,
+            in seconds; None if unsaid.
+        is_leaving: Whether the replica is about to end.
+        unreadable: Names of headers whose values can't be read.
     """
 
     status: int
@@ -105,6 +109,9 @@
     is_encoded: bool = False
     load: Load | None = None
     limit_per_s: float | None = None
+    retry_after_s: float | None = None
+    is_leaving: bool = False
+    unreadable: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import orjson
 
 from hickorylead.forwarding import dialect, events, model
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+
+_Value = TypeVar("_Value")
 
 _ATTEMPT = b"attempt-id"
 _BUDGET = b"time-budget"
@@ -24,6 +26,8 @@
 _NOT_RUN = b"not-executed"
 _LOAD = b"server-load"
 _LIMIT = b"server-limit"
+_RETRY_AFTER = b"retry-after"
+_LEAVING = b"server-leaving"
 _RANK = b"urgency-class"
 
 # Headers that concern one connection only, and those that are written anew.
@@ -48,6 +52,8 @@
         _RANK,
     }
 )
+# Statuses with which a replica may ask for a pause.
+_PAUSING = (429, 503)
 _NOT_GIVEN_BACK = frozenset(
     {
         b"connection",
@@ -126,6 +132,7 @@
         """Returns the head of a replica's answer."""
         found = dict(headers)
         encoding = found.get(b"content-encoding", b"").lower()
+        unreadable: list[str] = []
         return model.Head(
             status=status,
             headers=tuple(h for h in headers if h[0] not in _NOT_GIVEN_BACK),
@@ -135,8 +142,13 @@
             # the group's head is elsewhere.
             not_run=_NOT_RUN in found or status == 421,
             is_encoded=encoding not in (b"", b"identity"),
-            load=_read_load(found.get(_LOAD)),
-            limit_per_s=_read_limit(found.get(_LIMIT)),
+            load=_read(_read_load, found, _LOAD, unreadable),
+            limit_per_s=_read(_read_amount, found, _LIMIT, unreadable),
+            retry_after_s=_read(_read_amount, found, _RETRY_AFTER, unreadable)
+            if status in _PAUSING
+            else None,
+            is_leaving=found.get(_LEAVING, b"0") not in (b"", b"0"),
+            unreadable=tuple(unreadable),
         )
 
     def write_refusal(
@@ -159,25 +171,30 @@
     return int(first), int(second or b"0")
 
 
-def _read_load(value: bytes | None) -> model.Load | None:
+def _read(
+    reader: Callable[[bytes], _Value],
+    found: Mapping[bytes, bytes],
+    name: bytes,
+    unreadable: list[str],
+) -> _Value | None:
+    """Returns the value of a header; None if it is missing or unreadable."""
+    value = found.get(name)
     if not value:
         return None
     try:
-        running, waiting, slots = (int(part) for part in value.split(b","))
+        return reader(value)
     except ValueError:
-        # Only an estimate hangs on it, so a value that cannot be read is as
-        # good as none.
+        unreadable.append(name.decode())
         return None
+
+
+def _read_load(value: bytes) -> model.Load:
+    running, waiting, slots = (int(part) for part in value.split(b","))
     return model.Load(running, waiting, slots)
 
 
-def _read_limit(value: bytes | None) -> float | None:
-    if not value:
-        return None
-    try:
-        limit_per_s = float(value)
-    except ValueError:
-        # How much it takes is not known, and to spare it altogether would idle
-        # a server for a header that was spoiled on its way.
-        return None
-    return max(0.0, limit_per_s) if math.isfinite(limit_per_s) else None
+def _read_amount(value: bytes) -> float:
+    amount = float(value)
+    if not math.isfinite(amount):
+        raise ValueError(f"{value!r} is not finite")
+    return max(0.0, amount)
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -71,3 +71,32 @@
       | soon  | none  |
       | nan   | none  |
       | inf   | none  |
+
+  Scenario Outline: The pause that a replica asks for is read
+    Given a replica's answer with status <status>, pause "<text>" and leaving "0"
+    Then its pause is <pause>
+
+    Examples:
+      | status | text  | pause |
+      | 503    | 3     | 3     |
+      | 503    | 0.25  | 0.25  |
+      | 429    | 3     | 3     |
+      | 503    | -1    | 0     |
+      | 503    | soon  | none  |
+      | 503    | nan   | none  |
+      | 200    | 3     | none  |
+
+  Scenario Outline: A replica that is leaving is recognized in any answer
+    Given a replica's answer with status <status>, pause "1" and leaving "<text>"
+    Then it is <state>
+
+    Examples:
+      | status | text | state       |
+      | 200    | 1    | leaving     |
+      | 503    | 1    | leaving     |
+      | 500    | 1    | leaving     |
+      | 200    | 0    | not leaving |
+
+  Scenario: A header that can't be read is named in the log
+    Given a replica's answer with status 503, pause "soon" and leaving "0"
+    Then it names the unreadable header "retry-after"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -443,3 +443,37 @@
 def _(context, limit):
     expected = None if limit == "none" else float(limit)
     assert context.head.limit_per_s == expected, context.head
+
+
+@given(
+    "a replica's answer with status {status:d}, pause "
+    '"{pause}" and leaving "{leaving}"'
+)
+def _(context, status, pause, leaving):
+    given_headers = [
+        (b"not-executed", b"1"),
+        (b"retry-after", pause.encode()),
+        (b"server-leaving", leaving.encode()),
+    ]
+    context.head = headers.Headers().read_head(status, given_headers)
+
+
+@then("its pause is {pause}")
+def _(context, pause):
+    expected = None if pause == "none" else float(pause)
+    assert context.head.retry_after_s == expected, context.head
+
+
+@then("it is {state:w}")
+def _(context, state):
+    assert state == "leaving" and context.head.is_leaving, context.head
+
+
+@then("it is not leaving")
+def _(context):
+    assert not context.head.is_leaving, context.head
+
+
+@then('it names the unreadable header "{name}"')
+def _(context, name):
+    assert context.head.unreadable == (name,), context.head
