--- a/tests/support/crashplay.py
+++ b/tests/support/crashplay.py
@@ -36,6 +36,7 @@
         reason: Reason of a refusal.
         retry_after_s: When its caller may come back, if it was told.
         ended_at: When it was refused.
+        asked_at: When it was sent to the gateway.
     """
 
     name: str
@@ -46,6 +47,24 @@
     reason: str = ""
     retry_after_s: float | None = None
     ended_at: float = 0.0
+    asked_at: float = 0.0
+
+
+@attrs.frozen
+class Refusal:
+    """An answer with which a server turned a gateway away.
+
+    Attributes:
+        at: When the gateway got it.
+        server: The server.
+        gateway: The gateway.
+        pause_s: How long the server wants no request, in seconds.
+    """
+
+    at: float
+    server: str
+    gateway: str
+    pause_s: float
 
 
 @attrs.define
@@ -77,6 +96,13 @@
         self._seen = len(world.gateway_effects)
         # Requests a second that servers name with their answers.
         self.limits: dict[str, float] = {}
+        # Servers that turn each request away, with the pause they ask for.
+        self.pausing: dict[str, float] = {}
+        self.refusals: list[Refusal] = []
+        # Servers that say with each answer that they leave, and when each
+        # gateway was first told so.
+        self.leaving: set[str] = set()
+        self.told_leaving: dict[tuple[str, str], float] = {}
         # Servers that come back, by time.
         self._due: list[tuple[float, instances.Instance]] = []
         # Whether the caller of such a body leaves once its run is lost.
@@ -87,7 +113,7 @@
     ) -> Submission:
         """Sends a request to a gateway."""
         name = f"r{next(self._count)}"
-        submission = Submission(name, gateway, body)
+        submission = Submission(name, gateway, body, asked_at=self.world.now)
         self.submissions[name] = submission
         route = ROUTES["drafts"]
         request = model.Request(
@@ -200,7 +226,12 @@
     def _serve(self) -> None:
         for run in list(self._runs.values()):
             age_s = self.world.now - run.began
-            if age_s < RUN_S or run.server not in self.world.servers:
+            if run.server not in self.world.servers:
+                continue
+            if run.server in self.pausing and age_s >= STEP_S:
+                self._refuse(run)
+                continue
+            if age_s < RUN_S:
                 continue
             if run.submission.body in self.deadly:
                 self.end_server(run.server)
@@ -215,8 +246,8 @@
         name, gateway = run.submission.name, run.submission.gateway
         if not run.given:
             limit_per_s = self.limits.get(run.server)
-            head = attrs.evolve(OK, echo=f"try-{name}", limit_per_s=limit_per_s)
-            self._tell(gateway, events.Began(name, run.attempt, head))
+            head = attrs.evolve(OK, limit_per_s=limit_per_s)
+            self._begin(run, head)
         run.given += 1
         data = b"id: %d\ndata: x\n\n" % run.given
         self._tell(gateway, events.PieceCame(name, run.attempt, data))
@@ -224,6 +255,24 @@
             self._runs.pop((name, run.attempt), None)
             self._tell(gateway, events.Ended(name, run.attempt))
 
+    def _refuse(self, run: _Run) -> None:
+        pause_s = self.pausing[run.server]
+        gateway = run.submission.gateway
+        refusal = Refusal(self.world.now, run.server, gateway, pause_s)
+        self.refusals.append(refusal)
+        self._begin(
+            run, model.Head(503, not_run=True, retry_after_s=pause_s or None)
+        )
+
+    def _begin(self, run: _Run, head: model.Head) -> None:
+        name, gateway = run.submission.name, run.submission.gateway
+        is_leaving = run.server in self.leaving
+        if is_leaving:
+            told = (gateway, run.server)
+            self.told_leaving.setdefault(told, self.world.now)
+        head = attrs.evolve(head, echo=f"try-{name}", is_leaving=is_leaving)
+        self._tell(gateway, events.Began(name, run.attempt, head))
+
     def _fail(self, run: _Run, verdict: Verdict, reason: str) -> None:
         name = run.submission.name
         self._runs.pop((name, run.attempt), None)
