--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -7,11 +7,16 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
     import random
 
     from hickorylead.configuration import document as document_module
-    from hickorylead.forwarding import fleetview, health as health_module, model
+    from hickorylead.forwarding import (
+        fleetview,
+        health as health_module,
+        model,
+    )
+    from hickorylead.notices import book as book_module
     from hickorylead.ratelimits import permits as permits_module
 
 # A replica of another zone is taken if it is this much faster, in seconds: a
@@ -40,12 +45,14 @@
         estimate_s: Estimated time to the first token, in seconds.
         weighed: Replicas that were weighed.
         withheld: A better one that may get no request without a permit.
+        paused: Replicas that want no request for now.
     """
 
     replica: model.Replica
     estimate_s: float
     weighed: int
     withheld: model.Replica | None = None
+    paused: int = 0
 
 
 @attrs.frozen
@@ -57,12 +64,22 @@
         is_full: Whether there are some, but all are full.
         withheld: The best of those that would take it but for a permit.
         permit_s: When there may be one for it, in seconds; 0 if unknown.
+        pause_s: When the first replica that wants no request for now takes
+            some again, in seconds; 0 if there is none.
     """
 
     known: int
     is_full: bool
     withheld: model.Replica | None = None
     permit_s: float = 0.0
+    pause_s: float = 0.0
+
+    @property
+    def wait_s(self) -> float:
+        """When a replica may take the request, in seconds; 0 if unknown."""
+        if self.withheld is not None:
+            return self.permit_s
+        return 0.0 if self.is_full else self.pause_s
 
 
 @attrs.frozen
@@ -89,6 +106,7 @@
         zone: str,
         view: fleetview.FleetView,
         book: health_module.HealthBook,
+        notices: book_module.NoticeBook,
         permits: permits_module.Permits,
         rng: random.Random,
     ) -> None:
@@ -98,12 +116,14 @@
             zone: Zone of the gateway.
             view: Replicas that may be used.
             book: What was seen of them.
+            notices: What they said about requests to come.
             permits: Permits for those that name a rate limit.
             rng: Source of the spread.
         """
         self._zone = zone
         self._view = view
         self._book = book
+        self._notices = notices
         self._permits = permits
         self._rng = rng
 
@@ -128,14 +148,17 @@
             now: Present time.
         """
         known = self._view.list_replicas(request.service, request.terms.model)
+        pauses = self._find_pauses(known, now)
+        ready = [r for r in known if r.name not in pauses] if pauses else known
+        pause_s = min(pauses.values(), default=0.0)
         best: _Candidate | None = None
         withheld: _Candidate | None = None
         full = 0
         most = 1.0 + QUEUE_SHARE
         # With nothing better, one that seems to have stopped is tried again:
         # to refuse all would turn a few slow passes into an outage.
-        usable = [r for r in known if not self._book.is_stalled(r, now)]
-        for replica in usable or known:
+        usable = [r for r in ready if not self._book.is_stalled(r, now)]
+        for replica in usable or ready:
             if replica.name in avoid:
                 continue
             running = self._book.count_requests(replica, now)
@@ -155,10 +178,12 @@
                 found if withheld is None else min(withheld, found, key=_rank)
             )
         if best is None:
-            if withheld is None:
-                return NoChoice(len(known), full > 0)
             return NoChoice(
-                len(known), full > 0, withheld.replica, withheld.permit_s
+                len(known),
+                full > 0,
+                withheld.replica if withheld else None,
+                withheld.permit_s if withheld else 0.0,
+                pause_s,
             )
         is_better = (
             withheld is not None and withheld.estimate_s < best.estimate_s
@@ -168,8 +193,18 @@
             best.estimate_s,
             len(known),
             withheld.replica if withheld and is_better else None,
+            len(pauses),
         )
 
+    def _find_pauses(
+        self, known: Iterable[model.Replica], now: float
+    ) -> dict[str, float]:
+        """Returns the replicas that want no request, and for how long."""
+        if not len(self._notices):
+            return {}
+        pauses = {r.name: self._notices.find_pause(r, now) for r in known}
+        return {name: left_s for name, left_s in pauses.items() if left_s}
+
     def _estimate(
         self,
         replica: model.Replica,
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -27,7 +27,10 @@
 
 if TYPE_CHECKING:
     from hickorylead.configuration import document as document_module
-    from hickorylead.forwarding import health as health_module
+    from hickorylead.forwarding import (
+        health as health_module,
+    )
+    from hickorylead.notices import book as book_module
     from hickorylead.ratelimits import permits as permits_module
 
 Verdict = verdict_module.Verdict
@@ -59,6 +62,7 @@
         chooser: choice_module.Chooser,
         book: health_module.HealthBook,
         guard: guard_module.Guard,
+        notices: book_module.NoticeBook,
         permits: permits_module.Permits,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_LIMITS,
         started_at: float = -1e9,
@@ -69,6 +73,7 @@
             chooser: The choice of a replica.
             book: What this gateway has seen of replicas.
             guard: Contents that no replica may get, and lost runs.
+            notices: What replicas said about requests to come.
             permits: Permits for replicas that name a rate limit.
             limits: Retries that all gateways may make together.
             started_at: When the gateway started.
@@ -77,6 +82,7 @@
         self._chooser = chooser
         self._book = book
         self._guard = guard
+        self._notices = notices
         self._permits = permits
         self._budgets = budget_module.SharedBudgets(limits)
         self._open: dict[str, state.Open] = {}
@@ -263,10 +269,10 @@
                 if withheld is not None:
                     self._permits.want(withheld, is_needed=False, now=now)
                 return self._send(opened, chosen, now)
-            case choice_module.NoChoice(withheld=withheld, permit_s=permit_s):
+            case choice_module.NoChoice(withheld=withheld, wait_s=wait_s):
                 if withheld is not None:
                     self._permits.want(withheld, is_needed=True, now=now)
-                if refusals.may_wait(opened, now + permit_s):
+                if refusals.may_wait(opened, now + wait_s):
                     opened.phase = "waiting"
                     return []
                 return self._refuse(
@@ -293,6 +299,7 @@
             seen.running,
             now - seen.told_at if seen.told_at > 0 else None,
             self._permits.find_limit(replica, now),
+            chosen.paused,
         )
         self._permits.spend(replica, now)
         seen.running += 1
@@ -332,6 +339,8 @@
         attempt, head = opened.attempt, event.head
         assert attempt is not None
         attempt.head = head
+        # A late answer to another request tells as much about its server.
+        self._notices.note_answer(attempt.replica, head, now)
         if head.load is not None:
             self._book.note_load(attempt.replica, head.load, now)
         effects = self._note_limit(opened, attempt.replica, head, now)
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -40,9 +40,11 @@
     """Returns the answer to a request that no replica can take."""
     if chosen.withheld is not None:
         return _refuse(opened, "limited", chosen.permit_s or FULL_RETRY_S)
-    retry_s = FULL_RETRY_S if chosen.is_full else NONE_RETRY_S
-    reason = "overloaded" if chosen.is_full else "no_replica"
-    return _refuse(opened, reason, retry_s)
+    if chosen.is_full:
+        return _refuse(opened, "overloaded", FULL_RETRY_S)
+    if chosen.pause_s:
+        return _refuse(opened, "paused", chosen.pause_s)
+    return _refuse(opened, "no_replica", NONE_RETRY_S)
 
 
 def describe_block(opened: state.Open, left_s: float) -> events.Refuse:
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -22,6 +22,7 @@
         running: Own requests that ran there.
         told_ago_s: Age of the load that it told; None if it told none.
         limit_per_s: Limit that it had named here by then; None if none.
+        paused: Replicas that were known here to want no request.
     """
 
     weighed: int = 0
@@ -29,6 +30,7 @@
     running: int = 0
     told_ago_s: float | None = None
     limit_per_s: float | None = None
+    paused: int = 0
 
 
 @attrs.define
--- /dev/null
+++ b/src/hickorylead/notices/__init__.py
@@ -0,0 +1,1 @@
+"""What servers say with their answers about requests to come."""
--- /dev/null
+++ b/src/hickorylead/notices/book.py
@@ -0,0 +1,102 @@
+"""What servers said with their answers about requests to come.
+
+A server tells each gateway by itself, and what it told holds for all requests
+of that gateway, not only for the one that it answered.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from hickorylead.forwarding import model
+
+# Servers whose notices are kept, some 200 bytes each: all replicas may ask for
+# a pause at the same time.
+MAX_NOTICES = 1024
+
+
+@attrs.define
+class _Notice:
+    """What one life of a server said.
+
+    Attributes:
+        born: When that life began, in Unix milliseconds; 0 if unsaid.
+        paused_until: Until when it wants no request.
+    """
+
+    born: int
+    paused_until: float = -1e9
+
+
+class NoticeBook:
+    """Notices by server, as one gateway got them."""
+
+    def __init__(self) -> None:
+        """Makes a book without notices."""
+        self._notices: dict[str, _Notice] = {}
+
+    def __len__(self) -> int:
+        """Returns how many servers have a notice that may be in force."""
+        return len(self._notices)
+
+    def note_answer(
+        self, replica: model.Replica, head: model.Head, now: float
+    ) -> None:
+        """Takes what an answer says; the longest pause counts."""
+        if head.retry_after_s is None:
+            return
+        notice = self._find_or_add(replica, now)
+        if notice is not None:
+            until = now + head.retry_after_s
+            notice.paused_until = max(notice.paused_until, until)
+
+    def find_pause(self, replica: model.Replica, now: float) -> float:
+        """Returns how long a replica wants no request yet, in seconds."""
+        notice = self._find(replica)
+        return max(0.0, notice.paused_until - now) if notice else 0.0
+
+    def count_paused(self, now: float) -> int:
+        """Returns how many servers want no request now."""
+        return sum(n.paused_until > now for n in self._notices.values())
+
+    def forget(self, now: float) -> None:
+        """Drops what is over; call it now and then."""
+        for server, notice in list(self._notices.items()):
+            if _find_end(notice) <= now:
+                del self._notices[server]
+
+    def _find(self, replica: model.Replica) -> _Notice | None:
+        notice = self._notices.get(replica.name)
+        if notice is None or _is_other_life(notice, replica):
+            return None
+        return notice
+
+    def _find_or_add(
+        self, replica: model.Replica, now: float
+    ) -> _Notice | None:
+        """Returns the notice of a life; None if a later one is known."""
+        notice = self._notices.get(replica.name)
+        if notice is not None and not _is_other_life(notice, replica):
+            return notice
+        if notice is not None and replica.born < notice.born:
+            return None
+        if notice is None and len(self._notices) >= MAX_NOTICES:
+            self.forget(now)
+        if notice is None and len(self._notices) >= MAX_NOTICES:
+            first = min(
+                self._notices, key=lambda s: _find_end(self._notices[s])
+            )
+            del self._notices[first]
+        added = self._notices[replica.name] = _Notice(replica.born)
+        return added
+
+
+def _is_other_life(notice: _Notice, replica: model.Replica) -> bool:
+    return bool(notice.born and replica.born and notice.born != replica.born)
+
+
+def _find_end(notice: _Notice) -> float:
+    return notice.paused_until
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -26,6 +26,7 @@
     health,
     routes as routes_module,
 )
+from hickorylead.notices import book as book_module
 from hickorylead.ratelimits import (
     messages as limit_messages,
     permits as permits_module,
@@ -120,6 +121,7 @@
         self._view = fleetview.FleetView(self._registry)
         self._book = health.HealthBook()
         self._guard = guard_module.Guard(identity.node)
+        self._notices = book_module.NoticeBook()
         self._permits = permits_module.Permits(
             identity.node, first=identity.boot, rng=rng
         )
@@ -128,11 +130,13 @@
                 zone=self._zone,
                 view=self._view,
                 book=self._book,
+                notices=self._notices,
                 permits=self._permits,
                 rng=rng,
             ),
             book=self._book,
             guard=self._guard,
+            notices=self._notices,
             permits=self._permits,
             limits=identity.retries,
             started_at=now,
@@ -206,6 +210,10 @@
         """Returns how many contents no replica gets."""
         return self._guard.count_blocked()
 
+    def count_paused(self, now: float) -> int:
+        """Returns how many servers want no request from here for now."""
+        return self._notices.count_paused(now)
+
     def count_limited(self) -> int:
         """Returns how many replicas name a rate limit."""
         return self._permits.table.count_named()
@@ -262,6 +270,7 @@
             self._registry.forget(now, FORGET_INSTANCE_S)
             self._book.forget(set(self._registry.instances))
             self._permits.forget(now)
+            self._notices.forget(now)
         return effects
 
     def _tell_limits(self, home: str, now: float) -> list[GatewayEffect]:
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -284,6 +284,7 @@
             "open_requests": self.role.count_open(),
             "blocked_contents": self.role.count_blocked(),
             "limited_replicas": self.role.count_limited(),
+            "paused_servers": self.role.count_paused(clock.read_boottime()),
             "configuration_version": document.version if document else 0,
             "ready": float(self.role.is_ready()),
             "connections_opened_total": self._pool.opened,
--- /dev/null
+++ b/tests/notices/notices.feature
@@ -0,0 +1,103 @@
+Feature: What servers say with an answer about requests to come
+
+  Scenario: A server that asks for a pause gets no requests in it
+    It turns requests away and says for how long it wants none from a gateway.
+    Given a fleet of 6 gateways and 24 servers with callers
+    When two heads turn requests away and ask for 3 seconds, for 8 seconds
+    Then no gateway sends over 2 requests in a pause that it was asked for
+
+  Scenario Outline: A pause costs callers nothing while others have free slots
+    Given a fleet of <gateways> gateways and 24 servers with callers
+    When two heads turn requests away and ask for 3 seconds, for 8 seconds
+    Then no gateway sends over 2 requests in a pause that it was asked for
+    And no request was refused
+
+    Examples:
+      | gateways |
+      | 6        |
+
+  Scenario Outline: Requests that all servers turn away are refused at once
+    Each is told when the first server takes requests again.
+    Given a fleet of <gateways> gateways and 24 servers with callers
+    When all heads turn requests away and ask for 3 seconds, for 8 seconds
+    Then no gateway sends over 2 requests in a pause that it was asked for
+    And each refused request got 503 and a time to come back within its objective
+
+    Examples:
+      | gateways |
+      | 6        |
+      | 24       |
+
+  Scenario: A server is used again when its pause is over
+    Given a fleet of 6 gateways and 24 servers with callers
+    When two heads turn requests away and ask for 1 seconds, for 0.5 seconds
+    And they take requests again for 4 seconds
+    Then each of them gets over 2 requests a second from 1.2 seconds after that
+
+  Scenario: A pause that one gateway was asked for binds no other
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head turns requests of one gateway away and asks for 3 seconds
+    Then the other gateways send it over 1 request a second meanwhile
+
+  Scenario Outline: Pauses are kept through faults of the nodes
+    Given a fleet of 6 gateways and 24 servers with callers
+    When two heads turn requests away and ask for 3 seconds while <fault>
+    Then no gateway sends over 2 requests in a pause that it was asked for
+
+    Examples:
+      | fault                                             |
+      | the coordinators start again one after the other  |
+      | all coordinators start again                      |
+      | the coordinators are cut from each other          |
+      | a zone is cut off                                 |
+      | all coordinators are lost                         |
+
+  Scenario: A gateway that starts again heeds the first refusal
+    Given a fleet of 6 gateways and 24 servers with callers
+    When two heads turn requests away and ask for 3 seconds while a gateway starts again
+    Then no gateway sends over 2 requests in a pause that it was asked for since
+
+  Scenario: Random schedules of faults keep pauses
+    Then random schedules 0 to 7 of faults keep pauses
+
+  Scenario: Replicas that have stopped are no reason to break a pause
+    With nothing better, stalled replicas are tried, but not one that asked for a
+    pause.
+    Given a gateway with 3 plain replicas
+    When a replica asks for 3 seconds and the others can't be reached
+    Then no call is sent to the first one for 3 seconds
+
+  Scenario: A request waits for the end of a short pause
+    Given a gateway with 1 plain replicas
+    When the replica asks for a pause of 0.02 seconds and a call comes
+    Then that call is sent when the pause is over
+
+  Scenario: A longer pause is not cut short by a later answer
+    Given a gateway with 1 plain replicas
+    When the replica asks for 3 seconds and then for 0.1 seconds
+    Then no call is sent to the first one for 3 seconds
+
+  Scenario: A refusal of another request tells of a pause as well
+    Given a gateway with 1 plain replicas
+    When an answer to another request asks for a pause of 3 seconds
+    Then no call is sent to the first one for 3 seconds
+
+  Scenario: The next life of a server is not paused
+    Given a gateway with 1 plain replicas
+    When the replica asks for 3 seconds and starts again under its id
+    Then a call is sent to it at once
+
+  Scenario: A late answer of a former life does not pause the next one
+    Given a gateway with 1 plain replicas
+    When the replica starts again under its id and then a pause of its former life comes
+    Then a call is sent to it at once
+
+  Scenario: The number of notices is bounded
+    Then 5000 servers that ask for a pause leave 1024 notices
+    And none is left when the pauses are over
+
+  Scenario: A server that says that it leaves gets no new requests
+    Its answers say so; its heartbeats do not.
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head says with its answers that it leaves, for 8 seconds
+    Then no gateway sends it a request that came 2 seconds after it was told
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import attrs
 from behave import given, then, when
-from support import noticeplay
+from steps import limit_steps
+from support import crashplay, noticeplay
+
+from hickorylead.forwarding import events, model
+from hickorylead.notices import book
+from hickorylead.verdict import Verdict
+
+PAUSED = model.Head(503, not_run=True, retry_after_s=3.0)
 
 
 @given("a fleet of {gateways:d} gateways and {servers:d} servers with callers")
@@ -33,6 +41,262 @@
     assert found <= most, found
 
 
+@when(
+    "all heads turn requests away and ask for {pause:g} seconds, "
+    "for {seconds:g} seconds"
+)
+def _(context, pause, seconds):
+    play = context.play
+    heads = {server.name for server in play.world.list_open()}
+    play.pausing = dict.fromkeys(heads, pause)
+    context.began_at = play.world.now
+    noticeplay.send(play, seconds)
+
+
+@then("no request was refused")
+def _(context):
+    refused = [s for s in list_new(context) if s.status not in (0, 200)]
+    assert not refused, refused
+
+
+def list_new(context):
+    """Returns what was asked since servers asked for a pause."""
+    return [
+        submission
+        for submission in context.play.submissions.values()
+        if submission.asked_at >= context.began_at
+    ]
+
+
+@then(
+    "each refused request got {status:d} and a time to come back within "
+    "its objective"
+)
+def _(context, status):
+    objective_s = crashplay.ROUTES["drafts"].objective_s
+    refused = [s for s in list_new(context) if s.status not in (0, 200)]
+    assert refused
+    for submission in refused:
+        assert submission.status == status, submission
+        assert submission.retry_after_s, submission
+        took_s = submission.ended_at - submission.asked_at
+        assert took_s <= objective_s, submission
+
+
+@when("they take requests again for {seconds:g} seconds")
+def _(context, seconds):
+    context.play.pausing.clear()
+    context.ended_at = context.play.world.now
+    noticeplay.send(context.play, seconds)
+
+
+@then(
+    "each of them gets over {per_s:g} requests a second from {late_s:g} "
+    "seconds after that"
+)
+def _(context, per_s, late_s):
+    since = context.ended_at + late_s
+    for head in context.heads:
+        times = [at for at, _ in context.play.list_arrivals(head)]
+        found = sum(at >= since for at in times)
+        seconds = context.play.world.now - since
+        assert found > per_s * seconds, (head, found, seconds)
+
+
+@when(
+    "a head turns requests of one gateway away and asks for {pause:g} seconds"
+)
+def _(context, pause):
+    play = context.play
+    context.head = noticeplay.list_used(play)[0]
+    zone = play.world.servers[context.head].zone
+    node = min(n for n in play.world.gateways if n.startswith(f"{zone}/"))
+    play.pausing[context.head] = pause
+    while not play.refusals:
+        play.ask(node, b"asked %d" % len(play.submissions))
+        play.run(0.05)
+    play.pausing.clear()
+    context.node, context.began_at = node, play.world.now
+    context.ends_at = play.refusals[0].at + pause
+    noticeplay.send(play, pause)
+
+
+@then("the other gateways send it over {per_s:g} request a second meanwhile")
+def _(context, per_s):
+    play = context.play
+    arrivals = [
+        gateway
+        for at, gateway in play.list_arrivals(context.head)
+        if context.began_at <= at < context.ends_at
+    ]
+    seconds = context.ends_at - context.began_at
+    assert context.node not in arrivals, arrivals
+    assert len(arrivals) > per_s * seconds, arrivals
+
+
+@when(
+    "two heads turn requests away and ask for {pause:g} seconds while {fault}"
+)
+def _(context, pause, fault):
+    play = context.play
+    heads = noticeplay.list_used(play)[:2]
+    play.pausing = dict.fromkeys(heads, pause)
+    noticeplay.send(play, 2.0)
+    limit_steps.FAULTS[fault](context)
+    play.world.heal()
+    noticeplay.send(play, 4.0, seed=7)
+
+
+@then(
+    "no gateway sends over {most:d} requests in a pause that it was asked for "
+    "since"
+)
+def _(context, most):
+    play = context.play
+    node = min(play.world.gateways)
+    started_at = noticeplay.find_restart(play, node)
+    play.refusals = [
+        r for r in play.refusals if r.gateway != node or r.at >= started_at
+    ]
+    assert any(r.gateway == node for r in play.refusals)
+    assert noticeplay.find_most_in_pause(play) <= most
+
+
+@then("random schedules {first:d} to {last:d} of faults keep pauses")
+def _(context, first, last):
+    for seed in range(first, last + 1):
+        found = noticeplay.explore(seed)
+        assert found.most <= noticeplay.MOST_IN_PAUSE, (seed, found)
+        assert not found.late, (seed, found)
+
+
+# One gateway, whose replicas the test plays.
+
+
+def refuse(context, head=PAUSED):
+    """Has the replica of a new call turn it away."""
+    play = context.play
+    name = play.ask("notices")
+    context.first = play.list_sent(name)[-1].replica.name
+    echo = play.list_sent(name)[-1].request.terms.attempt_id
+    play.begin(name, attrs.evolve(head, echo=echo))
+    context.paused_at = play.now
+    return name
+
+
+@when("a replica asks for {pause:g} seconds and the others can't be reached")
+def _(context, pause):
+    play = context.play
+    name = refuse(context)
+    for _ in range(2):
+        sent = play.list_sent(name)[-1]
+        failed = events.Failed(
+            name, sent.attempt, Verdict.NOT_RUN, model.CONNECT_TIMEOUT
+        )
+        play.give(failed)
+    assert len(play.list_sent(name)) == 3
+
+
+@then("no call is sent to the first one for {pause:g} seconds")
+def _(context, pause):
+    play = context.play
+    before = len(play.list_sent())
+    while play.now < context.paused_at + pause - 0.05:
+        play.ask("notices")
+        play.run(0.1)
+    names = [sent.replica.name for sent in play.list_sent()[before:]]
+    assert context.first not in names, names
+    play.run(0.2)
+    play.ask("notices")
+    assert context.first in [s.replica.name for s in play.list_sent()[before:]]
+
+
+@when("the replica asks for a pause of {pause:g} seconds and a call comes")
+def _(context, pause):
+    refuse(context, attrs.evolve(PAUSED, retry_after_s=pause))
+    context.name = context.play.ask("notices")
+    assert not context.play.list_sent(context.name)
+
+
+@then("that call is sent when the pause is over")
+def _(context):
+    context.play.run(0.04)
+    assert len(context.play.list_sent(context.name)) == 1
+
+
+@when("the replica asks for {pause:g} seconds and then for {later:g} seconds")
+def _(context, pause, later):
+    play = context.play
+    second = play.ask("notices")
+    refuse(context, attrs.evolve(PAUSED, retry_after_s=pause))
+    echo = play.list_sent(second)[-1].request.terms.attempt_id
+    head = attrs.evolve(PAUSED, retry_after_s=later, echo=echo)
+    play.begin(second, head)
+
+
+@when("an answer to another request asks for a pause of {pause:g} seconds")
+def _(context, pause):
+    play = context.play
+    name = play.ask("notices")
+    context.first = play.list_sent(name)[-1].replica.name
+    head = attrs.evolve(PAUSED, retry_after_s=pause, echo="another")
+    play.begin(name, head)
+    context.paused_at = play.now
+
+
+def begin_life(context):
+    """Has the replica's next life under its id send a heartbeat."""
+    play = context.play
+    found = play.registry.instances["p0"]
+    play.registry.merge(attrs.evolve(found, born=found.born + 1000), play.now)
+
+
+@when("the replica asks for {pause:g} seconds and starts again under its id")
+def _(context, pause):
+    assert pause == PAUSED.retry_after_s
+    begin_life(context)
+    refuse(context)
+    begin_life(context)
+
+
+@when(
+    "the replica starts again under its id and then a pause of its former "
+    "life comes"
+)
+def _(context):
+    play = context.play
+    begin_life(context)
+    name = play.ask("notices")
+    begin_life(context)
+    refuse(context, attrs.evolve(PAUSED, retry_after_s=0.01))
+    play.run(0.05)
+    echo = play.list_sent(name)[-1].request.terms.attempt_id
+    play.begin(name, attrs.evolve(PAUSED, echo=echo))
+
+
+@then("a call is sent to it at once")
+def _(context):
+    assert context.play.list_sent(context.play.ask("notices"))
+
+
+@then("{servers:d} servers that ask for a pause leave {kept:d} notices")
+def _(context, servers, kept):
+    context.notices = book.NoticeBook()
+    for number in range(servers):
+        replica = model.Replica(f"s{number}", "s", "", "a:1", "z1", 8)
+        context.notices.note_answer(replica, PAUSED, 10.0)
+    assert len(context.notices) == kept
+
+
+@then("none is left when the pauses are over")
+def _(context):
+    context.notices.forget(10.0 + PAUSED.retry_after_s)
+    assert not len(context.notices)
+
+
+# Servers that leave.
+
+
 @when("a head says with its answers that it leaves, for {seconds:g} seconds")
 def _(context, seconds):
     play = context.play
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -166,6 +166,8 @@
         # Called with sender, target and message of all that is sent.
         self.watch = None
         self._boots = 0
+        # When gateways started, and which.
+        self.starts: list[tuple[float, str]] = []
         self.core = [
             nodes.name_node(zone, f"core{number or ''}", nodes.COORDINATOR)
             for number in range(coordinators_per_zone)
@@ -218,6 +220,7 @@
     def start_gateway(self, node: str) -> None:
         """Starts a gateway, which knows nothing."""
         self._boots += 1
+        self.starts.append((self.now, node))
         self.heard.pop(node, None)
         self.gateways[node] = gateway.Gateway(
             gateway.Identity(node, self._boots, self.seeds),
--- a/tests/support/forwardplay.py
+++ b/tests/support/forwardplay.py
@@ -17,6 +17,7 @@
     health,
     model,
 )
+from hickorylead.notices import book
 from hickorylead.ratelimits import permits
 from support import fleetworld
 
@@ -36,6 +37,7 @@
             self._add(f"m{number}", "model", number + 1)
         self.book = health.HealthBook()
         self.guard = guard.Guard("z1/front1")
+        self.notices = book.NoticeBook()
         rng = random.Random(1)
         self.permits = permits.Permits("z1/front1", first=1, rng=rng)
         view = fleetview.FleetView(self.registry)
@@ -44,11 +46,13 @@
                 zone="z1",
                 view=view,
                 book=self.book,
+                notices=self.notices,
                 permits=self.permits,
                 rng=rng,
             ),
             book=self.book,
             guard=self.guard,
+            notices=self.notices,
             permits=self.permits,
         )
         # Its coordinator has told it how many share the retries.
--- a/tests/support/noticeplay.py
+++ b/tests/support/noticeplay.py
@@ -4,6 +4,8 @@
 
 import random
 
+import attrs
+
 from support import crashplay, fleetworld, limitfaults
 
 # A gateway has this long to heed a pause, in seconds, and may send this many
@@ -74,3 +76,52 @@
             if told_at is not None and submission.asked_at > told_at + DRAIN_S:
                 found.append((at, submission.gateway, server))
     return sorted(found)
+
+
+def find_restart(play: crashplay.CrashPlay, node: str) -> float:
+    """Returns when the present life of a gateway was first asked something."""
+    boots = [at for at, name in play.world.starts if name == node]
+    return boots[-1]
+
+
+@attrs.frozen
+class Result:
+    """What one schedule came to.
+
+    Attributes:
+        most: Most requests of a gateway in a pause.
+        late: Requests that reached a leaving server too late.
+        faults: The faults, in order.
+    """
+
+    most: int
+    late: list[tuple[float, str, str]]
+    faults: tuple[str, ...]
+
+
+def explore(seed: int) -> Result:
+    """Plays one schedule; the same seed plays the same.
+
+    Each round other heads ask for a pause. A gateway that starts again has
+    forgotten it, which is allowed.
+    """
+    rng = random.Random(seed)
+    play = make_play(rng.choice([6, 24]), 24, seed)
+    faults = tuple(rng.choice(limitfaults.KINDS) for _ in range(6))
+    for fault in faults:
+        heads = list_used(play)
+        chosen = rng.sample(heads, min(len(heads), rng.choice([1, 2, 4])))
+        play.pausing = {h: rng.choice([0.7, 2.0, 5.0]) for h in chosen}
+        limitfaults.send(play, 1.0, rng)
+        limitfaults.cause(fault, play, rng)
+        limitfaults.send(play, rng.choice([0.5, 2.0]), rng)
+    starts = play.world.starts
+    play.refusals = [
+        refusal
+        for refusal in play.refusals
+        if not any(
+            node == refusal.gateway and 0 <= at - refusal.at < refusal.pause_s
+            for at, node in starts
+        )
+    ]
+    return Result(find_most_in_pause(play), list_late(play), faults)
