--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -147,7 +147,7 @@
             avoid: Replicas that this request has failed at.
             now: Present time.
         """
-        known = self._view.list_replicas(request.service, request.terms.model)
+        known = self._list_staying(request, now)
         pauses = self._find_pauses(known, now)
         ready = [r for r in known if r.name not in pauses] if pauses else known
         pause_s = min(pauses.values(), default=0.0)
@@ -196,6 +196,15 @@
             len(pauses),
         )
 
+    def _list_staying(
+        self, request: model.Request, now: float
+    ) -> list[model.Replica]:
+        """Returns the replicas for a request that are not about to end."""
+        known = self._view.list_replicas(request.service, request.terms.model)
+        if not len(self._notices):
+            return known
+        return [r for r in known if not self._notices.is_leaving(r, now)]
+
     def _find_pauses(
         self, known: Iterable[model.Replica], now: float
     ) -> dict[str, float]:
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -55,6 +55,11 @@
     )
 
 
+def describe_leaving(replica: model.Replica) -> notes.Note:
+    """Returns the line about a replica that says that it leaves."""
+    return notes.note("server_leaving", server=replica.name, born=replica.born)
+
+
 def describe_unreadable(
     replica: model.Replica, names: tuple[str, ...]
 ) -> notes.Note:
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -339,11 +339,12 @@
         attempt, head = opened.attempt, event.head
         assert attempt is not None
         attempt.head = head
-        # A late answer to another request tells as much about its server.
-        self._notices.note_answer(attempt.replica, head, now)
         if head.load is not None:
             self._book.note_load(attempt.replica, head.load, now)
         effects = self._note_limit(opened, attempt.replica, head, now)
+        # A late answer to another request tells as much about its server.
+        if self._notices.note_answer(attempt.replica, head, now):
+            effects.append(descriptions.describe_leaving(attempt.replica))
         if head.unreadable:
             effects.append(
                 descriptions.describe_unreadable(
--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -16,6 +16,9 @@
 # Servers whose notices are kept, some 200 bytes each: all replicas may ask for
 # a pause at the same time.
 MAX_NOTICES = 1024
+# A life that is still there this long after it last said so has not left, in
+# seconds.
+LEAVING_MEMORY_S = 900.0
 
 
 @attrs.define
@@ -25,10 +28,12 @@
     Attributes:
         born: When that life began, in Unix milliseconds; 0 if unsaid.
         paused_until: Until when it wants no request.
+        leaving_until: Until when it is taken for leaving.
     """
 
     born: int
     paused_until: float = -1e9
+    leaving_until: float = -1e9
 
 
 class NoticeBook:
@@ -44,20 +49,35 @@
 
     def note_answer(
         self, replica: model.Replica, head: model.Head, now: float
-    ) -> None:
-        """Takes what an answer says; the longest pause counts."""
-        if head.retry_after_s is None:
-            return
+    ) -> bool:
+        """Takes what an answer says; the longest pause counts.
+
+        Returns:
+            Whether it is news that the replica leaves.
+        """
+        if head.retry_after_s is None and not head.is_leaving:
+            return False
         notice = self._find_or_add(replica, now)
-        if notice is not None:
+        if notice is None:
+            return False
+        if head.retry_after_s is not None:
             until = now + head.retry_after_s
             notice.paused_until = max(notice.paused_until, until)
+        is_news = head.is_leaving and notice.leaving_until <= now
+        if head.is_leaving:
+            notice.leaving_until = now + LEAVING_MEMORY_S
+        return is_news
 
     def find_pause(self, replica: model.Replica, now: float) -> float:
         """Returns how long a replica wants no request yet, in seconds."""
         notice = self._find(replica)
         return max(0.0, notice.paused_until - now) if notice else 0.0
 
+    def is_leaving(self, replica: model.Replica, now: float) -> bool:
+        """Says whether a replica is about to end."""
+        notice = self._find(replica)
+        return notice is not None and notice.leaving_until > now
+
     def count_paused(self, now: float) -> int:
         """Returns how many servers want no request now."""
         return sum(n.paused_until > now for n in self._notices.values())
@@ -99,4 +119,4 @@
 
 
 def _find_end(notice: _Notice) -> float:
-    return notice.paused_until
+    return max(notice.paused_until, notice.leaving_until)
--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -101,3 +101,47 @@
     Given a fleet of 6 gateways and 24 servers with callers
     When a head says with its answers that it leaves, for 8 seconds
     Then no gateway sends it a request that came 2 seconds after it was told
+
+  Scenario Outline: A leaving server gets nothing new through faults of the nodes
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head says with its answers that it leaves while <fault>
+    Then no gateway sends it a request that came 2 seconds after it was told
+
+    Examples:
+      | fault                                             |
+      | the coordinators start again one after the other  |
+      | all coordinators start again                      |
+      | the coordinators are cut from each other          |
+      | a zone is cut off                                 |
+      | all coordinators are lost                         |
+
+  Scenario: A leaving server that control nodes forgot and know again is not used
+    It was cut off from them for over a minute, so nobody knows it any more.
+    Given a gateway with 2 plain replicas
+    When a replica says that it leaves and is forgotten and known again
+    Then no call is sent to it
+
+  Scenario: Replicas that have stopped are no reason to use one that leaves
+    Given a gateway with 2 plain replicas
+    When a replica says that it leaves and the other can't be reached
+    Then no call is sent to it
+
+  Scenario: What a leaving replica still runs is not cut
+    Given a gateway with 2 model replicas
+    When a replica says that it leaves at the beginning of its stream
+    Then that stream ends whole
+
+  Scenario: With leaving replicas only, a request is refused at once
+    Given a gateway with 1 plain replicas
+    When the only replica says that it leaves and a call comes
+    Then that call ends with status 503 within 0.1 seconds, never sent
+
+  Scenario: The next life of a server that left is used
+    Given a gateway with 1 plain replicas
+    When the replica says that it leaves and starts again under its id
+    Then a call is sent to it at once
+
+  Scenario: A server that does not end for long is used again
+    Given a gateway with 1 plain replicas
+    When the replica says that it leaves and is still there after 900 seconds
+    Then a call is sent to it at once
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -5,7 +5,7 @@
 import attrs
 from behave import given, then, when
 from steps import limit_steps
-from support import crashplay, noticeplay
+from support import crashplay, forwardplay, noticeplay
 
 from hickorylead.forwarding import events, model
 from hickorylead.notices import book
@@ -314,3 +314,120 @@
     assert context.play.told_leaving
     found = noticeplay.list_late(context.play)
     assert not found, found
+
+
+@when("a head says with its answers that it leaves while {fault}")
+def _(context, fault):
+    play = context.play
+    context.head = noticeplay.list_used(play)[0]
+    play.leaving.add(context.head)
+    noticeplay.send(play, 2.0)
+    limit_steps.FAULTS[fault](context)
+    play.world.heal()
+    noticeplay.send(play, 4.0, seed=7)
+
+
+LEAVING = attrs.evolve(forwardplay.OK, is_leaving=True)
+
+
+def leave(context):
+    """Has the replica of a new call answer it and say that it leaves."""
+    play = context.play
+    name = play.ask("notices")
+    sent = play.list_sent(name)[-1]
+    context.first = sent.replica.name
+    echo = sent.request.terms.attempt_id
+    play.answer(name, attrs.evolve(LEAVING, echo=echo))
+
+
+@when("a replica says that it leaves and is forgotten and known again")
+def _(context):
+    leave(context)
+    play = context.play
+    found = play.registry.instances[context.first]
+    play.registry.merge(attrs.evolve(found, silent=True), play.now)
+    assert play.registry.forget(play.now + 100.0, 60.0) == [context.first]
+    play.now += 100.0
+    play.registry.merge(attrs.evolve(found, sequence=90), play.now)
+
+
+@when("a replica says that it leaves and the other can't be reached")
+def _(context):
+    leave(context)
+    play = context.play
+    name = play.ask("notices")
+    sent = play.list_sent(name)[-1]
+    play.give(
+        events.Failed(
+            name, sent.attempt, Verdict.NOT_RUN, model.CONNECT_TIMEOUT
+        )
+    )
+
+
+@then("no call is sent to it")
+def _(context):
+    play = context.play
+    before = len(play.list_sent())
+    for _ in range(40):
+        play.ask("notices")
+        play.run(0.05)
+    names = [sent.replica.name for sent in play.list_sent()[before:]]
+    assert names, "the other one is used again"
+    assert context.first not in names, names
+
+
+@when("a replica says that it leaves at the beginning of its stream")
+def _(context):
+    play = context.play
+    name = context.name = play.ask("drafts")
+    echo = play.list_sent(name)[-1].request.terms.attempt_id
+    context.attempt = play.begin(name, attrs.evolve(LEAVING, echo=echo))
+
+
+@then("that stream ends whole")
+def _(context):
+    play, name = context.play, context.name
+    for number in range(1, 30):
+        play.send_events(name, [number], attempt=context.attempt)
+        play.run(0.1)
+    play.give(events.Ended(name, context.attempt))
+    assert len(play.list_sent(name)) == 1
+    assert play.list_of(name, events.Finish)
+
+
+@when("the only replica says that it leaves and a call comes")
+def _(context):
+    leave(context)
+    context.asked_at = context.play.now
+    context.name = context.play.ask("alerts")
+    context.play.run(0.2)
+
+
+@then(
+    "that call ends with status {status:d} within {most_s:g} seconds, "
+    "never sent"
+)
+def _(context, status, most_s):
+    found = context.play.list_of(context.name, events.Refuse)
+    assert [refusal.status for _, refusal in found] == [status], found
+    at, refusal = found[0]
+    assert at - context.asked_at <= most_s and refusal.retry_after_s, found
+    assert not context.play.list_sent(context.name)
+
+
+@when("the replica says that it leaves and starts again under its id")
+def _(context):
+    begin_life(context)
+    leave(context)
+    begin_life(context)
+
+
+@when(
+    "the replica says that it leaves and is still there after {late_s:g} "
+    "seconds"
+)
+def _(context, late_s):
+    leave(context)
+    context.play.now += late_s - 1.0
+    assert not context.play.list_sent(context.play.ask("notices"))
+    context.play.now += 1.5
