--- a/src/hickorylead/admission/budget.py
+++ b/src/hickorylead/admission/budget.py
@@ -48,9 +48,9 @@
         """Counts a first attempt."""
         self._saved = min(self._most, self._saved + self._share)
 
-    def has_one(self) -> bool:
-        """Says whether a retry is left."""
-        return self._saved >= 1.0
+    def has(self, count: int) -> bool:
+        """Says whether so many retries are left."""
+        return self._saved >= count
 
     def spend(self) -> bool:
         """Takes one retry from the budget; says whether there was one."""
--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -30,6 +30,8 @@
 # the shortest objective, so a replica that fails each second request loses
 # nearly all of its traffic while others are free.
 FAILURE_S = 0.15
+# A replica that may turn requests away counts like one that failed lately.
+DOUBT_S = FAILURE_S
 # A replica that control nodes miss is a last choice but one, in seconds.
 SILENT_S = 0.5
 # Requests beyond the slots of a replica that it may be given; it queues a few.
@@ -137,6 +139,7 @@
         engine: document_module.Engine | None,
         *,
         avoid: Collection[str],
+        may_probe: bool,
         now: float,
     ) -> Choice | NoChoice:
         """Returns the replica that should answer first.
@@ -145,6 +148,8 @@
             request: The request.
             engine: Figures of the service's engines; None if it is plain.
             avoid: Replicas that this request has failed at.
+            may_probe: Whether it may find out if a replica that turned requests
+                away takes some again.
             now: Present time.
         """
         known = self._list_staying(request, now)
@@ -166,6 +171,8 @@
                 full += 1
                 continue
             estimate_s = self._estimate(replica, request, engine, running, now)
+            if self._notices.is_doubted(replica, now, may_probe=may_probe):
+                estimate_s += DOUBT_S
             if self._permits.may_send(replica, now):
                 found = _Candidate(replica, estimate_s)
                 best = found if best is None else min(best, found, key=_rank)
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -38,6 +38,9 @@
 # Replicas that one request is sent to at most, those that refused it counted:
 # each refusal costs a round trip and a share of the common retry budget.
 MAX_SENDS = 4
+# Retries that must be left for a request that may be turned away by a server
+# whose pause has ended: one for itself, and one for a request that needs it.
+PROBE_RETRIES = 2
 # A replica is not started on a request that has less time left, in seconds:
 # it could not answer any more.
 MIN_BUDGET_S = 0.02
@@ -262,6 +265,7 @@
             request,
             self._find_engine(request.service),
             avoid=opened.failed,
+            may_probe=self._budgets.find(request.service).has(PROBE_RETRIES),
             now=now,
         )
         match chosen:
@@ -343,7 +347,9 @@
             self._book.note_load(attempt.replica, head.load, now)
         effects = self._note_limit(opened, attempt.replica, head, now)
         # A late answer to another request tells as much about its server.
-        if self._notices.note_answer(attempt.replica, head, now):
+        if self._notices.note_answer(
+            attempt.replica, head, sent_at=attempt.sent_at, now=now
+        ):
             effects.append(descriptions.describe_leaving(attempt.replica))
         if head.unreadable:
             effects.append(
@@ -533,13 +539,14 @@
             or opened.runs + 1 >= opened.request.route.max_attempts
             or opened.attempts >= MAX_SENDS
             or opened.ends_at - now <= MIN_BUDGET_S
-            or not self._budgets.find(opened.request.service).has_one()
+            or not self._budgets.find(opened.request.service).has(1)
         ):
             return False
         chosen = self._chooser.choose(
             opened.request,
             self._find_engine(opened.request.service),
             avoid={*opened.failed, attempt.replica.name},
+            may_probe=False,
             now=now,
         )
         return isinstance(chosen, choice_module.Choice)
--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -10,7 +10,11 @@
 
 import attrs
 
+from hickorylead.notices import messages, pauses as pauses_module
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hickorylead.forwarding import model
 
 # Servers whose notices are kept, some 200 bytes each: all replicas may ask for
@@ -19,6 +23,11 @@
 # A life that is still there this long after it last said so has not left, in
 # seconds.
 LEAVING_MEMORY_S = 900.0
+# A server whose pause has ended is in doubt until it has answered a request, or
+# for this long, in seconds: it may turn requests away again.
+DOUBT_S = 10.0
+# Pauses told in one message; the others follow with the next one.
+MAX_TOLD = 64
 
 
 @attrs.define
@@ -42,19 +51,35 @@
     def __init__(self) -> None:
         """Makes a book without notices."""
         self._notices: dict[str, _Notice] = {}
+        # Pauses that any gateway was asked for, and those not told of yet.
+        self._shared = pauses_module.Pauses()
+        self._untold: dict[str, None] = {}
 
     def __len__(self) -> int:
-        """Returns how many servers have a notice that may be in force."""
-        return len(self._notices)
+        """Returns how many notices may be in force."""
+        return len(self._notices) + len(self._shared)
 
     def note_answer(
-        self, replica: model.Replica, head: model.Head, now: float
+        self,
+        replica: model.Replica,
+        head: model.Head,
+        *,
+        sent_at: float,
+        now: float,
     ) -> bool:
         """Takes what an answer says; the longest pause counts.
 
+        Args:
+            replica: Who answered.
+            head: The head of the answer.
+            sent_at: When the request was sent that it answers.
+            now: Present time.
+
         Returns:
             Whether it is news that the replica leaves.
         """
+        if head.retry_after_s is None and not head.not_run:
+            self._shared.end_before(replica.name, sent_at)
         if head.retry_after_s is None and not head.is_leaving:
             return False
         notice = self._find_or_add(replica, now)
@@ -63,6 +88,11 @@
         if head.retry_after_s is not None:
             until = now + head.retry_after_s
             notice.paused_until = max(notice.paused_until, until)
+            pause = messages.Pause(
+                replica.name, replica.born, round(1000 * head.retry_after_s)
+            )
+            if self._shared.take(pause, now):
+                self._untold[replica.name] = None
         is_news = head.is_leaving and notice.leaving_until <= now
         if head.is_leaving:
             notice.leaving_until = now + LEAVING_MEMORY_S
@@ -73,6 +103,34 @@
         notice = self._find(replica)
         return max(0.0, notice.paused_until - now) if notice else 0.0
 
+    def is_doubted(
+        self, replica: model.Replica, now: float, *, may_probe: bool
+    ) -> bool:
+        """Says whether a replica may turn a request away.
+
+        Args:
+            replica: A replica that wants requests from this gateway.
+            now: Present time.
+            may_probe: Whether a refusal can be afforded, to find out whether a
+                server takes requests again.
+        """
+        until = self._shared.find_until(replica.name, replica.born)
+        if until is None:
+            return False
+        return now < until or (not may_probe and now < until + DOUBT_S)
+
+    def take_news(self, pauses: Iterable[messages.Pause], now: float) -> None:
+        """Takes pauses that other gateways were asked for."""
+        for pause in pauses:
+            self._shared.take(pause, now)
+
+    def describe_untold(self, now: float) -> tuple[messages.Pause, ...]:
+        """Returns pauses that other nodes are to be told, each once."""
+        names = list(self._untold)[:MAX_TOLD]
+        for name in names:
+            del self._untold[name]
+        return self._shared.describe(names, now)
+
     def is_leaving(self, replica: model.Replica, now: float) -> bool:
         """Says whether a replica is about to end."""
         notice = self._find(replica)
@@ -87,6 +145,7 @@
         for server, notice in list(self._notices.items()):
             if _find_end(notice) <= now:
                 del self._notices[server]
+        self._shared.forget(now - DOUBT_S)
 
     def _find(self, replica: model.Replica) -> _Notice | None:
         notice = self._notices.get(replica.name)
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -35,6 +35,10 @@
     orders,
     registry as registry_module,
 )
+from hickorylead.notices import (
+    exchange as notice_exchange,
+    messages as notice_messages,
+)
 from hickorylead.ratelimits import (
     exchange as limit_exchange,
     messages as limit_messages,
@@ -123,6 +127,7 @@
             neighbours=self.neighbours,
             gateways=self.gateways,
         )
+        self._notices = notice_exchange.Exchange(identity.node)
         self._keeper = keeper_module.Keeper(
             identity,
             policy=policy,
@@ -277,6 +282,7 @@
     def _greet(self, now: float) -> list[CoordinatorEffect]:
         self.neighbours.forget_old(now)
         self.registry.forget(now, FORGET_INSTANCE_S)
+        self._notices.forget(now)
         known = self.neighbours.known
         hello = messages.CoordinatorHello(
             node=self._identity.node,
@@ -372,6 +378,8 @@
                 return self._take_gateway(message, now)
             case crash_messages.CrashNews():
                 return self._take_crashes(message, now)
+            case notice_messages.PauseNews():
+                return self._take_pauses(message, now)
             case limit_messages.LimitNews():
                 return self._send_all(self._limits.take_news(message, now))
             case limit_messages.PermitRequest():
@@ -408,6 +416,14 @@
             case _:
                 return []
 
+    def _take_pauses(
+        self, news: notice_messages.PauseNews, now: float
+    ) -> list[CoordinatorEffect]:
+        targets = self.gateways.list_own(now)
+        if news.sender not in self.neighbours.known:
+            targets += self.neighbours.list_alive(now)
+        return self._send_all(self._notices.take(news, targets, now))
+
     def _take_alive(
         self, alive: messages.Alive, now: float
     ) -> list[CoordinatorEffect]:
@@ -461,8 +477,12 @@
             )
         )
         if is_new:
-            told = self._limits.describe_new(hello.node, now)
-            effects += self._send_all(told)
+            effects += self._send_all(
+                self._limits.describe_new(hello.node, now)
+            )
+            effects += self._send_all(
+                self._notices.describe_new(hello.node, now)
+            )
         effects += self._send_all(
             self.gateways.hear(
                 hello,
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -26,7 +26,10 @@
     health,
     routes as routes_module,
 )
-from hickorylead.notices import book as book_module
+from hickorylead.notices import (
+    book as book_module,
+    messages as notice_messages,
+)
 from hickorylead.ratelimits import (
     messages as limit_messages,
     permits as permits_module,
@@ -247,6 +250,7 @@
         home = self._find_home(now)
         effects += [seam.Send(*sent) for sent in self._guard.tell(home, now)]
         effects += self._tell_limits(home, now)
+        effects += self._tell_pauses(home, now)
         # A home that is lost or found is greeted about at once: until then
         # nobody tells this gateway anything.
         if now >= self._next_hello or news or home != self._home:
@@ -276,6 +280,13 @@
     def _tell_limits(self, home: str, now: float) -> list[GatewayEffect]:
         return [seam.Send(*sent) for sent in self._permits.tell(home, now)]
 
+    def _tell_pauses(self, home: str, now: float) -> list[GatewayEffect]:
+        pauses = self._notices.describe_untold(now) if home else ()
+        if not pauses:
+            return []
+        news = notice_messages.PauseNews(self._identity.node, pauses)
+        return [seam.Send(home, news)]
+
     # Coordinators.
 
     def _greet(self, home: str, now: float) -> list[GatewayEffect]:
@@ -387,6 +398,8 @@
             case limit_messages.PermitReply():
                 if self._permits.take_reply(message, now):
                     return [*self._forwarder.try_waiting(now)]
+            case notice_messages.PauseNews(_, pauses):
+                self._notices.take_news(pauses, now)
             case messages.StallNews(_, heads):
                 return [*self._forwarder.take_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses, is_fresh):
--- a/src/hickorylead/roles/seam.py
+++ b/src/hickorylead/roles/seam.py
@@ -27,6 +27,7 @@
         announcements,
         messages as member_messages,
     )
+    from hickorylead.notices import messages as notice_messages
     from hickorylead.placement import orders
     from hickorylead.ratelimits import messages as limit_messages
     from hickorylead.requests import events as request_events
@@ -41,6 +42,7 @@
     "| fleet_messages.Message "
     "| lease_messages.Message "
     "| limit_messages.Message "
+    "| notice_messages.Message "
     "| member_messages.Message "
     "| routing_messages.Message "
     "| status.Message"
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -44,6 +44,7 @@
 _LEASE = "lease.messages"
 _MEMBER = "membership.messages"
 _STATUS = "roles.status"
+_NOTICES = "notices.messages"
 _RATES = "ratelimits.messages"
 _ROUTING = "routing.messages"
 
@@ -96,6 +97,7 @@
     Variant(_RATES, "LimitNews"),
     Variant(_RATES, "PermitRequest"),
     Variant(_RATES, "PermitReply"),
+    Variant(_NOTICES, "PauseNews"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -437,6 +437,7 @@
     limitNews @45 :LimitNews;
     permitRequest @46 :PermitRequest;
     permitReply @47 :PermitReply;
+    pauseNews @48 :PauseNews;
   }
 }
 
@@ -464,6 +465,17 @@
   detail @4 :Text;
 }
 
+struct Pause {
+  server @0 :Text;
+  born @1 :Int64;
+  leftMs @2 :Int64;
+}
+
+struct PauseNews {
+  sender @0 :Text;
+  pauses @1 :List(Pause);
+}
+
 struct PermitReply {
   gateway @0 :Text;
   number @1 :Int64;
