--- a/src/hickorylead/fleet/instances.py
+++ b/src/hickorylead/fleet/instances.py
@@ -86,9 +86,10 @@
 
     Heartbeats come through any control node and may be overtaken. That a life
     has ended is never taken back: a late heartbeat of it would bring back an
-    address that now belongs to another service. A later life under the same id
-    counts its heartbeats anew; whatever is heard of the former one, its number
-    may be higher, but it is old.
+    address that now belongs to another service. Nor is that it leaves, which a
+    server may say with its answers while its heartbeats do not. A later life
+    under the same id counts its heartbeats anew; whatever is heard of the former
+    one, its number may be higher, but it is old.
     """
     if known is None:
         return True
@@ -98,6 +99,8 @@
         return False
     if news.phase == PHASE_GONE:
         return True
+    if news.phase == PHASE_DRAINING and known.phase == PHASE_READY:
+        return True
     if news.sequence != known.sequence:
         return news.sequence > known.sequence
     if news.silent != known.silent:
@@ -113,6 +116,9 @@
     if known is not None and known.born != news.born:
         # A life that begins has nothing in memory.
         known = None
+    if known is not None and PHASE_DRAINING in (news.phase, known.phase):
+        news = _keep_draining(news, known)
+        last_model = news.last_model
     if news.has_group and news.models:
         last_model = news.models[0]
     elif known is not None and not last_model:
@@ -123,6 +129,14 @@
     return attrs.evolve(news, last_model=last_model, loading=loading)
 
 
+def _keep_draining(news: Instance, known: Instance) -> Instance:
+    """Returns news of a life that leaves, as one of them says."""
+    if news.phase == PHASE_GONE:
+        return news
+    newer = news if news.sequence >= known.sequence else known
+    return attrs.evolve(newer, phase=PHASE_DRAINING)
+
+
 def says_the_same(first: Instance, second: Instance) -> bool:
     """Says whether two reports differ in nothing but their number."""
     return attrs.evolve(first, sequence=second.sequence) == second
--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -136,6 +136,14 @@
         notice = self._find(replica)
         return notice is not None and notice.leaving_until > now
 
+    def list_leaving(self, now: float) -> list[messages.Leave]:
+        """Returns the servers that said that they are about to end."""
+        return [
+            messages.Leave(server, notice.born)
+            for server, notice in self._notices.items()
+            if notice.leaving_until > now
+        ]
+
     def count_paused(self, now: float) -> int:
         """Returns how many servers want no request now."""
         return sum(n.paused_until > now for n in self._notices.values())
--- a/src/hickorylead/notices/messages.py
+++ b/src/hickorylead/notices/messages.py
@@ -36,4 +36,31 @@
     pauses: tuple[Pause, ...]
 
 
-Message: TypeAlias = PauseNews
+@attrs.frozen
+class Leave:
+    """A server said with an answer that it is about to end.
+
+    Attributes:
+        server: The server.
+        born: When the life began that said so, in Unix milliseconds; 0 if it
+            does not tell.
+    """
+
+    server: str
+    born: int
+
+
+@attrs.frozen
+class LeaveNews:
+    """A gateway tells which servers leave, though control nodes don't know it.
+
+    Attributes:
+        sender: The gateway.
+        leaves: The servers.
+    """
+
+    sender: str
+    leaves: tuple[Leave, ...]
+
+
+Message: TypeAlias = PauseNews | LeaveNews
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -380,6 +380,11 @@
                 return self._take_crashes(message, now)
             case notice_messages.PauseNews():
                 return self._take_pauses(message, now)
+            case notice_messages.LeaveNews(_, leaves):
+                effects = []
+                for leave in leaves:
+                    effects += self._drain(leave.server, leave.born, now)
+                return effects
             case limit_messages.LimitNews():
                 return self._send_all(self._limits.take_news(message, now))
             case limit_messages.PermitRequest():
@@ -564,6 +569,25 @@
         self.registry.merge(gone, now)
         return self._spread([gone], known, now)
 
+    def _drain(
+        self, name: str, born: int, now: float
+    ) -> list[CoordinatorEffect]:
+        """Takes that a server said with an answer that it leaves.
+
+        Its heartbeats may not tell so, or not come here.
+        """
+        known = self.registry.instances.get(name)
+        if (
+            known is None
+            or known.phase != instances.PHASE_READY
+            or known.born != born
+        ):
+            return []
+        news = attrs.evolve(known, phase=instances.PHASE_DRAINING)
+        if not self.registry.merge(news, now):
+            return []
+        return self._spread([news], known, now)
+
     def _spread(
         self,
         changed: list[instances.Instance],
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -29,6 +29,7 @@
 from hickorylead.notices import (
     book as book_module,
     messages as notice_messages,
+    teller as teller_module,
 )
 from hickorylead.ratelimits import (
     messages as limit_messages,
@@ -125,6 +126,9 @@
         self._book = health.HealthBook()
         self._guard = guard_module.Guard(identity.node)
         self._notices = book_module.NoticeBook()
+        self._teller = teller_module.Teller(
+            identity.node, book=self._notices, registry=self._registry
+        )
         self._permits = permits_module.Permits(
             identity.node, first=identity.boot, rng=rng
         )
@@ -250,7 +254,7 @@
         home = self._find_home(now)
         effects += [seam.Send(*sent) for sent in self._guard.tell(home, now)]
         effects += self._tell_limits(home, now)
-        effects += self._tell_pauses(home, now)
+        effects += [seam.Send(*sent) for sent in self._teller.tell(home, now)]
         # A home that is lost or found is greeted about at once: until then
         # nobody tells this gateway anything.
         if now >= self._next_hello or news or home != self._home:
@@ -280,13 +284,6 @@
     def _tell_limits(self, home: str, now: float) -> list[GatewayEffect]:
         return [seam.Send(*sent) for sent in self._permits.tell(home, now)]
 
-    def _tell_pauses(self, home: str, now: float) -> list[GatewayEffect]:
-        pauses = self._notices.describe_untold(now) if home else ()
-        if not pauses:
-            return []
-        news = notice_messages.PauseNews(self._identity.node, pauses)
-        return [seam.Send(home, news)]
-
     # Coordinators.
 
     def _greet(self, home: str, now: float) -> list[GatewayEffect]:
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -98,6 +98,7 @@
     Variant(_RATES, "PermitRequest"),
     Variant(_RATES, "PermitReply"),
     Variant(_NOTICES, "PauseNews"),
+    Variant(_NOTICES, "LeaveNews"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -364,6 +364,16 @@
   round @2 :Int64;
 }
 
+struct Leave {
+  server @0 :Text;
+  born @1 :Int64;
+}
+
+struct LeaveNews {
+  sender @0 :Text;
+  leaves @1 :List(Leave);
+}
+
 struct LimitNews {
   sender @0 :Text;
   limits @1 :List(RateLimit);
@@ -438,6 +448,7 @@
     permitRequest @46 :PermitRequest;
     permitReply @47 :PermitReply;
     pauseNews @48 :PauseNews;
+    leaveNews @49 :LeaveNews;
   }
 }
 
--- a/tests/fleet/lives.feature
+++ b/tests/fleet/lives.feature
@@ -34,3 +34,17 @@
     When the server starts again
     Then the next order names no accepted orders
     And a report of the former life that comes late changes nothing
+
+  Scenario Outline: That a server leaves is not taken back by its heartbeats
+    It says so with its answers only; news of it and heartbeats overtake each
+    other.
+    Given a server that told 50 heartbeats and had a model in memory
+    When it is told that it leaves, with heartbeat <number>
+    And its heartbeat 52 says that it is ready
+    Then it is known as leaving, with heartbeat 52
+
+    Examples:
+      | number |
+      | 50     |
+      | 49     |
+      | 51     |
--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -167,3 +167,27 @@
     Given a gateway with 1 plain replicas
     When the replica says that it leaves and is still there after 900 seconds
     Then a call is sent to it at once
+
+  Scenario: All nodes know from one gateway that a server leaves
+    Its heartbeats do not tell, and only one gateway had an answer.
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head tells one gateway that it leaves
+    Then no gateway offers that head after 0.2 seconds
+    And as many groups serve without it within 6 seconds
+
+  Scenario Outline: That a server leaves is told until control nodes know it
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head tells one gateway that it leaves while <fault>
+    Then no gateway offers that head after <late> seconds
+
+    Examples:
+      | fault                                     | late |
+      | that gateway's home is lost               | 3    |
+      | that gateway's first message is lost      | 1    |
+      | all coordinators start again              | 5    |
+
+  Scenario: A server that starts again after it left is used by all
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head tells one gateway that it leaves
+    And it starts again under its id
+    Then all coordinators take it for ready within 2 seconds
--- a/tests/steps/life_steps.py
+++ b/tests/steps/life_steps.py
@@ -13,6 +13,7 @@
     messages,
     orders,
 )
+from hickorylead.roles import seam
 
 FORMER = 1_784_102_400_000
 PRESENT = FORMER + 30_000
@@ -138,3 +139,24 @@
 def _(context):
     context.ledger.take_report(orders.ReportArrived("i1", 2, FORMER))
     assert give(context, orders.Stage("small"), 15.0).expected == 0
+
+
+@when("it is told that it leaves, with heartbeat {number:d}")
+def _(context, number):
+    leaving = attrs.evolve(make_warm(number), phase=instances.PHASE_DRAINING)
+    sender = context.world.core[1]
+    news = messages.InstanceNews(sender, (leaving,))
+    context.world.apply(context.node, seam.MessageArrived(sender, news, 0.0))
+
+
+@when("its heartbeat {number:d} says that it is ready")
+def _(context, number):
+    hear(context, make_warm(number))
+
+
+@then("it is known as leaving, with heartbeat {number:d}")
+def _(context, number):
+    name = make_warm(number).name
+    found = context.world.coordinators[context.node].registry.instances[name]
+    assert found.phase == instances.PHASE_DRAINING, found
+    assert found.sequence == number, found
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -7,6 +7,7 @@
 from steps import limit_steps
 from support import crashplay, forwardplay, noticeplay
 
+from hickorylead.fleet import instances
 from hickorylead.forwarding import events, model
 from hickorylead.notices import book
 from hickorylead.verdict import Verdict
@@ -520,3 +521,87 @@
     context.play.now += late_s - 1.0
     assert not context.play.list_sent(context.play.ask("notices"))
     context.play.now += 1.5
+
+
+def tell_leave(context):
+    """Has a head answer one gateway, which is told that it leaves."""
+    play = context.play
+    world = play.world
+    context.head = head = noticeplay.list_used(play)[0]
+    zone = world.servers[head].zone
+    context.node = min(n for n in world.gateways if n.startswith(f"{zone}/"))
+    context.before = len(world.list_open())
+    play.leaving.add(head)
+    while (context.node, head) not in play.told_leaving:
+        play.ask(context.node, b"asked %d" % len(play.submissions))
+        play.run(0.05)
+    assert len({gateway for gateway, _ in play.told_leaving}) == 1
+
+
+@when("a head tells one gateway that it leaves")
+def _(context):
+    tell_leave(context)
+
+
+@when("a head tells one gateway that it leaves while {fault}")
+def _(context, fault):
+    world = context.play.world
+    node = min(world.gateways)
+    home = world.gateways[node]._home
+    match fault:
+        case "that gateway's home is lost":
+            tell_leave(context)
+            world.kill(home)
+        case "that gateway's first message is lost":
+            world.cut(node, home)
+            tell_leave(context)
+            context.play.run(0.3)
+            world.heal()
+        case "all coordinators start again":
+            for each in world.core:
+                world.kill(each)
+            tell_leave(context)
+            for each in world.core:
+                world.start(each)
+        case _:
+            raise AssertionError(fault)
+    assert context.node == node
+
+
+@then("no gateway offers that head after {late_s:g} seconds")
+def _(context, late_s):
+    context.play.run(late_s)
+    for name, gateway in context.play.world.gateways.items():
+        found = gateway._view.find(context.head)
+        assert found is None, (name, found)
+
+
+@then("as many groups serve without it within {limit_s:g} seconds")
+def _(context, limit_s):
+    world = context.play.world
+
+    def is_repaired():
+        heads = [server.name for server in world.list_open()]
+        return len(heads) >= context.before and context.head not in heads
+
+    world.run_until(is_repaired, limit_s)
+
+
+@when("it starts again under its id")
+def _(context):
+    context.play.run(0.5)
+    world = context.play.world
+    former = world.servers[context.head]
+    world.crash(context.head)
+    domain = int(former.domain.rpartition("d")[2])
+    context.life = world.add_server(context.head, former.zone, domain)
+    context.life.born = 2000
+
+
+@then("all coordinators take it for ready within {limit_s:g} seconds")
+def _(context, limit_s):
+    context.play.run(limit_s)
+    for role in context.play.world.coordinators.values():
+        found = role.registry.instances[context.head]
+        assert found.born == context.life.born, found
+        assert found.phase == instances.PHASE_READY, found
