--- a/src/hickorylead/fleet/dialect.py
+++ b/src/hickorylead/fleet/dialect.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from hickorylead.fleet import orders
 
 
@@ -38,6 +40,20 @@
     born: int = 0
 
 
+@attrs.frozen
+class Notice:
+    """What a server says with an answer about calls to come.
+
+    Attributes:
+        retry_after_s: How long it wants no call from this node, in seconds;
+            None if unsaid.
+        is_leaving: Whether it is about to end.
+    """
+
+    retry_after_s: float | None = None
+    is_leaving: bool = False
+
+
 class ServerDialect(Protocol):
     """Names and formats between coordinators and backend servers."""
 
@@ -49,3 +65,8 @@
 
     def read_report(self, body: bytes) -> Report | None:
         """Returns what a server tells of its state; None if unreadable."""
+
+    def read_notice(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]]
+    ) -> Notice:
+        """Returns what an answer says about calls to come."""
--- a/src/hickorylead/fleet/instances.py
+++ b/src/hickorylead/fleet/instances.py
@@ -88,8 +88,8 @@
     has ended is never taken back: a late heartbeat of it would bring back an
     address that now belongs to another service. Nor is that it leaves, which a
     server may say with its answers while its heartbeats do not. A later life
-    under the same id counts its heartbeats anew; whatever is heard of the former
-    one, its number may be higher, but it is old.
+    under the same id counts its heartbeats anew; whatever is heard of the
+    former one, its number may be higher, but it is old.
     """
     if known is None:
         return True
--- a/src/hickorylead/fleet/keeper.py
+++ b/src/hickorylead/fleet/keeper.py
@@ -81,6 +81,8 @@
         self._plans_from = now + settle_s * identity.heartbeat_s
         self._next_plan = now
         self._planned_at = -1e9
+        # Until when lives of servers want no call from this node.
+        self._pauses: dict[tuple[str, int], float] = {}
         self.services: tuple[document_module.Service, ...] | None = None
 
     def knows_all(self, now: float) -> bool:
@@ -100,6 +102,26 @@
         """Takes that callers are served: loads count from now on."""
         self._is_started = True
 
+    def pause(self, name: str, born: int, until: float) -> None:
+        """Takes that a life of a server wants no call for some time."""
+        before = self._pauses.get((name, born), until)
+        self._pauses[name, born] = max(before, until)
+
+    def _is_paused(self, name: str, now: float) -> bool:
+        if not self._pauses:
+            return False
+        self._pauses = {k: t for k, t in self._pauses.items() if t > now}
+        return (name, self._registry.find_born(name)) in self._pauses
+
+    def _ask(
+        self, members: Iterable[instances.Instance], now: float
+    ) -> list[Effect]:
+        """Asks servers for their state; those that want no call are left."""
+        asked = self._suspects.suspect(
+            [m for m in members if not self._is_paused(m.name, now)], now
+        )
+        return [orders.AskReport(m.name, m.address) for m in asked]
+
     # Which servers are dead.
 
     def clear(self, name: str) -> None:
@@ -125,17 +147,21 @@
                 and other.member.epoch == instance.member.epoch
             )
         ]
-        asked = self._suspects.suspect(members, now)
+        asked = self._ask(members, now)
         if not asked:
             return []
         return [
-            *[orders.AskReport(m.name, m.address) for m in asked],
+            *asked,
             notes.note(
                 "group_suspected",
                 head=head,
                 group=instance.member.group,
                 gateway=teller,
-                asked=[m.name for m in asked],
+                asked=[
+                    question.name
+                    for question in asked
+                    if isinstance(question, orders.AskReport)
+                ],
             ),
         ]
 
@@ -147,15 +173,13 @@
         """
         found = [self._registry.instances.get(name) for name in names]
         mine = [i for i in found if i is not None and self._is_mine(i, now)]
-        asked = self._suspects.suspect(mine, now)
-        return [orders.AskReport(m.name, m.address) for m in asked]
+        return self._ask(mine, now)
 
     def ask_silent(self, now: float) -> list[Effect]:
         """Asks servers whose heartbeats have been missed."""
         silent = self._registry.list_silent(self._suspects.silence_s, now)
         mine = [i for i in silent if self._is_mine(i, now)]
-        asked = self._suspects.suspect(mine, now)
-        return [orders.AskReport(m.name, m.address) for m in asked]
+        return self._ask(mine, now)
 
     def list_newly_lost(self, now: float) -> list[instances.Instance]:
         """Returns the servers that are taken for dead from now on."""
@@ -206,9 +230,11 @@
             is_started=self._is_started,
             now=now,
         )
+        # An order that is not sent counts as unanswered and is given again.
         return [
             effect
             for item in given
+            if not self._is_paused(item.name, now)
             for effect in (item, *descriptions.describe_order(item))
         ]
 
@@ -230,9 +256,8 @@
     ) -> list[Effect]:
         """Takes the answer, or none, to a question for a server's state."""
         self._planner.take_report(event)
-        self._suspects.take_report(
-            event.name, answered=event.accepted is not None, now=now
-        )
+        has_answered = event.accepted is not None or event.is_turned_away
+        self._suspects.take_report(event.name, answered=has_answered, now=now)
         return self.plan_soon(now)
 
     def _count_planners(self) -> int:
--- a/src/hickorylead/fleet/orders.py
+++ b/src/hickorylead/fleet/orders.py
@@ -114,8 +114,28 @@
         name: The server.
         accepted: Orders it has accepted in this life; None without an answer.
         born: When the life began that answered; 0 if it does not tell.
+        is_turned_away: Whether it answered only that it wants no question now.
     """
 
     name: str
     accepted: int | None
     born: int = 0
+    is_turned_away: bool = False
+
+
+@attrs.frozen
+class NoticeArrived:
+    """Event: a server said something about calls to come.
+
+    Attributes:
+        name: The server.
+        born: When the life began that was called; 0 if it does not tell.
+        retry_after_s: How long it wants no call from this node, in seconds;
+            None if unsaid.
+        is_leaving: Whether it is about to end.
+    """
+
+    name: str
+    born: int
+    retry_after_s: float | None = None
+    is_leaving: bool = False
--- a/src/hickorylead/platform/servers.py
+++ b/src/hickorylead/platform/servers.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import orjson
 from returns import result
 
 from hickorylead.fleet import dialect, instances, orders
-from hickorylead.platform import values
+from hickorylead.platform import headers as headers_module, values
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 _PHASES = {
     "ready": instances.PHASE_READY,
@@ -130,6 +133,13 @@
         """Returns the call that asks for a server's state."""
         return dialect.Call("GET", "/report")
 
+    def read_notice(
+        self, status: int, headers: Sequence[tuple[bytes, bytes]]
+    ) -> dialect.Notice:
+        """Returns what an answer says about calls to come."""
+        head = headers_module.Headers().read_head(status, headers)
+        return dialect.Notice(head.retry_after_s, head.is_leaving)
+
     def read_report(self, body: bytes) -> dialect.Report | None:
         """Returns what a server tells of its state; None if unreadable."""
         try:
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -67,6 +67,7 @@
     | events.ReadAsked
     | orders.OrderAnswered
     | orders.ReportArrived
+    | orders.NoticeArrived
 )
 CoordinatorEffect: TypeAlias = (
     seam.Send
@@ -213,6 +214,10 @@
                 ]
             case orders.ReportArrived():
                 return [*self._keeper.take_report(event, now)]
+            case orders.NoticeArrived(name, born, retry_after_s, is_leaving):
+                if retry_after_s is not None:
+                    self._keeper.pause(name, born, now + retry_after_s)
+                return self._drain(name, born, now) if is_leaving else []
 
     # Time.
 
--- a/src/hickorylead/runtime/calls.py
+++ b/src/hickorylead/runtime/calls.py
@@ -18,10 +18,17 @@
 
 @attrs.frozen
 class Answer:
-    """A whole answer."""
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Its body.
+        headers: Its headers, names in lower case.
+    """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 @attrs.frozen
@@ -37,13 +44,14 @@
     def __init__(self) -> None:
         self.done: asyncio.Future[Answer | NoAnswer] = asyncio.Future()
         self._status = 0
+        self._headers: tuple[tuple[bytes, bytes], ...] = ()
         self._body = bytearray()
 
     def take_head(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
-        del headers
         self._status = status
+        self._headers = tuple(headers)
 
     def take_piece(self, data: bytes) -> None:
         self._body += data
@@ -51,7 +59,7 @@
             self._end(NoAnswer("answer_too_long"))
 
     def take_end(self) -> None:
-        self._end(Answer(self._status, bytes(self._body)))
+        self._end(Answer(self._status, bytes(self._body), self._headers))
 
     def take_failure(
         self, verdict: verdict_module.Verdict, reason: str
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -18,6 +18,7 @@
 )
 from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import (
+    dialect as dialect_module,
     events,
     former as former_module,
     identity,
@@ -43,7 +44,6 @@
     from collections.abc import Callable
 
     from hickorylead.configuration import document as document_module
-    from hickorylead.fleet import dialect as dialect_module
 
 # Orders and questions are answered within some ms; a server that is dark never
 # answers. In seconds.
@@ -397,9 +397,30 @@
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
+    async def _call(
+        self,
+        name: str,
+        address: str,
+        call: dialect_module.Call,
+        timeout_s: float,
+    ) -> tuple[calls.Answer | calls.NoAnswer, bool]:
+        """Calls a server; returns the answer, and if the call was refused."""
+        born = self.role.registry.find_born(name)
+        answer = await calls.make_call(self._pool, address, call, timeout_s)
+        if isinstance(answer, calls.NoAnswer):
+            return answer, False
+        said = self._dialect.read_notice(answer.status, answer.headers)
+        if said != dialect_module.Notice():
+            self.apply(
+                orders.NoticeArrived(
+                    name, born, said.retry_after_s, said.is_leaving
+                )
+            )
+        return answer, said.retry_after_s is not None
+
     async def _post(self, give: orders.Give) -> None:
-        answer = await calls.make_call(
-            self._pool,
+        answer, _ = await self._call(
+            give.name,
             give.address,
             self._dialect.write_order(give),
             ORDER_TIMEOUT_S,
@@ -415,8 +436,8 @@
         self.apply(orders.OrderAnswered(give.name, give.order, status))
 
     async def _ask(self, question: orders.AskReport) -> None:
-        answer = await calls.make_call(
-            self._pool,
+        answer, is_turned_away = await self._call(
+            question.name,
             question.address,
             self._dialect.write_report_question(),
             REPORT_TIMEOUT_S,
@@ -430,7 +451,7 @@
                         notes.note("report_unreadable", server=question.name)
                     )
             case calls.Answer(status):
-                # Another server has the address by now.
+                # Another server has the address by now, or wants no calls.
                 self._log.write(
                     notes.note(
                         "report_refused", server=question.name, status=status
@@ -443,7 +464,9 @@
                     )
                 )
         if report is None:
-            arrived = orders.ReportArrived(question.name, None)
+            arrived = orders.ReportArrived(
+                question.name, None, is_turned_away=is_turned_away
+            )
         else:
             arrived = orders.ReportArrived(
                 question.name, report.accepted, report.born
--- a/src/hickorylead_standins/platform.py
+++ b/src/hickorylead_standins/platform.py
@@ -71,6 +71,8 @@
         sheds: Whether it says that it did not run them.
         extra: Bytes that it sends after each whole answer.
         limit_per_s: Requests a second that it says it takes; None if unsaid.
+        retry_after_s: Pause that it asks for when it sheds; None if unsaid.
+        is_leaving: Whether it says with all answers that it leaves.
     """
 
     events: int = 0
@@ -78,6 +80,8 @@
     sheds: bool = False
     extra: bytes = b""
     limit_per_s: float | None = None
+    retry_after_s: float | None = None
+    is_leaving: bool = False
 
 
 class PlatformServer:
@@ -197,27 +201,31 @@
     async def _answer(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
+        said = {"Server-Leaving": "1"} if self.manner.is_leaving else {}
         if request.target == "/order":
             status = self._take_order(orjson.loads(request.body))
-            write(writer, status, b"")
+            write(writer, status, b"", **said)
             return
         if request.target == "/report":
             report = {"Sequence": self._orders, "group": self._group}
-            write(writer, 200, orjson.dumps(report))
+            write(writer, 200, orjson.dumps(report), **said)
             return
         self.received.append(request)
         expected = request.headers.get("expect-instance", self.name)
         is_member = bool(self._group.get("rank"))
         if expected != self.name or is_member:
-            write(writer, 421, b"")
+            write(writer, 421, b"", **said)
         elif self.manner.sheds:
-            write(writer, 503, b"", **{"Not-Executed": "1"})
+            if self.manner.retry_after_s is not None:
+                said["Retry-After"] = str(self.manner.retry_after_s)
+            write(writer, 503, b"", **{"Not-Executed": "1"}, **said)
         elif self.manner.events:
             await self._stream(request, writer)
         else:
             echo = request.headers.get("attempt-id", "")
             body = f"{self.name} got {request.body.decode()}".encode()
             headers = {"Attempt-Id": echo, "Server-Seal": f"seal.{self.name}"}
+            headers |= said
             if self.manner.limit_per_s is not None:
                 headers["Server-Limit"] = str(self.manner.limit_per_s)
             write(writer, 200, body, **headers)
@@ -231,7 +239,9 @@
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\n"
             + f"Attempt-Id: {echo}\r\n".encode()
-            + f"Server-Seal: seal.{self.name}\r\n\r\n".encode()
+            + f"Server-Seal: seal.{self.name}\r\n".encode()
+            + (b"Server-Leaving: 1\r\n" if self.manner.is_leaving else b"")
+            + b"\r\n"
         )
         first = int(request.headers.get("last-event-id", "0")) + 1
         for number in range(first, self.manner.events + 1):
--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -191,3 +191,15 @@
     When a head tells one gateway that it leaves
     And it starts again under its id
     Then all coordinators take it for ready within 2 seconds
+
+  Scenario: A coordinator gives a server no orders in the pause it was asked for
+    A member of its group dies, so that its head is to be closed.
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head asks all coordinators for 3 seconds and a member of it dies
+    Then it gets no order and no question for 3 seconds
+    And as many groups serve as with it within 6 seconds
+
+  Scenario: A server that turns a question away is not taken for dead
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a head turns a question of its silent member's coordinator away
+    Then that head is not marked as silent
--- a/tests/platform/faults.feature
+++ b/tests/platform/faults.feature
@@ -38,6 +38,17 @@
     Then of 10 calls in a row to two servers that name a limit 4 are served
     And the others are told when to come back
 
+  Scenario: Servers that ask for a pause get no calls in it, on real sockets
+    Then of 10 calls in a row to two servers that ask for a pause each gets 1
+    And the others are told when to come back, as paused
+
+  Scenario: A server that says that it leaves gets no calls, on real sockets
+    Its heartbeats go on to say that it is ready.
+    Then of 10 calls in a row to two servers one that leaves gets 1 at most
+
+  Scenario: A server that says in the answer to an order that it leaves is known
+    Then a server that says so in the answer to an order is taken for draining
+
   Scenario: The lost runs that a coordinator wrote are known to its next process
     All coordinators start again. A request that ended three servers would end
     three more, if the file that one process writes were not what the next reads.
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -7,7 +7,7 @@
 from steps import limit_steps
 from support import crashplay, forwardplay, noticeplay
 
-from hickorylead.fleet import instances
+from hickorylead.fleet import instances, orders
 from hickorylead.forwarding import events, model
 from hickorylead.notices import book
 from hickorylead.verdict import Verdict
@@ -605,3 +605,53 @@
         found = role.registry.instances[context.head]
         assert found.born == context.life.born, found
         assert found.phase == instances.PHASE_READY, found
+
+
+@when(
+    "a head asks all coordinators for {pause:g} seconds and a member of it dies"
+)
+def _(context, pause):
+    world = context.play.world
+    head = world.servers[noticeplay.list_used(context.play)[0]]
+    context.head, context.before = head.name, len(world.list_open())
+    for node in world.core:
+        world.apply(node, orders.NoticeArrived(head.name, head.born, pause))
+    context.taken = head.accepted
+    context.calls = []
+    world.watch_call = lambda node, call: context.calls.append(call)
+    world.crash(head.members[1])
+
+
+@then("it gets no order and no question for {pause:g} seconds")
+def _(context, pause):
+    world = context.play.world
+    world.run(pause - 0.01)
+    assert context.calls
+    found = [call for call in context.calls if call.name == context.head]
+    assert not found, found
+
+
+@when("a head turns a question of its silent member's coordinator away")
+def _(context):
+    world = context.play.world
+    context.head = noticeplay.list_used(context.play)[0]
+    zone = world.servers[context.head].zone
+    node = next(n for n in world.core if n.startswith(f"{zone}/"))
+    role = world.coordinators[node]
+    found = role.registry.instances[context.head]
+    assert role._keeper._ask([found], world.now)
+    turned = orders.ReportArrived(context.head, None, is_turned_away=True)
+    world.apply(node, turned)
+    context.role = role
+
+
+@then("that head is not marked as silent")
+def _(context):
+    context.play.world.run(0.2)
+    assert not context.role.registry.instances[context.head].silent
+
+
+@then("as many groups serve as with it within {limit_s:g} seconds")
+def _(context, limit_s):
+    world = context.play.world
+    world.run_until(lambda: len(world.list_open()) >= context.before, limit_s)
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -13,6 +13,7 @@
 
 from hickorylead import notes
 from hickorylead.crashes import messages as crash_messages
+from hickorylead.fleet import instances, orders
 from hickorylead.platform import documents
 from hickorylead.runtime import clock, coordinator
 from hickorylead.storage import memo
@@ -220,6 +221,75 @@
         assert b"retry-after: " in answer and b"limited" in answer, answer
 
 
+@then(
+    "of {count:d} calls in a row to two servers that ask for a pause each "
+    "gets {most:d}"
+)
+def _(context, count, most):
+    context.answers = []
+
+    async def call_pausing(day):
+        for server in day.servers:
+            server.manner.sheds = True
+            server.manner.retry_after_s = 30
+        before = day.count_received()
+        for number in range(count):
+            answer = await day.call(f"/alerts/{number}", b"tree")
+            context.answers.append(answer)
+        got = {s.name: len(s.received) - before[s.name] for s in day.servers}
+        assert sorted(got.values())[-2:] == [most, most], got
+
+    asyncio.run(platformday.play(call_pausing))
+
+
+@then("the others are told when to come back, as paused")
+def _(context):
+    for answer in context.answers[2:]:
+        assert answer.startswith(b"HTTP/1.1 503"), answer
+        assert b"retry-after: " in answer and b"paused" in answer, answer
+
+
+async def call_leaving(day):
+    """Calls two servers, one of which says that it leaves."""
+    server = next(s for s in day.servers if s._service == "desk")
+    server.manner.is_leaving = True
+    before = day.count_received()[server.name]
+    for number in range(10):
+        answer = await day.call(f"/alerts/{number}", b"tree")
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+    assert len(server.received) - before <= 1, server.received
+    if len(server.received) > before:
+        await day.wait_for(lambda: is_draining(day, server.name))
+
+
+def is_draining(day, name):
+    """Says whether all coordinators take a server for draining."""
+    return all(
+        shell.role.registry.instances[name].phase == instances.PHASE_DRAINING
+        for shell in day.coordinators
+    )
+
+
+@then("of 10 calls in a row to two servers one that leaves gets 1 at most")
+def _(context):
+    asyncio.run(platformday.play(call_leaving))
+
+
+@then("a server that says so in the answer to an order is taken for draining")
+def _(context):
+    async def order_leaving(day):
+        server = next(s for s in day.servers if s._domain)
+        server.manner.is_leaving = True
+        shell = day.coordinators[0]
+        # An order that changes nothing: its group has another name.
+        order = orders.Leave("no-group", 0)
+        give = orders.Give(server.name, server._address, order)
+        await shell._post(give)
+        await day.wait_for(lambda: is_draining(day, server.name))
+
+    asyncio.run(platformday.play(order_leaving))
+
+
 async def restart_blocking(day):
     """Has a coordinator block a content, and reads what it wrote."""
     shell = day.coordinators[0]
--- a/tests/support/fleetworld.py
+++ b/tests/support/fleetworld.py
@@ -165,6 +165,8 @@
         self.gateway_effects: list[tuple[float, str, Any]] = []
         # Called with sender, target and message of all that is sent.
         self.watch = None
+        # Called with coordinator and effect for each order and question.
+        self.watch_call = None
         self._boots = 0
         # When gateways started, and which.
         self.starts: list[tuple[float, str]] = []
@@ -354,6 +356,8 @@
         self.apply(target, arrived)
 
     def _give(self, node: str, give: orders.Give) -> None:
+        if self.watch_call is not None:
+            self.watch_call(node, give)
         server = self.servers.get(give.name)
         if server is None or frozenset((node, give.name)) in self.cuts:
             lost = orders.OrderAnswered(give.name, give.order, 0)
@@ -369,6 +373,8 @@
         self._at(LATENCY_S, lambda: self.apply(node, answered))
 
     def _report(self, node: str, question: orders.AskReport) -> None:
+        if self.watch_call is not None:
+            self.watch_call(node, question)
         server = self.servers.get(question.name)
         reached = (
             server is not None
