--- a/src/hickorylead/requests/dispatcher.py
+++ b/src/hickorylead/requests/dispatcher.py
@@ -311,6 +311,12 @@
                 case policy_module.Choice():
                     waiting.pop()
                     effects += self._start(opened, choice, now)
+                case policy_module.Unavailable(
+                    exists=True, pause_s=pause_s
+                ) if pause_s and _ends_before(opened, now + pause_s):
+                    waiting.pop()
+                    problem = outcomes.describe_pause(opened.verdict, pause_s)
+                    effects += self._refuse(opened, problem, now)
                 case policy_module.Unavailable(exists=True):
                     break
                 case policy_module.Unavailable():
@@ -504,6 +510,8 @@
         assert attempt is not None
         self._end_attempt(opened, now)
         opened.failed.add(attempt.replica.group)
+        if retry_after_s is not None:
+            self._book.note_pause(attempt.replica.group, retry_after_s, now)
         if reason != "busy":
             self._book.note_failure(attempt.replica.group, now)
         if verdict is Verdict.MAY_HAVE_RUN:
@@ -722,3 +730,8 @@
             return [*opened.claimant.release()]
         unknown = claim_messages.FinalAnswer(verdict=opened.verdict.value)
         return [*opened.claimant.finish(unknown)]
+
+
+def _ends_before(opened: state.Open, at: float) -> bool:
+    """Says whether a request that waits is given up before a time."""
+    return opened.arrived_at + opened.request.deadline_s <= at
--- a/src/hickorylead/requests/outcomes.py
+++ b/src/hickorylead/requests/outcomes.py
@@ -101,6 +101,24 @@
     )
 
 
+def describe_pause(
+    verdict: verdict_module.Verdict, pause_s: float
+) -> model.Problem:
+    """Returns the problem of a request whose replicas all want no work.
+
+    Args:
+        verdict: Whether this submission may have run.
+        pause_s: When the first of them takes work again, in seconds.
+    """
+    return model.Problem(
+        503,
+        "paused",
+        verdict,
+        f"all replicas want no work for {pause_s:.1f} s",
+        clamp_retry(pause_s),
+    )
+
+
 def describe_fruitless() -> model.Problem:
     """Returns the problem of a request that several replicas gave nothing."""
     return model.Problem(
--- a/src/hickorylead/routing/health.py
+++ b/src/hickorylead/routing/health.py
@@ -29,7 +29,8 @@
         gap_s: Smoothed time between two frames; 0 before the first.
         gap_at: When it was last measured.
         failures: Failures in a row.
-        ejected_until: No new work before this time.
+        ejected_until: No new work before this time, after failures.
+        paused_until: No new work before this time, as the server asked for.
         sent: When each request since the last load report was sent.
         done: When each request since the last load report ended.
     """
@@ -39,6 +40,7 @@
     gap_at: float = -1e9
     failures: int = 0
     ejected_until: float = -1e9
+    paused_until: float = -1e9
     sent: list[float] = attrs.field(factory=list)
     done: list[float] = attrs.field(factory=list)
 
@@ -87,6 +89,11 @@
         pause_s = min(EJECT_MAX_S, EJECT_MIN_S * 2 ** (health.failures - 1))
         health.ejected_until = now + pause_s
 
+    def note_pause(self, group: str, pause_s: float, now: float) -> None:
+        """Takes that a server wants no work from here for some time."""
+        health = self.get(group)
+        health.paused_until = max(health.paused_until, now + pause_s)
+
     def refresh(self, groups: Iterable[str]) -> None:
         """Drops groups that are gone, and finds the usual frame gap."""
         known = set(groups)
--- a/src/hickorylead/routing/policy.py
+++ b/src/hickorylead/routing/policy.py
@@ -65,9 +65,12 @@
     Attributes:
         exists: Whether the service has any replica that this request has
             not failed on; if so, waiting may help.
+        pause_s: When the first of these takes work again, in seconds, if each
+            of them asked for a pause; 0 if not.
     """
 
     exists: bool
+    pause_s: float = 0.0
 
 
 class Policy:
@@ -118,10 +121,13 @@
             choice = self._choose_among(candidates, request, now)
             if choice is not None:
                 return choice
-        return Unavailable(exists=bool(usable))
+        pauses = [self._book.get(r.group).paused_until - now for r in usable]
+        pause_s = max(0.0, min(pauses, default=0.0))
+        return Unavailable(exists=bool(usable), pause_s=pause_s)
 
     def _is_healthy(self, replica: messages.Replica, now: float) -> bool:
-        return now >= self._book.get(replica.group).ejected_until
+        health = self._book.get(replica.group)
+        return now >= max(health.ejected_until, health.paused_until)
 
     def _choose_among(
         self,
--- a/src/hickorylead/runtime/backends.py
+++ b/src/hickorylead/runtime/backends.py
@@ -229,7 +229,9 @@
         reason = str(found.get("reason", "refused"))[:64]
         retry_after = found.get("retry_after_s")
         retry_after_s = (
-            float(retry_after) if isinstance(retry_after, int | float) else None
+            max(0.0, float(retry_after))
+            if isinstance(retry_after, int | float)
+            else None
         )
         return events.AttemptFailed(
             attempt.attempt_id, Verdict.NOT_RUN, reason, retry_after_s
--- a/tests/requests/requests.feature
+++ b/tests/requests/requests.feature
@@ -141,3 +141,15 @@
     And all entries and control processes of a zone start again
     And 10 s pass
     Then all entries refuse it as not_run with code "ends_servers"
+
+  Scenario: A server that asks for a pause gets no work from an entry in it
+    Given a deployment in three zones
+    When one of the replicas turns work away and asks for 3 s, for 10 s
+    And 20 s pass
+    Then no entry sends it anything between 0.5 and 3 s after a refusal
+    And all requests have their whole answer
+
+  Scenario: What all servers turn away for long is refused at once
+    Given a deployment in three zones
+    When all replicas turn work away and ask for 100 s, for 5 s
+    Then each request is refused as not_run within 1 s, with a time to come back
--- a/tests/steps/request_steps.py
+++ b/tests/steps/request_steps.py
@@ -419,3 +419,65 @@
     answer = world.submit(world.entries[0], "assistant", max_tokens=20)
     world.run(10.0)
     assert isinstance(answer.final, events.FinishStream), answer.final
+
+
+@when("{which} turns work away and asks for {pause:g} s, for {seconds:g} s")
+def _(context, which, pause, seconds):
+    world = context.world
+    leading = [
+        server
+        for _, server in sorted(world.servers.items())
+        if server.state.service == "assistant" and server.state.rank == 0
+    ]
+    assert leading
+    context.paused = leading[:1] if which.startswith("one") else leading
+    for server in context.paused:
+        server.turns_away_s = pause
+    context.pause_s, context.answers = pause, []
+    end = world.now + seconds
+    count = 0
+    while world.now < end:
+        node = world.entries[count % len(world.entries)]
+        count += 1
+        answer = world.submit(node, "assistant", max_tokens=5)
+        context.answers.append(answer)
+        world.run(0.1)
+
+
+@when("all replicas turn work away and ask for {pause:g} s, for {seconds:g} s")
+def _(context, pause, seconds):
+    context.execute_steps(
+        f"When each of them turns work away and asks for {pause:g} s, "
+        f"for {seconds:g} s"
+    )
+
+
+@then(
+    "no entry sends it anything between {first:g} and {last:g} s after a "
+    "refusal"
+)
+def _(context, first, last):
+    assert last == context.pause_s
+    (server,) = context.paused
+    assert server.turned_away
+    for at, node in server.turned_away:
+        found = [
+            other
+            for other, sender in server.turned_away
+            if sender == node and first < other - at < last
+        ]
+        assert not found, (at, node, found)
+
+
+@then(
+    "each request is refused as not_run within {late_s:g} s, with a time to "
+    "come back"
+)
+def _(context, late_s):
+    world = context.world
+    world.run(late_s)
+    for answer in context.answers:
+        problem = answer.final.problem
+        assert problem.verdict is Verdict.NOT_RUN, problem
+        assert problem.retry_after_s, problem
+        assert answer.ended_at - answer.asked_at <= late_s, answer
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -517,6 +517,16 @@
             )
             self.after(self._flight_s(), lambda: self.give(node, failure))
             return
+        if server.turns_away_s is not None:
+            server.turned_away.append((self.now, node))
+            refusal = events.AttemptFailed(
+                attempt.attempt_id,
+                Verdict.NOT_RUN,
+                "busy",
+                server.turns_away_s,
+            )
+            self.after(self._flight_s(), lambda: self.give(node, refusal))
+            return
         if self.now < server.paused_until:
             self.at(server.paused_until, lambda: self._serve(node, attempt))
             return
