--- /dev/null
+++ b/bench/notices.py
@@ -0,0 +1,141 @@
+"""Measures what is remembered and told of servers that pause or leave.
+
+Run as `python bench/notices.py`; docs/CAPACITY.md has what it prints.
+"""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+
+from hickorylead.fleet import instances, messages as fleet_messages
+from hickorylead.forwarding import model
+from hickorylead.notices import book as book_module, exchange, messages, pauses
+from hickorylead.wire import codec
+
+GATEWAY = "waikato-1/front-hamilton-12/gateway"
+HOME = "waikato-1/core-hamilton-1/coordinator"
+# Replicas that a gateway chooses among: its zone's part of 600.
+WEIGHED = 120
+# Replicas that ask for a pause at the same time: a tenth of 600, and all.
+PAUSED = 60
+ALL = 600
+ROUNDS = 500
+
+
+def make_replica(number: int) -> model.Replica:
+    """Returns a replica."""
+    return model.Replica(
+        f"i-{number:010x}",
+        "model",
+        "large",
+        "10.0.0.1:80",
+        "z1",
+        13,
+        born=1_784_102_400_000 + number,
+    )
+
+
+def make_pauses(count: int) -> tuple[messages.Pause, ...]:
+    """Returns pauses as a node is told them."""
+    replicas = map(make_replica, range(count))
+    return tuple(messages.Pause(r.name, r.born, 3000) for r in replicas)
+
+
+def measure_size(message: messages.Message | fleet_messages.Message) -> int:
+    """Returns the bytes of an encoded message."""
+    return len(codec.encode_envelope(codec.Envelope(HOME, "", message)))
+
+
+def measure_time(action) -> float:
+    """Returns the processor time of an action, in microseconds."""
+    began = time.process_time()
+    for _ in range(ROUNDS):
+        action()
+    return (time.process_time() - began) / ROUNDS * 1e6
+
+
+def make_book(count: int) -> book_module.NoticeBook:
+    """Returns the book of a gateway that some replicas turned away."""
+    found = book_module.NoticeBook()
+    head = model.Head(503, not_run=True, retry_after_s=3.0)
+    for number in range(count):
+        found.note_answer(make_replica(number), head, sent_at=99.9, now=100.0)
+    return found
+
+
+def print_sizes() -> None:
+    """Prints the sizes of messages."""
+    leave = messages.Leave(make_replica(0).name, make_replica(0).born)
+    instance = instances.Instance(
+        leave.server,
+        "model",
+        "10.0.0.1:8000",
+        "hamilton",
+        "hamilton-d1",
+        13,
+        models=("draft",),
+        staged=("draft",),
+        member=instances.Membership("g1", 4711, 0, "open"),
+        born=leave.born,
+    )
+    for title, message in (
+        ("PauseNews, 1 pause", messages.PauseNews(HOME, make_pauses(1))),
+        ("PauseNews, 12", messages.PauseNews(HOME, make_pauses(12))),
+        (f"PauseNews, {ALL}", messages.PauseNews(HOME, make_pauses(ALL))),
+        ("LeaveNews, 1 server", messages.LeaveNews(GATEWAY, (leave,))),
+        ("InstanceNews, 1", fleet_messages.InstanceNews(HOME, (instance,))),
+    ):
+        print(f"{title}: {measure_size(message)} B")
+
+
+def print_memory() -> None:
+    """Prints the memory of what a gateway and a coordinator keep."""
+    tracemalloc.start()
+    kept = make_book(ALL)
+    used, _ = tracemalloc.get_traced_memory()
+    print(f"gateway, {len(kept)} notices: {used / 1e6:.2f} MB")
+    known = pauses.Pauses()
+    for pause in make_pauses(ALL):
+        known.take(pause, 100.0)
+    both, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f"coordinator, {ALL} pauses: {(both - used) / 1e6:.2f} MB")
+
+
+def print_times() -> None:
+    """Prints the processor time of a choice and of news."""
+    replicas = [make_replica(number) for number in range(WEIGHED)]
+    kept = make_book(PAUSED)
+
+    def look() -> None:
+        for replica in replicas:
+            kept.is_leaving(replica, 101.0)
+        for replica in replicas:
+            kept.find_pause(replica, 101.0)
+        for replica in replicas:
+            kept.is_doubted(replica, 101.0, may_probe=True)
+
+    print(f"choosing among {WEIGHED}: {measure_time(look):.0f} us more")
+    news = messages.PauseNews(HOME, make_pauses(12))
+    packed = codec.encode_envelope(codec.Envelope(HOME, "", news))
+    us = measure_time(lambda: codec.decode_envelope(packed))
+    print(f"decoding 12 pauses: {us:.0f} us")
+
+    def pass_on() -> None:
+        subject = exchange.Exchange(HOME)
+        subject.take(news, is_passed=False, now=100.0)
+        subject.tell(gateways=[GATEWAY], coordinators=[HOME], now=100.0)
+
+    print(f"passing them on: {measure_time(pass_on):.0f} us")
+
+
+def run() -> None:
+    """Prints sizes, memory and times."""
+    print_sizes()
+    print_memory()
+    print_times()
+
+
+if __name__ == "__main__":
+    run()
--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -27,7 +27,7 @@
 # for this long, in seconds: it may turn requests away again.
 DOUBT_S = 10.0
 # Pauses told in one message; the others follow with the next one.
-MAX_TOLD = 64
+MAX_TOLD = 16
 
 
 @attrs.define
--- a/src/hickorylead/notices/exchange.py
+++ b/src/hickorylead/notices/exchange.py
@@ -15,6 +15,11 @@
 
 Sent: TypeAlias = tuple[str, messages.Message]
 
+# Pauses are told at once, but no more often than this, in seconds, and no more
+# of them in one message: the others follow with the next one, if they last.
+TELL_PERIOD_S = 0.25
+MAX_TOLD = 12
+
 
 class Exchange:
     """The pauses that one coordinator knows of."""
@@ -27,30 +32,62 @@
         """
         self._node = node
         self._pauses = pauses_module.Pauses()
+        # Servers whose pauses are to be told, the first one first.
+        self._for_gateways: dict[str, None] = {}
+        self._for_coordinators: dict[str, None] = {}
+        self._next_tell = -1e9
 
     def take(
-        self, news: messages.PauseNews, others: Iterable[str], now: float
-    ) -> list[Sent]:
-        """Takes pauses; returns what others are to be told.
+        self, news: messages.PauseNews, *, is_passed: bool, now: float
+    ) -> None:
+        """Takes pauses.
 
         Args:
             news: The pauses.
-            others: Nodes that have not heard it.
+            is_passed: Whether another coordinator tells them, and has told all
+                coordinators.
             now: Present time.
         """
-        found = tuple(p for p in news.pauses if self._pauses.take(p, now))
+        found = [p.server for p in news.pauses if self._pauses.take(p, now)]
+        self._for_gateways |= dict.fromkeys(found)
+        if not is_passed:
+            self._for_coordinators |= dict.fromkeys(found)
+
+    def tell(
+        self,
+        *,
+        gateways: Iterable[str],
+        coordinators: Iterable[str],
+        now: float,
+    ) -> list[Sent]:
+        """Returns what other nodes are to be told now."""
+        if now < self._next_tell or not self._for_gateways:
+            return []
+        self._next_tell = now + TELL_PERIOD_S
+        return [
+            *self._tell(gateways, self._for_gateways, now),
+            *self._tell(coordinators, self._for_coordinators, now),
+        ]
+
+    def describe_new(self, gateway: str, now: float) -> list[Sent]:
+        """Returns what a gateway is told that has started or turned here."""
+        found = self._pauses.describe_all(now)
         if not found:
             return []
-        told = messages.PauseNews(self._node, found)
-        return [(node, told) for node in others if node != news.sender]
+        return [(gateway, messages.PauseNews(self._node, found))]
 
     def forget(self, now: float) -> None:
         """Drops what is over; call it now and then."""
         self._pauses.forget(now)
 
-    def describe_new(self, gateway: str, now: float) -> list[Sent]:
-        """Returns what a gateway is told that has started or turned here."""
-        found = self._pauses.describe_all(now)
+    def _tell(
+        self, nodes: Iterable[str], untold: dict[str, None], now: float
+    ) -> list[Sent]:
+        servers = list(untold)[:MAX_TOLD]
+        for server in servers:
+            del untold[server]
+        found = self._pauses.describe(servers, now)
         if not found:
             return []
-        return [(gateway, messages.PauseNews(self._node, found))]
+        news = messages.PauseNews(self._node, found)
+        return [(node, news) for node in nodes]
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -242,6 +242,7 @@
         )
         effects += self._block(now)
         effects += self._send_all(self._limits.tick(now))
+        effects += self._tell_pauses(now)
         if self._keeper.is_due(now):
             effects += self._keeper.plan(now)
         return effects + self._save(now)
@@ -429,10 +430,18 @@
     def _take_pauses(
         self, news: notice_messages.PauseNews, now: float
     ) -> list[CoordinatorEffect]:
-        targets = self.gateways.list_own(now)
-        if news.sender not in self.neighbours.known:
-            targets += self.neighbours.list_alive(now)
-        return self._send_all(self._notices.take(news, targets, now))
+        is_passed = news.sender in self.neighbours.known
+        self._notices.take(news, is_passed=is_passed, now=now)
+        return self._tell_pauses(now)
+
+    def _tell_pauses(self, now: float) -> list[CoordinatorEffect]:
+        return self._send_all(
+            self._notices.tell(
+                gateways=self.gateways.list_own(now),
+                coordinators=self.neighbours.list_alive(now),
+                now=now,
+            )
+        )
 
     def _take_alive(
         self, alive: messages.Alive, now: float
