--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -26,6 +26,13 @@
 # A server whose pause has ended is in doubt until it has answered a request, or
 # for this long, in seconds: it may turn requests away again.
 DOUBT_S = 10.0
+# After a refusal that names no time its server is in doubt for the first of
+# these, in seconds, after each further one in a row for twice as long, but no
+# longer than the second.
+FIRST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 4.0
+# A shorter pause, in seconds, is over before others could make use of it.
+LEAST_TOLD_S = 0.5
 # Pauses told in one message; the others follow with the next one.
 MAX_TOLD = 16
 
@@ -38,11 +45,20 @@
         born: When that life began, in Unix milliseconds; 0 if unsaid.
         paused_until: Until when it wants no request.
         leaving_until: Until when it is taken for leaving.
+        refused_at: When it last turned a request away without naming a time.
+        backoff_s: For how long it is in doubt since then, in seconds.
     """
 
     born: int
     paused_until: float = -1e9
     leaving_until: float = -1e9
+    refused_at: float = -1e9
+    backoff_s: float = 0.0
+
+    @property
+    def doubted_until(self) -> float:
+        """Until when it is in doubt for refusals that named no time."""
+        return self.refused_at + self.backoff_s
 
 
 class NoticeBook:
@@ -78,26 +94,51 @@
         Returns:
             Whether it is news that the replica leaves.
         """
-        if head.retry_after_s is None and not head.not_run:
-            self._shared.end_before(replica.name, sent_at)
-        if head.retry_after_s is None and not head.is_leaving:
-            return False
+        if not head.not_run and head.retry_after_s is None:
+            self._note_served(replica, sent_at)
+            if not head.is_leaving:
+                return False
         notice = self._find_or_add(replica, now)
         if notice is None:
             return False
         if head.retry_after_s is not None:
             until = now + head.retry_after_s
             notice.paused_until = max(notice.paused_until, until)
-            pause = messages.Pause(
-                replica.name, replica.born, round(1000 * head.retry_after_s)
-            )
-            if self._shared.take(pause, now):
-                self._untold[replica.name] = None
+            self._share(replica, head.retry_after_s, now)
+        elif head.not_run and sent_at >= notice.refused_at:
+            self._back_off(replica, notice, now)
         is_news = head.is_leaving and notice.leaving_until <= now
         if head.is_leaving:
             notice.leaving_until = now + LEAVING_MEMORY_S
         return is_news
 
+    def _note_served(self, replica: model.Replica, sent_at: float) -> None:
+        """Takes that a replica ran a request that was sent at a time."""
+        self._shared.end_before(replica.name, sent_at)
+        notice = self._find(replica)
+        if notice is not None and sent_at >= notice.refused_at:
+            notice.refused_at, notice.backoff_s = -1e9, 0.0
+
+    def _back_off(
+        self, replica: model.Replica, notice: _Notice, now: float
+    ) -> None:
+        doubled_s = max(FIRST_BACKOFF_S, 2 * notice.backoff_s)
+        notice.backoff_s = min(LONGEST_BACKOFF_S, doubled_s)
+        notice.refused_at = now
+        self._share(replica, notice.backoff_s, now)
+
+    def _share(
+        self, replica: model.Replica, pause_s: float, now: float
+    ) -> None:
+        """Has other nodes told of a pause if it is news."""
+        if pause_s < LEAST_TOLD_S:
+            return
+        pause = messages.Pause(
+            replica.name, replica.born, round(1000 * pause_s)
+        )
+        if self._shared.take(pause, now):
+            self._untold[replica.name] = None
+
     def find_pause(self, replica: model.Replica, now: float) -> float:
         """Returns how long a replica wants no request yet, in seconds."""
         notice = self._find(replica)
@@ -106,7 +147,7 @@
     def is_doubted(
         self, replica: model.Replica, now: float, *, may_probe: bool
     ) -> bool:
-        """Says whether a replica may turn a request away.
+        """Says whether a replica is likely to turn a request away.
 
         Args:
             replica: A replica that wants requests from this gateway.
@@ -114,9 +155,11 @@
             may_probe: Whether a refusal can be afforded, to find out whether a
                 server takes requests again.
         """
-        until = self._shared.find_until(replica.name, replica.born)
-        if until is None:
-            return False
+        notice = self._find(replica)
+        until = max(
+            self._shared.find_until(replica.name, replica.born),
+            notice.doubted_until if notice else -1e9,
+        )
         return now < until or (not may_probe and now < until + DOUBT_S)
 
     def take_news(self, pauses: Iterable[messages.Pause], now: float) -> None:
@@ -186,4 +229,8 @@
 
 
 def _find_end(notice: _Notice) -> float:
-    return max(notice.paused_until, notice.leaving_until)
+    return max(
+        notice.paused_until,
+        notice.leaving_until,
+        notice.doubted_until + DOUBT_S,
+    )
--- a/src/hickorylead/notices/pauses.py
+++ b/src/hickorylead/notices/pauses.py
@@ -14,8 +14,6 @@
 # Servers whose pauses are kept, some 200 bytes each: all replicas may ask for
 # one at the same time.
 MAX_PAUSES = 1024
-# A shorter pause, in seconds, is over before others could make use of it.
-LEAST_TOLD_S = 0.5
 # A pause that ends later than the one known before by less than this share of
 # it is no news for others: a server asks each gateway in turn.
 NEWS_SHARE = 0.5
@@ -41,7 +39,7 @@
     def take(self, pause: messages.Pause, now: float) -> bool:
         """Takes a pause; says whether it is news for others."""
         left_s = pause.left_ms / 1000.0
-        if left_s < LEAST_TOLD_S:
+        if left_s <= 0.0:
             return False
         known = self._told.get(pause.server)
         if known is not None and pause.born < known.born:
@@ -55,11 +53,11 @@
             known.until = now + left_s
         return is_news
 
-    def find_until(self, server: str, born: int) -> float | None:
+    def find_until(self, server: str, born: int) -> float:
         """Returns when the pause of a life of a server ends, or ended."""
         known = self._told.get(server)
         if known is None or (known.born and born and known.born != born):
-            return None
+            return -1e9
         return known.until
 
     def end_before(self, server: str, at: float) -> None:
--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -30,6 +30,24 @@
       | 6        |
       | 24       |
 
+  Scenario Outline: Refusals that name no time cost callers nothing, either
+    Given a fleet of <gateways> gateways and 24 servers with callers
+    When two heads turn requests away and name no time, for 8 seconds
+    Then no request was refused
+    And no gateway sends one of them over <most> requests
+
+    Examples:
+      | gateways | most |
+      | 6        | 10   |
+      | 24       | 10   |
+      | 72       | 10   |
+
+  Scenario: A server that turned requests away without a time is used again
+    Given a fleet of 6 gateways and 24 servers with callers
+    When two heads turn requests away and name no time, for 2 seconds
+    And they take requests again for 6 seconds
+    Then each of them gets over 2 requests a second from 2 seconds after that
+
   Scenario: A server is used again when its pause is over
     Given a fleet of 6 gateways and 24 servers with callers
     When two heads turn requests away and ask for 1 seconds, for 0.5 seconds
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 from behave import given, then, when
 from steps import limit_steps
@@ -54,6 +56,23 @@
     noticeplay.send(play, seconds)
 
 
+@when("two heads turn requests away and name no time, for {seconds:g} seconds")
+def _(context, seconds):
+    play = context.play
+    context.heads = noticeplay.list_used(play)[:2]
+    play.pausing = dict.fromkeys(context.heads, 0.0)
+    context.began_at = play.world.now
+    noticeplay.send(play, seconds)
+
+
+@then("no gateway sends one of them over {most:d} requests")
+def _(context, most):
+    counts = collections.Counter(
+        (refusal.gateway, refusal.server) for refusal in context.play.refusals
+    )
+    assert counts and max(counts.values()) <= most, counts
+
+
 @then("no request was refused")
 def _(context):
     refused = [s for s in list_new(context) if s.status not in (0, 200)]
