--- a/src/hickorylead/fleet/keeper.py
+++ b/src/hickorylead/fleet/supervisor.py
@@ -39,7 +39,7 @@
 Effect: TypeAlias = orders.Give | orders.AskReport | notes.Note
 
 
-class Keeper:
+class Supervisor:
     """Suspects and plans of one coordinator."""
 
     def __init__(
@@ -53,7 +53,7 @@
         has_leader: Callable[[float], bool],
         now: float,
     ) -> None:
-        """Makes a keeper that has just started.
+        """Makes a supervisor that has just started.
 
         Args:
             identity: The node.
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -29,11 +29,11 @@
     gateways as gateways_module,
     identity as identity_module,
     instances,
-    keeper as keeper_module,
     messages,
     neighbours as neighbours_module,
     orders,
     registry as registry_module,
+    supervisor as supervisor_module,
 )
 from hickorylead.notices import (
     exchange as notice_exchange,
@@ -129,7 +129,7 @@
             gateways=self.gateways,
         )
         self._notices = notice_exchange.Exchange(identity.node)
-        self._keeper = keeper_module.Keeper(
+        self._supervisor = supervisor_module.Supervisor(
             identity,
             policy=policy,
             life=f"{rng.getrandbits(24):x}",
@@ -210,13 +210,13 @@
             case orders.OrderAnswered():
                 return [
                     *self._note_load(event, now),
-                    *self._keeper.take_answer(event),
+                    *self._supervisor.take_answer(event),
                 ]
             case orders.ReportArrived():
-                return [*self._keeper.take_report(event, now)]
+                return [*self._supervisor.take_report(event, now)]
             case orders.NoticeArrived(name, born, retry_after_s, is_leaving):
                 if retry_after_s is not None:
-                    self._keeper.pause(name, born, now + retry_after_s)
+                    self._supervisor.pause(name, born, now + retry_after_s)
                 return self._drain(name, born, now) if is_leaving else []
 
     # Time.
@@ -230,7 +230,7 @@
             self._next_hello = now + neighbours_module.HELLO_PERIOD_S
             effects += self._greet(now)
             effects += self._found(now)
-        effects += self._keeper.ask_silent(now)
+        effects += self._supervisor.ask_silent(now)
         effects += self._mark_lost(now)
         effects += self._tell_gateways(now)
         effects += self._send_all(
@@ -243,8 +243,8 @@
         effects += self._block(now)
         effects += self._send_all(self._limits.tick(now))
         effects += self._tell_pauses(now)
-        if self._keeper.is_due(now):
-            effects += self._keeper.plan(now)
+        if self._supervisor.is_due(now):
+            effects += self._supervisor.plan(now)
         return effects + self._save(now)
 
     def _save(self, now: float) -> list[CoordinatorEffect]:
@@ -274,7 +274,7 @@
         # answered the first time lives, and was asked for each of them.
         servers = self.crashes.list_new(news)
         effects = self._send_all(self.crashes.take(news, others, now))
-        return [*effects, *self._keeper.suspect_servers(servers, now)]
+        return [*effects, *self._supervisor.suspect_servers(servers, now)]
 
     def _block(self, now: float) -> list[CoordinatorEffect]:
         def has_ended(life: ledger_module.Life) -> bool:
@@ -299,7 +299,7 @@
             check=self.registry.check,
             is_empty=self._identity.may_found and not self.voter.cluster,
             gateways=len(self.gateways.list_own(now)),
-            has_traffic=self._keeper.has_traffic,
+            has_traffic=self._supervisor.has_traffic,
             crashes=self.crashes.check,
         )
         targets = self.neighbours.list_targets()
@@ -376,7 +376,7 @@
                 return self._take_hello(message, now)
             case messages.InstanceNews(_, news, is_full):
                 if is_full and news:
-                    self._keeper.note_full_news(now)
+                    self._supervisor.note_full_news(now)
                 return self._take_news(news, now)
             case messages.Alive():
                 return self._take_alive(message, now)
@@ -404,7 +404,7 @@
             case messages.StallNews(sender, heads):
                 effects = self._pass_stalls(message, now)
                 for head in heads:
-                    effects += self._keeper.suspect_group(head, sender, now)
+                    effects += self._supervisor.suspect_group(head, sender, now)
                 return effects
             case messages.ReplaceRequest(node, token, version, content):
                 return self._wrap(
@@ -453,11 +453,11 @@
             if self.registry.touch(name, sequence, since, now, born=born):
                 revived.append(self.registry.instances[name])
             if self.registry.find_born(name) == born:
-                self._keeper.clear(name)
+                self._supervisor.clear(name)
         if not revived:
             return []
         self._note_untold(revived)
-        return [*self._keeper.plan_soon(now)]
+        return [*self._supervisor.plan_soon(now)]
 
     def _take_hello(
         self, hello: messages.CoordinatorHello, now: float
@@ -469,7 +469,7 @@
         self.neighbours.hear(hello, now)
         if hello.has_traffic:
             # Only homes hear of requests from gateways.
-            self._keeper.note_traffic()
+            self._supervisor.note_traffic()
         effects = self._send_all(
             self.crashes.compare_coordinator(
                 hello.node, hello.crashes, is_new=is_new, now=now
@@ -480,7 +480,7 @@
         news = messages.InstanceNews(
             self._identity.node,
             tuple(self.registry.instances.values()),
-            is_full=self._keeper.knows_all(now),
+            is_full=self._supervisor.knows_all(now),
         )
         return [*effects, seam.Send(hello.node, news)]
 
@@ -488,7 +488,7 @@
         self, hello: messages.GatewayHello, now: float
     ) -> list[CoordinatorEffect]:
         if hello.loads:
-            self._keeper.note_traffic()
+            self._supervisor.note_traffic()
         is_new = not self.gateways.is_home_to(hello.node, hello.boot)
         effects = self._send_all(
             self.crashes.compare_gateway(
@@ -520,9 +520,9 @@
             )
         )
         for name in hello.stalled:
-            effects += self._keeper.suspect_group(name, hello.node, now)
+            effects += self._supervisor.suspect_group(name, hello.node, now)
         for flow in hello.flowing:
-            self._keeper.note_flow(flow.name, now - flow.age_ms / 1000.0)
+            self._supervisor.note_flow(flow.name, now - flow.age_ms / 1000.0)
         if self.gateways.needs_document(hello.node, self.version, now):
             effects.append(seam.Send(hello.node, self._make_update(now)))
         return effects
@@ -546,7 +546,7 @@
             # A heartbeat of a former life, held up on its way, says nothing
             # about whether the present one lives.
             return []
-        self._keeper.clear(instance.name)
+        self._supervisor.clear(instance.name)
         if not self.registry.merge(instance, now):
             self._alive[instance.name] = instance.sequence
             return []
@@ -622,7 +622,7 @@
         self._note_untold(changed)
         if any(instances.is_urgent(i, known) for i in changed):
             effects += self._tell_gateways(now)
-        return effects + self._keeper.plan_soon(now)
+        return effects + self._supervisor.plan_soon(now)
 
     def _note_untold(self, changed: Iterable[instances.Instance]) -> None:
         """Keeps what gateways are to be told, as it is known here.
@@ -655,12 +655,12 @@
             return []
         for instance in changed:
             if not instance.silent:
-                self._keeper.clear(instance.name)
+                self._supervisor.clear(instance.name)
         self._note_untold(changed)
         effects: list[CoordinatorEffect] = []
         if any(instances.is_urgent(i, before[i.name]) for i in changed):
             effects += self._tell_gateways(now)
-        return effects + self._keeper.plan_soon(now)
+        return effects + self._supervisor.plan_soon(now)
 
     def _pass_stalls(
         self, news: messages.StallNews, now: float
@@ -676,7 +676,7 @@
 
     def _mark_lost(self, now: float) -> list[CoordinatorEffect]:
         effects: list[CoordinatorEffect] = []
-        for instance in self._keeper.list_newly_lost(now):
+        for instance in self._supervisor.list_newly_lost(now):
             silent = attrs.evolve(instance, silent=True)
             if self.registry.merge(silent, now):
                 effects += self._spread([silent], instance, now)
@@ -731,7 +731,7 @@
                 leader=self.voter.leader,
             )
         )
-        return effects + self._keeper.plan(now)
+        return effects + self._supervisor.plan(now)
 
     def _take_document(self) -> str:
         """Reads the configuration that the voter holds; returns a problem."""
@@ -742,7 +742,7 @@
         match self._read_document(held.content):
             case result.Success(found):
                 self.document = found
-                self._keeper.services = found.services
+                self._supervisor.services = found.services
                 return ""
             case result.Failure(problem):
                 return str(problem)
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -824,10 +824,10 @@
 @then("all six coordinators count loads within {limit:g} second, a sixth each")
 def _(context, limit):
     world = context.world
-    keepers = [c._keeper for c in world.coordinators.values()]
-    assert len(keepers) == 6
-    world.run_until(lambda: all(k.has_traffic for k in keepers), limit)
-    assert {k._count_planners() for k in keepers} == {6}
+    supervisors = [c._supervisor for c in world.coordinators.values()]
+    assert len(supervisors) == 6
+    world.run_until(lambda: all(s.has_traffic for s in supervisors), limit)
+    assert {s._count_planners() for s in supervisors} == {6}
 
 
 @then("the schedules 7, 621, 986 and 35024 break no promise")
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -658,7 +658,7 @@
     node = next(n for n in world.core if n.startswith(f"{zone}/"))
     role = world.coordinators[node]
     found = role.registry.instances[context.head]
-    assert role._keeper._ask([found], world.now)
+    assert role._supervisor._ask([found], world.now)
     turned = orders.ReportArrived(context.head, None, is_turned_away=True)
     world.apply(node, turned)
     context.role = role
