--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -132,6 +132,11 @@
     When the replica starts again under its id and then a pause of its former life comes
     Then a call is sent to it at once
 
+  Scenario: A late answer of a former life does not end the pause of the next one
+    Given a gateway with 1 plain replicas
+    When the next life of the replica asks for 3 seconds and its former one for less
+    Then no call is sent to the first one for 3 seconds
+
   Scenario: The number of notices is bounded
     Then 5000 servers that ask for a pause leave 1024 notices of each kind
     And none is left when no server is in doubt any more
@@ -219,5 +224,5 @@
 
   Scenario: A server that turns a question away is not taken for dead
     Given a fleet of 6 gateways and 24 servers with callers
-    When a head turns a question of its silent member's coordinator away
+    When a head that nobody hears turns a question of its coordinator away
     Then that head is not marked as silent
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -378,6 +378,21 @@
     play.begin(name, attrs.evolve(PAUSED, echo=echo))
 
 
+@when(
+    "the next life of the replica asks for {pause:g} seconds and its former "
+    "one for less"
+)
+def _(context, pause):
+    assert pause == PAUSED.retry_after_s
+    play = context.play
+    begin_life(context)
+    name = play.ask("notices")
+    begin_life(context)
+    refuse(context)
+    echo = play.list_sent(name)[-1].request.terms.attempt_id
+    play.begin(name, attrs.evolve(PAUSED, retry_after_s=0.01, echo=echo))
+
+
 @then("a call is sent to it at once")
 def _(context):
     assert context.play.list_sent(context.play.ask("notices"))
@@ -650,12 +665,16 @@
     assert not found, found
 
 
-@when("a head turns a question of its silent member's coordinator away")
+@when("a head that nobody hears turns a question of its coordinator away")
 def _(context):
-    world = context.play.world
-    context.head = noticeplay.list_used(context.play)[0]
-    zone = world.servers[context.head].zone
-    node = next(n for n in world.core if n.startswith(f"{zone}/"))
+    play, world = context.play, context.play.world
+    context.head = noticeplay.list_used(play)[0]
+    server = world.servers[context.head]
+    node = next(n for n in world.core if n.startswith(f"{server.zone}/"))
+    # No stream runs there any more that would show that it lives.
+    play.run(2.0)
+    for other in [*world.core, *world.gateways]:
+        world.cut(other, context.head)
     role = world.coordinators[node]
     found = role.registry.instances[context.head]
     assert role._supervisor._ask([found], world.now)
