--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -54,6 +54,8 @@
 )
 # Statuses with which a replica may ask for a pause.
 _PAUSING = (429, 503)
+# Longest pause that is taken from a replica, in seconds.
+LONGEST_PAUSE_S = 86400.0
 _NOT_GIVEN_BACK = frozenset(
     {
         b"connection",
@@ -144,7 +146,7 @@
             is_encoded=encoding not in (b"", b"identity"),
             load=_read(_read_load, found, _LOAD, unreadable),
             limit_per_s=_read(_read_amount, found, _LIMIT, unreadable),
-            retry_after_s=_read(_read_amount, found, _RETRY_AFTER, unreadable)
+            retry_after_s=_read(_read_pause, found, _RETRY_AFTER, unreadable)
             if status in _PAUSING
             else None,
             is_leaving=found.get(_LEAVING, b"0") not in (b"", b"0"),
@@ -198,3 +200,7 @@
     if not math.isfinite(amount):
         raise ValueError(f"{value!r} is not finite")
     return max(0.0, amount)
+
+
+def _read_pause(value: bytes) -> float:
+    return min(LONGEST_PAUSE_S, _read_amount(value))
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -82,6 +82,7 @@
       | 503    | 0.25  | 0.25  |
       | 429    | 3     | 3     |
       | 503    | -1    | 0     |
+      | 503    | 1e300 | 86400 |
       | 503    | soon  | none  |
       | 503    | nan   | none  |
       | 200    | 3     | none  |
