--- a/src/hickorylead/notices/book.py
+++ b/src/hickorylead/notices/book.py
@@ -105,7 +105,11 @@
             until = now + head.retry_after_s
             notice.paused_until = max(notice.paused_until, until)
             self._share(replica, head.retry_after_s, now)
-        elif head.not_run and sent_at >= notice.refused_at:
+        if (
+            head.not_run
+            and not head.retry_after_s
+            and sent_at >= notice.refused_at
+        ):
             self._back_off(replica, notice, now)
         is_news = head.is_leaving and notice.leaving_until <= now
         if head.is_leaving:
--- a/tests/notices/book.feature
+++ b/tests/notices/book.feature
@@ -37,3 +37,7 @@
     Given a server that asked another gateway for 3 seconds
     When it answers a request that was sent after the end of that pause
     Then it is not in doubt
+
+  Scenario: A refusal that asks for no time at all counts like one without a time
+    Given a server that turns a request away with a pause of 0 seconds
+    Then it is in doubt for 0.5 seconds after the last refusal
--- a/tests/steps/notice_book_steps.py
+++ b/tests/steps/notice_book_steps.py
@@ -93,3 +93,13 @@
 def _(context):
     assert is_doubted(context, context.answered_at, may_probe=False)
     assert not is_doubted(context, context.answered_at, may_probe=True)
+
+
+@given("a server that turns a request away with a pause of {pause:g} seconds")
+def _(context, pause):
+    context.book = book.NoticeBook()
+    context.now = 10.0
+    head = model.Head(503, not_run=True, retry_after_s=pause)
+    context.book.note_answer(
+        REPLICA, head, sent_at=context.now - ROUND_S, now=context.now
+    )
