--- a/tests/fleet/lives.feature
+++ b/tests/fleet/lives.feature
@@ -36,8 +36,7 @@
     And a report of the former life that comes late changes nothing
 
   Scenario Outline: That a server leaves is not taken back by its heartbeats
-    It says so with its answers only; news of it and heartbeats overtake each
-    other.
+    It says so with its answers only.
     Given a server that told 50 heartbeats and had a model in memory
     When it is told that it leaves, with heartbeat <number>
     And its heartbeat 52 says that it is ready
--- a/tests/notices/notices.feature
+++ b/tests/notices/notices.feature
@@ -55,8 +55,7 @@
     Then each of them gets over 2 requests a second from 1.2 seconds after that
 
   Scenario: A pause that one gateway was asked for binds no other
-    The others prefer replicas that turned nobody away, and use this one where
-    there is none.
+    The others prefer replicas that turned nobody away, if there are any.
     Given a fleet of 6 gateways and 24 servers with callers
     When all heads turn requests of one gateway away and ask for 3 seconds
     Then the other gateways send them over 15 requests a second meanwhile
@@ -101,8 +100,7 @@
     Then random schedules 0 to 7 of faults keep pauses
 
   Scenario: Replicas that have stopped are no reason to break a pause
-    With nothing better, stalled replicas are tried, but not one that asked for a
-    pause.
+    With nothing better, stalled replicas are tried.
     Given a gateway with 3 plain replicas
     When a replica asks for 3 seconds and the others can't be reached
     Then no call is sent to the first one for 3 seconds
