Log and count the servers that a gateway cannot connect to

Cause: a gateway that reaches no server, servers that are down, and a spent retry budget look alike: refusals with retry_budget_spent and the same number of replicas. Lines about attempts also showed the zone of the server in place of the zone of the gateway, so that losses were counted by the wrong zone.

Change: gateways record which connections fail and succeed; log lines zone_unreachable and zone_reachable, metrics unreachable_servers and unreachable_zones.

--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -145,7 +145,7 @@
     choice = attempt.choice
     return {
         "server": attempt.replica.name,
-        "zone": attempt.replica.zone,
+        "server_zone": attempt.replica.zone,
         "epoch": attempt.replica.epoch,
         "weighed": choice.candidates,
         "estimate_s": round(choice.estimate_s, 4),
--- a/src/hickorylead/forwarding/events.py
+++ b/src/hickorylead/forwarding/events.py
@@ -24,6 +24,14 @@
     request_id: str
 
 
+@attrs.frozen
+class AttemptConnected:
+    """Event: a new connection to the replica of an attempt was opened."""
+
+    request_id: str
+    attempt: int
+
+
 @attrs.frozen
 class ResponseHeadArrived:
     """Event: the head of a replica's response arrived."""
@@ -70,6 +78,7 @@
 Event: TypeAlias = (
     RequestArrived
     | CallerDisconnected
+    | AttemptConnected
     | ResponseHeadArrived
     | ChunkArrived
     | ResponseCompleted
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -30,6 +30,7 @@
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import (
         health as health_module,
+        reachability as reachability_module,
     )
     from hickorylead.notices import notice_store as notice_store_module
     from hickorylead.ratelimits import permit_pool as permit_pool_module
@@ -82,6 +83,7 @@
         guard: crash_guard_module.CrashGuard,
         notices: notice_store_module.NoticeStore,
         permits: permit_pool_module.PermitPool,
+        reachability: reachability_module.Reachability,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS,
         started_at: float = -1e9,
     ) -> None:
@@ -93,6 +95,7 @@
             guard: Requests that no replica may run, and lost runs.
             notices: Pauses and departures that replicas announced.
             permits: Permits for replicas that name a rate limit.
+            reachability: Servers to which this gateway can open connections.
             limits: Retries that all gateways together may make.
             started_at: When the gateway started.
         """
@@ -102,6 +105,7 @@
         self._guard = guard
         self._notices = notices
         self._permits = permits
+        self._reachability = reachability
         self._budgets = budget_module.GatewayRetryBudgets(limits)
         self._pending: dict[str, state.PendingRequest] = {}
         # Servers that refusals named as at fault and that have not been
@@ -131,6 +135,8 @@
                 return self._handle_chunk(event, now)
             case events.RequestArrived(request):
                 return self._handle_arrival(request, now)
+            case events.AttemptConnected(request_id, attempt):
+                return self._handle_connection(request_id, attempt, now)
             case events.ResponseHeadArrived():
                 return self._handle_head(event, now)
             case events.ResponseCompleted():
@@ -411,6 +417,19 @@
             return None
         return pending if pending.attempt.number == attempt else None
 
+    def _handle_connection(
+        self, request_id: str, attempt: int, now: float
+    ) -> list[events.Effect]:
+        pending = self._find_pending(request_id, attempt)
+        if pending is None or pending.attempt is None:
+            return []
+        replica = pending.attempt.replica
+        return [
+            *self._reachability.record_connected(
+                replica.name, replica.zone, now
+            )
+        ]
+
     def _handle_head(
         self, event: events.ResponseHeadArrived, now: float
     ) -> list[events.Effect]:
@@ -588,6 +607,10 @@
         if verdict is Verdict.MAY_HAVE_RUN:
             self._record_lost_run(pending, attempt, now)
         effects = self._end_attempt(pending, verdict)
+        if reason in model.CONNECT_FAILURES:
+            effects += self._reachability.record_failure(
+                attempt.replica.name, attempt.replica.zone, reason, now
+            )
         effects.append(
             descriptions.describe_failure(
                 pending, failed_attempt, verdict=verdict, reason=reason, now=now
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -11,6 +11,10 @@
 # Reason code of an attempt that ended before the request was sent, because the
 # replica did not accept the connection in time.
 CONNECT_TIMEOUT = "connect_timeout"
+# Reason code of an attempt that ended before the request was sent, because the
+# connection was refused or reset.
+CONNECT_REFUSED = "unreachable"
+CONNECT_FAILURES = frozenset({CONNECT_TIMEOUT, CONNECT_REFUSED})
 
 
 @attrs.frozen
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -23,6 +23,7 @@
     events,
     forwarder as forwarder_module,
     health,
+    reachability as reachability_module,
     replica_directory,
     routes as routes_module,
 )
@@ -145,6 +146,7 @@
         self._notice_reporter = notice_reporter_module.NoticeReporter(
             identity.node, notices=self._notices, registry=self._registry
         )
+        self._reachability = reachability_module.Reachability()
         self._permits = permit_pool_module.PermitPool(
             identity.node, first=identity.boot, rng=rng
         )
@@ -161,6 +163,7 @@
             guard=self._guard,
             notices=self._notices,
             permits=self._permits,
+            reachability=self._reachability,
             limits=identity.retry_limits,
             started_at=now,
         )
@@ -231,6 +234,15 @@
             "instances": len(self._registry.list_present()),
         }
 
+    def count_unreachable(self) -> dict[str, int]:
+        """Returns how many servers and zones connections do not reach."""
+        return {
+            "unreachable_servers": self._reachability.count_failed(),
+            "unreachable_zones": len(
+                self._reachability.list_unreachable_zones()
+            ),
+        }
+
     def count_blocked_requests(self) -> int:
         """Returns the number of request hashes that are blocked."""
         return self._guard.count_blocked()
@@ -316,6 +328,7 @@
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._registry.prune(now, INSTANCE_RETENTION_S)
             self._health.retain(set(self._registry.instances))
+            self._reachability.retain(set(self._registry.instances))
             self._permits.prune(now)
             self._notices.prune(now)
         return effects
--- a/src/hickorylead/runtime/calls.py
+++ b/src/hickorylead/runtime/calls.py
@@ -48,6 +48,9 @@
         self._headers: tuple[tuple[bytes, bytes], ...] = ()
         self._body = bytearray()
 
+    def on_connected(self) -> None:
+        pass
+
     def on_headers(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -57,6 +57,10 @@
         self._header_codec = header_codec
         self._deliver = deliver
 
+    def on_connected(self) -> None:
+        """Handles a new connection, before the request is sent."""
+        self._deliver(events.AttemptConnected(self._id, self._number))
+
     def on_headers(self, status: int, headers: list[model.Header]) -> None:
         """Handles status and headers."""
         head = self._header_codec.decode_response_head(status, headers)
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -298,6 +298,7 @@
             "ready": float(self.role.is_ready()),
             "connections_opened_total": self._pool.opened_count,
             **self.role.count_replicas(),
+            **self.role.count_unreachable(),
         }
 
     def _receive(self, sender: str, message: interface.Message) -> None:
--- a/src/hickorylead/runtime/upstream.py
+++ b/src/hickorylead/runtime/upstream.py
@@ -38,6 +38,9 @@
 class Receiver(Protocol):
     """Callbacks of one exchange, called in the order of the methods here."""
 
+    def on_connected(self) -> None:
+        """Handles a new connection; not called if one is reused."""
+
     def on_headers(
         self, status: int, headers: list[tuple[bytes, bytes]]
     ) -> None:
@@ -246,11 +249,12 @@
             reason = (
                 model.CONNECT_TIMEOUT
                 if isinstance(error, TimeoutError)
-                else "unreachable"
+                else model.CONNECT_REFUSED
             )
             self._receiver.on_failure(Verdict.NOT_RUN, reason)
             return
         self._connection = connection
+        self._receiver.on_connected()
         connection.send(data, self._receiver)
 
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -344,6 +344,9 @@
         self.done = asyncio.get_running_loop().create_future()
         self.body = b""
 
+    def on_connected(self):
+        pass
+
     def on_headers(self, status, response_headers):
         self.status = status
 
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -15,6 +15,7 @@
     forwarder,
     health,
     model,
+    reachability,
     replica_directory,
 )
 from hickorylead.notices import notice_store
@@ -40,6 +41,7 @@
         self.health = health.HealthTracker()
         self.guard = crash_guard.CrashGuard("z1/front1")
         self.notices = notice_store.NoticeStore()
+        self.reachability = reachability.Reachability()
         rng = random.Random(1)
         self.permits = permit_pool.PermitPool("z1/front1", first=1, rng=rng)
         directory = replica_directory.ReplicaDirectory(self.registry)
@@ -56,6 +58,7 @@
             guard=self.guard,
             notices=self.notices,
             permits=self.permits,
+            reachability=self.reachability,
         )
         # Its coordinator has sent it the number of gateways.
         self.forwarder.set_gateway_count(9, 0.0)
