Reproduce refusals by gateways that reach no server

Four of six simulated gateways lose their connections to all servers; their coordinators and the other gateways still reach them.

--- a/tests/support/traffic_simulation.py
+++ b/tests/support/traffic_simulation.py
@@ -19,6 +19,8 @@
 EVENTS = 5
 # A crashed server is replaced by an empty one after this, in seconds.
 REPLACED_S = 2.5
+# Time after which a connection that hangs is given up, in seconds.
+CONNECT_TIMEOUT_S = 0.15
 OK = model.ResponseHead(200, is_signed=True)
 ROUTES = {r.name: r for r in fleet_simulation.make_document(1).routes}
 
@@ -75,6 +77,7 @@
     started_at: float
     event_count: int = 0
     pause_s: float | None = None
+    is_connecting: bool = False
 
 
 class TrafficSimulation:
@@ -110,6 +113,8 @@
         self._replacements: list[tuple[float, instances.Instance]] = []
         # Whether the caller of a crashing body disconnects at the crash.
         self.disconnects_early = False
+        # Gateways whose connections to all servers hang.
+        self.isolated: set[str] = set()
 
     def submit(
         self, gateway: str, body: bytes, *, last_event: int = 0
@@ -223,7 +228,9 @@
                 if self.refused_gateway in ("", node):
                     run.pause_s = self.pauses.get(replica.name)
                 self._runs[request.request_id, attempt] = run
-                if replica.name not in self.simulation.servers:
+                if node in self.isolated:
+                    run.is_connecting = True
+                elif replica.name not in self.simulation.servers:
                     self._fail(run, Verdict.NOT_RUN, "unreachable")
                 else:
                     submission.sent.append((self.simulation.now, replica.name))
@@ -243,6 +250,12 @@
     def _advance_runs(self) -> None:
         for run in list(self._runs.values()):
             age_s = self.simulation.now - run.started_at
+            if run.is_connecting:
+                if age_s >= CONNECT_TIMEOUT_S:
+                    self._fail(run, Verdict.NOT_RUN, model.CONNECT_TIMEOUT)
+                continue
+            if run.submission.gateway in self.isolated:
+                continue
             if run.server not in self.simulation.servers:
                 continue
             if run.pause_s is not None:
