--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from hickorylead.forwarding import reachability as reachability_module
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
     import random
@@ -18,6 +20,7 @@
     )
     from hickorylead.notices import notice_store as notice_store_module
     from hickorylead.ratelimits import permit_pool as permit_pool_module
+    from hickorylead.relaying import relay_directory
 
 # Added to the estimate for a replica of another zone, in seconds. A round trip
 # between zones takes about 2 ms; the rest of the penalty is there because
@@ -53,6 +56,7 @@
         candidates: Replicas whose estimates were compared.
         withheld: A better replica, not chosen because no permit is left for it.
         paused_count: Number of replicas that requested a pause.
+        relay: Gateway through which to send it; None if directly.
     """
 
     replica: model.Replica
@@ -60,6 +64,7 @@
     candidates: int
     withheld: model.Replica | None = None
     paused_count: int = 0
+    relay: relay_directory.Relay | None = None
 
 
 @attrs.frozen
@@ -74,6 +79,8 @@
             unknown.
         pause_s: Time until the first paused replica accepts requests again, in
             seconds; 0 if none is paused.
+        unreachable_count: Number of replicas that are passed over because
+            neither this gateway nor any known relay can connect to them.
     """
 
     known: int
@@ -81,6 +88,17 @@
     withheld: model.Replica | None = None
     permit_s: float = 0.0
     pause_s: float = 0.0
+    unreachable_count: int = 0
+
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether all other replicas are out of the question."""
+        return (
+            self.unreachable_count > 0
+            and not self.is_full
+            and self.withheld is None
+            and not self.pause_s
+        )
 
     @property
     def wait_s(self) -> float:
@@ -105,6 +123,38 @@
     permit_s: float = 0.0
 
 
+@attrs.frozen
+class _Limits:
+    """Limits of one choice; see `Chooser.choose`."""
+
+    may_probe: bool
+    max_own_requests: int | None
+
+
+@attrs.frozen
+class _Comparison:
+    """Outcome of comparing some replicas.
+
+    Attributes:
+        best: The best that may be sent the request.
+        withheld: The best of those that only lack a permit.
+        full_count: Number of full replicas.
+    """
+
+    best: _Candidate | None
+    withheld: _Candidate | None
+    full_count: int
+
+    def combine(self, other: _Comparison) -> _Comparison:
+        """Returns the outcome for the replicas of both comparisons."""
+        withheld = [c for c in (self.withheld, other.withheld) if c is not None]
+        return _Comparison(
+            self.best or other.best,
+            min(withheld, key=_rank, default=None),
+            self.full_count + other.full_count,
+        )
+
+
 class Chooser:
     """Chooses replicas for one gateway."""
 
@@ -116,6 +166,8 @@
         health: health_module.HealthTracker,
         notices: notice_store_module.NoticeStore,
         permits: permit_pool_module.PermitPool,
+        reachability: reachability_module.Reachability,
+        relays: relay_directory.RelayDirectory,
         rng: random.Random,
     ) -> None:
         """Makes a chooser.
@@ -126,6 +178,8 @@
             health: Load, stalls and failures observed of them.
             notices: Pauses and departures that they announced.
             permits: Permits for those that name a rate limit.
+            reachability: Those to which this gateway can connect.
+            relays: Gateways that relay requests to the others.
             rng: Source of the jitter.
         """
         self._zone = zone
@@ -133,6 +187,8 @@
         self._health = health
         self._notices = notices
         self._permits = permits
+        self._reachability = reachability
+        self._relays = relays
         self._rng = rng
 
     def find(self, name: str) -> model.Replica | None:
@@ -164,7 +220,69 @@
         known = self._list_not_leaving(request, now)
         pauses = self._find_pauses(known, now)
         ready = [r for r in known if r.name not in pauses] if pauses else known
-        pause_s = min(pauses.values(), default=0.0)
+        limits = _Limits(may_probe, max_own_requests)
+        direct, others = self._split_by_reachability(ready)
+        found = self._compare(direct, request, engine, avoid, limits, now)
+        relay = None
+        unreachable_count = 0
+        if found.best is None and others:
+            # A replica without a relay is left out: an attempt would end
+            # without a connection, and only after a timeout.
+            relayed = [r for r in others if self._find_relay(r, now)]
+            unreachable_count = len(others) - len(relayed)
+            found = self._compare(
+                relayed, request, engine, avoid, limits, now
+            ).combine(found)
+            if found.best is not None:
+                relay = self._find_relay(found.best.replica, now)
+        best, withheld = found.best, found.withheld
+        if best is None:
+            return NoChoice(
+                len(known),
+                found.full_count > 0,
+                withheld.replica if withheld else None,
+                withheld.permit_s if withheld else 0.0,
+                min(pauses.values(), default=0.0),
+                unreachable_count,
+            )
+        is_better = (
+            withheld is not None and withheld.estimate_s < best.estimate_s
+        )
+        return Choice(
+            best.replica,
+            best.estimate_s,
+            len(known),
+            withheld.replica if withheld and is_better else None,
+            len(pauses),
+            relay,
+        )
+
+    def _split_by_reachability(
+        self, ready: list[model.Replica]
+    ) -> tuple[list[model.Replica], list[model.Replica]]:
+        """Returns the replicas to connect to directly, and the others."""
+        if not self._reachability.has_failures():
+            return ready, []
+        direct = [r for r in ready if self._reachability.is_reachable(r)]
+        others = [r for r in ready if not self._reachability.is_reachable(r)]
+        return direct, others
+
+    def _find_relay(
+        self, replica: model.Replica, now: float
+    ) -> relay_directory.Relay | None:
+        scope = reachability_module.find_scope(replica)
+        return self._relays.choose(scope, now)
+
+    def _compare(
+        self,
+        ready: list[model.Replica],
+        request: model.Request,
+        engine: document_module.EngineProfile | None,
+        avoid: Collection[str],
+        limits: _Limits,
+        now: float,
+    ) -> _Comparison:
+        """Returns the best of some replicas, and the best without a permit."""
         best: _Candidate | None = None
         withheld: _Candidate | None = None
         full_count = 0
@@ -179,14 +297,14 @@
             running = self._health.count_requests(replica, now)
             own_requests = self._health.get(replica).own_requests
             if running >= replica.slots * max_utilization or (
-                max_own_requests is not None
-                and own_requests >= max_own_requests
+                limits.max_own_requests is not None
+                and own_requests >= limits.max_own_requests
             ):
                 full_count += 1
                 continue
             estimate_s = self._estimate(replica, request, engine, running, now)
             if self._notices.is_likely_to_refuse(
-                replica, now, may_probe=may_probe
+                replica, now, may_probe=limits.may_probe
             ):
                 estimate_s += PROBATION_PENALTY_S
             if self._permits.may_send(replica, now):
@@ -201,24 +319,7 @@
             withheld = (
                 found if withheld is None else min(withheld, found, key=_rank)
             )
-        if best is None:
-            return NoChoice(
-                len(known),
-                full_count > 0,
-                withheld.replica if withheld else None,
-                withheld.permit_s if withheld else 0.0,
-                pause_s,
-            )
-        is_better = (
-            withheld is not None and withheld.estimate_s < best.estimate_s
-        )
-        return Choice(
-            best.replica,
-            best.estimate_s,
-            len(known),
-            withheld.replica if withheld and is_better else None,
-            len(pauses),
-        )
+        return _Comparison(best, withheld, full_count)
 
     def _list_not_leaving(
         self, request: model.Request, now: float
--- /dev/null
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -0,0 +1,137 @@
+"""Finds out which servers a gateway can connect to, and asks for relays."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hickorylead.forwarding import (
+    events,
+    model,
+    reachability as reachability_module,
+)
+
+if TYPE_CHECKING:
+    from hickorylead import notes
+    from hickorylead.forwarding import (
+        health as health_module,
+        replica_directory,
+        state,
+    )
+    from hickorylead.relaying import relay_directory
+
+# After the first failed connection, another server of the same service and zone
+# is probed unless one of them sent output within this time, in seconds.
+OUTPUT_WINDOW_S = 0.5
+
+
+class ConnectionMonitor:
+    """Evidence of failed connections, and the probes that it calls for."""
+
+    def __init__(
+        self,
+        *,
+        directory: replica_directory.ReplicaDirectory,
+        health: health_module.HealthTracker,
+        reachability: reachability_module.Reachability,
+        relays: relay_directory.RelayDirectory,
+    ) -> None:
+        """Makes a monitor.
+
+        Args:
+            directory: Replicas that may be used.
+            health: Output observed of them.
+            reachability: Records the outcome of connections.
+            relays: Gateways that relay requests to unreachable replicas.
+        """
+        self._directory = directory
+        self._health = health
+        self._reachability = reachability
+        self._relays = relays
+
+    def record_connected(
+        self, replica: model.Replica, now: float
+    ) -> list[events.Effect]:
+        """Records a new connection to a server."""
+        return [*self._reachability.record_connected(replica, now)]
+
+    def record_failure(
+        self, replica: model.Replica, reason: str, now: float
+    ) -> list[events.Effect]:
+        """Records a failed connection; probes another server if in doubt."""
+        effects: list[events.Effect] = [
+            *self._record_failure(replica, reason, now)
+        ]
+        if self._reachability.is_scope_reachable(replica):
+            if reason == model.CONNECT_TIMEOUT:
+                # The replica is partitioned or down; the next request sent to
+                # it would also wait until the connection timeout.
+                self._health.mark_stalled(replica, now)
+            other = self._find_other(replica, now)
+            if other is not None:
+                effects.append(events.ProbeServer(other))
+        return effects
+
+    def _record_failure(
+        self, replica: model.Replica, reason: str, now: float
+    ) -> list[notes.Note]:
+        present = self._directory.list_in_zone(replica.service, replica.zone)
+        return self._reachability.record_failure(
+            replica, reason, present=len(present), now=now
+        )
+
+    def handle_probe(
+        self, event: events.ServerProbed, now: float
+    ) -> list[events.Effect]:
+        """Handles the outcome of a probe."""
+        if event.failure:
+            return [*self._record_failure(event.replica, event.failure, now)]
+        return self.record_connected(event.replica, now)
+
+    def record_lost_relay(
+        self, attempt: state.Attempt, reason: str, now: float
+    ) -> None:
+        """Records that an attempt through a relay failed."""
+        relay = attempt.relay
+        match reason:
+            case _ if relay is None:
+                pass
+            case model.RELAY_NO_SERVER:
+                # Until its next offer it is unknown whether the relay reaches
+                # any server there, or only this one is down.
+                relay.unreachable |= {
+                    reachability_module.find_scope(attempt.replica)
+                }
+                self._health.mark_stalled(
+                    attempt.replica, now, is_confirmed=False
+                )
+            case model.RELAY_UNREACHABLE | model.RELAY_LOST:
+                self._relays.avoid(relay, has_refused=False, now=now)
+            case model.RELAY_REFUSED | "stalled" | "no_answer":
+                self._relays.avoid(relay, has_refused=True, now=now)
+
+    def tick(self, now: float) -> list[events.Effect]:
+        """Sends the probes that are due."""
+        return [
+            events.ProbeServer(replica)
+            for replica in self._reachability.pop_due_probes(now)
+        ]
+
+    def _find_other(
+        self, replica: model.Replica, now: float
+    ) -> model.Replica | None:
+        """Returns another replica to probe; None if there is no need."""
+        others = [
+            other
+            for other in self._directory.list_in_zone(
+                replica.service, replica.zone
+            )
+            if other.name != replica.name
+            and self._reachability.is_reachable(other)
+            and not other.is_missing
+        ]
+        if not others or any(
+            now - self._health.get(other).progress_at < OUTPUT_WINDOW_S
+            for other in others
+        ):
+            return None
+        return min(others, key=lambda o: self._health.get(o).own_requests)
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -147,6 +147,7 @@
         "server": attempt.replica.name,
         "server_zone": attempt.replica.zone,
         "epoch": attempt.replica.epoch,
+        "relay": attempt.relay.node if attempt.relay else None,
         "weighed": choice.candidates,
         "estimate_s": round(choice.estimate_s, 4),
         "running": choice.running,
--- a/src/hickorylead/forwarding/events.py
+++ b/src/hickorylead/forwarding/events.py
@@ -8,6 +8,7 @@
 
 from hickorylead import notes, verdict as verdict_module
 from hickorylead.forwarding import model
+from hickorylead.relaying import relay_directory
 
 
 @attrs.frozen
@@ -75,6 +76,19 @@
     reason: str
 
 
+@attrs.frozen
+class ServerProbed:
+    """Event: a probe of whether a server accepts connections has ended.
+
+    Attributes:
+        replica: The server.
+        failure: Stable code of the failure; empty if it was connected.
+    """
+
+    replica: model.Replica
+    failure: str
+
+
 Event: TypeAlias = (
     RequestArrived
     | CallerDisconnected
@@ -83,6 +97,7 @@
     | ChunkArrived
     | ResponseCompleted
     | AttemptFailed
+    | ServerProbed
 )
 
 
@@ -97,6 +112,7 @@
         budget_s: How long the replica may work on it, in seconds.
         last_event_id: Id of the last event that the caller has; 0 if none.
         rank: Its rank among the replica's requests, 0 to 9; 0 goes first.
+        relay: Gateway through which it is sent; None if directly.
     """
 
     request: model.Request
@@ -105,6 +121,14 @@
     budget_s: float
     last_event_id: int
     rank: int
+    relay: relay_directory.Relay | None = None
+
+
+@attrs.frozen
+class ProbeServer:
+    """Effect: find out whether a server accepts connections."""
+
+    replica: model.Replica
 
 
 @attrs.frozen
@@ -173,6 +197,7 @@
 
 Effect: TypeAlias = (
     StartAttempt
+    | ProbeServer
     | CancelAttempt
     | StartResponse
     | WriteChunk
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -15,12 +15,14 @@
 from hickorylead.crashes import crash_guard as crash_guard_module, request_hash
 from hickorylead.forwarding import (
     choice as choice_module,
+    connection_monitor,
     descriptions,
     events,
     model,
     ranks,
     refusals,
     responses,
+    stall_monitor,
     stalls,
     state,
     stream,
@@ -28,12 +30,10 @@
 
 if TYPE_CHECKING:
     from hickorylead.configuration import document as document_module
-    from hickorylead.forwarding import (
-        health as health_module,
-        reachability as reachability_module,
-    )
+    from hickorylead.forwarding import health as health_module
     from hickorylead.notices import notice_store as notice_store_module
     from hickorylead.ratelimits import permit_pool as permit_pool_module
+    from hickorylead.relaying import relay_directory
 
 Verdict = verdict_module.Verdict
 
@@ -41,6 +41,9 @@
 # the request count too: each refusal costs a round trip and a share of the
 # common retry budget.
 MAX_SENDS = 4
+# Maximum number of attempts of one request that end before it is sent, because
+# a connection fails. Each may take as long as a connection timeout.
+MAX_UNSENT = 4
 # Number of retries that the budget must cover before a request may be sent as a
 # probe to a server whose pause has ended and that may refuse it: one retry for
 # this request, and one for another request that needs it.
@@ -55,9 +58,6 @@
 # Maximum number of servers at fault that are kept for one report; any others
 # are dropped.
 MAX_FAULTY_SERVERS = 64
-# Minimum time left before a request's deadline, in seconds, to send the request
-# to a replica: with less time, the replica could not respond before it.
-MIN_TIME_LEFT_S = 0.02
 # Maximum size of a response that is buffered until it is complete, in bytes;
 # streams are not buffered. If a buffered response breaks off, its request can
 # be retried on another replica.
@@ -83,7 +83,8 @@
         guard: crash_guard_module.CrashGuard,
         notices: notice_store_module.NoticeStore,
         permits: permit_pool_module.PermitPool,
-        reachability: reachability_module.Reachability,
+        connections: connection_monitor.ConnectionMonitor,
+        relays: relay_directory.RelayDirectory,
         limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS,
         started_at: float = -1e9,
     ) -> None:
@@ -95,17 +96,18 @@
             guard: Requests that no replica may run, and lost runs.
             notices: Pauses and departures that replicas announced.
             permits: Permits for replicas that name a rate limit.
-            reachability: Servers to which this gateway can open connections.
+            connections: Servers to which this gateway can connect.
+            relays: Gateways that relay requests to the others.
             limits: Retries that all gateways together may make.
             started_at: When the gateway started.
         """
-        self._started_at = started_at
         self._chooser = chooser
         self._health = health
         self._guard = guard
         self._notices = notices
         self._permits = permits
-        self._reachability = reachability
+        self._connections = connections
+        self._relays = relays
         self._budgets = budget_module.GatewayRetryBudgets(limits)
         self._pending: dict[str, state.PendingRequest] = {}
         # Servers that refusals named as at fault and that have not been
@@ -114,6 +116,12 @@
         # Connection limits apply only once the number of gateways is known.
         self._has_gateway_count = False
         self.document: document_module.Document | None = None
+        self._stall_monitor = stall_monitor.StallMonitor(
+            self._pending,
+            health=health,
+            find_engine=self._find_engine,
+            started_at=started_at,
+        )
 
     def count_pending(self) -> int:
         """Returns the number of pending requests."""
@@ -148,27 +156,20 @@
                 return self._fail_attempt(pending, verdict, reason, now)
             case events.CallerDisconnected(request_id):
                 return self._handle_disconnect(request_id, now)
+            case events.ServerProbed():
+                effects = self._connections.handle_probe(event, now)
+                return [*effects, *self.dispatch_waiting(now)]
 
     def tick(self, now: float) -> list[events.Effect]:
         """Handles deadlines, waiting requests and stalled replicas."""
-        effects: list[events.Effect] = []
+        effects = self._connections.tick(now)
         for pending in list(self._pending.values()):
             if now >= pending.ends_at:
                 effects += self._expire(pending, now)
-            elif stalls.is_overdue(pending, now) and self._can_move(
-                pending, now
-            ):
-                effects += self._fail_attempt(
-                    pending, Verdict.MAY_HAVE_RUN, "no_answer", now
-                )
+            elif stalls.is_overdue(pending, now):
+                effects += self._handle_overdue(pending, now)
         effects += self.dispatch_waiting(now)
-        for stall in stalls.find_stalled(
-            list(self._pending.values()),
-            self._health,
-            self._find_engine,
-            factor=stalls.find_startup_factor(self._started_at, now),
-            now=now,
-        ):
+        for stall in self._stall_monitor.find_stalled(now):
             effects += self._move_streams(stall, now)
         return effects
 
@@ -200,54 +201,18 @@
             due = min(due, pending.ends_at)
             if pending.attempt is not None and not pending.request.is_stream:
                 due = min(due, stalls.find_overdue_at(pending))
-        return min(due, self._find_next_stall(now))
-
-    def _find_next_stall(self, now: float) -> float:
-        due = now + MAX_WAKEUP_DELAY_S
-        factor = stalls.find_startup_factor(self._started_at, now)
-        for pending in self._pending.values():
-            attempt = pending.attempt
-            if attempt is None or not pending.request.is_stream:
-                continue
-            engine = self._find_engine(attempt.replica.service)
-            if engine is None:
-                continue
-            limit_s = factor * stalls.find_stall_limit(
-                attempt.replica,
-                engine,
-                self._health.find_largest_prompt(attempt.replica.model, now),
-            )
-            stats = self._health.get(attempt.replica)
-            due = min(due, max(stats.progress_at, attempt.sent_at) + limit_s)
-        return due
+        return self._stall_monitor.find_next_check(now, due)
 
     def handle_reported_stalls(
         self, heads: tuple[str, ...], now: float
     ) -> list[events.Effect]:
-        """Handles stalls that another gateway reported.
-
-        Streams are moved only if the replica has sent no output to this gateway
-        for some passes either: the other gateway's connection may be at fault.
-        """
+        """Handles stalls that another gateway reported."""
         effects: list[events.Effect] = []
         for head in heads:
             replica = self._find_replica(head)
-            if replica is None or self._health.is_stalled(replica, now):
-                continue
-            engine = self._find_engine(replica.service)
-            if engine is None:
-                continue
-            factor = stalls.find_startup_factor(self._started_at, now)
-            limit_s = (
-                factor
-                * stalls.REPORTED_SHARE
-                * stalls.find_stall_limit(
-                    replica,
-                    engine,
-                    self._health.find_largest_prompt(replica.model, now),
-                )
-            )
-            if now - self._health.get(replica).progress_at > limit_s:
+            if replica is not None and self._stall_monitor.is_report_credible(
+                replica, now
+            ):
                 stall = stalls.Stall(replica, stalls.Basis.REPORTED)
                 effects += self._move_streams(stall, now)
         return effects
@@ -292,7 +257,7 @@
         self, pending: state.PendingRequest, now: float
     ) -> list[events.Effect]:
         request = pending.request
-        if pending.ends_at - now < MIN_TIME_LEFT_S:
+        if pending.ends_at - now < state.MIN_TIME_LEFT_S:
             return self._expire(pending, now)
         # After a request has ended its server, its caller submits it again,
         # through any gateway. Without this check for a block, each submission
@@ -329,7 +294,9 @@
                     self._permits.request_permit(
                         withheld, is_needed=True, now=now
                     )
-                if refusals.may_wait(pending, now + wait_s):
+                if chosen.unreachable_count:
+                    self._relays.record_need(now)
+                if self._may_wait(pending, chosen, now + wait_s):
                     pending.phase = "waiting"
                     return []
                 return self._refuse(
@@ -338,6 +305,16 @@
                     now,
                 )
 
+    def _may_wait(
+        self,
+        pending: state.PendingRequest,
+        chosen: choice_module.NoChoice,
+        now: float,
+    ) -> bool:
+        if chosen.is_unreachable and not pending.started:
+            return self._relays.may_get_offers(now)
+        return refusals.may_wait(pending, now)
+
     def _must_defer(self, pending: state.PendingRequest, now: float) -> bool:
         """Returns whether a request that may end a server must not be sent yet.
 
@@ -370,7 +347,12 @@
             pending.first_sent_at = now
         pending.phase = "running"
         pending.was_sent = True
-        attempt = state.Attempt(pending.attempt_count, replica, now, now)
+        attempt = state.Attempt(
+            pending.attempt_count, replica, now, now, relay=chosen.relay
+        )
+        if chosen.relay is not None:
+            self._relays.record_need(now)
+            chosen.relay.requests += 1
         if request.is_stream:
             attempt.splitter = stream.EventSplitter(pending.last_event_id)
         pending.attempt = pending.last_attempt = attempt
@@ -394,6 +376,7 @@
                 budget_s=pending.ends_at - now,
                 last_event_id=pending.last_event_id,
                 rank=ranks.find_rank(pending),
+                relay=attempt.relay,
             )
         ]
         if attempt.number > 1:
@@ -423,12 +406,7 @@
         pending = self._find_pending(request_id, attempt)
         if pending is None or pending.attempt is None:
             return []
-        replica = pending.attempt.replica
-        return [
-            *self._reachability.record_connected(
-                replica.name, replica.zone, now
-            )
-        ]
+        return self._connections.record_connected(pending.attempt.replica, now)
 
     def _handle_head(
         self, event: events.ResponseHeadArrived, now: float
@@ -597,23 +575,30 @@
     ) -> list[events.Effect]:
         attempt = pending.attempt
         assert attempt is not None
-        failed_attempt = attempt
-        if reason != "refused":
+        effects: list[events.Effect] = []
+        if attempt.relay is not None:
+            self._connections.record_lost_relay(attempt, reason, now)
+        elif reason in model.CONNECT_FAILURES:
+            effects += self._connections.record_failure(
+                attempt.replica, reason, now
+            )
+        # A replica that cannot be connected to may be used through a relay.
+        is_at_fault = reason not in (
+            model.CONNECT_FAILURES | model.RELAY_FAILURES
+        )
+        is_relay_failure = reason in model.RELAY_FAILURES
+        if reason != "refused" and not is_relay_failure:
             self._health.record_failure(attempt.replica, now)
-        if reason == model.CONNECT_TIMEOUT:
-            # The replica is partitioned or down; the next request sent to it
-            # would also wait until the connection timeout.
-            self._health.mark_stalled(attempt.replica, now)
-        if verdict is Verdict.MAY_HAVE_RUN:
+        if verdict is Verdict.MAY_HAVE_RUN and not is_relay_failure:
             self._record_lost_run(pending, attempt, now)
-        effects = self._end_attempt(pending, verdict)
-        if reason in model.CONNECT_FAILURES:
-            effects += self._reachability.record_failure(
-                attempt.replica.name, attempt.replica.zone, reason, now
-            )
+        if reason in model.UNSENT_FAILURES:
+            pending.unsent_count += 1
+        effects += self._end_attempt(pending, verdict)
+        if is_at_fault:
+            pending.failed_replicas.add(attempt.replica.name)
         effects.append(
             descriptions.describe_failure(
-                pending, failed_attempt, verdict=verdict, reason=reason, now=now
+                pending, attempt, verdict=verdict, reason=reason, now=now
             )
         )
         return effects + self._retry(pending, reason, now)
@@ -629,7 +614,6 @@
         )
         if verdict is not Verdict.NOT_RUN:
             pending.runs += 1
-        pending.failed_replicas.add(attempt.replica.name)
         return [
             events.CancelAttempt(pending.request.request_id, attempt.number)
         ]
@@ -637,14 +621,12 @@
     def _retry(
         self, pending: state.PendingRequest, reason: str, now: float
     ) -> list[events.Effect]:
-        has_time = pending.ends_at - now > MIN_TIME_LEFT_S
-        if not (
-            has_time
-            and pending.may_repeat
-            and pending.attempt_count < MAX_SENDS
-        ):
+        if not (pending.may_send_again(MAX_SENDS, MAX_UNSENT, now)):
             return self._end_failed(pending, reason, now)
-        if not self._budgets.get_budget(pending.request.service).try_withdraw():
+        # The retry budget limits what servers receive; an attempt that ended
+        # before the request was sent is not part of that.
+        budget = self._budgets.get_budget(pending.request.service)
+        if reason not in model.UNSENT_FAILURES and not budget.try_withdraw():
             return self._end_failed(pending, "retry_budget_spent", now)
         return self._try_send(pending, now)
 
@@ -669,8 +651,7 @@
             attempt is None
             or not pending.request.route.is_retryable
             or pending.runs + 1 >= pending.request.route.max_attempts
-            or pending.attempt_count >= MAX_SENDS
-            or pending.ends_at - now <= MIN_TIME_LEFT_S
+            or not pending.may_send_again(MAX_SENDS, MAX_UNSENT, now)
             or not self._budgets.get_budget(
                 pending.request.service
             ).has_balance(1)
@@ -688,13 +669,27 @@
         )
         return isinstance(chosen, choice_module.Choice)
 
+    def _handle_overdue(
+        self, pending: state.PendingRequest, now: float
+    ) -> list[events.Effect]:
+        """Handles a call that has waited too long for its response."""
+        attempt = pending.attempt
+        assert attempt is not None
+        effects: list[events.Effect] = []
+        if not attempt.was_probed and attempt.relay is None:
+            attempt.was_probed = True
+            effects.append(events.ProbeServer(attempt.replica))
+        if self._can_move(pending, now):
+            effects += self._fail_attempt(
+                pending, Verdict.MAY_HAVE_RUN, "no_answer", now
+            )
+        return effects
+
     def _move_streams(
         self, stall: stalls.Stall, now: float
     ) -> list[events.Effect]:
         """Moves streams from a stalled replica to others where possible."""
         replica = stall.replica
-        is_confirmed = stall.basis is stalls.Basis.RUNNING
-        self._health.mark_stalled(replica, now, is_confirmed=is_confirmed)
         streams = [
             pending
             for pending in self._pending.values()
@@ -702,11 +697,20 @@
             and pending.attempt.replica.name == replica.name
             and pending.request.is_stream
         ]
+        # Streams through a relay may have stopped because of the relay.
+        is_direct = any(
+            pending.attempt is not None and pending.attempt.relay is None
+            for pending in streams
+        )
+        is_confirmed = is_direct and stall.basis is stalls.Basis.RUNNING
+        self._health.mark_stalled(replica, now, is_confirmed=is_confirmed)
         effects: list[events.Effect] = [
             descriptions.describe_stall(
                 stall, self._health.get(replica), len(streams), now
             )
         ]
+        if is_direct and stall.basis is not stalls.Basis.REPORTED:
+            effects.append(events.ProbeServer(replica))
         for pending in streams:
             if self._can_move(pending, now):
                 effects += self._fail_attempt(
@@ -785,6 +789,8 @@
         attempt = pending.attempt
         if attempt is None:
             return
+        if attempt.relay is not None:
+            attempt.relay.requests -= 1
         stats = self._health.get(attempt.replica)
         stats.own_requests -= 1
         if not attempt.has_output:
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -15,6 +15,20 @@
 # connection was refused or reset.
 CONNECT_REFUSED = "unreachable"
 CONNECT_FAILURES = frozenset({CONNECT_TIMEOUT, CONNECT_REFUSED})
+# Reason codes of an attempt through a relay: the relay could not be connected
+# to, refused the request before it was sent, or was lost after that.
+RELAY_UNREACHABLE = "relay_unreachable"
+RELAY_REFUSED = "relay_refused"
+RELAY_LOST = "relay_lost"
+RELAY_FAILURES = frozenset({RELAY_UNREACHABLE, RELAY_REFUSED, RELAY_LOST})
+# Reason code of an attempt whose relay could not connect to the replica either.
+RELAY_NO_SERVER = "relay_no_server"
+# Reason codes of attempts that ended before the request was sent.
+UNSENT_FAILURES = CONNECT_FAILURES | {
+    RELAY_UNREACHABLE,
+    RELAY_REFUSED,
+    RELAY_NO_SERVER,
+}
 
 
 @attrs.frozen
--- a/src/hickorylead/forwarding/reachability.py
+++ b/src/hickorylead/forwarding/reachability.py
@@ -8,111 +8,170 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
 from hickorylead import notes
+from hickorylead.relaying import messages
+
+if TYPE_CHECKING:
+    from hickorylead.forwarding import model
 
-# Number of servers of a zone to which connections must fail, without any
-# success in between, before the zone counts as unreachable.
+# Number of servers of a service and zone to which connections must fail,
+# without any success in between, before none of them counts as reachable.
 MIN_FAILED_SERVERS = 2
+# The same number while the service's servers of another zone are unreachable.
+MIN_FAILED_SERVERS_NEXT_ZONE = 1
+# Period at which servers of each service and zone are probed after connections
+# to them failed, one at a time, in seconds.
+PROBE_PERIOD_S = 0.5
 
 
 @attrs.define
-class _Zone:
-    """Connections to the servers of one zone.
+class _Scope:
+    """Connections to the servers of one service and zone.
 
     Attributes:
-        failed: Servers to which the latest connection failed, with the time.
-        unreachable_since: When the zone became unreachable; None if it is
-            reachable.
+        failed: Servers to which the latest connection failed, the one whose
+            probe is due next first.
+        unreachable_since: When all of its servers became unreachable; None if
+            they are reachable.
+        next_probe: When one of the failed servers is probed next.
     """
 
-    failed: dict[str, float] = attrs.field(factory=dict)
+    failed: dict[str, model.Replica] = attrs.field(factory=dict)
     unreachable_since: float | None = None
+    next_probe: float = -1e9
 
 
 class Reachability:
-    """Outcome of the latest connections of one gateway, by zone and server."""
+    """Outcome of the latest connections of one gateway."""
 
     def __init__(self) -> None:
         """Makes a view in which all servers are reachable."""
-        self._zones: dict[str, _Zone] = {}
+        self._scopes: dict[messages.Scope, _Scope] = {}
+        self.failure_count = 0
 
     def record_connected(
-        self, server: str, zone: str, now: float
+        self, replica: model.Replica, now: float
     ) -> list[notes.Note]:
         """Records a new connection to a server; returns what changed."""
-        state = self._zones.get(zone)
+        scope = find_scope(replica)
+        state = self._scopes.get(scope)
         if state is None:
             return []
-        state.failed.pop(server, None)
         if state.unreachable_since is None:
+            state.failed.pop(replica.name, None)
+            if not state.failed:
+                del self._scopes[scope]
             return []
-        lasted_s = now - state.unreachable_since
-        state.unreachable_since = None
+        del self._scopes[scope]
         return [
             notes.note(
-                "zone_reachable",
-                server_zone=zone,
-                server=server,
-                after_s=round(lasted_s, 3),
+                "servers_reachable",
+                service=scope.service,
+                server_zone=scope.zone,
+                server=replica.name,
+                after_s=round(now - state.unreachable_since, 3),
             )
         ]
 
     def record_failure(
-        self, server: str, zone: str, reason: str, now: float
+        self, replica: model.Replica, reason: str, *, present: int, now: float
     ) -> list[notes.Note]:
         """Records that a connection to a server failed; returns what changed.
 
         Args:
-            server: The server.
-            zone: Its availability zone.
+            replica: The server.
             reason: Stable code of the failure.
+            present: Number of such servers in its zone.
             now: Present time.
         """
-        state = self._zones.setdefault(zone, _Zone())
-        state.failed[server] = now
-        if (
-            state.unreachable_since is not None
-            or len(state.failed) < MIN_FAILED_SERVERS
-        ):
+        self.failure_count += 1
+        scope = find_scope(replica)
+        state = self._scopes.setdefault(
+            scope, _Scope(next_probe=now + PROBE_PERIOD_S)
+        )
+        state.failed.pop(replica.name, None)
+        state.failed[replica.name] = replica
+        enough = min(present, self._find_min_failed(scope))
+        if state.unreachable_since is not None or len(state.failed) < enough:
             return []
         state.unreachable_since = now
         return [
             notes.note(
-                "zone_unreachable",
-                server_zone=zone,
+                "servers_unreachable",
+                service=scope.service,
+                server_zone=scope.zone,
                 servers=sorted(state.failed),
                 last_failure=reason,
             )
         ]
 
-    def is_reachable(self, server: str, zone: str) -> bool:
+    def _find_min_failed(self, scope: messages.Scope) -> int:
+        is_next_zone = any(
+            other.service == scope.service
+            and state.unreachable_since is not None
+            for other, state in self._scopes.items()
+        )
+        return (
+            MIN_FAILED_SERVERS_NEXT_ZONE if is_next_zone else MIN_FAILED_SERVERS
+        )
+
+    def is_reachable(self, replica: model.Replica) -> bool:
         """Returns whether connections to a server are expected to succeed."""
-        state = self._zones.get(zone)
+        state = self._scopes.get(find_scope(replica))
         return state is None or (
-            state.unreachable_since is None and server not in state.failed
+            state.unreachable_since is None and replica.name not in state.failed
         )
 
-    def list_unreachable_zones(self) -> list[str]:
-        """Returns the zones with servers of which none can be reached."""
-        return [
-            zone
-            for zone, state in self._zones.items()
+    def is_scope_reachable(self, replica: model.Replica) -> bool:
+        """Returns whether any server of a server's service and zone is."""
+        state = self._scopes.get(find_scope(replica))
+        return state is None or state.unreachable_since is None
+
+    def has_failures(self) -> bool:
+        """Returns whether any connection has failed and not succeeded since."""
+        return bool(self._scopes)
+
+    def list_unreachable(self) -> tuple[messages.Scope, ...]:
+        """Returns the services and zones of which no server is reachable."""
+        return tuple(
+            scope
+            for scope, state in self._scopes.items()
             if state.unreachable_since is not None
-        ]
+        )
 
     def count_failed(self) -> int:
         """Returns the servers to which the latest connection failed."""
-        return sum(len(state.failed) for state in self._zones.values())
+        return sum(len(state.failed) for state in self._scopes.values())
+
+    def pop_due_probes(self, now: float) -> list[model.Replica]:
+        """Returns the servers to probe now."""
+        due = []
+        for state in self._scopes.values():
+            if now < state.next_probe or not state.failed:
+                continue
+            state.next_probe = now + PROBE_PERIOD_S
+            name, replica = next(iter(state.failed.items()))
+            del state.failed[name]
+            state.failed[name] = replica
+            due.append(replica)
+        return due
 
     def retain(self, names: set[str]) -> None:
         """Drops servers that are not in `names`."""
-        for zone, state in list(self._zones.items()):
+        for scope, state in list(self._scopes.items()):
             state.failed = {
-                server: at
-                for server, at in state.failed.items()
-                if server in names
+                name: replica
+                for name, replica in state.failed.items()
+                if name in names
             }
             if not state.failed:
-                del self._zones[zone]
+                del self._scopes[scope]
+
+
+def find_scope(replica: model.Replica) -> messages.Scope:
+    """Returns the service and zone of a server."""
+    return messages.Scope(replica.service, replica.zone)
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -21,6 +21,9 @@
 # Retry time for a service without any replica, in seconds: a new group is
 # formed in about a second.
 NO_REPLICA_RETRY_S = 0.8
+# Retry time while neither this gateway nor a relay can connect to a server, in
+# seconds: by then the next probe has ended, or another gateway gets the retry.
+UNREACHABLE_RETRY_S = 0.8
 # Reason code of a request that is blocked because it ended servers.
 BLOCKED_REASON = "ends_servers"
 # Retry times vary at random by up to this share, above and below the usual
@@ -50,6 +53,8 @@
         return _refuse(pending, "overloaded", REPLICAS_FULL_RETRY_S)
     if chosen.pause_s:
         return _refuse(pending, "paused", chosen.pause_s)
+    if chosen.unreachable_count:
+        return _refuse(pending, "servers_unreachable", UNREACHABLE_RETRY_S)
     return _refuse(pending, "no_replica", NO_REPLICA_RETRY_S)
 
 
--- a/src/hickorylead/forwarding/replica_directory.py
+++ b/src/hickorylead/forwarding/replica_directory.py
@@ -72,6 +72,15 @@
         self._refresh()
         return len(self._by_name)
 
+    def list_in_zone(self, service: str, zone: str) -> list[model.Replica]:
+        """Returns the replicas of a service in a zone, of all models."""
+        self._refresh()
+        return [
+            replica
+            for replica in self._by_name.values()
+            if replica.service == service and replica.zone == zone
+        ]
+
     def find(self, name: str) -> model.Replica | None:
         """Returns the replica for which an instance receives requests."""
         self._refresh()
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -8,6 +8,11 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.forwarding import model, stream
+from hickorylead.relaying import relay_directory
+
+# Minimum time left before a request's deadline, in seconds, to send the request
+# to a replica: with less time, the replica could not respond before it.
+MIN_TIME_LEFT_S = 0.02
 
 Phase = Literal["waiting", "running"]
 
@@ -49,6 +54,8 @@
         body: Body so far, of a response that is buffered until complete.
         splitter: Splits a stream into events; None for other responses.
         has_output: Whether a complete event arrived.
+        relay: Gateway through which it was sent; None if directly.
+        was_probed: Whether its silent server was probed.
     """
 
     number: int
@@ -60,6 +67,8 @@
     splitter: stream.EventSplitter | None = None
     has_output: bool = False
     choice: Choice = Choice()
+    relay: relay_directory.Relay | None = None
+    was_probed: bool = False
 
 
 @attrs.define
@@ -73,6 +82,7 @@
         phase: Whether it waits for a replica or runs.
         attempt: The current attempt.
         attempt_count: Number of attempts so far.
+        unsent_count: Number of these that ended before the request was sent.
         runs: Number of attempts that may have run.
         failed_replicas: Replicas on which it failed.
         verdict: Whether one of its previous attempts may have run.
@@ -95,6 +105,7 @@
     phase: Phase = "waiting"
     attempt: Attempt | None = None
     attempt_count: int = 0
+    unsent_count: int = 0
     runs: int = 0
     failed_replicas: set[str] = attrs.field(factory=set)
     verdict: verdict_module.Verdict = verdict_module.Verdict.NOT_RUN
@@ -117,6 +128,23 @@
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self.last_event_at = now
 
+    def may_send_again(
+        self, max_sends: int, max_unsent: int, now: float
+    ) -> bool:
+        """Returns whether the request may be sent once more.
+
+        Args:
+            max_sends: Most attempts that may be sent.
+            max_unsent: Most attempts that may end before they are sent.
+            now: Present time.
+        """
+        return (
+            self.ends_at - now > MIN_TIME_LEFT_S
+            and self.may_repeat
+            and self.attempt_count - self.unsent_count < max_sends
+            and self.unsent_count < max_unsent
+        )
+
     @property
     def may_repeat(self) -> bool:
         """Whether the request may run on one more replica."""
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -128,6 +128,7 @@
         caller_port=settings.caller_port,
         ready_port=int(settings.ready_address.rpartition(":")[2]),
         peer_port=settings.peer_port,
+        relay_port=settings.relay_port,
         seeds=settings.seeds,
         metrics_port=METRICS_PORT,
         grace_s=settings.grace_s,
--- a/src/hickorylead/platform/settings.py
+++ b/src/hickorylead/platform/settings.py
@@ -44,6 +44,8 @@
         max_lost_disks: Disks that may be lost at the same time.
         retry_limits: Limits of the retries of all gateways together.
         bind_ip: IP address that the process binds; empty if it is `ip`.
+        relay_port: Port for relayed requests of other gateways; 0 if there is
+            no free port.
     """
 
     vm: str
@@ -62,6 +64,7 @@
     max_lost_disks: int
     retry_limits: budget.RetryLimits
     bind_ip: str = ""
+    relay_port: int = 0
 
     @property
     def listen_ip(self) -> str:
@@ -124,6 +127,7 @@
             0 if is_gateway else reader.read("Listen.Control", _read_port, 0)
         ),
         peer_port=ports[0],
+        relay_port=ports[0] + 1 if is_gateway and ports[0] < ports[1] else 0,
         seeds=tuple(
             f"{address.rpartition(':')[0]}:{ports[0]}"
             for address in reader.read("Seeds", _read_list, no_seeds)
--- /dev/null
+++ b/src/hickorylead/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding through another gateway while servers cannot be connected to."""
--- /dev/null
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -0,0 +1,142 @@
+"""The relays that one gateway may use while it cannot connect to servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.relaying import messages
+from hickorylead.roles import nodes
+
+if TYPE_CHECKING:
+    import random
+
+# Period at which a gateway asks for relays while it needs them, in seconds.
+REQUEST_PERIOD_S = 1.0
+# Time for which relays are asked for after a request needed one, in seconds.
+NEED_TTL_S = 2.0
+# Time for which an offer is used, in seconds: a request for relays or an offer
+# may be lost.
+OFFER_TTL_S = 2.5
+# Time within which offers arrive if there is any relay, in seconds.
+OFFER_WAIT_S = 0.3
+# Time for which a relay is not used after it failed, in seconds.
+AVOID_S = 3.0
+# Time for which a relay is not used after it refused a request, in seconds.
+REFUSED_AVOID_S = 0.5
+# A relay in another zone is chosen as if it had this many more requests of this
+# gateway: traffic between zones is expensive.
+REMOTE_ZONE_REQUESTS = 2
+
+
+@attrs.define
+class Relay:
+    """A gateway that offered to relay requests.
+
+    Attributes:
+        node: Its node name.
+        address: `ip:port` of its relay port.
+        token: Token of its offer.
+        unreachable: Servers to which it cannot connect either.
+        offered_at: When its latest offer arrived.
+        avoided_until: When it may be used again after a failure.
+        requests: Requests of this gateway that it relays at present.
+    """
+
+    node: str
+    address: str
+    token: str
+    unreachable: frozenset[messages.Scope]
+    offered_at: float
+    avoided_until: float = -1e9
+    requests: int = 0
+
+
+class RelayDirectory:
+    """Relays by node name."""
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        """Makes a directory without relays.
+
+        Args:
+            zone: Zone of the gateway.
+            rng: Source of the choice among relays.
+        """
+        self._zone = zone
+        self._rng = rng
+        self._relays: dict[str, Relay] = {}
+        self._first_needed_at = -1e9
+        self._needed_at = -1e9
+        self._next_request = -1e9
+
+    def record_need(self, now: float) -> None:
+        """Records that a request needs a relay, whether one is known or not."""
+        if not self._is_needed(now):
+            self._first_needed_at = now
+        self._needed_at = now
+
+    def _is_needed(self, now: float) -> bool:
+        return now - self._needed_at < NEED_TTL_S
+
+    def is_request_due(self, now: float) -> bool:
+        """Returns whether to ask for relays now; the request then counts."""
+        if not self._is_needed(now) or now < self._next_request:
+            return False
+        self._next_request = now + REQUEST_PERIOD_S
+        return True
+
+    def may_get_offers(self, now: float) -> bool:
+        """Returns whether first offers may still arrive."""
+        return now - self._first_needed_at < OFFER_WAIT_S
+
+    def record_offer(self, offer: messages.RelayOffer, now: float) -> None:
+        """Records an offer."""
+        known = self._relays.get(offer.relay)
+        if known is None or known.token != offer.token:
+            known = self._relays[offer.relay] = Relay(
+                offer.relay, offer.address, offer.token, frozenset(), now
+            )
+        known.address = offer.address
+        known.unreachable = frozenset(offer.unreachable)
+        known.offered_at = now
+
+    def choose(self, scope: messages.Scope, now: float) -> Relay | None:
+        """Returns a relay for a request to a server; None if there is none.
+
+        Of two drawn at random, the one with fewer requests of this gateway is
+        chosen: this spreads the requests of many gateways over all relays.
+        """
+        usable = [
+            relay
+            for relay in self._relays.values()
+            if now - relay.offered_at < OFFER_TTL_S
+            and now >= relay.avoided_until
+            and scope not in relay.unreachable
+        ]
+        if not usable:
+            return None
+        drawn = self._rng.sample(usable, min(2, len(usable)))
+        return min(drawn, key=self._rank)
+
+    def _rank(self, relay: Relay) -> int:
+        is_remote = nodes.get_zone(relay.node) != self._zone
+        return relay.requests + REMOTE_ZONE_REQUESTS * is_remote
+
+    def avoid(self, relay: Relay, *, has_refused: bool, now: float) -> None:
+        """Records that a relay failed, or refused a request."""
+        avoid_s = REFUSED_AVOID_S if has_refused else AVOID_S
+        relay.avoided_until = now + avoid_s
+
+    def prune(self, now: float) -> None:
+        """Drops relays whose offers have expired."""
+        for node, relay in list(self._relays.items()):
+            if now - relay.offered_at >= OFFER_TTL_S and not relay.requests:
+                del self._relays[node]
+
+    def count(self, now: float) -> int:
+        """Returns the number of relays with a valid offer."""
+        return sum(
+            now - relay.offered_at < OFFER_TTL_S
+            for relay in self._relays.values()
+        )
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -23,6 +23,7 @@
     messages as crash_messages,
 )
 from hickorylead.fleet import (
+    announcements,
     descriptions,
     divergence,
     events,
@@ -43,6 +44,7 @@
     messages as limit_messages,
     permit_broker,
 )
+from hickorylead.relaying import messages as relay_messages, relay_broker
 from hickorylead.roles import interface, nodes
 
 if TYPE_CHECKING:
@@ -131,6 +133,7 @@
             gateways=self.gateways,
         )
         self._pause_relay = pause_relay.PauseRelay(identity.node)
+        self._relay_broker = relay_broker.RelayBroker()
         self._supervisor = supervisor_module.Supervisor(
             identity,
             policy=policy,
@@ -313,15 +316,11 @@
         self.peers.prune(now)
         self.registry.prune(now, INSTANCE_RETENTION_S)
         self._pause_relay.prune(now)
-        known = self.peers.known
-        hello = messages.CoordinatorHello(
-            node=self._identity.node,
-            address=self._identity.address,
-            incarnation=self.voter.member,
-            nodes=tuple(known),
-            addresses=tuple(n.address for n in known.values()),
-            check=self.registry.digest,
-            is_empty=self._identity.may_bootstrap and not self.voter.cluster,
+        hello = announcements.make_hello(
+            self._identity,
+            voter=self.voter,
+            peers=self.peers,
+            registry=self.registry,
             gateways=len(self.gateways.list_home_gateways(now)),
             has_traffic=self._supervisor.has_traffic,
             crashes=self.crashes.digest,
@@ -333,18 +332,8 @@
             if node != f"@{self._identity.address}"
         ]
         if self._alive_sequences:
-            alive = messages.Alive(
-                self._identity.node,
-                tuple(self._alive_sequences),
-                tuple(self._alive_sequences.values()),
-                tuple(
-                    self.registry.changed_sequences.get(n, 0)
-                    for n in self._alive_sequences
-                ),
-                tuple(
-                    self.registry.find_start_time(n)
-                    for n in self._alive_sequences
-                ),
+            alive = announcements.make_alive(
+                self._identity.node, self._alive_sequences, self.registry
             )
             self._alive_sequences = {}
             effects += [
@@ -353,30 +342,12 @@
         return effects
 
     def _bootstrap_cluster(self, now: float) -> list[CoordinatorEffect]:
-        """Bootstraps the configuration log, only at the cluster's first start.
-
-        At the first start all nodes have the same seeds. The node with the
-        lowest address starts the log once every other seed has sent a hello, so
-        that only one log is started.
-        """
-        seeds = self._identity.seeds
-        if (
-            not self._identity.may_bootstrap
-            or self.voter.cluster
-            or not seeds
-            or self._identity.address != min(seeds)
-        ):
-            return []
-        by_address = {
-            n.address: n
-            for n in self.peers.known.values()
-            if n.incarnation and n.is_empty
-        }
-        others = [by_address.get(s) for s in seeds[:] if s != min(seeds)]
-        if any(other is None for other in others):
+        """Bootstraps the configuration log at the cluster's first start."""
+        members = announcements.find_founders(
+            self._identity, voter=self.voter, peers=self.peers
+        )
+        if members is None:
             return []
-        members = [self.voter.member]
-        members += [other.incarnation for other in others if other]
         effects = self.voter.bootstrap(
             f"cluster-{self.voter.member}", tuple(sorted(members))
         )
@@ -443,6 +414,14 @@
                 )
             case limit_messages.PermitReply(gateway):
                 return [interface.Send(gateway, message)]
+            case relay_messages.RelayRequest(origin) if origin == sender:
+                return self._send_all(
+                    self._relay_broker.handle_request(
+                        message, self.gateways.list_all(now), now
+                    )
+                )
+            case relay_messages.RelayOffer(origin):
+                return [interface.Send(origin, message)]
             case messages.StallNews(sender, heads):
                 effects = self._forward_stalls(message, now)
                 for head in heads:
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hmac
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -20,6 +21,7 @@
 from hickorylead.fleet import messages, registry as registry_module
 from hickorylead.forwarding import (
     choice as choice_module,
+    connection_monitor,
     events,
     forwarder as forwarder_module,
     health,
@@ -36,6 +38,7 @@
     messages as limit_messages,
     permit_pool as permit_pool_module,
 )
+from hickorylead.relaying import messages as relay_messages, relay_directory
 from hickorylead.roles import interface, nodes
 
 if TYPE_CHECKING:
@@ -43,6 +46,7 @@
     import random
 
     from hickorylead.configuration import document as document_module
+    from hickorylead.forwarding import model
 
 # Shortest and longest time between two ticks while requests are pending, and
 # time between two ticks without requests, in seconds. A request that starts to
@@ -105,12 +109,17 @@
         boot: Number that distinguishes its starts.
         seeds: Addresses of a few coordinators, which report the others.
         retry_limits: Limits of the retries of all gateways together.
+        relay_address: `ip:port` on which it relays requests of other gateways;
+            empty if it relays none.
+        relay_token: Token that such gateways have to present.
     """
 
     node: str
     boot: int
     seeds: tuple[str, ...]
     retry_limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS
+    relay_address: str = ""
+    relay_token: str = ""
 
 
 class Gateway:
@@ -150,6 +159,13 @@
         self._permits = permit_pool_module.PermitPool(
             identity.node, first=identity.boot, rng=rng
         )
+        self._relays = relay_directory.RelayDirectory(self._zone, rng)
+        self._connections = connection_monitor.ConnectionMonitor(
+            directory=self._directory,
+            health=self._health,
+            reachability=self._reachability,
+            relays=self._relays,
+        )
         self._forwarder = forwarder_module.Forwarder(
             chooser=choice_module.Chooser(
                 zone=self._zone,
@@ -157,13 +173,16 @@
                 health=self._health,
                 notices=self._notices,
                 permits=self._permits,
+                reachability=self._reachability,
+                relays=self._relays,
                 rng=rng,
             ),
             health=self._health,
             guard=self._guard,
             notices=self._notices,
             permits=self._permits,
-            reachability=self._reachability,
+            connections=self._connections,
+            relays=self._relays,
             limits=identity.retry_limits,
             started_at=now,
         )
@@ -238,11 +257,37 @@
         """Returns how many servers and zones connections do not reach."""
         return {
             "unreachable_servers": self._reachability.count_failed(),
-            "unreachable_zones": len(
-                self._reachability.list_unreachable_zones()
-            ),
+            "unreachable_scopes": len(self._reachability.list_unreachable()),
+            "connect_failures_total": self._reachability.failure_count,
         }
 
+    def count_relays(self, now: float) -> int:
+        """Returns the number of gateways that offer to relay requests."""
+        return self._relays.count(now)
+
+    def check_relay(self, opening: relay_messages.RelayOpen) -> str:
+        """Returns why an exchange of another gateway is refused; empty if not.
+
+        Only servers are connected to: a relay never uses another relay.
+        """
+        if not hmac.compare_digest(
+            opening.token.encode(), self._identity.relay_token.encode()
+        ):
+            return "wrong_token"
+        if self._stopping:
+            return "stopping"
+        instance = self._registry.instances.get(opening.server)
+        if instance is None or instance.address != opening.address:
+            return "unknown_server"
+        scope = relay_messages.Scope(instance.service, instance.zone)
+        if scope in self._reachability.list_unreachable():
+            return "servers_unreachable"
+        return ""
+
+    def find_replica(self, name: str) -> model.Replica | None:
+        """Returns the replica for which a server receives requests."""
+        return self._directory.find(name)
+
     def count_blocked_requests(self) -> int:
         """Returns the number of request hashes that are blocked."""
         return self._guard.count_blocked()
@@ -270,7 +315,10 @@
                 self._stopping = True
                 return [notes.note("stopping", open=self.count_pending())]
             case _:
-                effects = [*self._forwarder.handle(event, now)]
+                effects: list[GatewayEffect] = [
+                    *self._forwarder.handle(event, now),
+                    *self._request_relays(self._home_coordinator, now),
+                ]
                 if self._permits.has_urgent_demand:
                     # A request waits for permits: the next tick is too late to
                     # request them.
@@ -283,7 +331,7 @@
 
     def _tick(self, now: float) -> list[GatewayEffect]:
         effects: list[GatewayEffect] = [*self._forwarder.tick(now)]
-        stalled = set(self._health.list_stalled(now))
+        stalled = set(self._list_stalled(now))
         new_stalled = stalled - self._reported_stalled
         home_coordinator = self._find_home_coordinator(now)
         effects += [
@@ -297,6 +345,7 @@
                 home_coordinator, now
             )
         ]
+        effects += self._request_relays(home_coordinator, now)
         if home_coordinator and now >= self._next_faulty_servers:
             effects += self._report_faulty_servers(home_coordinator, now)
         # After a change of its home coordinator, the gateway sends hellos at
@@ -330,9 +379,55 @@
             self._health.retain(set(self._registry.instances))
             self._reachability.retain(set(self._registry.instances))
             self._permits.prune(now)
+            self._relays.prune(now)
             self._notices.prune(now)
         return effects
 
+    def _list_stalled(self, now: float) -> tuple[str, ...]:
+        """Returns the replicas whose stall is to be reported to other nodes.
+
+        While this gateway cannot connect to a replica's zone, a stall says
+        nothing about the replica.
+        """
+        found = self._health.list_stalled(now)
+        if not self._reachability.has_failures():
+            return found
+        replicas = [self._directory.find(name) for name in found]
+        return tuple(
+            replica.name
+            for replica in replicas
+            if replica is not None
+            and self._reachability.is_scope_reachable(replica)
+        )
+
+    def _request_relays(
+        self, home_coordinator: str, now: float
+    ) -> list[GatewayEffect]:
+        if not self._relays.is_request_due(now):
+            return []
+        request = relay_messages.RelayRequest(self._identity.node)
+        targets = (
+            [home_coordinator]
+            if home_coordinator
+            else [*self._last_received_at]
+        )
+        return [interface.Send(node, request) for node in targets]
+
+    def _offer_relay(
+        self, sender: str, request: relay_messages.RelayRequest
+    ) -> list[GatewayEffect]:
+        """Offers to relay requests of another gateway, if this one can."""
+        if not (self.is_ready() and self._identity.relay_address):
+            return []
+        offer = relay_messages.RelayOffer(
+            origin=request.origin,
+            relay=self._identity.node,
+            address=self._identity.relay_address,
+            token=self._identity.relay_token,
+            unreachable=self._reachability.list_unreachable(),
+        )
+        return [interface.Send(sender, offer)]
+
     def _report_faulty_servers(
         self, home_coordinator: str, now: float
     ) -> list[GatewayEffect]:
@@ -383,7 +478,7 @@
         is_home_coordinator_fresh = self._freshness.get(home_coordinator, False)
         document = self.document
         effects: list[GatewayEffect] = []
-        stalled = self._health.list_stalled(now)
+        stalled = self._list_stalled(now)
         stalled_zones = self._find_zones(stalled)
         # A gateway that starts with a home coordinator that may be behind sends
         # hellos to all coordinators.
@@ -493,6 +588,12 @@
             case limit_messages.PermitReply():
                 if self._permits.handle_reply(message, now):
                     return [*self._forwarder.dispatch_waiting(now)]
+            case relay_messages.RelayRequest():
+                return self._offer_relay(sender, message)
+            case relay_messages.RelayOffer(origin):
+                if origin == self._identity.node:
+                    self._relays.record_offer(message, now)
+                    return [*self._forwarder.dispatch_waiting(now)]
             case notice_messages.PauseNews(_, pauses):
                 self._notices.merge_pauses(pauses, now)
             case messages.StallNews(_, heads):
--- a/src/hickorylead/roles/interface.py
+++ b/src/hickorylead/roles/interface.py
@@ -29,6 +29,7 @@
     from hickorylead.notices import messages as notice_messages
     from hickorylead.placement import orders
     from hickorylead.ratelimits import messages as limit_messages
+    from hickorylead.relaying import messages as relay_messages
     from hickorylead.requests import events as request_events
     from hickorylead.roles import status
     from hickorylead.routing import messages as routing_messages
@@ -42,6 +43,8 @@
     "| lease_messages.Message "
     "| limit_messages.Message "
     "| notice_messages.Message "
+    "| relay_messages.Message "
+    "| relay_messages.ConnectionMessage "
     "| member_messages.Message "
     "| routing_messages.Message "
     "| status.Message"
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import secrets
 import signal
 from typing import TYPE_CHECKING, Any
 
@@ -12,13 +13,15 @@
 
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
-from hickorylead.forwarding import events, routes as routes_module
+from hickorylead.forwarding import events, model, routes as routes_module
 from hickorylead.roles import gateway as gateway_role, interface, nodes
 from hickorylead.runtime import (
     clock,
     forwarding,
     listener as listener_module,
     peers as peers_module,
+    relay_client,
+    relay_server,
     scrape,
     server as server_module,
     ticker,
@@ -44,6 +47,7 @@
 # process, in seconds.
 SHUTDOWN_MARGIN_S = 0.5
 POLL_S = 0.05
+RELAY_TOKEN_BYTES = 16
 CLOSE_IDLE_PERIOD_S = 0.5
 
 
@@ -63,6 +67,8 @@
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         retry_limits: Retries that all gateways may make together.
         bind_ip: IP address to bind; empty if it is `ip`.
+        relay_port: Port for requests that other gateways relay through this
+            one; 0 to relay none.
     """
 
     vm: str
@@ -76,6 +82,7 @@
     grace_s: float
     retry_limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS
     bind_ip: str = ""
+    relay_port: int = 0
 
     @property
     def listen_ip(self) -> str:
@@ -120,7 +127,9 @@
         self._header_codec = header_codec
         self._limits = listener_module.ListenerLimits()
         self._pool = upstream.Pool(settings.bind_ip)
-        self._exchanges: dict[tuple[str, int], upstream.Exchange] = {}
+        self._exchanges: dict[
+            tuple[str, int], upstream.Exchange | relay_client.RelayExchange
+        ] = {}
         self._stop = asyncio.Event()
         self._configured = asyncio.Event()
         # Number of requests that wait for the first configuration.
@@ -132,6 +141,12 @@
                 boot=self._rng.getrandbits(40),
                 seeds=settings.seeds,
                 retry_limits=settings.retry_limits,
+                relay_address=(
+                    f"{settings.ip}:{settings.relay_port}"
+                    if settings.relay_port
+                    else ""
+                ),
+                relay_token=secrets.token_hex(RELAY_TOKEN_BYTES),
             ),
             decode_document=decode_document,
             rng=self._rng,
@@ -145,6 +160,14 @@
             log=log,
             bind_ip=settings.bind_ip,
         )
+        self._relay_pool = relay_client.RelayPool(log.warn, settings.bind_ip)
+        self._relay_server = relay_server.RelayServer(
+            pool=self._pool,
+            check=self.role.check_relay,
+            report_failure=self._report_failure,
+            warn=log.warn,
+        )
+        self._probes: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Serves until the process receives SIGTERM or SIGINT."""
@@ -165,6 +188,10 @@
         )
         await self._peers.start()
         await ready.start()
+        if settings.relay_port:
+            await self._relay_server.start(
+                settings.listen_ip, settings.relay_port
+            )
         await listener.start()
         metrics_server = await scrape.serve(
             self._log,
@@ -179,14 +206,16 @@
             ),
             asyncio.ensure_future(
                 ticker.tick_forever(
-                    CLOSE_IDLE_PERIOD_S, self._pool.close_idle, self._log
+                    CLOSE_IDLE_PERIOD_S, self._close_idle, self._log
                 )
             ),
         ]
         await self._stop.wait()
         await self._drain(listener)
-        for task in tick_tasks:
+        for task in [*tick_tasks, *self._probes]:
             task.cancel()
+        self._relay_server.close()
+        self._relay_pool.close()
         self._pool.close()
         await listener.close()
         await ready.close()
@@ -214,7 +243,9 @@
         ):
             await asyncio.sleep(POLL_S)
         listener.stop_listening()
-        while self.response_writers and clock.read_boottime() < deadline:
+        while (
+            self.response_writers or self._relay_server.count_active()
+        ) and clock.read_boottime() < deadline:
             await asyncio.sleep(POLL_S)
             listener.close_idle()
 
@@ -259,6 +290,10 @@
                 self._peers.send(node, message)
             case events.StartAttempt():
                 self._start_attempt(effect)
+            case events.ProbeServer(replica):
+                task = asyncio.ensure_future(self._probe(replica))
+                self._probes.add(task)
+                task.add_done_callback(self._probes.discard)
             case events.CancelAttempt(request_id, attempt):
                 exchange = self._exchanges.pop((request_id, attempt), None)
                 if exchange is not None:
@@ -276,9 +311,30 @@
             attempt, header_codec=self._header_codec, deliver=self._deliver
         )
         data = self._header_codec.encode_request_head(attempt) + request.body
-        self._exchanges[request.request_id, attempt.attempt] = (
-            self._pool.send_request(attempt.replica.address, data, receiver)
-        )
+        exchange: upstream.Exchange | relay_client.RelayExchange
+        if attempt.relay is None:
+            exchange = self._pool.send_request(
+                attempt.replica.address, data, receiver
+            )
+        else:
+            exchange = self._relay_pool.send_request(
+                attempt.relay, attempt.replica, data, attempt.budget_s, receiver
+            )
+        self._exchanges[request.request_id, attempt.attempt] = exchange
+
+    async def _probe(self, replica: model.Replica) -> None:
+        failure = await self._pool.probe(replica.address)
+        self.apply(events.ServerProbed(replica, failure))
+
+    def _report_failure(self, server: str, failure: str) -> None:
+        """Records that the relay could not connect to a server."""
+        replica = self.role.find_replica(server)
+        if replica is not None:
+            self.apply(events.ServerProbed(replica, failure))
+
+    def _close_idle(self) -> None:
+        self._pool.close_idle()
+        self._relay_pool.close_idle()
 
     def _deliver(self, event: events.Event) -> None:
         if isinstance(event, events.ResponseCompleted | events.AttemptFailed):
@@ -299,6 +355,9 @@
             "connections_opened_total": self._pool.opened_count,
             **self.role.count_replicas(),
             **self.role.count_unreachable(),
+            "relays": self.role.count_relays(clock.read_boottime()),
+            "relayed_requests_total": self._relay_pool.request_count,
+            "relay_exchanges": self._relay_server.count_active(),
         }
 
     def _receive(self, sender: str, message: interface.Message) -> None:
--- a/src/hickorylead/runtime/upstream.py
+++ b/src/hickorylead/runtime/upstream.py
@@ -56,6 +56,22 @@
         """Handles the end of an exchange without a complete response."""
 
 
+class Tunnel(Protocol):
+    """Takes the bytes of a connection that another process reads and writes."""
+
+    def on_data(self, data: bytes) -> None:
+        """Handles bytes from the replica."""
+
+    def on_lost(self, exc: Exception | None) -> None:
+        """Handles the end of the connection, clean or not."""
+
+    def pause_reading(self) -> None:
+        """Stops reading what is to be sent to the replica."""
+
+    def resume_reading(self) -> None:
+        """Reads again what is to be sent to the replica."""
+
+
 class Connection(asyncio.Protocol):
     """One connection to a replica; one exchange at a time."""
 
@@ -68,6 +84,7 @@
         self._release = release
         self._transport: Any = None
         self._receiver: Receiver | None = None
+        self._tunnel: Tunnel | None = None
         self._parser: Any = None
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
@@ -89,6 +106,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection, clean or not."""
         self.is_usable = False
+        tunnel, self._tunnel = self._tunnel, None
+        if tunnel is not None:
+            tunnel.on_lost(exc)
         receiver, self._receiver = self._receiver, None
         if receiver is None:
             return
@@ -103,6 +123,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes from the replica."""
+        if self._tunnel is not None:
+            self._tunnel.on_data(data)
+            return
         if self._receiver is None:
             # Bytes that belong to no request would be mixed up with the next
             # response.
@@ -111,9 +134,19 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail("bad_answer")
+            self.fail("bad_answer")
         except httptools.HttpParserError:
-            self._fail("bad_answer")
+            self.fail("bad_answer")
+
+    def pause_writing(self) -> None:
+        """Handles a full write buffer."""
+        if self._tunnel is not None:
+            self._tunnel.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Handles a write buffer that has been sent."""
+        if self._tunnel is not None:
+            self._tunnel.resume_reading()
 
     # Callbacks of the parser.
 
@@ -134,7 +167,7 @@
         value = value.strip(b" \t")
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._fail("head_too_long")
+            self.fail("head_too_long")
             return
         if name == b"content-length" or (
             name == b"transfer-encoding" and b"chunked" in value.lower()
@@ -204,15 +237,56 @@
         """Closes the connection at once, without notifying the receiver."""
         self.is_usable = False
         self._receiver = None
+        self._tunnel = None
         if self._transport is not None:
             self._transport.abort()
 
-    def _fail(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
+        """Closes the connection and ends its exchange as failed."""
         receiver = self._receiver
         self.close()
         if receiver is not None:
             receiver.on_failure(Verdict.MAY_HAVE_RUN, reason)
 
+    # Methods for tunnels.
+
+    def start_tunnel(self, tunnel: Tunnel) -> None:
+        """Passes all bytes from the replica to a tunnel, unparsed."""
+        self._tunnel = tunnel
+
+    def end_tunnel(self, keepalive_s: float) -> None:
+        """Returns the connection to its pool, or closes it if it is in use.
+
+        Args:
+            keepalive_s: How long it may be used again, in seconds.
+        """
+        self._tunnel = None
+        if (
+            not self.is_usable
+            or keepalive_s <= 0
+            or self._transport.get_write_buffer_size()
+        ):
+            self.close()
+            return
+        loop = asyncio.get_running_loop()
+        self.usable_until = loop.time() + keepalive_s
+        self._release(self)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes of a tunnel to the replica."""
+        if self.is_usable:
+            self._transport.write(data)
+
+    def pause_reading(self) -> None:
+        """Stops reading from the replica."""
+        if self.is_usable:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads from the replica again."""
+        if self.is_usable:
+            self._transport.resume_reading()
+
 
 class Exchange:
     """One request to one replica."""
@@ -242,20 +316,13 @@
             self._connection.close()
 
     async def _connect(self, data: bytes) -> None:
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = await self._pool.connect(self._address)
-        except (OSError, TimeoutError) as error:
-            reason = (
-                model.CONNECT_TIMEOUT
-                if isinstance(error, TimeoutError)
-                else model.CONNECT_REFUSED
-            )
-            self._receiver.on_failure(Verdict.NOT_RUN, reason)
+        found = await self._pool.try_connect(self._address)
+        if isinstance(found, str):
+            self._receiver.on_failure(Verdict.NOT_RUN, found)
             return
-        self._connection = connection
+        self._connection = found
         self._receiver.on_connected()
-        connection.send(data, self._receiver)
+        found.send(data, self._receiver)
 
 
 class Pool:
@@ -304,8 +371,25 @@
             connection.close()
         return None
 
-    async def connect(self, address: str) -> Connection:
-        """Returns a new connection."""
+    async def try_connect(self, address: str) -> Connection | str:
+        """Returns a new connection, or the code of why there is none."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                return await self._connect(address)
+        except TimeoutError:
+            return model.CONNECT_TIMEOUT
+        except OSError:
+            return model.CONNECT_REFUSED
+
+    async def probe(self, address: str) -> str:
+        """Opens a connection for later use; returns why it failed, if so."""
+        found = await self.try_connect(address)
+        if isinstance(found, str):
+            return found
+        found.end_tunnel(DEFAULT_KEEPALIVE_S)
+        return ""
+
+    async def _connect(self, address: str) -> Connection:
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_count += 1
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -46,6 +46,7 @@
 _STATUS = "roles.status"
 _NOTICES = "notices.messages"
 _RATES = "ratelimits.messages"
+_RELAYING = "relaying.messages"
 _ROUTING = "routing.messages"
 
 MESSAGES: tuple[Variant, ...] = (
@@ -99,6 +100,14 @@
     Variant(_RATES, "PermitReply"),
     Variant(_NOTICES, "PauseNews"),
     Variant(_NOTICES, "LeaveNews"),
+    Variant(_RELAYING, "RelayRequest"),
+    Variant(_RELAYING, "RelayOffer"),
+    Variant(_RELAYING, "RelayOpen"),
+    Variant(_RELAYING, "RelayAccepted"),
+    Variant(_RELAYING, "RelayRefused"),
+    Variant(_RELAYING, "RelayData"),
+    Variant(_RELAYING, "RelayClosed"),
+    Variant(_RELAYING, "RelayFinished"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -450,6 +450,14 @@
     permitReply @47 :PermitReply;
     pauseNews @48 :PauseNews;
     leaveNews @49 :LeaveNews;
+    relayRequest @50 :RelayRequest;
+    relayOffer @51 :RelayOffer;
+    relayOpen @52 :RelayOpen;
+    relayAccepted @53 :RelayAccepted;
+    relayRefused @54 :RelayRefused;
+    relayData @55 :RelayData;
+    relayClosed @56 :RelayClosed;
+    relayFinished @57 :RelayFinished;
   }
 }
 
@@ -546,6 +554,45 @@
   }
 }
 
+struct RelayAccepted {
+}
+
+struct RelayClosed {
+  isReset @0 :Bool;
+}
+
+struct RelayData {
+  data @0 :Data;
+}
+
+struct RelayFinished {
+  keepaliveMs @0 :Int64;
+  receivedBytes @1 :Int64;
+}
+
+struct RelayOffer {
+  origin @0 :Text;
+  relay @1 :Text;
+  address @2 :Text;
+  token @3 :Text;
+  unreachable @4 :List(Scope);
+}
+
+struct RelayOpen {
+  token @0 :Text;
+  server @1 :Text;
+  address @2 :Text;
+  limitMs @3 :Int64;
+}
+
+struct RelayRefused {
+  reason @0 :Text;
+}
+
+struct RelayRequest {
+  origin @0 :Text;
+}
+
 struct ReplaceReply {
   token @0 :Text;
   accepted @1 :Bool;
@@ -577,6 +624,11 @@
 struct ResendRequest {
 }
 
+struct Scope {
+  service @0 :Text;
+  zone @1 :Text;
+}
+
 struct ServerState {
   vm @0 :Text;
   boot @1 :Int64;
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -665,7 +665,8 @@
 
 @given("the gateway has just started")
 def _(context):
-    context.harness.forwarder._started_at = context.harness.now
+    monitor = context.harness.forwarder._stall_monitor
+    monitor._started_at = context.harness.now
 
 
 @when("a stream sends an event every {gap:g} seconds for {seconds:g} seconds")
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -233,7 +233,13 @@
         self.starts.append((self.now, node))
         self.known_senders.pop(node, None)
         self.gateways[node] = gateway.Gateway(
-            gateway.Identity(node, self._start_count, self.seeds),
+            gateway.Identity(
+                node,
+                self._start_count,
+                self.seeds,
+                relay_address=f"{node}:relay",
+                relay_token=f"token {self._start_count}",
+            ),
             decode_document=decode_content,
             rng=random.Random(f"{node}{self.rng.random()}"),
             now=self.now,
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -11,6 +11,7 @@
 from hickorylead.fleet import instances, registry
 from hickorylead.forwarding import (
     choice,
+    connection_monitor,
     events,
     forwarder,
     health,
@@ -20,6 +21,7 @@
 )
 from hickorylead.notices import notice_store
 from hickorylead.ratelimits import permit_pool
+from hickorylead.relaying import relay_directory
 from support import fleet_simulation
 
 OK = model.ResponseHead(200, is_signed=True)
@@ -44,6 +46,7 @@
         self.reachability = reachability.Reachability()
         rng = random.Random(1)
         self.permits = permit_pool.PermitPool("z1/front1", first=1, rng=rng)
+        self.relays = relay_directory.RelayDirectory("z1", rng)
         directory = replica_directory.ReplicaDirectory(self.registry)
         self.forwarder = forwarder.Forwarder(
             chooser=choice.Chooser(
@@ -52,13 +55,21 @@
                 health=self.health,
                 notices=self.notices,
                 permits=self.permits,
+                reachability=self.reachability,
+                relays=self.relays,
                 rng=rng,
             ),
             health=self.health,
             guard=self.guard,
             notices=self.notices,
             permits=self.permits,
-            reachability=self.reachability,
+            connections=connection_monitor.ConnectionMonitor(
+                directory=directory,
+                health=self.health,
+                reachability=self.reachability,
+                relays=self.relays,
+            ),
+            relays=self.relays,
         )
         # Its coordinator has sent it the number of gateways.
         self.forwarder.set_gateway_count(9, 0.0)
@@ -78,6 +89,8 @@
         directory.set_document(self.forwarder.document)
         self.effects: list[tuple[float, events.Effect]] = []
         self.request_count = 0
+        # Servers to which connections fail.
+        self.unreachable: set[str] = set()
 
     def _add(self, name, service, epoch):
         member = instances.Membership()
@@ -101,8 +114,15 @@
 
     def deliver(self, event):
         """Delivers an event to the reducer and stores its effects."""
-        for effect in self.forwarder.handle(event, self.now):
+        self._handle(self.forwarder.handle(event, self.now))
+
+    def _handle(self, effects) -> None:
+        for effect in effects:
             self.effects.append((self.now, effect))
+            if isinstance(effect, events.ProbeServer):
+                is_lost = effect.replica.name in self.unreachable
+                failure = model.CONNECT_TIMEOUT if is_lost else ""
+                self.deliver(events.ServerProbed(effect.replica, failure))
 
     def send_request(
         self,
@@ -146,8 +166,7 @@
         end = self.now + seconds
         while self.now < end:
             self.now += 0.01
-            for effect in self.forwarder.tick(self.now):
-                self.effects.append((self.now, effect))
+            self._handle(self.forwarder.tick(self.now))
             if each is not None:
                 each()
 
--- a/tests/support/traffic_simulation.py
+++ b/tests/support/traffic_simulation.py
@@ -8,6 +8,7 @@
 
 from hickorylead.fleet import instances
 from hickorylead.forwarding import events, model
+from hickorylead.relaying import messages as relay_messages, relay_directory
 from hickorylead.verdict import Verdict
 from support import fleet_simulation
 
@@ -77,7 +78,8 @@
     started_at: float
     event_count: int = 0
     pause_s: float | None = None
-    is_connecting: bool = False
+    failure: str = ""
+    relay: str = ""
 
 
 class TrafficSimulation:
@@ -115,6 +117,13 @@
         self.disconnects_early = False
         # Gateways whose connections to all servers hang.
         self.isolated: set[str] = set()
+        # Whether the connections that these gateways have open work on, while
+        # new ones are refused.
+        self.keeps_connections = False
+        # Gateways that cannot connect to each other, as (origin, relay).
+        self.relay_partitions: set[tuple[str, str]] = set()
+        # Origin, relay and server of each exchange through a relay.
+        self.relayed: list[tuple[str, str, str]] = []
 
     def submit(
         self, gateway: str, body: bytes, *, last_event: int = 0
@@ -228,12 +237,31 @@
                 if self.refused_gateway in ("", node):
                     run.pause_s = self.pauses.get(replica.name)
                 self._runs[request.request_id, attempt] = run
-                if node in self.isolated:
-                    run.is_connecting = True
+                relay = effect.relay
+                run.relay = relay.node if relay else ""
+                if relay is not None:
+                    run.failure = self._check_relay(node, relay, replica)
+                elif node in self.isolated:
+                    run.failure = self._fail_connection()
+                if run.failure:
+                    pass
                 elif replica.name not in self.simulation.servers:
                     self._fail(run, Verdict.NOT_RUN, "unreachable")
                 else:
                     submission.sent.append((self.simulation.now, replica.name))
+            case events.ProbeServer(replica):
+                failure = (
+                    self._fail_connection()
+                    if node in self.isolated
+                    else ""
+                    if replica.name in self.simulation.servers
+                    else model.CONNECT_TIMEOUT
+                )
+                probed = events.ServerProbed(replica, failure)
+                self.simulation.call_at(
+                    CONNECT_TIMEOUT_S if failure else 0.002,
+                    lambda: self.simulation.apply(node, probed),
+                )
             case events.CancelAttempt(request_id, attempt):
                 self._runs.pop((request_id, attempt), None)
             case events.Refuse(request_id, status, reason, retry_after_s):
@@ -247,14 +275,57 @@
             case _:
                 pass
 
+    def _fail_connection(self) -> str:
+        """Returns how a new connection of an isolated gateway fails."""
+        if self.keeps_connections:
+            return model.CONNECT_REFUSED
+        return model.CONNECT_TIMEOUT
+
+    def _check_relay(
+        self, node: str, relay: relay_directory.Relay, replica: model.Replica
+    ) -> str:
+        """Returns how an exchange through a relay fails; empty if it works."""
+        role = self.simulation.gateways.get(relay.node)
+        if (
+            role is None
+            or relay.node in self.simulation.frozen
+            or (node, relay.node) in self.relay_partitions
+        ):
+            return model.RELAY_UNREACHABLE
+        opening = relay_messages.RelayOpen(
+            relay.token, replica.name, replica.address, 8000
+        )
+        if role.check_relay(opening):
+            return model.RELAY_REFUSED
+        if relay.node in self.isolated:
+            return model.RELAY_NO_SERVER
+        if replica.name not in self.simulation.servers:
+            return model.RELAY_NO_SERVER
+        self.relayed.append((node, relay.node, replica.name))
+        return ""
+
+    def _is_silent(self, run: _Run) -> bool:
+        """Returns whether nothing of a run reaches its gateway at present."""
+        via = run.relay or run.submission.gateway
+        return (
+            via in self.isolated and not self.keeps_connections
+        ) or run.relay in self.simulation.frozen
+
     def _advance_runs(self) -> None:
         for run in list(self._runs.values()):
             age_s = self.simulation.now - run.started_at
-            if run.is_connecting:
-                if age_s >= CONNECT_TIMEOUT_S:
-                    self._fail(run, Verdict.NOT_RUN, model.CONNECT_TIMEOUT)
+            if run.failure:
+                hangs = run.failure not in (
+                    model.CONNECT_REFUSED,
+                    model.RELAY_REFUSED,
+                )
+                if age_s >= CONNECT_TIMEOUT_S * hangs:
+                    self._fail(run, Verdict.NOT_RUN, run.failure)
+                continue
+            if run.relay and run.relay not in self.simulation.gateways:
+                self._fail(run, Verdict.MAY_HAVE_RUN, model.RELAY_LOST)
                 continue
-            if run.submission.gateway in self.isolated:
+            if self._is_silent(run):
                 continue
             if run.server not in self.simulation.servers:
                 continue
