Show what holds for requests through relays, and probe servers that may work

One failed on the way: after two of three servers had failed, the third counted as unreachable until one of these two was back, although it accepted connections. Servers that have not failed are probed too now, and a success ends the suspicion of the zone at once.

--- a/src/hickorylead/forwarding/connection_monitor.py
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -11,17 +11,19 @@
 )
 
 if TYPE_CHECKING:
-    from hickorylead import notes
     from hickorylead.forwarding import (
         health as health_module,
         replica_directory,
         state,
     )
-    from hickorylead.relaying import relay_directory
+    from hickorylead.relaying import messages, relay_directory
 
 # After the first failed connection, another server of the same service and zone
 # is probed unless one of them sent output within this time, in seconds.
 OUTPUT_WINDOW_S = 0.5
+# Maximum number of servers that are probed at once when one of them has become
+# reachable again.
+MAX_PROBES = 8
 
 
 class ConnectionMonitor:
@@ -52,39 +54,69 @@
         self, replica: model.Replica, now: float
     ) -> list[events.Effect]:
         """Records a new connection to a server."""
-        return [*self._reachability.record_connected(replica, now)]
+        if not self._reachability.has_failures():
+            return []
+        was_reachable = self._reachability.is_scope_reachable(replica)
+        effects: list[events.Effect] = [
+            *self._reachability.record_connected(replica, now)
+        ]
+        if not was_reachable:
+            # The others have probably become reachable as well.
+            failed = self._reachability.list_failed(replica)
+            effects += [
+                events.ProbeServer(other) for other in failed[:MAX_PROBES]
+            ]
+        return effects
 
     def record_failure(
         self, replica: model.Replica, reason: str, now: float
     ) -> list[events.Effect]:
-        """Records a failed connection; probes another server if in doubt."""
+        """Records a failed connection of a request or a probe."""
+        present = self._directory.list_in_zone(replica.service, replica.zone)
+        was_reachable = self._reachability.is_reachable(replica)
         effects: list[events.Effect] = [
-            *self._record_failure(replica, reason, now)
+            *self._reachability.record_failure(
+                replica, reason, present=len(present), now=now
+            )
         ]
-        if self._reachability.is_scope_reachable(replica):
-            if reason == model.CONNECT_TIMEOUT:
-                # The replica is partitioned or down; the next request sent to
-                # it would also wait until the connection timeout.
-                self._health.mark_stalled(replica, now)
-            other = self._find_other(replica, now)
+        is_scope_reachable = self._reachability.is_scope_reachable(replica)
+        if is_scope_reachable and reason == model.CONNECT_TIMEOUT:
+            # The replica is partitioned or down; the next request sent to it
+            # would also wait until the connection timeout.
+            self._health.mark_stalled(replica, now)
+        if was_reachable:
+            other = self._find_other(replica, present, now)
             if other is not None:
                 effects.append(events.ProbeServer(other))
         return effects
 
-    def _record_failure(
-        self, replica: model.Replica, reason: str, now: float
-    ) -> list[notes.Note]:
-        present = self._directory.list_in_zone(replica.service, replica.zone)
-        return self._reachability.record_failure(
-            replica, reason, present=len(present), now=now
-        )
+    def _find_other(
+        self, replica: model.Replica, present: list[model.Replica], now: float
+    ) -> model.Replica | None:
+        """Returns another replica to probe; None if there is no need."""
+        failed = {r.name for r in self._reachability.list_failed(replica)}
+        others = [
+            other
+            for other in present
+            if other.name not in failed and not other.is_missing
+        ]
+        is_cut = not self._reachability.is_scope_reachable(replica)
+        if not others or (
+            not is_cut
+            and any(
+                now - self._health.get(other).progress_at < OUTPUT_WINDOW_S
+                for other in others
+            )
+        ):
+            return None
+        return min(others, key=lambda o: self._health.get(o).own_requests)
 
     def handle_probe(
         self, event: events.ServerProbed, now: float
     ) -> list[events.Effect]:
         """Handles the outcome of a probe."""
         if event.failure:
-            return [*self._record_failure(event.replica, event.failure, now)]
+            return self.record_failure(event.replica, event.failure, now)
         return self.record_connected(event.replica, now)
 
     def record_lost_relay(
@@ -113,25 +145,10 @@
         """Sends the probes that are due."""
         return [
             events.ProbeServer(replica)
-            for replica in self._reachability.pop_due_probes(now)
-        ]
-
-    def _find_other(
-        self, replica: model.Replica, now: float
-    ) -> model.Replica | None:
-        """Returns another replica to probe; None if there is no need."""
-        others = [
-            other
-            for other in self._directory.list_in_zone(
-                replica.service, replica.zone
+            for replica in self._reachability.choose_probes(
+                self._list_servers, now
             )
-            if other.name != replica.name
-            and self._reachability.is_reachable(other)
-            and not other.is_missing
         ]
-        if not others or any(
-            now - self._health.get(other).progress_at < OUTPUT_WINDOW_S
-            for other in others
-        ):
-            return None
-        return min(others, key=lambda o: self._health.get(o).own_requests)
+
+    def _list_servers(self, scope: messages.Scope) -> list[model.Replica]:
+        return self._directory.list_in_zone(scope.service, scope.zone)
--- a/src/hickorylead/forwarding/reachability.py
+++ b/src/hickorylead/forwarding/reachability.py
@@ -16,15 +16,17 @@
 from hickorylead.relaying import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorylead.forwarding import model
 
-# Number of servers of a service and zone to which connections must fail,
-# without any success in between, before none of them counts as reachable.
+# Number of servers of a service and zone to which connections must begin to
+# fail, without any success in between, before none of them counts as reachable.
 MIN_FAILED_SERVERS = 2
 # The same number while the service's servers of another zone are unreachable.
 MIN_FAILED_SERVERS_NEXT_ZONE = 1
-# Period at which servers of each service and zone are probed after connections
-# to them failed, one at a time, in seconds.
+# Period at which one server of each service and zone is probed while
+# connections to any of them fail, in seconds.
 PROBE_PERIOD_S = 0.5
 
 
@@ -33,16 +35,19 @@
     """Connections to the servers of one service and zone.
 
     Attributes:
-        failed: Servers to which the latest connection failed, the one whose
-            probe is due next first.
+        failed: Servers to which the latest connection failed.
+        fresh: Those that began to fail since the latest success.
         unreachable_since: When all of its servers became unreachable; None if
             they are reachable.
-        next_probe: When one of the failed servers is probed next.
+        next_probe: When one of its servers is probed next.
+        probed: Name of the server that was probed last.
     """
 
     failed: dict[str, model.Replica] = attrs.field(factory=dict)
+    fresh: set[str] = attrs.field(factory=set)
     unreachable_since: float | None = None
     next_probe: float = -1e9
+    probed: str = ""
 
 
 class Reachability:
@@ -61,19 +66,20 @@
         state = self._scopes.get(scope)
         if state is None:
             return []
-        if state.unreachable_since is None:
-            state.failed.pop(replica.name, None)
-            if not state.failed:
-                del self._scopes[scope]
+        state.failed.pop(replica.name, None)
+        state.fresh.clear()
+        since, state.unreachable_since = state.unreachable_since, None
+        if not state.failed:
+            del self._scopes[scope]
+        if since is None:
             return []
-        del self._scopes[scope]
         return [
             notes.note(
                 "servers_reachable",
                 service=scope.service,
                 server_zone=scope.zone,
                 server=replica.name,
-                after_s=round(now - state.unreachable_since, 3),
+                after_s=round(now - since, 3),
             )
         ]
 
@@ -93,10 +99,13 @@
         state = self._scopes.setdefault(
             scope, _Scope(next_probe=now + PROBE_PERIOD_S)
         )
-        state.failed.pop(replica.name, None)
+        if replica.name not in state.failed:
+            state.fresh.add(replica.name)
         state.failed[replica.name] = replica
-        enough = min(present, self._find_min_failed(scope))
-        if state.unreachable_since is not None or len(state.failed) < enough:
+        if state.unreachable_since is not None or (
+            len(state.fresh) < self._find_min_failed(scope)
+            and len(state.failed) < present
+        ):
             return []
         state.unreachable_since = now
         return [
@@ -143,22 +152,42 @@
             if state.unreachable_since is not None
         )
 
+    def list_failed(self, replica: model.Replica) -> list[model.Replica]:
+        """Returns the failed servers of a server's service and zone."""
+        state = self._scopes.get(find_scope(replica))
+        return list(state.failed.values()) if state else []
+
     def count_failed(self) -> int:
         """Returns the servers to which the latest connection failed."""
         return sum(len(state.failed) for state in self._scopes.values())
 
-    def pop_due_probes(self, now: float) -> list[model.Replica]:
-        """Returns the servers to probe now."""
-        due = []
-        for state in self._scopes.values():
-            if now < state.next_probe or not state.failed:
+    def choose_probes(
+        self,
+        list_servers: Callable[[messages.Scope], list[model.Replica]],
+        now: float,
+    ) -> list[model.Replica]:
+        """Returns the servers to probe now, each in turn.
+
+        While none of the servers of a zone counts as reachable, those that have
+        not failed yet are probed too.
+
+        Args:
+            list_servers: Returns the servers of a service and zone.
+            now: Present time.
+        """
+        chosen = []
+        for scope, state in self._scopes.items():
+            if now < state.next_probe:
                 continue
             state.next_probe = now + PROBE_PERIOD_S
-            name, replica = next(iter(state.failed.items()))
-            del state.failed[name]
-            state.failed[name] = replica
-            due.append(replica)
-        return due
+            candidates = dict(state.failed)
+            if state.unreachable_since is not None:
+                candidates |= {r.name: r for r in list_servers(scope)}
+            names = sorted(candidates)
+            later = [name for name in names if name > state.probed]
+            state.probed = (later or names)[0]
+            chosen.append(candidates[state.probed])
+        return chosen
 
     def retain(self, names: set[str]) -> None:
         """Drops servers that are not in `names`."""
@@ -168,6 +197,7 @@
                 for name, replica in state.failed.items()
                 if name in names
             }
+            state.fresh &= names
             if not state.failed:
                 del self._scopes[scope]
 
--- /dev/null
+++ b/tests/relaying/connections.feature
@@ -0,0 +1,73 @@
+Feature: Connections through a relay
+
+  Scenario Outline: A response through a relay is complete only if its framing says so
+    Given a replica that responds with <response>
+    When a request is sent to the replica through a relay
+    Then the result is <result>
+
+    Examples:
+      | response                        | result   |
+      | a length                        | complete |
+      | chunks                          | complete |
+      | chunks without an end           | failure  |
+      | too few bytes                   | failure  |
+      | no length and a close           | complete |
+      | no length and a reset           | failure  |
+      | bytes that are not HTTP         | failure  |
+
+  Scenario: Bytes after a response through a relay are not taken for another response
+    Given a replica that responds with a length and a second response
+    When two requests are sent to the replica through a relay
+    Then the second request goes over a new connection
+
+  Scenario: A relay reuses its connection to a replica
+    Given a replica that responds with a length
+    When two requests are sent to the replica through a relay
+    Then both go over one connection to the replica
+
+  Scenario: A request that a relay could not connect to its replica has not run
+    Given a replica that does not listen
+    When a request is sent to the replica through a relay
+    Then the result is not_run
+
+  Scenario Outline: A request that a relay refused has not run
+    Given a relay that refuses requests because it is <reason>
+    Then a request through it has not run and the replica gets no connection
+
+    Examples:
+      | reason              |
+      | stopping            |
+      | servers_unreachable |
+
+  Scenario: A relay refuses a gateway that does not have its token
+    Then a request with another token has not run and the replica gets no connection
+
+  Scenario: A relay that does not listen has run nothing
+    Then a request through a relay that does not listen has not run
+
+  Scenario: A relay that does not reply has run nothing
+    Then a request through a relay that does not reply has not run
+
+  Scenario: A request whose relay is lost after it was sent may have run
+    Then a request whose relay ends before the response may have run
+
+  Scenario: The replica stops a request whose caller left the gateway before the relay
+    Then the replica's connection closes when the request is cancelled
+
+  Scenario: A relay ends an exchange whose gateway has gone silent
+    Then the replica's connection closes after the exchange's limit
+
+  Scenario: A relay does not read ahead of a gateway that does not read
+    Then a relay holds back a replica whose response the gateway does not read
+
+  Scenario: A long body through a relay arrives unchanged
+    Then a body of 4000000 bytes reaches the replica through a relay unchanged
+
+  Scenario: A response before the end of the body ends the replica's connection
+    Then the relay does not reuse a connection whose request body was not read
+
+  Scenario: A relay that is stopping finishes its exchanges and accepts no others
+    Then an exchange that began before the relay stopped completes
+
+  Scenario: Malformed input closes a relay's connection and is logged
+    Then bytes that are no frame close the connection of a relay
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -342,7 +342,7 @@
 
     def __init__(self) -> None:
         self.done = asyncio.get_running_loop().create_future()
-        self.body = b""
+        self.body = bytearray()
 
     def on_connected(self):
         pass
@@ -357,6 +357,7 @@
         self.done.set_result("complete")
 
     def on_failure(self, verdict, reason):
+        self.reason = reason
         self.done.set_result(verdict.value)
 
 
--- /dev/null
+++ b/tests/steps/relay_connection_steps.py
@@ -0,0 +1,258 @@
+"""Steps about connections through a relay, on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from behave import given, then, when
+from steps import platform_steps
+from support import relay_path
+
+REQUEST = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+RESPONSE = platform_steps.COMPLETE_RESPONSE
+
+
+async def send_requests(replica, *, times=1):
+    """Sends requests through one relay; returns the result of each."""
+    address = await replica.start() if replica else "127.0.0.1:1"
+    path = relay_path.RelayPath()
+    await path.start()
+    results = []
+    for _ in range(times):
+        recorder = platform_steps.ResultRecorder()
+        path.send(address, REQUEST, recorder)
+        async with asyncio.timeout(5):
+            results.append(await recorder.done)
+        await relay_path.wait_for(lambda: not path.server.count_active())
+    path.close()
+    if replica:
+        replica.server.close()
+    return results
+
+
+@when("a request is sent to the replica through a relay")
+def _(context):
+    with platform_steps.allow_slow_connections():
+        context.results = asyncio.run(send_requests(context.replica))
+
+
+@when("two requests are sent to the replica through a relay")
+def _(context):
+    with platform_steps.allow_slow_connections():
+        context.results = asyncio.run(send_requests(context.replica, times=2))
+
+
+@then("both go over one connection to the replica")
+def _(context):
+    assert context.results == ["complete", "complete"], context.results
+    assert context.replica.connections == 1, context.replica.connections
+
+
+def run_with_path(scenario, refusal=""):
+    """Runs a coroutine function with a relay and a scripted replica."""
+
+    async def run():
+        path = relay_path.RelayPath(refusal)
+        replica = relay_path.ScriptedReplica()
+        address = await replica.start()
+        await path.start()
+        try:
+            async with asyncio.timeout(20):
+                await scenario(path, replica, address)
+        finally:
+            path.close()
+            replica.close()
+
+    with platform_steps.allow_slow_connections():
+        asyncio.run(run())
+
+
+async def check_not_run(path, replica, address):
+    """Checks that a request has not run and reached no replica."""
+    recorder = platform_steps.ResultRecorder()
+    path.send(address, REQUEST, recorder)
+    assert await recorder.done == "not_run"
+    assert not replica.count
+
+
+@given("a relay that refuses requests because it is {reason}")
+def _(context, reason):
+    context.refusal = reason
+
+
+@then("a request through it has not run and the replica gets no connection")
+def _(context):
+    run_with_path(check_not_run, context.refusal)
+
+
+@then(
+    "a request with another token has not run and the replica gets no "
+    "connection"
+)
+def _(_):
+    async def scenario(path, replica, address):
+        path.relay.token = "another"
+        await check_not_run(path, replica, address)
+
+    run_with_path(scenario)
+
+
+@then("a request through a relay that does not listen has not run")
+def _(_):
+    async def scenario(path, replica, address):
+        path.server.close()
+        path.relay.address = "127.0.0.1:1"
+        await check_not_run(path, replica, address)
+
+    run_with_path(scenario)
+
+
+@then("a request through a relay that does not reply has not run")
+def _(_):
+    async def scenario(path, replica, address):
+        silent = relay_path.ScriptedReplica()
+        path.relay.address = await silent.start()
+        await check_not_run(path, replica, address)
+        assert silent.count == 1
+        silent.close()
+
+    run_with_path(scenario)
+
+
+async def start_exchange(path, replica, address, *, data=REQUEST, limit_s=5.0):
+    """Starts an exchange; returns it with its recorder and connection."""
+    recorder = platform_steps.ResultRecorder()
+    exchange = path.send(address, data, recorder, limit_s)
+    reader, writer = await replica.connections.get()
+    await reader.readuntil(b"\r\n\r\n")
+    return exchange, recorder, reader, writer
+
+
+@then("a request whose relay ends before the response may have run")
+def _(_):
+    async def scenario(path, replica, address):
+        _, recorder, _, _ = await start_exchange(path, replica, address)
+        path.server.close()
+        assert await recorder.done == "may_have_run"
+
+    run_with_path(scenario)
+
+
+@then("the replica's connection closes when the request is cancelled")
+def _(_):
+    async def scenario(path, replica, address):
+        exchange, _, reader, _ = await start_exchange(path, replica, address)
+        exchange.cancel()
+        async with asyncio.timeout(0.5):
+            assert await reader.read() == b""
+
+    run_with_path(scenario)
+
+
+@then("the replica's connection closes after the exchange's limit")
+def _(_):
+    async def scenario(path, replica, address):
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        _, _, reader, _ = await start_exchange(
+            path, replica, address, limit_s=0.2
+        )
+        assert await reader.read() == b""
+        assert 1.0 < loop.time() - started_at < 4.0
+
+    run_with_path(scenario)
+
+
+@then("a relay holds back a replica whose response the gateway does not read")
+def _(_):
+    async def scenario(path, replica, address):
+        exchange, recorder, _, writer = await start_exchange(
+            path, replica, address
+        )
+        exchange._channel.transport.pause_reading()
+        size = 64 * 1024 * 1024
+        body = random.Random(1).randbytes(size)
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size
+        writer.write(head + body)
+        session = next(iter(path.server.sessions))
+        await relay_path.wait_for(
+            lambda: session.transport.get_write_buffer_size()
+        )
+        held = -1
+        while held != writer.transport.get_write_buffer_size():
+            held = writer.transport.get_write_buffer_size()
+            await asyncio.sleep(0.1)
+        buffered = session.transport.get_write_buffer_size()
+        assert held > size // 2, (held, buffered)
+        assert buffered < size // 16, buffered
+        exchange._channel.transport.resume_reading()
+        assert await recorder.done == "complete", recorder.reason
+        assert recorder.body == body, len(recorder.body)
+
+    run_with_path(scenario)
+
+
+@then("a body of {size:d} bytes reaches the replica through a relay unchanged")
+def _(_, size):
+    async def scenario(path, replica, address):
+        body = random.Random(1).randbytes(size)
+        head = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+        _, recorder, reader, writer = await start_exchange(
+            path, replica, address, data=head + body
+        )
+        assert await reader.readexactly(size) == body
+        writer.write(RESPONSE)
+        assert await recorder.done == "complete"
+        assert recorder.body == b"body"
+
+    run_with_path(scenario)
+
+
+@then("the relay does not reuse a connection whose request body was not read")
+def _(_):
+    async def scenario(path, replica, address):
+        # More than the sockets on the way take, so that the rest is never sent.
+        size = 64 * 1024 * 1024
+        head = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+        _, recorder, reader, writer = await start_exchange(
+            path, replica, address, data=head + random.Random(1).randbytes(size)
+        )
+        writer.write(RESPONSE)
+        assert await recorder.done == "complete"
+        await relay_path.wait_for(lambda: not path.server.count_active())
+        _, recorder, _, writer = await start_exchange(path, replica, address)
+        writer.write(RESPONSE)
+        assert await recorder.done == "complete"
+        assert replica.count == 2, replica.count
+        del reader
+
+    run_with_path(scenario)
+
+
+@then("an exchange that began before the relay stopped completes")
+def _(_):
+    async def scenario(path, replica, address):
+        _, recorder, _, writer = await start_exchange(path, replica, address)
+        path.refusal = "stopping"
+        other = platform_steps.ResultRecorder()
+        path.send(address, REQUEST, other)
+        assert await other.done == "not_run"
+        assert path.server.count_active() == 1
+        writer.write(RESPONSE)
+        assert await recorder.done == "complete"
+
+    run_with_path(scenario)
+
+
+@then("bytes that are no frame close the connection of a relay")
+def _(_):
+    async def scenario(path, replica, address):
+        del replica, address
+        ip, _, port = path.relay.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        assert await reader.read() == b""
+        assert path.warnings
+
+    run_with_path(scenario)
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -22,6 +22,7 @@
 from hickorylead.notices import notice_store
 from hickorylead.ratelimits import permit_pool
 from hickorylead.relaying import relay_directory
+from hickorylead.verdict import Verdict
 from support import fleet_simulation
 
 OK = model.ResponseHead(200, is_signed=True)
@@ -48,6 +49,7 @@
         self.permits = permit_pool.PermitPool("z1/front1", first=1, rng=rng)
         self.relays = relay_directory.RelayDirectory("z1", rng)
         directory = replica_directory.ReplicaDirectory(self.registry)
+        self.directory = directory
         self.forwarder = forwarder.Forwarder(
             chooser=choice.Chooser(
                 zone="z1",
@@ -204,6 +206,28 @@
         self.deliver(events.ChunkArrived(name, attempt, b"body"))
         self.deliver(events.ResponseCompleted(name, attempt))
 
+    def fail(self, name: str, verdict: Verdict, reason: str) -> None:
+        """Ends the latest attempt of a request without a response."""
+        sent = self.list_attempts(name)[-1]
+        self.deliver(events.AttemptFailed(name, sent.attempt, verdict, reason))
+
+    def respond_if_sent(self, name: str) -> None:
+        """Delivers a complete response to a plain call, if it was sent."""
+        if self.list_attempts(name):
+            self.respond(name)
+
+    def list_replicas(self, service: str) -> list[model.Replica]:
+        """Returns the replicas of a plain service."""
+        return self.directory.list_replicas(service, "")
+
+    def set_slots(self, name: str, slots: int) -> None:
+        """Changes how many requests a server runs at once."""
+        known = self.registry.instances[name]
+        self.registry.merge(
+            attrs.evolve(known, slots=slots, sequence=known.sequence + 1),
+            self.now,
+        )
+
     def list_effects(self, name: str, kind) -> list:
         """Returns the effects of a kind for a request, with their times."""
         return [
