--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from hickorylead import verdict as verdict_module
@@ -21,7 +20,9 @@
     model,
     ranks,
     refusals,
+    response_heads,
     responses,
+    shared_limits,
     stall_monitor,
     stalls,
     state,
@@ -52,12 +53,6 @@
 # this time, the current run of the request has sent its first event or has
 # ended its server.
 SUSPECTED_RETRY_AFTER_S = 1.0
-# Share of a replica's connection limit that all gateways together may use; the
-# rest is reserved for state queries and orders from coordinators.
-CONNECTION_SHARE = 0.9
-# Maximum number of servers at fault that are kept for one report; any others
-# are dropped.
-MAX_FAULTY_SERVERS = 64
 # Maximum size of a response that is buffered until it is complete, in bytes;
 # streams are not buffered. If a buffered response breaks off, its request can
 # be retried on another replica.
@@ -108,13 +103,11 @@
         self._permits = permits
         self._connections = connections
         self._relays = relays
-        self._budgets = budget_module.GatewayRetryBudgets(limits)
+        self._limits = shared_limits.SharedLimits(limits)
         self._pending: dict[str, state.PendingRequest] = {}
-        # Servers that refusals named as at fault and that have not been
-        # reported yet, in the order of the refusals.
-        self._faulty_servers: dict[str, None] = {}
-        # Connection limits apply only once the number of gateways is known.
-        self._has_gateway_count = False
+        self._heads = response_heads.HeadEvaluator(
+            health=health, notices=notices, permits=permits
+        )
         self.document: document_module.Document | None = None
         self._stall_monitor = stall_monitor.StallMonitor(
             self._pending,
@@ -132,9 +125,8 @@
 
         These limits are the retry budget, connection limits and permits.
         """
-        self._budgets.set_gateway_count(count, now)
-        self._has_gateway_count = True
-        self._permits.set_gateway_count(self._budgets.gateway_count)
+        used_count = self._limits.set_gateway_count(count, now)
+        self._permits.set_gateway_count(used_count)
 
     def handle(self, event: events.Event, now: float) -> list[events.Effect]:
         """Handles one event."""
@@ -175,9 +167,7 @@
 
     def pop_faulty_servers(self) -> tuple[str, ...]:
         """Returns and clears the servers that refusals named as at fault."""
-        names = tuple(self._faulty_servers)
-        self._faulty_servers.clear()
-        return names
+        return self._heads.pop_faulty_servers()
 
     def dispatch_waiting(self, now: float) -> list[events.Effect]:
         """Tries to send the waiting requests, the most urgent first."""
@@ -247,7 +237,7 @@
             ),
         )
         self._pending[request.request_id] = pending
-        self._budgets.get_budget(request.service).deposit()
+        self._limits.get_retry_budget(request.service).deposit()
         self._health.record_prompt(
             request.metadata.model, request.metadata.prompt_tokens, now
         )
@@ -276,10 +266,12 @@
             request,
             self._find_engine(request.service),
             avoid=pending.failed_replicas,
-            may_probe=self._budgets.get_budget(request.service).has_balance(
-                PROBE_RETRIES
+            may_probe=self._limits.get_retry_budget(
+                request.service
+            ).has_balance(PROBE_RETRIES),
+            max_own_requests=self._limits.find_max_own_requests(
+                self._find_service(request.service)
             ),
-            max_own_requests=self._find_max_own_requests(request.service),
             now=now,
         )
         match chosen:
@@ -417,93 +409,15 @@
         attempt, head = pending.attempt, event.head
         assert attempt is not None
         attempt.head = head
-        if head.load is not None:
-            self._health.record_load(attempt.replica, head.load, now)
-        effects = self._record_limit(pending, attempt.replica, head, now)
-        # A response to another request still describes the state of the server.
-        # As that request may have been sent before the latest refusal, the
-        # response ends neither a back-off nor the probation after a pause that
-        # the server named. Refusals always count: some servers omit the attempt
-        # id.
-        is_own_answer = (
-            head.echoed_attempt_id == pending.request.metadata.attempt_id
-        )
-        if self._notices.record_response(
-            attempt.replica,
-            head,
-            sent_at=(
-                attempt.sent_at if is_own_answer or head.not_run else -math.inf
-            ),
-            now=now,
-        ):
-            effects.append(descriptions.describe_leaving(attempt.replica))
-        if head.malformed_headers:
-            effects.append(
-                descriptions.describe_malformed_headers(
-                    attempt.replica, head.malformed_headers
-                )
-            )
-        return effects + self._check_head(pending, attempt, head, now)
-
-    def _record_limit(
-        self,
-        pending: state.PendingRequest,
-        replica: model.Replica,
-        head: model.ResponseHead,
-        now: float,
-    ) -> list[events.Effect]:
-        """Records the rate limit in a response, or that a response has none.
-
-        A response to another request may have been delayed for long and is
-        ignored. A refusal without a limit does not end the previous limit.
-        """
-        if head.echoed_attempt_id != pending.request.metadata.attempt_id or (
-            head.not_run and head.limit_per_s is None
-        ):
-            return []
-        if not self._permits.record_response(replica, head.limit_per_s, now):
-            return []
-        return [descriptions.describe_limit(replica, head.limit_per_s)]
-
-    def _check_head(
-        self,
-        pending: state.PendingRequest,
-        attempt: state.Attempt,
-        head: model.ResponseHead,
-        now: float,
-    ) -> list[events.Effect]:
-        if head.echoed_attempt_id != pending.request.metadata.attempt_id:
-            # The response belongs to another request: requests and responses no
-            # longer match on this connection. Nothing from it may reach this
-            # caller.
-            verdict = Verdict.NOT_RUN if head.not_run else Verdict.MAY_HAVE_RUN
-            if head.echoed_attempt_id or not head.not_run:
-                verdict = Verdict.MAY_HAVE_RUN
-            return self._fail_attempt(pending, verdict, "foreign_answer", now)
-        if head.not_run:
-            if (
-                head.faulty_server not in ("", attempt.replica.name)
-                and len(self._faulty_servers) < MAX_FAULTY_SERVERS
-            ):
-                self._faulty_servers[head.faulty_server] = None
-            return self._fail_attempt(pending, Verdict.NOT_RUN, "refused", now)
-        if head.has_content_encoding or (
-            head.status < 300 and not head.is_signed
-        ):
-            return self._fail_attempt(
-                pending, Verdict.MAY_HAVE_RUN, "spoiled_answer", now
-            )
-        if pending.started and head.status != 200:
-            # The caller has a part of a stream, and the replica failed to
-            # resume the stream. If its complete error response were forwarded,
-            # the truncated stream would look complete.
-            return self._fail_attempt(
-                pending, Verdict.RAN, f"status_{head.status}", now
-            )
+        effects = self._heads.record(pending, attempt, head, now)
+        problem = self._heads.find_problem(pending, head)
+        if problem is not None:
+            verdict, reason = problem
+            return effects + self._fail_attempt(pending, verdict, reason, now)
         attempt.last_received_at = now
         if attempt.splitter is not None and head.status != 200:
             attempt.splitter = None
-        return []
+        return effects
 
     def _handle_chunk(
         self, event: events.ChunkArrived, now: float
@@ -625,7 +539,7 @@
             return self._end_failed(pending, reason, now)
         # The retry budget limits what servers receive; an attempt that ended
         # before the request was sent is not part of that.
-        budget = self._budgets.get_budget(pending.request.service)
+        budget = self._limits.get_retry_budget(pending.request.service)
         if reason not in model.UNSENT_FAILURES and not budget.try_withdraw():
             return self._end_failed(pending, "retry_budget_spent", now)
         return self._try_send(pending, now)
@@ -652,7 +566,7 @@
             or not pending.request.route.is_retryable
             or pending.runs + 1 >= pending.request.route.max_attempts
             or not pending.may_send_again(MAX_SENDS, MAX_UNSENT, now)
-            or not self._budgets.get_budget(
+            or not self._limits.get_retry_budget(
                 pending.request.service
             ).has_balance(1)
         ):
@@ -662,8 +576,8 @@
             self._find_engine(pending.request.service),
             avoid={*pending.failed_replicas, attempt.replica.name},
             may_probe=False,
-            max_own_requests=self._find_max_own_requests(
-                pending.request.service
+            max_own_requests=self._limits.find_max_own_requests(
+                self._find_service(pending.request.service)
             ),
             now=now,
         )
@@ -797,28 +711,11 @@
             stats.prefill_tokens -= pending.request.metadata.prompt_tokens
         pending.attempt = None
 
-    def _find_max_own_requests(self, service: str) -> int | None:
-        """Returns how many requests of this gateway a replica may run at once.
-
-        A replica resets connections above its limit, along with the requests on
-        them. Gateways share the limit equally. Each may run at least one
-        request, so that none is locked out when gateways outnumber connections.
-
-        None if the service has no connection limit, or while the service or the
-        number of gateways is unknown.
-        """
-        found = self.document.find_service(service) if self.document else None
-        if found is None or not (
-            found.max_connections and self._has_gateway_count
-        ):
-            return None
-        available = int(CONNECTION_SHARE * found.max_connections)
-        return max(1, available // self._budgets.gateway_count)
+    def _find_service(self, name: str) -> document_module.Service | None:
+        return self.document.find_service(name) if self.document else None
 
     def _find_engine(
         self, service: str
     ) -> document_module.EngineProfile | None:
-        if self.document is None:
-            return None
-        found = self.document.find_service(service)
+        found = self._find_service(service)
         return found.engine if found else None
--- a/tests/steps/notice_steps.py
+++ b/tests/steps/notice_steps.py
@@ -233,7 +233,7 @@
     harness = context.harness
     refuse_request(context)
     harness.advance(PAUSE_HEAD.retry_after_s)
-    budget = harness.forwarder._budgets.get_budget("plain")
+    budget = harness.forwarder._limits.get_retry_budget("plain")
     while budget.try_withdraw():
         pass
 
--- a/tests/steps/relay_forwarding_steps.py
+++ b/tests/steps/relay_forwarding_steps.py
@@ -77,7 +77,7 @@
 
 @given("no retries are left for the calls")
 def _(context):
-    budget = context.harness.forwarder._budgets.get_budget("plain")
+    budget = context.harness.forwarder._limits.get_retry_budget("plain")
     while budget.try_withdraw():
         pass
 
