Offer only relays whose connections were proven recently

Seen in simulated fleets of 24 and 72 gateways: gateways with few requests had lost their connections without notice and offered themselves as relays, and coordinators asked the same gateways again. A gateway now offers what its connections of the last 3 s reached, after a probe if there were none, and coordinators first ask gateways that made offers. Offers last while requests through them succeed, also without coordinators.

--- a/src/hickorylead/forwarding/connection_monitor.py
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -54,8 +54,6 @@
         self, replica: model.Replica, now: float
     ) -> list[events.Effect]:
         """Records a new connection to a server."""
-        if not self._reachability.has_failures():
-            return []
         was_reachable = self._reachability.is_scope_reachable(replica)
         effects: list[events.Effect] = [
             *self._reachability.record_connected(replica, now)
@@ -130,7 +128,7 @@
             case model.RELAY_NO_SERVER:
                 # Until its next offer it is unknown whether the relay reaches
                 # any server there, or only this one is down.
-                relay.unreachable |= {
+                relay.reachable -= {
                     reachability_module.find_scope(attempt.replica)
                 }
                 self._health.mark_stalled(
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -469,6 +469,8 @@
         else:
             effects = responses.send_buffered(pending)
         head = attempt.head
+        if attempt.relay is not None:
+            self._relays.extend_offer(attempt.relay, now)
         if head is not None and head.status < 500:
             self._health.record_success(attempt.replica)
             if attempt.splitter is None or attempt.has_output:
--- a/src/hickorylead/forwarding/reachability.py
+++ b/src/hickorylead/forwarding/reachability.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         """Makes a view in which all servers are reachable."""
         self._scopes: dict[messages.Scope, _Scope] = {}
+        self._connected_at: dict[messages.Scope, float] = {}
         self.failure_count = 0
 
     def record_connected(
@@ -63,6 +64,7 @@
     ) -> list[notes.Note]:
         """Records a new connection to a server; returns what changed."""
         scope = find_scope(replica)
+        self._connected_at[scope] = now
         state = self._scopes.get(scope)
         if state is None:
             return []
@@ -152,6 +154,20 @@
             if state.unreachable_since is not None
         )
 
+    def list_connected(
+        self, within_s: float, now: float
+    ) -> tuple[messages.Scope, ...]:
+        """Returns the services and zones with a recent new connection."""
+        return tuple(
+            scope
+            for scope, at in self._connected_at.items()
+            if now - at < within_s
+            and (
+                scope not in self._scopes
+                or self._scopes[scope].unreachable_since is None
+            )
+        )
+
     def list_failed(self, replica: model.Replica) -> list[model.Replica]:
         """Returns the failed servers of a server's service and zone."""
         state = self._scopes.get(find_scope(replica))
--- a/src/hickorylead/forwarding/replica_directory.py
+++ b/src/hickorylead/forwarding/replica_directory.py
@@ -16,12 +16,16 @@
 class ReplicaDirectory:
     """Replicas by service and model, kept up to date with a registry."""
 
-    def __init__(self, registry: registry_module.Registry) -> None:
+    def __init__(
+        self, registry: registry_module.Registry, *, zone: str
+    ) -> None:
         """Makes a directory.
 
         Args:
             registry: Backend servers known to the gateway.
+            zone: Zone of the gateway.
         """
+        self._zone = zone
         self._registry = registry
         self._document: document_module.Document | None = None
         self._built_versions = (-1, -1)
@@ -81,6 +85,19 @@
             if replica.service == service and replica.zone == zone
         ]
 
+    def list_samples(self) -> list[model.Replica]:
+        """Returns a replica of each service, of this zone if there is one."""
+        self._refresh()
+        samples: dict[str, model.Replica] = {}
+        for replica in self._by_name.values():
+            known = samples.get(replica.service)
+            if known is None or (
+                replica.zone == self._zone != known.zone
+                and not replica.is_missing
+            ):
+                samples[replica.service] = replica
+        return list(samples.values())
+
     def find(self, name: str) -> model.Replica | None:
         """Returns the replica for which an instance receives requests."""
         self._refresh()
--- a/src/hickorylead/relaying/messages.py
+++ b/src/hickorylead/relaying/messages.py
@@ -41,14 +41,14 @@
         relay: The gateway that offers.
         address: `ip:port` of its relay port.
         token: Proves to the relay that it has made this offer.
-        unreachable: Servers to which the relay cannot connect either.
+        reachable: Servers to which the relay can connect.
     """
 
     origin: str
     relay: str
     address: str
     token: str
-    unreachable: tuple[Scope, ...] = ()
+    reachable: tuple[Scope, ...] = ()
 
 
 @attrs.frozen
--- a/src/hickorylead/relaying/relay_directory.py
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -38,7 +38,7 @@
         node: Its node name.
         address: `ip:port` of its relay port.
         token: Token of its offer.
-        unreachable: Servers to which it cannot connect either.
+        reachable: Servers to which it can connect.
         offered_at: When its latest offer arrived.
         avoided_until: When it may be used again after a failure.
         requests: Requests of this gateway that it relays at present.
@@ -47,7 +47,7 @@
     node: str
     address: str
     token: str
-    unreachable: frozenset[messages.Scope]
+    reachable: frozenset[messages.Scope]
     offered_at: float
     avoided_until: float = -1e9
     requests: int = 0
@@ -98,7 +98,7 @@
                 offer.relay, offer.address, offer.token, frozenset(), now
             )
         known.address = offer.address
-        known.unreachable = frozenset(offer.unreachable)
+        known.reachable = frozenset(offer.reachable)
         known.offered_at = now
 
     def choose(self, scope: messages.Scope, now: float) -> Relay | None:
@@ -112,7 +112,7 @@
             for relay in self._relays.values()
             if now - relay.offered_at < OFFER_TTL_S
             and now >= relay.avoided_until
-            and scope not in relay.unreachable
+            and scope in relay.reachable
         ]
         if not usable:
             return None
@@ -128,6 +128,13 @@
         avoid_s = REFUSED_AVOID_S if has_refused else AVOID_S
         relay.avoided_until = now + avoid_s
 
+    def extend_offer(self, relay: Relay, now: float) -> None:
+        """Records a complete response through a relay.
+
+        Its offer remains valid, also while no coordinator can renew it.
+        """
+        relay.offered_at = now
+
     def prune(self, now: float) -> None:
         """Drops relays whose offers have expired."""
         for node, relay in list(self._relays.items()):
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -421,6 +421,7 @@
                     )
                 )
             case relay_messages.RelayOffer(origin):
+                self._relay_broker.record_offer(message, now)
                 return [interface.Send(origin, message)]
             case messages.StallNews(sender, heads):
                 effects = self._forward_stalls(message, now)
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -38,7 +38,11 @@
     messages as limit_messages,
     permit_pool as permit_pool_module,
 )
-from hickorylead.relaying import messages as relay_messages, relay_directory
+from hickorylead.relaying import (
+    messages as relay_messages,
+    relay_directory,
+    relay_offers,
+)
 from hickorylead.roles import interface, nodes
 
 if TYPE_CHECKING:
@@ -148,7 +152,9 @@
         self._zone = nodes.get_zone(identity.node)
         self._decode_document = decode_document
         self._registry = registry_module.Registry()
-        self._directory = replica_directory.ReplicaDirectory(self._registry)
+        self._directory = replica_directory.ReplicaDirectory(
+            self._registry, zone=self._zone
+        )
         self._health = health.HealthTracker()
         self._guard = crash_guard_module.CrashGuard(identity.node)
         self._notices = notice_store_module.NoticeStore()
@@ -160,6 +166,13 @@
             identity.node, first=identity.boot, rng=rng
         )
         self._relays = relay_directory.RelayDirectory(self._zone, rng)
+        self._offers = relay_offers.RelayOffers(
+            identity.node,
+            address=identity.relay_address,
+            token=identity.relay_token,
+            directory=self._directory,
+            reachability=self._reachability,
+        )
         self._connections = connection_monitor.ConnectionMonitor(
             directory=self._directory,
             health=self._health,
@@ -314,6 +327,8 @@
             case interface.StopRequested():
                 self._stopping = True
                 return [notes.note("stopping", open=self.count_pending())]
+            case events.ServerProbed():
+                return self._handle_probe(event, now)
             case _:
                 effects: list[GatewayEffect] = [
                     *self._forwarder.handle(event, now),
@@ -414,19 +429,22 @@
         return [interface.Send(node, request) for node in targets]
 
     def _offer_relay(
-        self, sender: str, request: relay_messages.RelayRequest
+        self, sender: str, request: relay_messages.RelayRequest, now: float
     ) -> list[GatewayEffect]:
         """Offers to relay requests of another gateway, if this one can."""
-        if not (self.is_ready() and self._identity.relay_address):
+        if not self.is_ready():
             return []
-        offer = relay_messages.RelayOffer(
-            origin=request.origin,
-            relay=self._identity.node,
-            address=self._identity.relay_address,
-            token=self._identity.relay_token,
-            unreachable=self._reachability.list_unreachable(),
-        )
-        return [interface.Send(sender, offer)]
+        sent, probes = self._offers.handle_request(request, sender, now)
+        return [*(interface.Send(*offer) for offer in sent), *probes]
+
+    def _handle_probe(
+        self, event: events.ServerProbed, now: float
+    ) -> list[GatewayEffect]:
+        effects: list[GatewayEffect] = [*self._forwarder.handle(event, now)]
+        if not event.failure:
+            sent = self._offers.collect_offers(now)
+            effects += [interface.Send(*offer) for offer in sent]
+        return effects
 
     def _report_faulty_servers(
         self, home_coordinator: str, now: float
@@ -589,7 +607,7 @@
                 if self._permits.handle_reply(message, now):
                     return [*self._forwarder.dispatch_waiting(now)]
             case relay_messages.RelayRequest():
-                return self._offer_relay(sender, message)
+                return self._offer_relay(sender, message, now)
             case relay_messages.RelayOffer(origin):
                 if origin == self._identity.node:
                     self._relays.record_offer(message, now)
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -575,7 +575,7 @@
   relay @1 :Text;
   address @2 :Text;
   token @3 :Text;
-  unreachable @4 :List(Scope);
+  reachable @4 :List(Scope);
 }
 
 struct RelayOpen {
--- a/tests/steps/relay_forwarding_steps.py
+++ b/tests/steps/relay_forwarding_steps.py
@@ -20,7 +20,13 @@
     """Delivers an offer of each relay."""
     for name in RELAYS:
         harness.relays.record_offer(
-            messages.RelayOffer("z1/front1/gateway", name, f"{name}:1", name),
+            messages.RelayOffer(
+                "z1/front1/gateway",
+                name,
+                f"{name}:1",
+                name,
+                (messages.Scope("plain", "z1"),),
+            ),
             harness.now,
         )
 
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -48,7 +48,7 @@
         rng = random.Random(1)
         self.permits = permit_pool.PermitPool("z1/front1", first=1, rng=rng)
         self.relays = relay_directory.RelayDirectory("z1", rng)
-        directory = replica_directory.ReplicaDirectory(self.registry)
+        directory = replica_directory.ReplicaDirectory(self.registry, zone="z1")
         self.directory = directory
         self.forwarder = forwarder.Forwarder(
             chooser=choice.Chooser(
--- a/tests/support/traffic_simulation.py
+++ b/tests/support/traffic_simulation.py
@@ -40,6 +40,7 @@
         retry_after_s: Retry time of a refusal, in seconds.
         refused_at: Time of the refusal.
         submitted_at: Time at which it was sent to the gateway.
+        runs_once: Whether it may run once only.
     """
 
     name: str
@@ -51,6 +52,7 @@
     retry_after_s: float | None = None
     refused_at: float = 0.0
     submitted_at: float = 0.0
+    runs_once: bool = False
 
 
 @attrs.frozen
@@ -122,6 +124,8 @@
         self.keeps_connections = False
         # Gateways that cannot connect to each other, as (origin, relay).
         self.relay_partitions: set[tuple[str, str]] = set()
+        # Share of the requests that may run once only.
+        self.once_share = 0.0
         # Origin, relay and server of each exchange through a relay.
         self.relayed: list[tuple[str, str, str]] = []
 
@@ -130,11 +134,16 @@
     ) -> Submission:
         """Sends a request to a gateway."""
         name = f"r{next(self._count)}"
+        runs_once = int(name[1:]) % 100 < 100 * self.once_share
         submission = Submission(
-            name, gateway, body, submitted_at=self.simulation.now
+            name,
+            gateway,
+            body,
+            submitted_at=self.simulation.now,
+            runs_once=runs_once,
         )
         self.submissions[name] = submission
-        route = ROUTES["drafts"]
+        route = attrs.evolve(ROUTES["drafts"], resumable=not runs_once)
         request = model.Request(
             request_id=name,
             metadata=model.RequestMetadata(
