Send a request whose connection was lost over a new connection

What callers saw: in the first second after a gateway lost its connections, streams were moved to idle connections that were lost too.

The new scenario fails on the code before.

--- a/src/hickorylead/forwarding/events.py
+++ b/src/hickorylead/forwarding/events.py
@@ -113,6 +113,7 @@
         last_event_id: Id of the last event that the caller has; 0 if none.
         rank: Its rank among the replica's requests, 0 to 9; 0 goes first.
         relay: Gateway through which it is sent; None if directly.
+        is_fresh: Whether a new connection must be used.
     """
 
     request: model.Request
@@ -122,6 +123,7 @@
     last_event_id: int
     rank: int
     relay: relay_directory.Relay | None = None
+    is_fresh: bool = False
 
 
 @attrs.frozen
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -369,6 +369,9 @@
                 last_event_id=pending.last_event_id,
                 rank=ranks.find_rank(pending),
                 relay=attempt.relay,
+                # Idle connections may have been lost along with that of the
+                # previous attempt, and the request may not run once more.
+                is_fresh=pending.has_lost_connection,
             )
         ]
         if attempt.number > 1:
@@ -509,6 +512,7 @@
             self._record_lost_run(pending, attempt, now)
         if reason in model.UNSENT_FAILURES:
             pending.unsent_count += 1
+        pending.has_lost_connection = reason in model.CONNECTION_LOSSES
         effects += self._end_attempt(pending, verdict)
         if is_at_fault:
             pending.failed_replicas.add(attempt.replica.name)
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -21,6 +21,8 @@
 RELAY_REFUSED = "relay_refused"
 RELAY_LOST = "relay_lost"
 RELAY_FAILURES = frozenset({RELAY_UNREACHABLE, RELAY_REFUSED, RELAY_LOST})
+# Reason codes of attempts whose connection was lost, or silent for too long.
+CONNECTION_LOSSES = frozenset({"closed", "reset", "stalled", "no_answer"})
 # Reason code of an attempt whose relay could not connect to the replica either.
 RELAY_NO_SERVER = "relay_no_server"
 # Reason codes of attempts that ended before the request was sent.
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -96,6 +96,8 @@
             was.
         last_event_at: When its caller was last sent an event.
         longest_gap_s: Longest time between two events, in seconds.
+        has_lost_connection: Whether its latest attempt lost its connection, or
+            got no response on it.
         request_hash: Hash of what is requested; the same for each submission.
     """
 
@@ -117,6 +119,7 @@
     first_sent_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    has_lost_connection: bool = False
     request_hash: int = 0
 
     def record_events(self, now: float) -> None:
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -314,7 +314,10 @@
         exchange: upstream.Exchange | relay_client.RelayExchange
         if attempt.relay is None:
             exchange = self._pool.send_request(
-                attempt.replica.address, data, receiver
+                attempt.replica.address,
+                data,
+                receiver,
+                fresh=attempt.is_fresh,
             )
         else:
             exchange = self._relay_pool.send_request(
--- a/tests/relaying/forwarding.feature
+++ b/tests/relaying/forwarding.feature
@@ -44,6 +44,12 @@
     When a non-idempotent call gets "relay_refused" from a relay
     Then the call is sent through the other relay
 
+  Scenario: A request whose connection was lost is sent again over a new one
+    The idle connections to the other servers may be lost too, and a request
+    that is sent on one of these could not be sent a third time.
+    When the connection of an idempotent call is reset
+    Then the call is sent again over a new connection
+
   Scenario: A request that its relay may have sent spends a retry
     Given connections to the replicas fail
     And no retries are left for the calls
--- a/tests/steps/relay_forwarding_steps.py
+++ b/tests/steps/relay_forwarding_steps.py
@@ -174,6 +174,19 @@
             relay.avoided_until = harness.now
 
 
+@when("the connection of an idempotent call is reset")
+def _(context):
+    context.name = context.harness.send_request("notices")
+    context.harness.fail(context.name, Verdict.MAY_HAVE_RUN, "reset")
+
+
+@then("the call is sent again over a new connection")
+def _(context):
+    first, second = context.harness.list_attempts(context.name)
+    assert not first.is_fresh
+    assert second.is_fresh and second.relay is None, second
+
+
 @then("the call was sent once")
 def _(context):
     assert len(context.harness.list_attempts(context.name)) == 1
