Withdraw the offers of relays that lost their own connections

A refusal says what the relay does not reach, failed connections end its proof, and gateways ask again after half a second if they know no relay.

--- a/src/hickorylead/forwarding/connection_monitor.py
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -128,16 +128,20 @@
             case model.RELAY_NO_SERVER:
                 # Until its next offer it is unknown whether the relay reaches
                 # any server there, or only this one is down.
-                relay.reachable -= {
-                    reachability_module.find_scope(attempt.replica)
-                }
+                scope = reachability_module.find_scope(attempt.replica)
+                self._relays.withdraw(relay, scope)
                 self._health.mark_stalled(
                     attempt.replica, now, is_confirmed=False
                 )
+            case model.RELAY_NO_ZONE:
+                scope = reachability_module.find_scope(attempt.replica)
+                self._relays.withdraw(relay, scope)
+            case model.RELAY_REFUSED:
+                self._relays.withdraw(relay)
             case model.RELAY_UNREACHABLE | model.RELAY_LOST:
-                self._relays.avoid(relay, has_refused=False, now=now)
-            case model.RELAY_REFUSED | "stalled" | "no_answer":
-                self._relays.avoid(relay, has_refused=True, now=now)
+                self._relays.avoid(relay, is_silent=False, now=now)
+            case "stalled" | "no_answer":
+                self._relays.avoid(relay, is_silent=True, now=now)
 
     def tick(self, now: float) -> list[events.Effect]:
         """Sends the probes that are due."""
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -44,7 +44,7 @@
 MAX_SENDS = 4
 # Maximum number of attempts of one request that end before it is sent, because
 # a connection fails. Each may take as long as a connection timeout.
-MAX_UNSENT = 4
+MAX_UNSENT = 6
 # Number of retries that the budget must cover before a request may be sent as a
 # probe to a server whose pause has ended and that may refuse it: one retry for
 # this request, and one for another request that needs it.
@@ -287,7 +287,7 @@
                         withheld, is_needed=True, now=now
                     )
                 if chosen.unreachable_count:
-                    self._relays.record_need(now)
+                    self._relays.record_need(is_lacking=True, now=now)
                 if self._may_wait(pending, chosen, now + wait_s):
                     pending.phase = "waiting"
                     return []
@@ -343,7 +343,7 @@
             pending.attempt_count, replica, now, now, relay=chosen.relay
         )
         if chosen.relay is not None:
-            self._relays.record_need(now)
+            self._relays.record_need(is_lacking=False, now=now)
             chosen.relay.requests += 1
         if request.is_stream:
             attempt.splitter = stream.EventSplitter(pending.last_event_id)
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -16,11 +16,15 @@
 CONNECT_REFUSED = "unreachable"
 CONNECT_FAILURES = frozenset({CONNECT_TIMEOUT, CONNECT_REFUSED})
 # Reason codes of an attempt through a relay: the relay could not be connected
-# to, refused the request before it was sent, or was lost after that.
+# to, takes no requests, cannot connect to any server of the replica's zone, or
+# was lost after the request was sent.
 RELAY_UNREACHABLE = "relay_unreachable"
 RELAY_REFUSED = "relay_refused"
+RELAY_NO_ZONE = "relay_no_zone"
 RELAY_LOST = "relay_lost"
-RELAY_FAILURES = frozenset({RELAY_UNREACHABLE, RELAY_REFUSED, RELAY_LOST})
+RELAY_FAILURES = frozenset(
+    {RELAY_UNREACHABLE, RELAY_REFUSED, RELAY_NO_ZONE, RELAY_LOST}
+)
 # Reason codes of attempts whose connection was lost, or silent for too long.
 CONNECTION_LOSSES = frozenset({"closed", "reset", "stalled", "no_answer"})
 # Reason code of an attempt whose relay could not connect to the replica either.
@@ -29,6 +33,7 @@
 UNSENT_FAILURES = CONNECT_FAILURES | {
     RELAY_UNREACHABLE,
     RELAY_REFUSED,
+    RELAY_NO_ZONE,
     RELAY_NO_SERVER,
 }
 
--- a/src/hickorylead/forwarding/reachability.py
+++ b/src/hickorylead/forwarding/reachability.py
@@ -157,15 +157,15 @@
     def list_connected(
         self, within_s: float, now: float
     ) -> tuple[messages.Scope, ...]:
-        """Returns the services and zones with a recent new connection."""
+        """Returns the services and zones with a recent new connection.
+
+        Those to which connections have begun to fail since are left out.
+        """
         return tuple(
             scope
             for scope, at in self._connected_at.items()
             if now - at < within_s
-            and (
-                scope not in self._scopes
-                or self._scopes[scope].unreachable_since is None
-            )
+            and (scope not in self._scopes or not self._scopes[scope].fresh)
         )
 
     def list_failed(self, replica: model.Replica) -> list[model.Replica]:
--- a/src/hickorylead/relaying/relay_directory.py
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -12,19 +12,23 @@
 if TYPE_CHECKING:
     import random
 
-# Period at which a gateway asks for relays while it needs them, in seconds.
+# Period at which a gateway renews its relays while it needs them, in seconds.
 REQUEST_PERIOD_S = 1.0
+# The same period while it knows no relay for a request, in seconds.
+URGENT_REQUEST_PERIOD_S = 0.5
+# Time within which the first offers arrive after a request, in seconds: messages
+# take two round trips, and relays may have to probe a server.
+OFFER_WAIT_S = 0.1
 # Time for which relays are asked for after a request needed one, in seconds.
 NEED_TTL_S = 2.0
 # Time for which an offer is used, in seconds: a request for relays or an offer
 # may be lost.
 OFFER_TTL_S = 2.5
-# Time within which offers arrive if there is any relay, in seconds.
-OFFER_WAIT_S = 0.3
-# Time for which a relay is not used after it failed, in seconds.
+# Time for which a relay is not used after it was lost, in seconds.
 AVOID_S = 3.0
-# Time for which a relay is not used after it refused a request, in seconds.
-REFUSED_AVOID_S = 0.5
+# Time for which a relay is not used after its requests went silent, in
+# seconds: the server may be at fault.
+SILENT_AVOID_S = 0.5
 # A relay in another zone is chosen as if it had this many more requests of this
 # gateway: traffic between zones is expensive.
 REMOTE_ZONE_REQUESTS = 2
@@ -66,29 +70,37 @@
         self._zone = zone
         self._rng = rng
         self._relays: dict[str, Relay] = {}
-        self._first_needed_at = -1e9
         self._needed_at = -1e9
-        self._next_request = -1e9
+        self._lacked_at = -1e9
+        self._requested_at = -1e9
 
-    def record_need(self, now: float) -> None:
-        """Records that a request needs a relay, whether one is known or not."""
-        if not self._is_needed(now):
-            self._first_needed_at = now
-        self._needed_at = now
+    def record_need(self, *, is_lacking: bool, now: float) -> None:
+        """Records that a request needs a relay.
 
-    def _is_needed(self, now: float) -> bool:
-        return now - self._needed_at < NEED_TTL_S
+        Args:
+            is_lacking: Whether no relay is known for it.
+            now: Present time.
+        """
+        self._needed_at = now
+        if is_lacking:
+            self._lacked_at = now
 
     def is_request_due(self, now: float) -> bool:
         """Returns whether to ask for relays now; the request then counts."""
-        if not self._is_needed(now) or now < self._next_request:
+        is_urgent = self._lacked_at > self._requested_at
+        period_s = URGENT_REQUEST_PERIOD_S if is_urgent else REQUEST_PERIOD_S
+        if (
+            now - self._needed_at >= NEED_TTL_S
+            or now - self._requested_at < period_s
+        ):
             return False
-        self._next_request = now + REQUEST_PERIOD_S
+        self._requested_at = now
         return True
 
     def may_get_offers(self, now: float) -> bool:
-        """Returns whether first offers may still arrive."""
-        return now - self._first_needed_at < OFFER_WAIT_S
+        """Returns whether offers may arrive soon."""
+        waited_s = now - self._requested_at
+        return waited_s < OFFER_WAIT_S or waited_s >= URGENT_REQUEST_PERIOD_S
 
     def record_offer(self, offer: messages.RelayOffer, now: float) -> None:
         """Records an offer."""
@@ -123,9 +135,21 @@
         is_remote = nodes.get_zone(relay.node) != self._zone
         return relay.requests + REMOTE_ZONE_REQUESTS * is_remote
 
-    def avoid(self, relay: Relay, *, has_refused: bool, now: float) -> None:
-        """Records that a relay failed, or refused a request."""
-        avoid_s = REFUSED_AVOID_S if has_refused else AVOID_S
+    def withdraw(
+        self, relay: Relay, scope: messages.Scope | None = None
+    ) -> None:
+        """Withdraws an offer until the relay renews it.
+
+        Args:
+            relay: The relay.
+            scope: What it does not reach; None for all of its offer.
+        """
+        lost = relay.reachable if scope is None else {scope}
+        relay.reachable -= lost
+
+    def avoid(self, relay: Relay, *, is_silent: bool, now: float) -> None:
+        """Records that a relay was lost, or that its requests went silent."""
+        avoid_s = SILENT_AVOID_S if is_silent else AVOID_S
         relay.avoided_until = now + avoid_s
 
     def extend_offer(self, relay: Relay, now: float) -> None:
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -25,6 +25,7 @@
     events,
     forwarder as forwarder_module,
     health,
+    model,
     reachability as reachability_module,
     replica_directory,
     routes as routes_module,
@@ -50,7 +51,6 @@
     import random
 
     from hickorylead.configuration import document as document_module
-    from hickorylead.forwarding import model
 
 # Shortest and longest time between two ticks while requests are pending, and
 # time between two ticks without requests, in seconds. A request that starts to
@@ -283,18 +283,17 @@
 
         Only servers are connected to: a relay never uses another relay.
         """
-        if not hmac.compare_digest(
+        is_known = hmac.compare_digest(
             opening.token.encode(), self._identity.relay_token.encode()
-        ):
-            return "wrong_token"
-        if self._stopping:
-            return "stopping"
+        )
+        if self._stopping or not is_known:
+            return model.RELAY_REFUSED
         instance = self._registry.instances.get(opening.server)
         if instance is None or instance.address != opening.address:
-            return "unknown_server"
+            return model.RELAY_NO_SERVER
         scope = relay_messages.Scope(instance.service, instance.zone)
         if scope in self._reachability.list_unreachable():
-            return "servers_unreachable"
+            return model.RELAY_NO_ZONE
         return ""
 
     def find_replica(self, name: str) -> model.Replica | None:
--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -178,7 +178,7 @@
         # Nothing of the request was sent.
         self._channel = None
         pool.release(address, channel)
-        is_known = reason in (model.RELAY_UNREACHABLE, model.RELAY_NO_SERVER)
+        is_known = reason in model.UNSENT_FAILURES
         self._fail(reason if is_known else model.RELAY_REFUSED)
 
     def _fail(self, reason: str) -> None:
--- a/src/hickorylead/runtime/relay_server.py
+++ b/src/hickorylead/runtime/relay_server.py
@@ -195,7 +195,7 @@
         """Returns why an exchange is refused; empty if it is accepted."""
         reason = self._check(opening)
         if not reason and self.count_active() >= MAX_EXCHANGES:
-            return "busy"
+            return model.RELAY_REFUSED
         return reason
 
     def count_active(self) -> int:
