--- a/src/hickorylead/relaying/relay_directory.py
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -16,8 +16,8 @@
 REQUEST_PERIOD_S = 1.0
 # The same period while it knows no relay for a request, in seconds.
 URGENT_REQUEST_PERIOD_S = 0.5
-# Time within which the first offers arrive after a request, in seconds: messages
-# take two round trips, and relays may have to probe a server.
+# Time within which the first offers arrive after a request, in seconds:
+# messages take two round trips, and relays may have to probe a server.
 OFFER_WAIT_S = 0.1
 # Time for which relays are asked for after a request needed one, in seconds.
 NEED_TTL_S = 2.0
--- /dev/null
+++ b/tests/steps/relay_process_steps.py
@@ -0,0 +1,246 @@
+"""Steps about relays of real gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from behave import given, then, when
+from support import platform_cluster
+
+from hickorylead_standins import platform
+
+EVENT_COUNT = 12
+METRICS = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+COUNTS = {"two": 2, "three": 3}
+
+
+def fail_connections(process, kind):
+    """Makes new connections of a gateway to servers fail."""
+
+    async def connect(_):
+        if kind == "hang":
+            await asyncio.Event().wait()
+        raise ConnectionRefusedError
+
+    process._pool.close()
+    process._pool._connect = connect
+
+
+def restore_connections(process):
+    """Makes new connections of a gateway work again."""
+    del process._pool._connect
+
+
+async def call_until_relayed(cluster):
+    """Sends calls until one is relayed; the first ones notice the fault."""
+    for _ in range(20):
+        before = cluster.gateway._relay_pool.request_count
+        response = await cluster.send_request("/alerts/1", b"words")
+        if cluster.gateway._relay_pool.request_count > before:
+            return response
+    raise AssertionError("no call was relayed")
+
+
+def run(context, session):
+    """Runs a session on a cluster with the given number of gateways."""
+    context.record = asyncio.run(
+        platform_cluster.run_session(session, gateways=context.gateways)
+    )
+
+
+@given("a cluster with {count} gateways")
+def _(context, count):
+    context.gateways = COUNTS[count]
+
+
+@when("new connections of the first gateway {fault}")
+def _(context, fault):
+    async def session(cluster):
+        fail_connections(cluster.gateway, fault)
+        await call_until_relayed(cluster)
+        before = cluster.count_received()
+        context.responses = [
+            await cluster.send_request(f"/alerts/{n}?x=%2f", b"tree %d" % n)
+            for n in range(5)
+        ]
+        context.responses.append(await send_stream(cluster))
+        context.received = [
+            request
+            for server in cluster.servers
+            for request in server.received[before[server.name] :]
+        ]
+        context.metrics = [
+            (await platform.send_raw(address, METRICS)).decode()
+            for address in cluster.metrics_addresses
+        ]
+
+    run(context, session)
+
+
+async def send_stream(cluster):
+    """Sends a streaming request; returns the raw response."""
+    for server in cluster.servers:
+        server.manner.events = EVENT_COUNT
+    return await cluster.send_request(
+        "/drafts/x",
+        b"words",
+        Model=platform_cluster.MODEL,
+        Token_Count="5,9",
+    )
+
+
+@then("its callers get complete responses with the servers' signatures")
+def _(context):
+    for response in context.responses:
+        assert response.startswith(b"HTTP/1.1 200"), response[:80]
+        assert b"server-seal: seal." in response.lower(), response
+    check_stream(context.responses[-1])
+
+
+@then("no server gets a key, and each gets the caller's bytes")
+def _(context):
+    assert len(context.received) == 6, context.received
+    for request in context.received:
+        assert "authorization" not in request.headers, request
+        assert request.headers["tenant"] == "crew", request
+    sent = {(r.target, r.body) for r in context.received}
+    expected = {(f"/alerts/{n}?x=%2f", b"tree %d" % n) for n in range(5)}
+    assert expected < sent, sent
+
+
+def check_stream(response):
+    """Checks that a response is a complete stream without repeated events."""
+    ids = [int(n) for n in re.findall(rb"\bid: ?(\d+)", response)]
+    assert ids == list(range(1, EVENT_COUNT + 1)), ids
+    assert response.endswith(b"0\r\n\r\n"), response[-40:]
+
+
+@then("the caller gets each event once and a complete stream")
+def _(context):
+    check_stream(context.response)
+
+
+@when("connections of the first gateway fail during some calls only")
+def _(context):
+    async def session(cluster):
+        fail_connections(cluster.gateway, "are refused")
+        await call_until_relayed(cluster)
+        restore_connections(cluster.gateway)
+        await cluster.wait_for(
+            lambda: not cluster.gateway.role._reachability.has_failures()
+        )
+        context.count = cluster.gateway._relay_pool.request_count
+        context.responses = [
+            await cluster.send_request("/alerts/1") for _ in range(5)
+        ]
+        context.count -= cluster.gateway._relay_pool.request_count
+
+    run(context, session)
+
+
+@then("its calls reach the servers directly afterwards")
+def _(context):
+    assert context.count == 0
+    assert all(r.startswith(b"HTTP/1.1 200") for r in context.responses)
+
+
+async def start_relayed_stream(cluster):
+    """Starts a stream that goes through a relay; returns it and the relay."""
+    fail_connections(cluster.gateway, "are refused")
+    await call_until_relayed(cluster)
+    stream = asyncio.ensure_future(send_stream(cluster))
+
+    def list_relays():
+        return [
+            p for p in cluster.gateways[1:] if p._relay_server.count_active()
+        ]
+
+    await cluster.wait_for(list_relays)
+    await cluster.wait_for(
+        lambda: any(
+            pending.attempt is not None and pending.attempt.has_output
+            for pending in cluster.gateway.role._forwarder._pending.values()
+        )
+    )
+    return stream, list_relays()[0]
+
+
+@when("the relay of a stream ends in the middle of it")
+def _(context):
+    async def session(cluster):
+        stream, relay = await start_relayed_stream(cluster)
+        relay._relay_server.close()
+        context.response = await stream
+
+    run(context, session)
+
+
+@when("the relay of a stream gets SIGTERM")
+def _(context):
+    async def session(cluster):
+        stream, relay = await start_relayed_stream(cluster)
+        relay._stop.set()
+        await cluster.wait_for(lambda: relay.role.is_stopping)
+        assert relay._relay_server.count_active() == 1
+        context.response = await stream
+        await cluster.wait_for(lambda: not relay._relay_server.count_active())
+        context.requests = cluster.gateway._relay_pool.request_count
+
+    run(context, session)
+
+
+@then("the relay stops only after that")
+def _(context):
+    # The stream went through the relay once and was not sent again.
+    assert context.response.count(b"id: 1\n") == 1
+
+
+@when("the gateway whose stream goes through a relay gets SIGTERM")
+def _(context):
+    async def session(cluster):
+        stream, _ = await start_relayed_stream(cluster)
+        cluster.gateway._stop.set()
+        context.response = await stream
+
+    run(context, session)
+
+
+@when("the caller of a stream that goes through a relay closes its connection")
+def _(context):
+    async def session(cluster):
+        stream, relay = await start_relayed_stream(cluster)
+        stream.cancel()
+        await cluster.wait_for(
+            lambda: not relay._relay_server.count_active(), 0.5
+        )
+        context.is_closed = True
+
+    run(context, session)
+
+
+@then("the server's connection closes within half a second")
+def _(context):
+    assert context.is_closed
+
+
+def read_metric(text, name):
+    """Returns the value of a gauge."""
+    found = re.search(rf"^hickorylead_{name} (\S+)$", text, re.MULTILINE)
+    assert found, name
+    return float(found[1])
+
+
+@then(
+    "the metrics of the first gateway show unreachable servers and relayed "
+    "requests"
+)
+def _(context):
+    assert read_metric(context.metrics[0], "unreachable_servers") > 0
+    assert read_metric(context.metrics[0], "relayed_requests_total") >= 6
+
+
+@then("the metrics of the second gateway show neither")
+def _(context):
+    assert read_metric(context.metrics[1], "unreachable_servers") == 0
+    assert read_metric(context.metrics[1], "relayed_requests_total") == 0
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -18,6 +18,7 @@
 ZONES = ("z1", "z2", "z3")
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 7601, 7602, 7603, 7604
 METRICS_PORT = 7605
+RELAY_PORT = 7606
 MODEL = "tiny"
 
 
@@ -77,9 +78,9 @@
 
 
 class PlatformCluster:
-    """Three coordinators, a gateway and backend servers."""
+    """Three coordinators, gateways and backend servers."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, *, gateways: int = 1) -> None:
         self.log_path = folder / "log.jsonl"
         self._log = os.open(self.log_path, os.O_WRONLY | os.O_CREAT)
         log = decisions.DecisionLog(
@@ -115,30 +116,38 @@
             )
             for number, zone in enumerate(ZONES, start=1)
         ]
-        self.gateway = gateway.GatewayProcess(
-            gateway.Settings(
-                vm="front1",
-                zone="z1",
-                ip="127.0.7.9",
-                caller_port=CALLER_PORT,
-                ready_port=READY_PORT,
-                peer_port=PEER_PORT,
-                seeds=seeds,
-                metrics_port=METRICS_PORT,
-                grace_s=3.0,
-            ),
-            header_codec=headers.PlatformHeaderCodec(),
-            decode_document=documents.decode_compressed,
-            reload=lambda: None,
-            log=log,
-        )
+        self.gateways = [
+            gateway.GatewayProcess(
+                gateway.Settings(
+                    vm=f"front{number}",
+                    zone="z1",
+                    ip=f"127.0.7.{8 + number}",
+                    caller_port=CALLER_PORT,
+                    ready_port=READY_PORT,
+                    peer_port=PEER_PORT,
+                    relay_port=RELAY_PORT,
+                    seeds=seeds,
+                    metrics_port=METRICS_PORT,
+                    grace_s=3.0,
+                ),
+                header_codec=headers.PlatformHeaderCodec(),
+                decode_document=documents.decode_compressed,
+                reload=lambda: None,
+                log=log,
+            )
+            for number in range(1, gateways + 1)
+        ]
+        self.gateway = self.gateways[0]
+        self.metrics_addresses = [
+            f"{process.settings.ip}:{METRICS_PORT}" for process in self.gateways
+        ]
         self.caller_address = f"127.0.7.9:{CALLER_PORT}"
         self.servers: list[platform.PlatformServer] = []
         self.lines: list[str] = []
 
     async def start(self) -> None:
         """Starts all processes and servers and waits until they serve."""
-        processes = [*self.coordinators, self.gateway]
+        processes = [*self.coordinators, *self.gateways]
         self._tasks = [asyncio.ensure_future(p.run()) for p in processes]
         await self.wait_for(
             lambda: any(
@@ -152,10 +161,10 @@
         for number in range(2):
             await self._add(f"p{number}", "desk", 30 + number, None)
         await self.configure(3)
-        await self.wait_for(lambda: len(self.list_model_replicas()) == 2)
         await self.wait_for(
-            lambda: (
-                len(self.gateway.role._directory.list_replicas("desk", "")) == 2
+            lambda: all(
+                process.role.count_replicas()["replicas"] == 4
+                for process in self.gateways
             )
         )
 
@@ -175,7 +184,7 @@
         """Stops all servers and processes."""
         for server in self.servers:
             server.stop()
-        for process in [*self.coordinators, self.gateway]:
+        for process in [*self.coordinators, *self.gateways]:
             process._stop.set()
         await asyncio.wait(self._tasks, timeout=10)
         os.close(self._log)
@@ -262,10 +271,10 @@
         return "\n".join(self.lines) + "\n"
 
 
-async def run_session(session) -> str:
+async def run_session(session, *, gateways: int = 1) -> str:
     """Runs a session on a new cluster; returns the record."""
     with tempfile.TemporaryDirectory() as folder:
-        cluster = PlatformCluster(pathlib.Path(folder))
+        cluster = PlatformCluster(pathlib.Path(folder), gateways=gateways)
         try:
             await cluster.start()
             cluster.lines.clear()
