Cut gateways off from the servers in the soak

New connections hang or are refused by a firewall in front of the real program; open ones hang, are reset or work on.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -12,7 +12,15 @@
 
 import attrs
 
-from soak import callers, checker as checker_module, engines, links, nodes, plan
+from soak import (
+    callers,
+    checker as checker_module,
+    engines,
+    firewall,
+    links,
+    nodes,
+    plan,
+)
 
 CALLER_COUNT = 12
 # The cluster must serve this long after the end of the last fault, when all
@@ -96,6 +104,9 @@
                 task.cancel()
             await self._stop()
         self.checker.finish()
+        self.checker.checked["relayed attempts"] += sum(
+            node.count_relayed() for node in self.gateways
+        )
         counts = collections.Counter(o.status for o in self.checker.outcomes)
         return Result(
             self.seed,
@@ -253,6 +264,9 @@
                 self._server_faults.lost_response_share = share
                 await asyncio.sleep(duration_s)
                 self._server_faults.lost_response_share = 0.0
+            case plan.Isolate(names, duration_s, kind):
+                hit = [self.nodes[name] for name in names]
+                await self._isolate(hit, duration_s, kind)
             case plan.DelayOrders(share, duration_s):
                 self._server_faults.late_order_share = share
                 await asyncio.sleep(duration_s)
@@ -301,6 +315,33 @@
         for rule in rules:
             self.links.remove(rule)
 
+    async def _isolate(
+        self, hit: list[nodes.Node], duration_s: float, kind: str
+    ) -> None:
+        """Cuts gateways off from all backend servers for some time."""
+        gateways = frozenset(node.bind_ip for node in hit)
+        servers = frozenset(
+            f"127.{78 + self._slot}.4.{place + 1}"
+            for place in range(len(self._places))
+        )
+        for node in hit:
+            mode = firewall.HANG if kind == "hang" else firewall.REFUSE
+            node.firewall.write_text(mode, encoding="utf-8")
+        if kind == "hang":
+            await self._apply_rules(
+                duration_s,
+                links.Rule(gateways, servers, math.inf),
+                links.Rule(servers, gateways, math.inf),
+            )
+        else:
+            if kind == "reset":
+                for found in self.links.find(gateways):
+                    if found.server in servers:
+                        found.reset()
+            await asyncio.sleep(duration_s)
+        for node in hit:
+            node.firewall.unlink(missing_ok=True)
+
     async def _replace_server(self, place: int, down_s: float) -> None:
         engine, self._by_place[place] = self._by_place[place], None
         if engine is None:
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -13,8 +13,13 @@
 
 import attrs
 
+from soak import firewall
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CALLER_PORT, READY_PORT, CONTROL_PORT, PEER_PORT = 7801, 7802, 7803, 7804
+# The first port after the peer port.
+RELAY_PORT = 7805
+FIREWALL = ROOT / "tests/soak/firewall.py"
 ZONES = ("z1", "z2", "z3")
 GRACE_S = 8.0
 HEARTBEAT_S = 0.4
@@ -64,9 +69,19 @@
     def ports(self) -> tuple[int, ...]:
         """Ports that it listens on."""
         if self.role == "gateway":
-            return (CALLER_PORT, READY_PORT, PEER_PORT)
+            return (CALLER_PORT, READY_PORT, PEER_PORT, RELAY_PORT)
         return (CONTROL_PORT, PEER_PORT)
 
+    @property
+    def firewall(self) -> pathlib.Path:
+        """File that exists while the node is cut off from backend servers."""
+        return self.folder / "firewall"
+
+    def count_relayed(self) -> int:
+        """Returns the logged attempts that went through a relay."""
+        log = self.folder / "log.jsonl"
+        return log.read_bytes().count(b'"relay":"z') if log.exists() else 0
+
     def write_settings(self, seeds: list[str], *, is_bootstrap: bool) -> None:
         """Writes its settings file."""
         lines = [
@@ -111,10 +126,12 @@
             "PYTHONPATH": str(sources),
             "HICKORYLEAD_NODE_FILE": str(self.folder / "node.conf"),
             "HICKORYLEAD_BIND_IP": self.bind_ip,
+            firewall.FILE_VARIABLE: str(self.firewall),
+            firewall.PREFIX_VARIABLE: f"127.{78 + self.slot}.3.",
         }
         with (self.folder / "log.jsonl").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hickorylead.platform", self.role],
+                [sys.executable, str(FIREWALL), self.role],
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -138,6 +138,23 @@
     duration_s: float
 
 
+@attrs.frozen
+class Isolate:
+    """Gateways lose their connections to all backend servers.
+
+    Attributes:
+        nodes: The gateways.
+        duration_s: How long it lasts.
+        kind: `hang`: open connections and new ones hang; `reset`: open ones are
+            reset, new ones refused; `refuse`: open ones work, new ones are
+            refused.
+    """
+
+    nodes: tuple[str, ...]
+    duration_s: float
+    kind: str
+
+
 Fault = (
     Kill
     | KillRole
@@ -154,6 +171,7 @@
     | Change
     | LoseResponses
     | DelayOrders
+    | Isolate
 )
 
 
@@ -203,7 +221,7 @@
         if not self.is_planned_only:
             kinds += [Kill, KillRole, Wipe, Freeze, Partition, Delay, Reset]
             kinds += [Blackhole, Crash, Kill, Partition, Crash]
-            kinds += [LoseResponses, DelayOrders]
+            kinds += [LoseResponses, DelayOrders, Isolate, Isolate]
         first = self.rng.choice(kinds)
         return [
             first if self.rng.random() < 0.5 else self.rng.choice(kinds)
@@ -247,6 +265,13 @@
                 return Drain(rng.randrange(self._servers))
             case "LoseResponses":
                 return LoseResponses(rng.uniform(0.02, 0.2), duration_s)
+            case "Isolate":
+                count = rng.randint(1, len(self._gateways) - 1)
+                return Isolate(
+                    tuple(rng.sample(self._gateways, count)),
+                    duration_s + 1.0,
+                    rng.choice(("hang", "reset", "refuse")),
+                )
             case "DelayOrders":
                 return DelayOrders(rng.uniform(0.2, 0.6), duration_s)
         return Change(rng.random() < 0.4)
