Spread relayed requests, and bound what asking for relays costs

Coordinators ask 4 gateways of the zone and 8 others, in an order of each gateway's own; those that made no offer come last. Offers are renewed every 2 s: at most 30 messages a second for each isolated gateway of 72, 60 of which are isolated. A relay that refuses is not tried again until it renews its offer, and one whose event loop is late refuses: its own callers go first.

--- a/src/hickorylead/forwarding/connection_monitor.py
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -133,10 +133,7 @@
                 self._health.mark_stalled(
                     attempt.replica, now, is_confirmed=False
                 )
-            case model.RELAY_NO_ZONE:
-                scope = reachability_module.find_scope(attempt.replica)
-                self._relays.withdraw(relay, scope)
-            case model.RELAY_REFUSED:
+            case model.RELAY_REFUSED | model.RELAY_NO_ZONE:
                 self._relays.withdraw(relay)
             case model.RELAY_UNREACHABLE | model.RELAY_LOST:
                 self._relays.avoid(relay, is_silent=False, now=now)
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -44,7 +44,7 @@
 MAX_SENDS = 4
 # Maximum number of attempts of one request that end before it is sent, because
 # a connection fails. Each may take as long as a connection timeout.
-MAX_UNSENT = 6
+MAX_SLOW_FAILURES = 6
 # Number of retries that the budget must cover before a request may be sent as a
 # probe to a server whose pause has ended and that may refuse it: one retry for
 # this request, and one for another request that needs it.
@@ -512,6 +512,8 @@
             self._record_lost_run(pending, attempt, now)
         if reason in model.UNSENT_FAILURES:
             pending.unsent_count += 1
+            # Each relay refuses a request once until it renews its offer.
+            pending.slow_failure_count += reason not in model.REFUSALS
         pending.has_lost_connection = reason in model.CONNECTION_LOSSES
         effects += self._end_attempt(pending, verdict)
         if is_at_fault:
@@ -541,7 +543,7 @@
     def _retry(
         self, pending: state.PendingRequest, reason: str, now: float
     ) -> list[events.Effect]:
-        if not (pending.may_send_again(MAX_SENDS, MAX_UNSENT, now)):
+        if not (pending.may_send_again(MAX_SENDS, MAX_SLOW_FAILURES, now)):
             return self._end_failed(pending, reason, now)
         # The retry budget limits what servers receive; an attempt that ended
         # before the request was sent is not part of that.
@@ -571,7 +573,7 @@
             attempt is None
             or not pending.request.route.is_retryable
             or pending.runs + 1 >= pending.request.route.max_attempts
-            or not pending.may_send_again(MAX_SENDS, MAX_UNSENT, now)
+            or not pending.may_send_again(MAX_SENDS, MAX_SLOW_FAILURES, now)
             or not self._limits.get_retry_budget(
                 pending.request.service
             ).has_balance(1)
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -83,6 +83,7 @@
         attempt: The current attempt.
         attempt_count: Number of attempts so far.
         unsent_count: Number of these that ended before the request was sent.
+        slow_failure_count: Number of the latter that waited for a connection.
         runs: Number of attempts that may have run.
         failed_replicas: Replicas on which it failed.
         verdict: Whether one of its previous attempts may have run.
@@ -108,6 +109,7 @@
     attempt: Attempt | None = None
     attempt_count: int = 0
     unsent_count: int = 0
+    slow_failure_count: int = 0
     runs: int = 0
     failed_replicas: set[str] = attrs.field(factory=set)
     verdict: verdict_module.Verdict = verdict_module.Verdict.NOT_RUN
@@ -132,20 +134,20 @@
         self.last_event_at = now
 
     def may_send_again(
-        self, max_sends: int, max_unsent: int, now: float
+        self, max_sends: int, max_slow_failures: int, now: float
     ) -> bool:
         """Returns whether the request may be sent once more.
 
         Args:
             max_sends: Most attempts that may be sent.
-            max_unsent: Most attempts that may end before they are sent.
+            max_slow_failures: Most attempts that may end without a connection.
             now: Present time.
         """
         return (
             self.ends_at - now > MIN_TIME_LEFT_S
             and self.may_repeat
             and self.attempt_count - self.unsent_count < max_sends
-            and self.unsent_count < max_unsent
+            and self.slow_failure_count < max_slow_failures
         )
 
     @property
--- a/src/hickorylead/relaying/relay_broker.py
+++ b/src/hickorylead/relaying/relay_broker.py
@@ -13,9 +13,11 @@
 
 # Maximum number of gateways of the same zone, and of the other zones, that are
 # asked to relay for one gateway at a time.
-MAX_CANDIDATES = 8
-# Time for which an offer, or a request without one, decides the order in which
-# gateways are asked, in seconds.
+MAX_OWN_CANDIDATES = 4
+MAX_REMOTE_CANDIDATES = 8
+# Time within which a gateway that can relay makes an offer, in seconds.
+OFFER_WAIT_S = 0.1
+# Time for which a gateway that made no offer is asked last, in seconds.
 MEMORY_S = 3.0
 
 
@@ -39,37 +41,40 @@
     ) -> list[tuple[str, messages.Message]]:
         """Returns the request for the gateways that may relay.
 
-        Gateways that made an offer recently come first, then those that were
-        not asked recently. Each gateway has its own order among equals, so that
-        the requests of many gateways are spread over all relays.
+        Those that were asked recently and made no offer come last. Otherwise
+        each gateway has its own order, so that the requests of many gateways
+        are spread over all relays.
 
         Args:
             request: Request of a gateway.
             gateways: All gateways that sent a hello recently.
             now: Present time.
         """
-        # A gateway that asks for relays is the last to be asked for one.
-        self._asked_at[request.origin] = now
+        # A gateway that asks for relays cannot offer itself.
+        self._asked_at[request.origin] = now - 2 * OFFER_WAIT_S
         self._offered_at.pop(request.origin, None)
         self._prune(now)
         others = [node for node in gateways if node != request.origin]
         ranked = sorted(
-            rendezvous.rank_names(request.origin, others), key=self._find_order
+            rendezvous.rank_names(request.origin, others),
+            key=lambda node: self._was_asked_in_vain(node, now),
         )
         zone = nodes.get_zone(request.origin)
         own = [n for n in ranked if nodes.get_zone(n) == zone]
         remote = [n for n in ranked if nodes.get_zone(n) != zone]
-        chosen = own[:MAX_CANDIDATES] + remote[:MAX_CANDIDATES]
+        chosen = own[:MAX_OWN_CANDIDATES] + remote[:MAX_REMOTE_CANDIDATES]
         for node in chosen:
-            self._asked_at[node] = now
+            if not self._was_asked_in_vain(node, now):
+                self._asked_at[node] = now
         return [(node, request) for node in chosen]
 
-    def _find_order(self, node: str) -> tuple[int, float]:
-        if node in self._offered_at:
-            return 0, 0.0
-        # Of those that made no offer, the ones asked longest ago come first.
+    def _was_asked_in_vain(self, node: str, now: float) -> bool:
         asked_at = self._asked_at.get(node)
-        return (1, 0.0) if asked_at is None else (2, asked_at)
+        return (
+            asked_at is not None
+            and now - asked_at > OFFER_WAIT_S
+            and self._offered_at.get(node, -1e9) < asked_at
+        )
 
     def _prune(self, now: float) -> None:
         for times in (self._asked_at, self._offered_at):
--- a/src/hickorylead/relaying/relay_directory.py
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -13,17 +13,17 @@
     import random
 
 # Period at which a gateway renews its relays while it needs them, in seconds.
-REQUEST_PERIOD_S = 1.0
+REQUEST_PERIOD_S = 2.0
 # The same period while it knows no relay for a request, in seconds.
 URGENT_REQUEST_PERIOD_S = 0.5
 # Time within which the first offers arrive after a request, in seconds:
 # messages take two round trips, and relays may have to probe a server.
 OFFER_WAIT_S = 0.1
 # Time for which relays are asked for after a request needed one, in seconds.
-NEED_TTL_S = 2.0
+NEED_TTL_S = 4.0
 # Time for which an offer is used, in seconds: a request for relays or an offer
 # may be lost.
-OFFER_TTL_S = 2.5
+OFFER_TTL_S = 4.5
 # Time for which a relay is not used after it was lost, in seconds.
 AVOID_S = 3.0
 # Time for which a relay is not used after its requests went silent, in
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -14,6 +14,7 @@
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
 from hickorylead.forwarding import events, model, routes as routes_module
+from hickorylead.relaying import messages as relay_messages
 from hickorylead.roles import gateway as gateway_role, interface, nodes
 from hickorylead.runtime import (
     clock,
@@ -48,6 +49,10 @@
 SHUTDOWN_MARGIN_S = 0.5
 POLL_S = 0.05
 RELAY_TOKEN_BYTES = 16
+# A gateway whose ticks are later than this, in seconds, accepts no exchanges of
+# other gateways for RELAY_BUSY_S seconds.
+RELAY_MAX_LATE_S = 0.05
+RELAY_BUSY_S = 0.5
 CLOSE_IDLE_PERIOD_S = 0.5
 
 
@@ -163,10 +168,13 @@
         self._relay_pool = relay_client.RelayPool(log.warn, settings.bind_ip)
         self._relay_server = relay_server.RelayServer(
             pool=self._pool,
-            check=self.role.check_relay,
+            check=self._check_relay,
             report_failure=self._report_failure,
             warn=log.warn,
         )
+        # No exchanges of other gateways are accepted before this time.
+        self._busy_until = -1e9
+        self._next_tick = now
         self._probes: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -335,6 +343,13 @@
         if replica is not None:
             self.apply(events.ServerProbed(replica, failure))
 
+    def _check_relay(self, opening: relay_messages.RelayOpen) -> str:
+        """Returns why an exchange of another gateway is refused, if it is."""
+        if clock.read_boottime() < self._busy_until:
+            # Own callers go first; the other gateway may use another relay.
+            return model.RELAY_REFUSED
+        return self.role.check_relay(opening)
+
     def _close_idle(self) -> None:
         self._pool.close_idle()
         self._relay_pool.close_idle()
@@ -368,9 +383,15 @@
 
     def _get_tick_delay(self) -> float:
         """Returns the delay until the next tick, in seconds."""
-        return self.role.get_tick_delay(clock.read_boottime())
+        now = clock.read_boottime()
+        delay_s = self.role.get_tick_delay(now)
+        self._next_tick = now + delay_s
+        return delay_s
 
     def _tick(self) -> None:
+        now = clock.read_boottime()
+        if now - self._next_tick > RELAY_MAX_LATE_S:
+            self._busy_until = now + RELAY_BUSY_S
         self.apply(interface.Tick(clock.read_wall()))
 
     def _apply_limits(self) -> None:
--- a/tests/relaying/forwarding.feature
+++ b/tests/relaying/forwarding.feature
@@ -62,10 +62,16 @@
     When an idempotent call is lost by each relay that it is sent through
     Then the call was sent 2 times
 
-  Scenario: A request stops trying relays that refuse it
+  Scenario: A request is refused at once when each relay refused it
     Given connections to the replicas fail
     When each relay of a non-idempotent call refuses it
     Then its caller gets status 503
+    And at most 2 relays were tried
+
+  Scenario: A request stops trying relays that cannot be connected to
+    Given connections to the replicas fail
+    When relays keep offering themselves and a non-idempotent call connects to none
+    Then its caller gets status 503
     And at most 6 relays were tried
 
   Scenario: The time left is what a server gets through a relay
--- a/tests/relaying/isolated_gateways.feature
+++ b/tests/relaying/isolated_gateways.feature
@@ -36,7 +36,7 @@
   Scenario: Gateways ask for relays at a fixed rate
     Given a fleet of 72 gateways and 24 servers with callers
     When 60 gateways lose their connections to all servers for 8 seconds
-    Then each of them causes at most 60 messages about relays a second
+    Then each of them causes at most 30 messages about relays a second
 
   Scenario: Isolated gateways keep relays while all coordinators are stopped
     Given a fleet of 6 gateways and 24 servers with callers
--- a/tests/relaying/processes.feature
+++ b/tests/relaying/processes.feature
@@ -16,6 +16,12 @@
     When connections of the first gateway fail during some calls only
     Then its calls reach the servers directly afterwards
 
+  Scenario: A gateway whose event loop is late relays nothing
+    Its own callers go first.
+    Given a cluster with two gateways
+    When the second gateway's ticks are late
+    Then the second gateway relays nothing, and relays again half a second later
+
   Scenario: A stream whose relay is killed is resumed
     Given a cluster with three gateways
     When the relay of a stream ends in the middle of it
--- a/tests/steps/relay_forwarding_steps.py
+++ b/tests/steps/relay_forwarding_steps.py
@@ -166,10 +166,22 @@
 def _(context):
     send_through_relay(context, "alerts")
     harness = context.harness
-    while not harness.list_effects(context.name, events.Refuse):
+    while harness.has_attempt(context.name):
         harness.fail(context.name, Verdict.NOT_RUN, model.RELAY_REFUSED)
-        offer_relays(harness)
-        harness.advance(0.02)
+    assert harness.relays.is_request_due(harness.now)
+    harness.advance(0.15)
+
+
+@when(
+    "relays keep offering themselves and a non-idempotent call connects to none"
+)
+def _(context):
+    send_through_relay(context, "alerts")
+    harness = context.harness
+    while harness.has_attempt(context.name):
+        for relay in harness.relays._relays.values():
+            relay.avoided_until = harness.now
+        harness.fail(context.name, Verdict.NOT_RUN, model.RELAY_UNREACHABLE)
 
 
 @when("the connection of an idempotent call is reset")
--- a/tests/steps/relay_process_steps.py
+++ b/tests/steps/relay_process_steps.py
@@ -8,6 +8,8 @@
 from behave import given, then, when
 from support import platform_cluster
 
+from hickorylead.forwarding import model
+from hickorylead.relaying import messages
 from hickorylead_standins import platform
 
 EVENT_COUNT = 12
@@ -244,3 +246,42 @@
 def _(context):
     assert read_metric(context.metrics[1], "unreachable_servers") == 0
     assert read_metric(context.metrics[1], "relayed_requests_total") == 0
+
+
+@when("the second gateway's ticks are late")
+def _(context):
+    async def session(cluster):
+        relay = cluster.gateways[1]
+        await call_until_relayed_by(cluster, relay)
+        relay._next_tick -= 1.0
+        relay._tick()
+        opening = make_opening(cluster, relay)
+        relay._next_tick += 1.0
+        context.late = relay._check_relay(opening)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        await cluster.wait_for(lambda: not relay._check_relay(opening))
+        context.waited_s = loop.time() - started_at
+
+    run(context, session)
+
+
+async def call_until_relayed_by(cluster, relay):
+    """Sends calls until a relay has relayed one."""
+    fail_connections(cluster.gateway, "are refused")
+    await call_until_relayed(cluster)
+    assert relay._relay_server.sessions
+
+
+def make_opening(cluster, relay):
+    """Returns the opening of an exchange with a server."""
+    server = cluster.find_server("p0")
+    return messages.RelayOpen(
+        relay.role._identity.relay_token, server.name, server._address, 1000
+    )
+
+
+@then("the second gateway relays nothing, and relays again half a second later")
+def _(context):
+    assert context.late == model.RELAY_REFUSED, context.late
+    assert context.waited_s > 0.4, context.waited_s
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -211,6 +211,11 @@
         sent = self.list_attempts(name)[-1]
         self.deliver(events.AttemptFailed(name, sent.attempt, verdict, reason))
 
+    def has_attempt(self, name: str) -> bool:
+        """Returns whether an attempt of a request is in progress."""
+        pending = self.forwarder._pending.get(name)
+        return pending is not None and pending.attempt is not None
+
     def respond_if_sent(self, name: str) -> None:
         """Delivers a complete response to a plain call, if it was sent."""
         if self.list_attempts(name):
