Hold a SIGHUP that arrives while a process starts

Cause: the handler is installed after the imports and the settings, which take a second on a small VM; until then the signal's default action ends the process.

The new scenario failed before (exit by the signal) and passes.

--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -8,7 +8,7 @@
 
 from hickorylead import errors
 from hickorylead.platform import settings as settings_module
-from hickorylead.runtime import sockets
+from hickorylead.runtime import reload_signal, sockets
 
 if TYPE_CHECKING:
     import socket
@@ -26,6 +26,7 @@
     if len(arguments) != 1 or arguments[0] not in ROLES:
         sys.stderr.write(f"hickorylead: name one role of {', '.join(ROLES)}\n")
         return errors.SettingsError.exit_code
+    reload_signal.hold()
     try:
         settings = settings_module.load_settings(arguments[0])
         listening_socket = None
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -31,6 +31,7 @@
     calls,
     clock,
     peers as peers_module,
+    reload_signal,
     scrape,
     server as server_module,
     ticker,
@@ -185,7 +186,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        reload_signal.handle(loop, self._reload_settings)
         http = server_module.HttpServer(
             self._make_app(self),
             self.settings.listen_ip,
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -23,6 +23,7 @@
     peers as peers_module,
     relay_client,
     relay_server,
+    reload_signal,
     scrape,
     server as server_module,
     ticker,
@@ -183,7 +184,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        reload_signal.handle(loop, self._reload_settings)
         listener = listener_module.Listener(
             forwarding.Application(self, self._header_codec),
             settings.listen_ip,
--- /dev/null
+++ b/src/hickorylead/runtime/reload_signal.py
@@ -0,0 +1,33 @@
+"""SIGHUP while a process starts: by default it would end the process."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+
+class _Pending:
+    """Whether a signal arrived before there was a handler for it."""
+
+    is_set = False
+
+
+def hold() -> None:
+    """Holds the signal until `handle` is called."""
+
+    def record(*_: object) -> None:
+        _Pending.is_set = True
+
+    signal.signal(signal.SIGHUP, record)
+
+
+def handle(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> None:
+    """Calls a function at each signal, and now if one was held."""
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    if _Pending.is_set:
+        _Pending.is_set = False
+        reload()
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -1,5 +1,8 @@
 Feature: The platform's formats
 
+  Scenario: A SIGHUP while the process starts does not end it
+    Then a gateway that gets SIGHUP before it has read its settings reports them
+
   Scenario: All errors in the settings file are reported at once
     Given a platform settings file for a gateway with three faults
     Then it is rejected with an error naming "InternalPorts", "Zone" and "Listen.Front"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -88,6 +88,31 @@
     assert len(process.stderr.strip().splitlines()) == 1, process.stderr
 
 
+START_WITH_SIGNAL = """
+import os, signal, sys
+from hickorylead.platform import program
+load = program.settings_module.load_settings
+def load_after_signal(role):
+    os.kill(os.getpid(), signal.SIGHUP)
+    return load(role)
+program.settings_module.load_settings = load_after_signal
+sys.exit(program.run_program(["gateway"]))
+"""
+
+
+@then("a gateway that gets SIGHUP before it has read its settings reports them")
+def _(_):
+    process = subprocess.run(
+        [sys.executable, "-c", START_WITH_SIGNAL],
+        env={settings.PATH_VARIABLE: "/nowhere"},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert process.returncode == 2, process
+    assert "/nowhere" in process.stderr, process.stderr
+
+
 @given("a platform settings file with an unknown field")
 def _(context):
     context.settings_text = VALID_SETTINGS + "Something.New=1\n"
