End a request at once whose relay was lost before the request was sent

Found in review: if the connection to a relay broke between the relay's acceptance and the request, the request waited until its deadline. It has not run, and is sent through another relay now; the new scenario timed out before. A gateway looks for a relay once for each service and zone instead of once for each replica.

--- a/src/hickorylead/forwarding/choice.py
+++ b/src/hickorylead/forwarding/choice.py
@@ -20,7 +20,7 @@
     )
     from hickorylead.notices import notice_store as notice_store_module
     from hickorylead.ratelimits import permit_pool as permit_pool_module
-    from hickorylead.relaying import relay_directory
+    from hickorylead.relaying import messages, relay_directory
 
 # Added to the estimate for a replica of another zone, in seconds. A round trip
 # between zones takes about 2 ms; the rest of the penalty is there because
@@ -228,13 +228,17 @@
         if found.best is None and others:
             # A replica without a relay is left out: an attempt would end
             # without a connection, and only after a timeout.
-            relayed = [r for r in others if self._find_relay(r, now)]
+            relays = self._find_relays(others, now)
+            relayed = [
+                r for r in others if reachability_module.find_scope(r) in relays
+            ]
             unreachable_count = len(others) - len(relayed)
             found = self._compare(
                 relayed, request, engine, avoid, limits, now
             ).combine(found)
             if found.best is not None:
-                relay = self._find_relay(found.best.replica, now)
+                scope = reachability_module.find_scope(found.best.replica)
+                relay = relays[scope]
         best, withheld = found.best, found.withheld
         if best is None:
             return NoChoice(
@@ -267,11 +271,13 @@
         others = [r for r in ready if not self._reachability.is_reachable(r)]
         return direct, others
 
-    def _find_relay(
-        self, replica: model.Replica, now: float
-    ) -> relay_directory.Relay | None:
-        scope = reachability_module.find_scope(replica)
-        return self._relays.choose(scope, now)
+    def _find_relays(
+        self, replicas: list[model.Replica], now: float
+    ) -> dict[messages.Scope, relay_directory.Relay]:
+        """Returns a relay for each service and zone of replicas with one."""
+        scopes = {reachability_module.find_scope(r): None for r in replicas}
+        relays = {scope: self._relays.choose(scope, now) for scope in scopes}
+        return {scope: found for scope, found in relays.items() if found}
 
     def _compare(
         self,
--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -172,9 +172,10 @@
         except TimeoutError:
             reason = model.RELAY_UNREACHABLE
             channel.abort()
-        if not reason:
+        if not reason and channel.is_usable:
             channel.start(data, self._receiver)
             return
+        reason = reason or model.RELAY_UNREACHABLE
         # Nothing of the request was sent.
         self._channel = None
         pool.release(address, channel)
--- a/tests/relaying/connections.feature
+++ b/tests/relaying/connections.feature
@@ -48,6 +48,9 @@
   Scenario: A relay that does not reply has run nothing
     Then a request through a relay that does not reply has not run
 
+  Scenario: A request whose relay was lost between its acceptance and the request has not run
+    Then a request whose relay is lost before it is sent has not run
+
   Scenario: A request whose relay is lost after it was sent may have run
     Then a request whose relay ends before the response may have run
 
