--- a/src/hickorylead/relaying/relay_offers.py
+++ b/src/hickorylead/relaying/relay_offers.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import hmac
 from typing import TYPE_CHECKING
 
 import attrs
 
-from hickorylead.forwarding import events
+from hickorylead.forwarding import events, model
 from hickorylead.relaying import messages
 
 if TYPE_CHECKING:
+    from hickorylead.fleet import registry as registry_module
     from hickorylead.forwarding import (
         reachability as reachability_module,
         replica_directory,
@@ -50,6 +52,7 @@
         *,
         address: str,
         token: str,
+        registry: registry_module.Registry,
         directory: replica_directory.ReplicaDirectory,
         reachability: reachability_module.Reachability,
     ) -> None:
@@ -59,12 +62,14 @@
             node: The gateway.
             address: `ip:port` of its relay port; empty if it relays nothing.
             token: Token that other gateways have to present.
+            registry: Backend servers known to it.
             directory: Replicas that it may use.
             reachability: Outcome of its connections.
         """
         self._node = node
         self._address = address
         self._token = token
+        self._registry = registry
         self._directory = directory
         self._reachability = reachability
         # Latest request of each gateway that asked recently.
@@ -93,6 +98,23 @@
         ]
         return self.collect_offers(now), probes
 
+    def check(self, opening: messages.RelayOpen) -> str:
+        """Returns why an exchange of another gateway is refused; empty if not.
+
+        Only servers are connected to: a relay never uses another relay.
+        """
+        if not hmac.compare_digest(
+            opening.token.encode(), self._token.encode()
+        ):
+            return model.RELAY_REFUSED
+        instance = self._registry.instances.get(opening.server)
+        if instance is None or instance.address != opening.address:
+            return model.RELAY_NO_SERVER
+        scope = messages.Scope(instance.service, instance.zone)
+        if scope in self._reachability.list_unreachable():
+            return model.RELAY_NO_ZONE
+        return ""
+
     def collect_offers(self, now: float) -> list[tuple[str, messages.Message]]:
         """Returns offers to the gateways that asked recently."""
         self._requests = {
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hmac
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -44,7 +43,7 @@
     relay_directory,
     relay_offers,
 )
-from hickorylead.roles import interface, nodes
+from hickorylead.roles import coordinator_view, interface, nodes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,16 +71,6 @@
 # coordinator has no leader or a replica of another zone is stalled: changes
 # must arrive within 2 s.
 OTHER_COORDINATOR_HELLO_URGENT_PERIOD_S = 0.5
-# Time without a message after which a coordinator is not used as home
-# coordinator, in seconds. A coordinator sends the loads of its zone every
-# 0.25 s, but may block on its disk between two such messages.
-HOME_COORDINATOR_TIMEOUT_S = 1.2
-# Time without a leader after which a home coordinator is replaced by a
-# coordinator that has a leader, in seconds. A coordinator without a leader is
-# partitioned from the others and receives neither their updates nor a new
-# configuration. After the loss of a leader the next one is elected in about a
-# second.
-HOME_COORDINATOR_STALE_TIMEOUT_S = 1.2
 # Time from its start after which a gateway applies a configuration from a
 # coordinator that may be behind, in seconds: a coordinator that is up to date
 # replies sooner.
@@ -170,6 +159,7 @@
             identity.node,
             address=identity.relay_address,
             token=identity.relay_token,
+            registry=self._registry,
             directory=self._directory,
             reachability=self._reachability,
         )
@@ -202,18 +192,12 @@
         self.routes: routes_module.RouteTable | None = None
         self._stale_update: messages.DocumentUpdate | None = None
         self._started_at = now
-        self._coordinators: dict[str, str] = {}
-        self._last_received_at: dict[str, float] = {}
+        self._coordinators = coordinator_view.CoordinatorView(self._zone)
         self._next_hello = now
         self._next_cleanup = now + CLEANUP_PERIOD_S
         self._next_faulty_servers = now
         self._reported_stalled: set[str] = set()
         self._next_other_hello = now
-        self._home_coordinator = ""
-        # Whether each coordinator last reported that it has a leader, and the
-        # time since which the home coordinator has had no leader.
-        self._freshness: dict[str, bool] = {}
-        self._home_coordinator_stale_since: float | None = None
         self._stopping = False
 
     @property
@@ -279,22 +263,10 @@
         return self._relays.count(now)
 
     def check_relay(self, opening: relay_messages.RelayOpen) -> str:
-        """Returns why an exchange of another gateway is refused; empty if not.
-
-        Only servers are connected to: a relay never uses another relay.
-        """
-        is_known = hmac.compare_digest(
-            opening.token.encode(), self._identity.relay_token.encode()
-        )
-        if self._stopping or not is_known:
+        """Returns why an exchange of another gateway is refused, if it is."""
+        if self._stopping:
             return model.RELAY_REFUSED
-        instance = self._registry.instances.get(opening.server)
-        if instance is None or instance.address != opening.address:
-            return model.RELAY_NO_SERVER
-        scope = relay_messages.Scope(instance.service, instance.zone)
-        if scope in self._reachability.list_unreachable():
-            return model.RELAY_NO_ZONE
-        return ""
+        return self._offers.check(opening)
 
     def find_replica(self, name: str) -> model.Replica | None:
         """Returns the replica for which a server receives requests."""
@@ -331,12 +303,12 @@
             case _:
                 effects: list[GatewayEffect] = [
                     *self._forwarder.handle(event, now),
-                    *self._request_relays(self._home_coordinator, now),
+                    *self._request_relays(self._coordinators.home, now),
                 ]
                 if self._permits.has_urgent_demand:
                     # A request waits for permits: the next tick is too late to
                     # request them.
-                    home_coordinator = self._find_home_coordinator(now)
+                    home_coordinator = self._coordinators.find_home(now)
                     return [
                         *effects,
                         *self._send_permit_messages(home_coordinator, now),
@@ -347,7 +319,7 @@
         effects: list[GatewayEffect] = [*self._forwarder.tick(now)]
         stalled = set(self._list_stalled(now))
         new_stalled = stalled - self._reported_stalled
-        home_coordinator = self._find_home_coordinator(now)
+        home_coordinator = self._coordinators.find_home(now)
         effects += [
             interface.Send(*sent)
             for sent in self._guard.collect_messages(home_coordinator, now)
@@ -367,7 +339,7 @@
         if (
             now >= self._next_hello
             or new_stalled
-            or home_coordinator != self._home_coordinator
+            or home_coordinator != self._coordinators.home
         ):
             self._reported_stalled = stalled
             if new_stalled and home_coordinator:
@@ -423,7 +395,7 @@
         targets = (
             [home_coordinator]
             if home_coordinator
-            else [*self._last_received_at]
+            else self._coordinators.list_heard()
         )
         return [interface.Send(node, request) for node in targets]
 
@@ -476,23 +448,11 @@
     def _send_hellos(
         self, home_coordinator: str, now: float
     ) -> list[GatewayEffect]:
-        known = set(self._coordinators.values())
-        # A coordinator that only other coordinators have reported gets hellos
-        # at its address: connections resolve a node name only from that node's
-        # own messages.
-        targets = [
-            *(
-                node if node in self._last_received_at else f"@{address}"
-                for node, address in self._coordinators.items()
-            ),
-            *(f"@{s}" for s in self._identity.seeds if s not in known),
-        ]
-        if home_coordinator != self._home_coordinator:
-            self._home_coordinator, self._home_coordinator_stale_since = (
-                home_coordinator,
-                None,
-            )
-        is_home_coordinator_fresh = self._freshness.get(home_coordinator, False)
+        targets = self._coordinators.list_hello_targets(self._identity.seeds)
+        self._coordinators.set_home(home_coordinator)
+        is_home_coordinator_fresh = self._coordinators.is_fresh(
+            home_coordinator
+        )
         document = self.document
         effects: list[GatewayEffect] = []
         stalled = self._list_stalled(now)
@@ -539,44 +499,6 @@
         known = self._registry.instances
         return {known[head].zone for head in heads if head in known}
 
-    def _find_home_coordinator(self, now: float) -> str:
-        """Returns the home coordinator; empty if there is none.
-
-        It is the coordinator that sends this gateway its updates.
-        """
-        alive = [
-            node for node in self._coordinators if self._is_alive(node, now)
-        ]
-        fresh = [n for n in alive if self._freshness.get(n)]
-        own = [n for n in alive if nodes.get_zone(n) == self._zone]
-        pool = [n for n in own if n in fresh] or own or alive
-        is_partitioned = (
-            self._home_coordinator_stale_since is not None
-            and now - self._home_coordinator_stale_since
-            > HOME_COORDINATOR_STALE_TIMEOUT_S
-        )
-        if is_partitioned and fresh and not set(pool) & set(fresh):
-            pool = fresh
-        if self._home_coordinator in pool:
-            # A change of the home coordinator costs a full sync of all servers.
-            return self._home_coordinator
-        return min(pool, default="")
-
-    def _is_alive(self, node: str, now: float) -> bool:
-        return (
-            now - self._last_received_at.get(node, -1e9)
-            < HOME_COORDINATOR_TIMEOUT_S
-        )
-
-    def _record_freshness(self, node: str, is_fresh: bool, now: float) -> None:
-        self._freshness[node] = is_fresh
-        if node != self._home_coordinator:
-            return
-        if is_fresh:
-            self._home_coordinator_stale_since = None
-        elif self._home_coordinator_stale_since is None:
-            self._home_coordinator_stale_since = now
-
     def _list_loads(self) -> tuple[messages.HeadLoad, ...]:
         return tuple(
             messages.HeadLoad(name, stats.own_requests)
@@ -587,16 +509,16 @@
     def _receive(
         self, sender: str, message: interface.Message, now: float
     ) -> list[GatewayEffect]:
-        self._last_received_at[sender] = now
-        if sender not in self._coordinators:
-            self._coordinators[sender] = ""
+        self._coordinators.record_message(sender, now)
         match message:
             case messages.InstanceNews(_, received):
                 registry_module.merge_updates(self._registry, received, now)
             case messages.ZoneLoads(_, loads, is_fresh, gateways):
                 self._apply_loads(loads)
-                self._record_freshness(sender, is_fresh, now)
-                if sender == self._home_coordinator:
+                self._coordinators.record_freshness(
+                    sender, now, is_fresh=is_fresh
+                )
+                if sender == self._coordinators.home:
                     self._forwarder.set_gateway_count(gateways, now)
             case crash_messages.BlockNews():
                 self._guard.apply_blocks(message, now)
@@ -616,16 +538,12 @@
             case messages.StallNews(_, heads):
                 return [*self._forwarder.handle_reported_stalls(heads, now)]
             case messages.KnownCoordinators(_, names, addresses, is_fresh):
-                self._record_freshness(sender, is_fresh, now)
-                # A coordinator that has just started lists only a few others,
-                # so the coordinators that are alive stay in the list.
-                alive = {
-                    node: address
-                    for node, address in self._coordinators.items()
-                    if self._is_alive(node, now)
-                }
-                reported = dict(zip(names, addresses, strict=False))
-                self._coordinators = {**alive, **reported}
+                self._coordinators.record_freshness(
+                    sender, now, is_fresh=is_fresh
+                )
+                self._coordinators.update_addresses(
+                    dict(zip(names, addresses, strict=False)), now
+                )
             case messages.DocumentUpdate(_, version):
                 if not version or not message.content:
                     return []
