Let a late relay refuse only what exceeds its own callers' requests

Seen: beside six busy processes, the scenario of two real gateways failed three of three times with 503, servers_unreachable; without load it passed four of four times.

Cause: a relay whose event loop was 50 ms late once refused everything for half a second, and the other gateway then withdrew its whole offer for up to 2 s. If it was the only relay, requests were refused that could have been served.

Change: a late relay (0.1 s) refuses only beyond as many exchanges as it has requests of its own callers and four more, and is avoided for 0.5 s only. The part of the process that relays is a module of its own.

--- a/src/hickorylead/forwarding/connection_monitor.py
+++ b/src/hickorylead/forwarding/connection_monitor.py
@@ -9,6 +9,7 @@
     model,
     reachability as reachability_module,
 )
+from hickorylead.relaying import relay_directory
 
 if TYPE_CHECKING:
     from hickorylead.forwarding import (
@@ -16,7 +17,7 @@
         replica_directory,
         state,
     )
-    from hickorylead.relaying import messages, relay_directory
+    from hickorylead.relaying import messages
 
 # After the first failed connection, another server of the same service and zone
 # is probed unless one of them sent output within this time, in seconds.
@@ -133,12 +134,12 @@
                 self._health.mark_stalled(
                     attempt.replica, now, is_confirmed=False
                 )
-            case model.RELAY_REFUSED | model.RELAY_NO_ZONE:
+            case model.RELAY_NO_ZONE:
                 self._relays.withdraw(relay)
             case model.RELAY_UNREACHABLE | model.RELAY_LOST:
-                self._relays.avoid(relay, is_silent=False, now=now)
-            case "stalled" | "no_answer":
-                self._relays.avoid(relay, is_silent=True, now=now)
+                self._relays.avoid(relay, relay_directory.LOST_AVOID_S, now)
+            case model.RELAY_REFUSED | "stalled" | "no_answer":
+                self._relays.avoid(relay, relay_directory.REFUSED_AVOID_S, now)
 
     def tick(self, now: float) -> list[events.Effect]:
         """Sends the probes that are due."""
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -512,8 +512,8 @@
             self._record_lost_run(pending, attempt, now)
         if reason in model.UNSENT_FAILURES:
             pending.unsent_count += 1
-            # Each relay refuses a request once until it renews its offer.
-            pending.slow_failure_count += reason not in model.REFUSALS
+            # A relay that refuses is not tried again for a while.
+            pending.slow_failure_count += reason not in model.RELAY_REFUSALS
         pending.has_lost_connection = reason in model.CONNECTION_LOSSES
         effects += self._end_attempt(pending, verdict)
         if is_at_fault:
--- a/src/hickorylead/forwarding/model.py
+++ b/src/hickorylead/forwarding/model.py
@@ -30,7 +30,7 @@
 # Reason code of an attempt whose relay could not connect to the replica either.
 RELAY_NO_SERVER = "relay_no_server"
 # Reason codes of attempts that ended at once, before the request was sent.
-REFUSALS = frozenset({RELAY_REFUSED, RELAY_NO_ZONE})
+RELAY_REFUSALS = frozenset({RELAY_REFUSED, RELAY_NO_ZONE})
 # Reason codes of attempts that ended before the request was sent.
 UNSENT_FAILURES = CONNECT_FAILURES | {
     RELAY_UNREACHABLE,
--- a/src/hickorylead/relaying/relay_directory.py
+++ b/src/hickorylead/relaying/relay_directory.py
@@ -25,12 +25,12 @@
 # may be lost.
 OFFER_TTL_S = 4.5
 # Time for which a relay is not used after it was lost, in seconds.
-AVOID_S = 3.0
-# Time for which a relay is not used after its requests went silent, in
-# seconds: the server may be at fault.
-SILENT_AVOID_S = 0.5
-# A relay in another zone is chosen as if it had this many more requests of this
-# gateway: traffic between zones is expensive.
+LOST_AVOID_S = 3.0
+# Time for which a relay is not used after it refused a request or its requests
+# went silent, in seconds.
+REFUSED_AVOID_S = 0.5
+# Number of requests added to those of a relay in another zone when relays are
+# compared: traffic between zones is expensive.
 REMOTE_ZONE_REQUESTS = 2
 
 
@@ -147,10 +147,9 @@
         lost = relay.reachable if scope is None else {scope}
         relay.reachable -= lost
 
-    def avoid(self, relay: Relay, *, is_silent: bool, now: float) -> None:
-        """Records that a relay was lost, or that its requests went silent."""
-        avoid_s = SILENT_AVOID_S if is_silent else AVOID_S
-        relay.avoided_until = now + avoid_s
+    def avoid(self, relay: Relay, seconds: float, now: float) -> None:
+        """Records that a relay is not to be used for some time."""
+        relay.avoided_until = now + seconds
 
     def extend_offer(self, relay: Relay, now: float) -> None:
         """Records a complete response through a relay.
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -14,7 +14,6 @@
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
 from hickorylead.forwarding import events, model, routes as routes_module
-from hickorylead.relaying import messages as relay_messages
 from hickorylead.roles import gateway as gateway_role, interface, nodes
 from hickorylead.runtime import (
     clock,
@@ -22,7 +21,7 @@
     listener as listener_module,
     peers as peers_module,
     relay_client,
-    relay_server,
+    relay_endpoint,
     reload_signal,
     scrape,
     server as server_module,
@@ -50,10 +49,6 @@
 SHUTDOWN_MARGIN_S = 0.5
 POLL_S = 0.05
 RELAY_TOKEN_BYTES = 16
-# A gateway whose ticks are later than this, in seconds, accepts no exchanges of
-# other gateways for RELAY_BUSY_S seconds.
-RELAY_MAX_LATE_S = 0.05
-RELAY_BUSY_S = 0.5
 CLOSE_IDLE_PERIOD_S = 0.5
 
 
@@ -166,15 +161,13 @@
             log=log,
             bind_ip=settings.bind_ip,
         )
-        self._relay_pool = relay_client.RelayPool(log.warn, settings.bind_ip)
-        self._relay_server = relay_server.RelayServer(
+        self._relays = relay_endpoint.RelayEndpoint(
+            self.role,
             pool=self._pool,
-            check=self._check_relay,
             report_failure=self._report_failure,
             warn=log.warn,
+            bind_ip=settings.bind_ip,
         )
-        # No exchanges of other gateways are accepted before this time.
-        self._busy_until = -1e9
         self._next_tick = now
         self._probes: set[asyncio.Task[None]] = set()
 
@@ -197,10 +190,7 @@
         )
         await self._peers.start()
         await ready.start()
-        if settings.relay_port:
-            await self._relay_server.start(
-                settings.listen_ip, settings.relay_port
-            )
+        await self._relays.start(settings.listen_ip, settings.relay_port)
         await listener.start()
         metrics_server = await scrape.serve(
             self._log,
@@ -223,8 +213,7 @@
         await self._drain(listener)
         for task in [*tick_tasks, *self._probes]:
             task.cancel()
-        self._relay_server.close()
-        self._relay_pool.close()
+        self._relays.close()
         self._pool.close()
         await listener.close()
         await ready.close()
@@ -253,7 +242,7 @@
             await asyncio.sleep(POLL_S)
         listener.stop_listening()
         while (
-            self.response_writers or self._relay_server.count_active()
+            self.response_writers or self._relays.server.count_active()
         ) and clock.read_boottime() < deadline:
             await asyncio.sleep(POLL_S)
             listener.close_idle()
@@ -329,7 +318,7 @@
                 fresh=attempt.is_fresh,
             )
         else:
-            exchange = self._relay_pool.send_request(
+            exchange = self._relays.pool.send_request(
                 attempt.relay, attempt.replica, data, attempt.budget_s, receiver
             )
         self._exchanges[request.request_id, attempt.attempt] = exchange
@@ -344,16 +333,9 @@
         if replica is not None:
             self.apply(events.ServerProbed(replica, failure))
 
-    def _check_relay(self, opening: relay_messages.RelayOpen) -> str:
-        """Returns why an exchange of another gateway is refused, if it is."""
-        if clock.read_boottime() < self._busy_until:
-            # Own callers go first; the other gateway may use another relay.
-            return model.RELAY_REFUSED
-        return self.role.check_relay(opening)
-
     def _close_idle(self) -> None:
         self._pool.close_idle()
-        self._relay_pool.close_idle()
+        self._relays.pool.close_idle()
 
     def _deliver(self, event: events.Event) -> None:
         if isinstance(event, events.ResponseCompleted | events.AttemptFailed):
@@ -374,9 +356,7 @@
             "connections_opened_total": self._pool.opened_count,
             **self.role.count_replicas(),
             **self.role.count_unreachable(),
-            "relays": self.role.count_relays(clock.read_boottime()),
-            "relayed_requests_total": self._relay_pool.request_count,
-            "relay_exchanges": self._relay_server.count_active(),
+            **self._relays.collect_gauges(),
         }
 
     def _receive(self, sender: str, message: interface.Message) -> None:
@@ -391,8 +371,7 @@
 
     def _tick(self) -> None:
         now = clock.read_boottime()
-        if now - self._next_tick > RELAY_MAX_LATE_S:
-            self._busy_until = now + RELAY_BUSY_S
+        self._relays.record_late_tick(now - self._next_tick, now)
         self.apply(interface.Tick(clock.read_wall()))
 
     def _apply_limits(self) -> None:
--- a/tests/relaying/isolated_gateways.feature
+++ b/tests/relaying/isolated_gateways.feature
@@ -33,6 +33,11 @@
     When 8 seconds pass without a fault
     Then no message about relays was sent and no server was probed
 
+  Scenario: A request for relays in the name of another gateway gets no offer
+    Given a fleet of 6 gateways and 24 servers with callers
+    When a node asks for relays in the name of another gateway
+    Then no message about relays was sent and no server was probed
+
   Scenario: Gateways ask for relays at a fixed rate
     Given a fleet of 72 gateways and 24 servers with callers
     When 60 gateways lose their connections to all servers for 8 seconds
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -11,6 +11,7 @@
 from hickorylead.fleet import messages
 from hickorylead.forwarding import events
 from hickorylead.relaying import messages as relay_messages
+from hickorylead.roles import interface
 
 
 def isolate(context, names, seconds):
@@ -76,6 +77,19 @@
     isolate(context, sorted(simulation.gateways)[:count], 8.0)
 
 
+@when("a node asks for relays in the name of another gateway")
+def _(context):
+    simulation = context.traffic.simulation
+    sender, origin, *_ = sorted(simulation.gateways)
+    request = relay_messages.RelayRequest(origin)
+    for node in simulation.coordinator_names:
+        arrived = interface.MessageArrived(sender, request, 0.0)
+        simulation.call_at(
+            0.5, lambda n=node, a=arrived: simulation.apply(n, a)
+        )
+    isolate(context, (), 2.0)
+
+
 @when("{seconds:g} seconds pass without a fault")
 def _(context, seconds):
     isolate(context, (), seconds)
