--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -9,7 +9,11 @@
 from hickorylead import verdict as verdict_module
 from hickorylead.forwarding import model
 from hickorylead.relaying import messages
-from hickorylead.runtime import relay_connections, upstream
+from hickorylead.runtime import (
+    relay_connections,
+    upstream,
+    upstream_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +43,7 @@
         super().__init__(warn)
         self._release = release
         self._reply: asyncio.Future[str] | None = None
-        self._connection: upstream.Connection | None = None
+        self._connection: upstream_connection.Connection | None = None
         self._received_bytes = 0
         self.idle_since = 0.0
         self.is_usable = False
@@ -85,9 +89,11 @@
         self.send(opening)
         return await self._reply
 
-    def start(self, data: bytes, receiver: upstream.Receiver) -> None:
+    def start(
+        self, data: bytes, receiver: upstream_connection.Receiver
+    ) -> None:
         """Sends a request, after the relay has accepted."""
-        connection = upstream.Connection(self._finish)
+        connection = upstream_connection.Connection(self._finish)
         connection.connection_made(self)
         self._connection = connection
         self._received_bytes = 0
@@ -97,7 +103,7 @@
         if self._reply is not None and not self._reply.done():
             self._reply.set_result(reason)
 
-    def _finish(self, connection: upstream.Connection) -> None:
+    def _finish(self, connection: upstream_connection.Connection) -> None:
         """Ends an exchange whose response was complete."""
         if self._connection is not connection:
             return
@@ -127,7 +133,7 @@
 class RelayExchange:
     """One request through a relay."""
 
-    def __init__(self, receiver: upstream.Receiver) -> None:
+    def __init__(self, receiver: upstream_connection.Receiver) -> None:
         """Makes an exchange; `RelayPool.send_request` starts it."""
         self._receiver = receiver
         self._channel: _Channel | None = None
@@ -207,7 +213,7 @@
         replica: model.Replica,
         data: bytes,
         limit_s: float,
-        receiver: upstream.Receiver,
+        receiver: upstream_connection.Receiver,
     ) -> RelayExchange:
         """Sends a request through a relay and returns its exchange.
 
--- a/src/hickorylead/runtime/relay_server.py
+++ b/src/hickorylead/runtime/relay_server.py
@@ -7,7 +7,11 @@
 
 from hickorylead.forwarding import model
 from hickorylead.relaying import messages
-from hickorylead.runtime import relay_connections, upstream
+from hickorylead.runtime import (
+    relay_connections,
+    upstream,
+    upstream_connection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,7 +32,7 @@
     def __init__(self, server: RelayServer) -> None:
         super().__init__(server.warn)
         self._server = server
-        self._connection: upstream.Connection | None = None
+        self._connection: upstream_connection.Connection | None = None
         self._forwarded_bytes = 0
         self._connecting: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -100,7 +104,7 @@
             return
         self._accept(found)
 
-    def _accept(self, connection: upstream.Connection) -> None:
+    def _accept(self, connection: upstream_connection.Connection) -> None:
         self._connection = connection
         self._forwarded_bytes = 0
         connection.start_tunnel(self)
