--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# The scripts use the standard library only: there is nothing to build.
+exit 0
