Review case 3: large manifests in progress together end the control

The entries that a follower has not confirmed go into one message without a limit in bytes. Above 4 MiB the link's task ends with FrameError and is never started again.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
