Move replication and options out of the voter

The state that a leader keeps for each member, and the options, are modules of their own now; behaviour is unchanged (23 scenarios of tests/consensus pass before and after).

--- /dev/null
+++ b/src/hickorylead/consensus/replication.py
@@ -0,0 +1,176 @@
+"""Replication state that a leader keeps for the other members."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from hickorylead.consensus import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hickorylead.consensus import (
+        log as log_module,
+        state_machine as state_machine_module,
+    )
+
+MAX_ENTRIES_PER_APPEND = 64
+
+
+@attrs.define
+class Progress:
+    """What a leader knows of one other member, voter or not.
+
+    Attributes:
+        next_index: Index of the next entry to send.
+        match_index: Last index at which the logs are known to agree.
+        last_contact_at: When the latest request that the member replied to
+            was sent, or when the leader started to track the member.
+    """
+
+    next_index: int
+    match_index: int = 0
+    last_contact_at: float = 0.0
+
+
+@attrs.frozen
+class Header:
+    """What each message of a leader repeats.
+
+    Attributes:
+        cluster: Id of the cluster.
+        leader: The leader.
+        term: Its term.
+        commit: Index up to which the log is committed.
+    """
+
+    cluster: str
+    leader: str
+    term: int
+    commit: int
+
+
+class Replicator:
+    """Sends entries to the other members and tracks what they hold."""
+
+    def __init__(
+        self,
+        log: log_module.Log,
+        state_machine: state_machine_module.StateMachine,
+    ) -> None:
+        """Creates a replicator that tracks no member.
+
+        Args:
+            log: The log of the voter.
+            state_machine: The state after its committed entries.
+        """
+        self._log = log
+        self._state_machine = state_machine
+        self.members: dict[str, Progress] = {}
+
+    def reset(self, members: Iterable[str], now: float) -> None:
+        """Tracks these members only, at the start of a term."""
+        self.members = {
+            member: Progress(self._log.last_index + 1, last_contact_at=now)
+            for member in members
+        }
+
+    def track(self, member: str, now: float) -> None:
+        """Starts to track a member unless it is tracked already."""
+        if member not in self.members:
+            self.members[member] = Progress(
+                self._log.last_index + 1, last_contact_at=now
+            )
+
+    def drop(self, member: str) -> None:
+        """Stops tracking a member."""
+        self.members.pop(member, None)
+
+    def list_reached(self, since: float) -> set[str]:
+        """Returns the members that replied to a request sent since a time."""
+        return {
+            member
+            for member, progress in self.members.items()
+            if progress.last_contact_at >= since
+        }
+
+    def list_holders(self, index: int) -> set[str]:
+        """Returns the other members that hold the log up to an index."""
+        return {
+            member
+            for member, progress in self.members.items()
+            if progress.match_index >= index
+        }
+
+    def send_to_all(self, header: Header, now: float) -> list[messages.Effect]:
+        """Sends each member the entries that it lacks, or a heartbeat."""
+        return [
+            effect
+            for member in sorted(self.members)
+            for effect in self.send(member, header, now)
+        ]
+
+    def send(
+        self, member: str, header: Header, now: float
+    ) -> list[messages.Effect]:
+        """Sends a member the entries that it lacks, or a heartbeat."""
+        progress = self.members[member]
+        previous = progress.next_index - 1
+        term = self._log.get_term(previous)
+        node = messages.get_node(member)
+        if term is None:
+            snapshot = self._state_machine.make_snapshot(self._log)
+            return [
+                messages.Send(
+                    node,
+                    messages.SnapshotRequest(
+                        header.cluster,
+                        member,
+                        header.leader,
+                        header.term,
+                        snapshot,
+                        now,
+                    ),
+                )
+            ]
+        entries = self._log.list_from(
+            progress.next_index, MAX_ENTRIES_PER_APPEND
+        )
+        return [
+            messages.Send(
+                node,
+                messages.AppendRequest(
+                    cluster=header.cluster,
+                    recipient=member,
+                    leader=header.leader,
+                    term=header.term,
+                    previous_index=previous,
+                    previous_term=term,
+                    entries=entries,
+                    commit=header.commit,
+                    sent_at=now,
+                ),
+            )
+        ]
+
+    def handle_reply(self, reply: messages.AppendReply) -> None:
+        """Records what a tracked member reported."""
+        progress = self.members[reply.member]
+        # The time of contact is when the request was sent, not when the reply
+        # arrived: after a freeze, a leader would otherwise count replies that
+        # had waited in its buffers as recent contact, and stay leader after
+        # another one was elected.
+        progress.last_contact_at = max(progress.last_contact_at, reply.sent_at)
+        if not reply.matched:
+            progress.next_index = max(
+                1, min(progress.next_index - 1, reply.index + 1)
+            )
+            return
+        progress.match_index = max(progress.match_index, reply.index)
+        progress.next_index = max(progress.next_index, reply.index + 1)
+
+    def is_behind(self, member: str) -> bool:
+        """Returns whether a member lacks entries of the log."""
+        return self.members[member].next_index <= self._log.last_index
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -9,12 +9,12 @@
 
 from typing import TYPE_CHECKING, Literal
 
-import attrs
-
 from hickorylead.configuration import changes, model
 from hickorylead.consensus import (
     log as log_module,
     messages,
+    options as options_module,
+    replication,
     state_machine as state_machine_module,
 )
 
@@ -23,65 +23,10 @@
     import random
 
 JOIN_PERIOD_S = 1.0
-MAX_ENTRIES_PER_APPEND = 64
 
 Role = Literal["follower", "candidate", "leader"]
 
 
-@attrs.frozen
-class VoterOptions:
-    """Timeouts after which voters react to a lost voter or leader.
-
-    Attributes:
-        heartbeat_s: Interval between two heartbeats of a leader, in seconds.
-        election_min_s: Shortest time without a leader after which a voter
-            starts an election, and longest time that a leader continues
-            without a majority, in seconds.
-        election_max_s: Longest time without a leader after which a voter
-            starts an election, in seconds.
-        first_election_max_s: Longest election timeout of a voter that has just
-            started, in seconds; 0 for the usual timeout. After all voters were
-            killed, there is no leader to wait for; if there is a leader, the
-            trial vote keeps the new voter from deposing it.
-        replace_after_s: Time without contact after which a voter is removed if
-            another voter of its zone is reachable, in seconds; 0 if voters are
-            never removed for this reason.
-        min_voters: Smallest number of voters that such removals leave.
-        rejoin_after_s: Time without a leader after which a voter requests to
-            join again, in seconds. A voter may have been removed while it was
-            frozen. The log entry that removed it is not sent to it, so without
-            this request it would request votes in vain for ever. A leader
-            ignores the request of a member that is still a voter.
-    """
-
-    heartbeat_s: float = 0.5
-    election_min_s: float = 2.0
-    election_max_s: float = 4.0
-    first_election_max_s: float = 0.0
-    replace_after_s: float = 0.0
-    min_voters: int = 3
-    rejoin_after_s: float = 8.0
-
-
-DEFAULT_OPTIONS = VoterOptions()
-
-
-@attrs.define
-class Progress:
-    """Replication state that a leader keeps for one other member.
-
-    Attributes:
-        next_index: Index of the next entry to send.
-        match_index: Last index at which the logs are known to agree.
-        last_contact_at: When the latest request that the member replied to
-            was sent, or when the leader started to track the member.
-    """
-
-    next_index: int
-    match_index: int = 0
-    last_contact_at: float = 0.0
-
-
 class Voter:
     """State of one voter; methods return effects in the order to run them."""
 
@@ -93,7 +38,7 @@
         peers: tuple[str, ...],
         rng: random.Random,
         now: float,
-        options: VoterOptions = DEFAULT_OPTIONS,
+        options: options_module.VoterOptions = options_module.DEFAULT_OPTIONS,
     ) -> None:
         """Creates a voter with an empty log.
 
@@ -121,7 +66,7 @@
         self._rng = rng
         self._votes: set[str] = set()
         self._trial = False
-        self._progress: dict[str, Progress] = {}
+        self._replicator = replication.Replicator(self.log, self._state_machine)
         self._pending: dict[int, str] = {}
         self._last_leader_contact_at = now
         self._election_deadline = now
@@ -220,11 +165,7 @@
         replied to messages that were sent after the read arrived, no other
         leader can have been elected before it arrived.
         """
-        reached = {
-            member
-            for member, progress in self._progress.items()
-            if progress.last_contact_at >= requested_at
-        }
+        reached = self._replicator.list_reached(requested_at)
         return self.is_ready_leader(now) and self._is_majority(
             reached | {self.member}
         )
@@ -386,11 +327,9 @@
     def _become_leader(self, now: float) -> list[messages.Effect]:
         self.role = "leader"
         self.leader = self.member
-        self._progress = {
-            voter: Progress(self.log.last_index + 1, last_contact_at=now)
-            for voter in self.voters
-            if voter != self.member
-        }
+        self._replicator.reset(
+            (voter for voter in self.voters if voter != self.member), now
+        )
         # The new leader appends an entry without a change. Entries of earlier
         # terms count as committed only once a later entry of this term is
         # committed: even if a majority holds them, a later leader could still
@@ -444,7 +383,7 @@
             return []
         last_contact_at = {
             member: progress.last_contact_at
-            for member, progress in self._progress.items()
+            for member, progress in self._replicator.members.items()
         }
         last_contact_at[self.member] = now
         for voter in self.voters:
@@ -458,101 +397,53 @@
                 for other in self.voters
             ):
                 rest = [v for v in self.voters if v != voter]
-                self._progress.pop(voter, None)
+                self._replicator.drop(voter)
                 return self._propose_voters(rest, now)
         return []
 
     def _has_majority(self, now: float) -> bool:
-        reached = {
-            member
-            for member, progress in self._progress.items()
-            if now - progress.last_contact_at < self._options.election_min_s
-        }
+        reached = self._replicator.list_reached(
+            now - self._options.election_min_s
+        )
         return self._is_majority(reached | {self.member})
 
     def _replicate(self, now: float) -> list[messages.Effect]:
         self._next_heartbeat = now + self._options.heartbeat_s
-        effects = self._advance_commit(now)
-        for member in sorted(self._progress):
-            effects += self._send_entries(member, now)
-        return effects
-
-    def _send_entries(self, member: str, now: float) -> list[messages.Effect]:
-        progress = self._progress[member]
-        previous = progress.next_index - 1
-        term = self.log.get_term(previous)
-        node = messages.get_node(member)
-        if term is None:
-            snapshot = self._state_machine.make_snapshot(self.log)
-            return [
-                messages.Send(
-                    node,
-                    messages.SnapshotRequest(
-                        self.cluster,
-                        member,
-                        self.member,
-                        self.term,
-                        snapshot,
-                        now,
-                    ),
-                )
-            ]
-        entries = self.log.list_from(
-            progress.next_index, MAX_ENTRIES_PER_APPEND
-        )
         return [
-            messages.Send(
-                node,
-                messages.AppendRequest(
-                    cluster=self.cluster,
-                    recipient=member,
-                    leader=self.member,
-                    term=self.term,
-                    previous_index=previous,
-                    previous_term=term,
-                    entries=entries,
-                    commit=self.commit,
-                    sent_at=now,
-                ),
-            )
+            *self._advance_commit(now),
+            *self._replicator.send_to_all(self._make_header(), now),
         ]
 
+    def _make_header(self) -> replication.Header:
+        return replication.Header(
+            self.cluster, self.member, self.term, self.commit
+        )
+
     def _receive_append_reply(
         self, reply: messages.AppendReply, now: float
     ) -> list[messages.Effect]:
         if reply.term > self.term:
             return self._step_down(reply.term, now)
-        progress = self._progress.get(reply.member)
-        if self.role != "leader" or reply.term != self.term or not progress:
+        member = reply.member
+        if (
+            self.role != "leader"
+            or reply.term != self.term
+            or member not in self._replicator.members
+        ):
             return []
-        # The time of contact is when the request was sent, not when the reply
-        # arrived: after a freeze, a leader would otherwise count replies that
-        # had waited in its buffers as recent contact, and stay leader after
-        # another one was elected.
-        progress.last_contact_at = max(progress.last_contact_at, reply.sent_at)
+        self._replicator.handle_reply(reply)
         if not reply.matched:
-            progress.next_index = max(
-                1, min(progress.next_index - 1, reply.index + 1)
-            )
-            return self._send_entries(reply.member, now)
-        progress.match_index = max(progress.match_index, reply.index)
-        progress.next_index = max(progress.next_index, reply.index + 1)
+            return self._replicator.send(member, self._make_header(), now)
         effects = self._advance_commit(now)
-        if self.role == "leader" and progress.next_index <= (
-            self.log.last_index
-        ):
-            effects += self._send_entries(reply.member, now)
-        return [*effects, *self._admit_learner(reply.member, now)]
+        if self.role == "leader" and self._replicator.is_behind(member):
+            effects += self._replicator.send(member, self._make_header(), now)
+        return [*effects, *self._admit_learner(member, now)]
 
     def _advance_commit(self, now: float) -> list[messages.Effect]:
         for index in range(self.log.last_index, self.commit, -1):
             if self.log.get_term(index) != self.term:
                 break
-            replicated = {
-                member
-                for member, progress in self._progress.items()
-                if progress.match_index >= index
-            }
+            replicated = self._replicator.list_holders(index)
             if self._is_majority(replicated | {self.member}):
                 return self._commit_to(index, now)
         return []
@@ -571,18 +462,15 @@
             # sets that differ by one member always overlap, but majorities
             # of two sets in which one member is swapped need not.
             remaining = [v for v in self.voters if v not in previous]
-            self._progress.pop(previous[0], None)
+            self._replicator.drop(previous[0])
             return self._propose_voters(remaining, now)
-        if member not in self._progress:
-            self._progress[member] = Progress(
-                self.log.last_index + 1, last_contact_at=now
-            )
-        return self._send_entries(member, now)
+        self._replicator.track(member, now)
+        return self._replicator.send(member, self._make_header(), now)
 
     def _admit_learner(self, member: str, now: float) -> list[messages.Effect]:
         if member in self.voters or self._is_changing_voters():
             return []
-        if self._progress[member].match_index < self.commit:
+        if member not in self._replicator.list_holders(self.commit):
             return []
         return self._propose_voters([*self.voters, member], now)
 
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -15,6 +15,7 @@
 from hickorylead.consensus import (
     configuration_requests,
     messages as consensus_messages,
+    options,
     voter as voter_module,
 )
 from hickorylead.crashes import (
@@ -99,7 +100,7 @@
         records: Sequence[consensus_messages.Record],
         rng: random.Random,
         now: float,
-        voter_options: voter_module.VoterOptions = voter_module.DEFAULT_OPTIONS,
+        voter_options: options.VoterOptions = options.DEFAULT_OPTIONS,
     ) -> None:
         """Initializes a coordinator that has just started.
 
@@ -159,7 +160,7 @@
         records: Sequence[consensus_messages.Record],
         rng: random.Random,
         now: float,
-        voter_options: voter_module.VoterOptions,
+        voter_options: options.VoterOptions,
     ) -> None:
         """Restores the voter from the disk, after a start or a disk fault."""
         self.voter = voter_module.Voter(
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -14,7 +14,7 @@
 from hickorylead import errors, notes
 from hickorylead.consensus import (
     messages as consensus_messages,
-    voter as voter_module,
+    options,
 )
 from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import (
@@ -56,7 +56,7 @@
 DISK_RETRY_S = 0.5
 # Voters detect the loss of a leader within about a second. Syncs to a disk 25
 # times slower than usual delay the event loop by 50 ms at most.
-VOTER_OPTIONS = voter_module.VoterOptions(
+VOTER_OPTIONS = options.VoterOptions(
     heartbeat_s=0.15,
     election_min_s=0.7,
     election_max_s=1.4,
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -19,7 +19,7 @@
 from hickorylead.configuration import document
 from hickorylead.consensus import (
     messages as consensus_messages,
-    voter as voter_module,
+    options,
 )
 from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import (
@@ -36,7 +36,7 @@
 ZONES = ("z1", "z2", "z3")
 LATENCY_S = 0.001
 HEARTBEAT_S = 1.2
-VOTER_OPTIONS = voter_module.VoterOptions(
+VOTER_OPTIONS = options.VoterOptions(
     0.15,
     0.7,
     1.4,
