Replace voters within CatchUpS, and exchange them at the smallest set

Cause: a successor was added as a fourth voter and its predecessor stayed until it had been without contact for 6 s, a time that each election started anew. Two of four voters are no majority.

Evidence: the lines voters_changed and no_leader show four voters from 6.3 s on and no leader from the loss of the disk until the end.

The successor now takes the place of a voter, and the log names the voter that leaves, so that the next leader completes the exchange.

--- a/src/hickorylead/configuration/changes.py
+++ b/src/hickorylead/configuration/changes.py
@@ -80,9 +80,12 @@
 
     Attributes:
         voters: The voters, each as `node#incarnation`.
+        leaving: The voter whose successor this change has added. The next
+            change removes it, also if another leader makes it; empty if none.
     """
 
     voters: tuple[str, ...]
+    leaving: str = ""
 
 
 Operation: TypeAlias = (
--- a/src/hickorylead/consensus/log.py
+++ b/src/hickorylead/consensus/log.py
@@ -78,8 +78,8 @@
         self.snapshot = snapshot
         self._entries = kept
 
-    def find_voters(self) -> tuple[str, ...]:
-        """Returns the set of voters in the newest entry that contains one.
+    def find_voters(self) -> changes.SetVoters:
+        """Returns the newest change of the set of voters.
 
         A set of voters is in force as soon as it is appended, committed or
         not: a leader that waited for the commit could count a majority of the
@@ -87,9 +87,9 @@
         """
         for entry in reversed(self._entries):
             match entry.change.operation:
-                case changes.SetVoters(voters):
-                    return voters
-        return self.snapshot.voters
+                case changes.SetVoters() as change:
+                    return change
+        return changes.SetVoters(self.snapshot.voters, self.snapshot.leaving)
 
     def replay(self, record: messages.Record) -> None:
         """Applies a journal record that concerns the log."""
--- a/src/hickorylead/consensus/messages.py
+++ b/src/hickorylead/consensus/messages.py
@@ -33,6 +33,7 @@
         voters: Members that vote, as of that entry.
         configuration: The document.
         outcomes: Outcomes stored for resends, oldest first.
+        leaving: The voter that the next change of voters removes.
     """
 
     index: int
@@ -40,15 +41,24 @@
     voters: tuple[str, ...]
     configuration: model.Configuration
     outcomes: tuple[changes.Outcome, ...] = ()
+    leaving: str = ""
 
 
 @attrs.frozen
 class HardState:
-    """State that a voter must keep on disk: its cluster, term and vote."""
+    """State that a member must keep on disk.
+
+    Attributes:
+        cluster: Id of its cluster; empty until it belongs to one.
+        term: Its term.
+        voted_for: The candidate that it voted for in this term.
+        was_voter: Whether it has ever been a voter.
+    """
 
     cluster: str
     term: int
     voted_for: str = ""
+    was_voter: bool = False
 
 
 @attrs.frozen
@@ -127,9 +137,17 @@
 
 @attrs.frozen
 class JoinRequest:
-    """Request of a voter whose incarnation is not a member to become one."""
+    """Request of a member without a vote to receive the log.
+
+    Attributes:
+        member: The member.
+        is_founder: Whether it was started together with the whole system.
+        was_voter: Whether it has been a voter before.
+    """
 
     member: str
+    is_founder: bool = False
+    was_voter: bool = False
 
 
 Message: TypeAlias = (
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -6,10 +6,10 @@
 
 import attrs
 
-from hickorylead.consensus import messages
+from hickorylead.consensus import membership, messages
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from hickorylead.consensus import (
         log as log_module,
@@ -28,11 +28,15 @@
         match_index: Last index at which the logs are known to agree.
         last_contact_at: When the latest request that the member replied to
             was sent, or when the leader started to track the member.
+        is_founder: Whether it was started together with the whole system.
+        was_voter: Whether it has been a voter before.
     """
 
     next_index: int
     match_index: int = 0
     last_contact_at: float = 0.0
+    is_founder: bool = False
+    was_voter: bool = True
 
 
 @attrs.frozen
@@ -70,23 +74,76 @@
         self._state_machine = state_machine
         self.members: dict[str, Progress] = {}
 
-    def reset(self, members: Iterable[str], now: float) -> None:
-        """Tracks these members only, at the start of a term."""
+    def reset(self, contacts: Mapping[str, float]) -> None:
+        """Tracks these members only, at the start of a term.
+
+        Args:
+            contacts: When each member was last heard of.
+        """
         self.members = {
-            member: Progress(self._log.last_index + 1, last_contact_at=now)
-            for member in members
+            member: Progress(self._log.last_index + 1, last_contact_at=at)
+            for member, at in contacts.items()
         }
 
-    def track(self, member: str, now: float) -> None:
+    def track(self, join: messages.JoinRequest, now: float) -> None:
         """Starts to track a member unless it is tracked already."""
-        if member not in self.members:
-            self.members[member] = Progress(
+        if join.member not in self.members:
+            self.members[join.member] = Progress(
                 self._log.last_index + 1, last_contact_at=now
             )
+        progress = self.members[join.member]
+        progress.is_founder = join.is_founder
+        progress.was_voter = join.was_voter
+
+    def record_voters(self, voters: Iterable[str]) -> None:
+        """Records that members are voters now."""
+        for voter in voters:
+            if voter in self.members:
+                self.members[voter].was_voter = True
+
+    def prune(self, voters: Collection[str], since: float) -> None:
+        """Stops tracking members without a vote that are not reached.
 
-    def drop(self, member: str) -> None:
-        """Stops tracking a member."""
-        self.members.pop(member, None)
+        Args:
+            voters: Members that are kept.
+            since: Others are kept if they were in contact since this time.
+        """
+        self.members = {
+            member: progress
+            for member, progress in self.members.items()
+            if member in voters or progress.last_contact_at >= since
+        }
+
+    def list_missed(self, voters: Iterable[str], since: float) -> list[str]:
+        """Returns the voters without contact since a time, longest first."""
+        missed = [
+            (self.members[voter].last_contact_at, voter)
+            for voter in voters
+            if voter in self.members
+            and self.members[voter].last_contact_at < since
+        ]
+        return [voter for _, voter in sorted(missed)]
+
+    def list_candidates(
+        self, voters: Collection[str], index: int, since: float
+    ) -> list[membership.Candidate]:
+        """Returns the reachable members without a vote.
+
+        Args:
+            voters: The present voters.
+            index: Index up to which the log is committed.
+            since: Candidates were in contact since this time.
+        """
+        return [
+            membership.Candidate(
+                member,
+                is_caught_up=progress.match_index >= index,
+                is_founder=progress.is_founder,
+                was_voter=progress.was_voter,
+            )
+            for member, progress in sorted(self.members.items())
+            if member not in voters and progress.last_contact_at >= since
+        ]
 
     def list_reached(self, since: float) -> set[str]:
         """Returns the members that replied to a request sent since a time."""
--- a/src/hickorylead/consensus/state_machine.py
+++ b/src/hickorylead/consensus/state_machine.py
@@ -79,16 +79,17 @@
         """Returns a snapshot of the state with the voters of that time."""
         term = log.get_term(self.applied)
         assert term is not None, "the last applied entry is known"
-        voters = log.snapshot.voters
+        chosen = changes.SetVoters(log.snapshot.voters, log.snapshot.leaving)
         first = log.snapshot.index + 1
         for entry in log.list_from(first, self.applied - first + 1):
             match entry.change.operation:
-                case changes.SetVoters(newer):
-                    voters = newer
+                case changes.SetVoters() as newer:
+                    chosen = newer
         return messages.Snapshot(
             index=self.applied,
             term=term,
-            voters=voters,
+            voters=chosen.voters,
+            leaving=chosen.leaving,
             configuration=self.configuration,
             outcomes=tuple(self._outcomes.values()),
         )
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -12,6 +12,7 @@
 from hickorylead.configuration import changes, model
 from hickorylead.consensus import (
     log as log_module,
+    membership,
     messages,
     options as options_module,
     replication,
@@ -19,10 +20,14 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
     import random
 
-JOIN_PERIOD_S = 1.0
+# Time after which a leader stops sending to a member without a vote that does
+# not reply, in seconds.
+LEARNER_RETENTION_S = 10.0
+# Heartbeats without a reply after which a voter may be lost.
+SILENT_HEARTBEATS = 3
 
 Role = Literal["follower", "candidate", "leader"]
 
@@ -39,6 +44,7 @@
         rng: random.Random,
         now: float,
         options: options_module.VoterOptions = options_module.DEFAULT_OPTIONS,
+        is_founder: bool = False,
     ) -> None:
         """Creates a voter with an empty log.
 
@@ -49,8 +55,10 @@
             rng: Source of the jitter of election timeouts.
             now: Present time.
             options: Timeouts for elections and for lost voters.
+            is_founder: Whether it is started together with the whole system.
         """
         self._options = options
+        self._is_founder = is_founder
         self.member = f"{node}#{incarnation}"
         self.role: Role = "follower"
         self.leader = ""
@@ -63,12 +71,14 @@
         self._state_machine = state_machine_module.StateMachine()
         self._hard_state = messages.HardState(cluster="", term=0)
         self._peers = peers
+        self._heard_at: Mapping[str, float] = {}
         self._rng = rng
         self._votes: set[str] = set()
         self._trial = False
         self._replicator = replication.Replicator(self.log, self._state_machine)
         self._pending: dict[int, str] = {}
         self._last_leader_contact_at = now
+        self._leads_since = now
         self._election_deadline = now
         self._next_heartbeat = now
         self._next_join = now
@@ -97,11 +107,16 @@
     @property
     def voters(self) -> tuple[str, ...]:
         """The members that vote, according to the log of this voter."""
-        return self.log.find_voters()
+        return self.log.find_voters().voters
 
-    def set_peers(self, peers: tuple[str, ...]) -> None:
-        """Sets the other control processes that are known now."""
-        self._peers = peers
+    def set_peers(self, heard_at: Mapping[str, float]) -> None:
+        """Sets the other control processes that are known now.
+
+        Args:
+            heard_at: When each of them was last heard of, by node.
+        """
+        self._peers = tuple(heard_at)
+        self._heard_at = heard_at
 
     def restore(self, records: Iterable[messages.Record]) -> None:
         """Replays the journal; must be called once, before any other method."""
@@ -188,10 +203,12 @@
         return effects
 
     def _request_join(self, now: float) -> list[messages.Effect]:
-        if now < self._next_join:
+        if now < self._next_join or not self._peers:
             return []
-        self._next_join = now + JOIN_PERIOD_S
-        join = messages.JoinRequest(self.member)
+        self._next_join = now + self._options.join_period_s
+        join = messages.JoinRequest(
+            self.member, self._is_founder, self._hard_state.was_voter
+        )
         return [messages.Send(node, join) for node in self._peers]
 
     def propose(
@@ -222,8 +239,8 @@
                 return self._receive_snapshot(message, now)
             case messages.AppendReply():
                 return self._receive_append_reply(message, now)
-            case messages.JoinRequest(member):
-                return self._receive_join(member, now)
+            case messages.JoinRequest():
+                return self._receive_join(message, now)
 
     # Elections.
 
@@ -327,8 +344,17 @@
     def _become_leader(self, now: float) -> list[messages.Effect]:
         self.role = "leader"
         self.leader = self.member
+        self._leads_since = now
+        # Contact before the election counts, so that an election does not
+        # delay the replacement of a voter that is lost.
         self._replicator.reset(
-            (voter for voter in self.voters if voter != self.member), now
+            {
+                voter: min(
+                    now, self._heard_at.get(messages.get_node(voter), now)
+                )
+                for voter in self.voters
+                if voter != self.member
+            }
         )
         # The new leader appends an entry without a change. Entries of earlier
         # terms count as committed only once a later entry of this term is
@@ -364,43 +390,12 @@
         # elected.
         if not self._has_majority(now):
             return self._step_down(self.term, now)
-        effects = self._remove_unreachable_voter(now)
+        self._replicator.prune(self.voters, now - LEARNER_RETENTION_S)
+        effects = self._change_voters(now)
         if now >= self._next_heartbeat:
             effects += self._replicate(now)
         return effects
 
-    def _remove_unreachable_voter(self, now: float) -> list[messages.Effect]:
-        """Removes a lost voter if another voter of its zone is reachable.
-
-        A voter whose VM is gone for good would count against every later
-        majority. A removed voter that was only partitioned requests to join
-        again.
-        """
-        timeout_s = self._options.replace_after_s
-        if not timeout_s or len(self.voters) <= self._options.min_voters:
-            return []
-        if self._is_changing_voters():
-            return []
-        last_contact_at = {
-            member: progress.last_contact_at
-            for member, progress in self._replicator.members.items()
-        }
-        last_contact_at[self.member] = now
-        for voter in self.voters:
-            if now - last_contact_at.get(voter, now) <= timeout_s:
-                continue
-            zone = voter.partition("/")[0]
-            if any(
-                other.partition("/")[0] == zone
-                and now - last_contact_at.get(other, 0.0)
-                <= self._options.election_min_s
-                for other in self.voters
-            ):
-                rest = [v for v in self.voters if v != voter]
-                self._replicator.drop(voter)
-                return self._propose_voters(rest, now)
-        return []
-
     def _has_majority(self, now: float) -> bool:
         reached = self._replicator.list_reached(
             now - self._options.election_min_s
@@ -437,7 +432,7 @@
         effects = self._advance_commit(now)
         if self.role == "leader" and self._replicator.is_behind(member):
             effects += self._replicator.send(member, self._make_header(), now)
-        return [*effects, *self._admit_learner(member, now)]
+        return [*effects, *self._change_voters(now)]
 
     def _advance_commit(self, now: float) -> list[messages.Effect]:
         for index in range(self.log.last_index, self.commit, -1):
@@ -450,36 +445,62 @@
 
     # Changes of the set of voters, one at a time.
 
-    def _receive_join(self, member: str, now: float) -> list[messages.Effect]:
-        if self.role != "leader" or member in self.voters:
-            return []
-        if self._is_changing_voters():
-            return []
-        node = messages.get_node(member)
-        previous = [v for v in self.voters if messages.get_node(v) == node]
-        if previous:
-            # The previous incarnation is removed first: majorities of two
-            # sets that differ by one member always overlap, but majorities
-            # of two sets in which one member is swapped need not.
-            remaining = [v for v in self.voters if v not in previous]
-            self._replicator.drop(previous[0])
-            return self._propose_voters(remaining, now)
-        self._replicator.track(member, now)
-        return self._replicator.send(member, self._make_header(), now)
-
-    def _admit_learner(self, member: str, now: float) -> list[messages.Effect]:
-        if member in self.voters or self._is_changing_voters():
+    def _receive_join(
+        self, join: messages.JoinRequest, now: float
+    ) -> list[messages.Effect]:
+        if self.role != "leader" or join.member in self.voters:
             return []
-        if member not in self._replicator.list_holders(self.commit):
+        self._replicator.track(join, now)
+        return self._replicator.send(join.member, self._make_header(), now)
+
+    def _change_voters(self, now: float) -> list[messages.Effect]:
+        if self.role != "leader" or self._is_changing_voters():
             return []
-        return self._propose_voters([*self.voters, member], now)
+        voters = self.voters
+        replace_after_s = self._options.replace_after_s
+        candidates = self._replicator.list_candidates(
+            voters, self.commit, now - self._options.election_min_s
+        )
+        incarnations = {
+            messages.get_node(candidate.member): candidate.member
+            for candidate in candidates
+            if candidate.is_caught_up
+        }
+        lost = [
+            voter
+            for voter in voters
+            if messages.get_node(voter) in incarnations
+        ]
+        missed: list[str] = []
+        silent: list[str] = []
+        if (
+            replace_after_s
+            and now - self._leads_since >= self._options.join_period_s
+        ):
+            # A new leader first gives every voter time to reply.
+            missed = self._replicator.list_missed(voters, now - replace_after_s)
+            silent = self._replicator.list_missed(
+                voters, now - SILENT_HEARTBEATS * self._options.heartbeat_s
+            )
+        chosen = membership.choose_voters(
+            membership.Situation(
+                voters=voters,
+                leaving=self.log.find_voters().leaving,
+                lost=tuple(lost),
+                missed=tuple(voter for voter in missed if voter not in lost),
+                is_any_silent=len(silent) > len(missed),
+                candidates=tuple(candidates),
+                zones=self._options.zones,
+                smallest=self._options.min_voters,
+            )
+        )
+        return [] if chosen is None else self._propose_voters(chosen, now)
 
     def _propose_voters(
-        self, voters: list[str], now: float
+        self, chosen: changes.SetVoters, now: float
     ) -> list[messages.Effect]:
-        change = changes.Change(
-            "", -1, changes.SetVoters(tuple(sorted(voters)))
-        )
+        self._replicator.record_voters(chosen.voters)
+        change = changes.Change("", -1, chosen)
         entry = messages.LogEntry(self.log.last_index + 1, self.term, change)
         return [*self._append([entry]), *self._replicate(now)]
 
@@ -576,6 +597,7 @@
             self.log.install(snapshot)
             self._state_machine.record_snapshot()
             effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
+            effects += self._record_vote()
             self._load_snapshot()
             effects.append(messages.Apply(self.configuration))
         reply = messages.AppendReply(
@@ -595,7 +617,16 @@
     ) -> list[messages.Effect]:
         added = tuple(entries)
         self.log.append(added)
-        return [messages.Persist(messages.AppendLog(added))]
+        effects: list[messages.Effect] = [
+            messages.Persist(messages.AppendLog(added))
+        ]
+        return [*effects, *self._record_vote()]
+
+    def _record_vote(self) -> list[messages.Effect]:
+        """Records on disk that this member is or was a voter."""
+        if self._hard_state.was_voter or self.member not in self.voters:
+            return []
+        return self._update_hard_state(was_voter=True)
 
     def _commit_to(self, index: int, now: float) -> list[messages.Effect]:
         if index <= self.commit:
@@ -637,12 +668,14 @@
         cluster: str | None = None,
         term: int | None = None,
         voted_for: str | None = None,
+        was_voter: bool | None = None,
     ) -> list[messages.Effect]:
         old = self._hard_state
         self._hard_state = messages.HardState(
             cluster=old.cluster if cluster is None else cluster,
             term=old.term if term is None else term,
             voted_for=old.voted_for if voted_for is None else voted_for,
+            was_voter=old.was_voter if was_voter is None else was_voter,
         )
         return (
             []
--- a/src/hickorylead/fleet/limit_loans.py
+++ b/src/hickorylead/fleet/limit_loans.py
@@ -15,7 +15,7 @@
 # window contains uses of both loans.
 HOLD_S = LOAN_S + windowed_budget.WINDOW_S
 # Time without a leader for which a voter goes on lending, in seconds. It may be
-# replaced in the meantime: voters are removed after 6 s without contact.
+# replaced in the meantime.
 LAPSE_S = 8.0
 # Time during which a voter that was removed may have loans outstanding, in
 # seconds. The part of the others does not grow before that, and a new voter
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -156,4 +156,5 @@
         data_folder=settings.data_folder,
         heartbeat_s=settings.heartbeat_s,
         max_lost_disks=settings.max_lost_disks,
+        catch_up_s=settings.catch_up_s,
     )
--- a/src/hickorylead/platform/settings.py
+++ b/src/hickorylead/platform/settings.py
@@ -42,6 +42,8 @@
         heartbeat_s: Interval of backend servers' heartbeats, in seconds.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         max_lost_disks: Disks that may be lost at the same time.
+        catch_up_s: Time after which a process that has started is relied upon,
+            in seconds.
         retry_limits: Limits of the retries of all gateways together.
         bind_ip: IP address that the process binds; empty if it is `ip`.
         relay_port: Port for relayed requests of other gateways; 0 if there is
@@ -62,6 +64,7 @@
     heartbeat_s: float
     grace_s: float
     max_lost_disks: int
+    catch_up_s: float
     retry_limits: budget.RetryLimits
     bind_ip: str = ""
     relay_port: int = 0
@@ -141,6 +144,7 @@
         max_lost_disks=reader.read(
             "FaultTolerance.Machines", int, 1, optional=True
         ),
+        catch_up_s=reader.read("Bounds.CatchUpS", float, 4.0, optional=True),
         retry_limits=budget.RetryLimits(
             ratio=reader.read("Bounds.BudgetRatio", float, 0.2, optional=True),
             burst=reader.read(
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -171,7 +171,8 @@
             peers=tuple(self.peers.known),
             rng=rng,
             now=now,
-            options=voter_options,
+            options=attrs.evolve(voter_options, zones=self._identity.zones),
+            is_founder=self._identity.may_bootstrap,
         )
         self.voter.restore(records)
         self._configuration_requests = (
@@ -243,7 +244,7 @@
 
     def _tick(self, now: float) -> list[CoordinatorEffect]:
         effects: list[CoordinatorEffect] = []
-        self.voter.set_peers(tuple(self.peers.known))
+        self.voter.set_peers(self.peers.heard_at)
         effects += self._convert_effects(self.voter.tick(now), now)
         effects += self.voter_monitor.observe(
             self.voter, self.peers.heard_at, now
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -54,16 +54,6 @@
 CLOSE_IDLE_PERIOD_S = 0.5
 # Interval of attempts to reopen the disk after a failed write, in seconds.
 DISK_RETRY_S = 0.5
-# Voters detect the loss of a leader within about a second. Syncs to a disk 25
-# times slower than usual delay the event loop by 50 ms at most.
-VOTER_OPTIONS = options.VoterOptions(
-    heartbeat_s=0.15,
-    election_min_s=0.7,
-    election_max_s=1.4,
-    first_election_max_s=0.4,
-    replace_after_s=6.0,
-    rejoin_after_s=2.0,
-)
 
 
 @attrs.frozen
@@ -83,6 +73,8 @@
         data_folder: Data folder on disk.
         heartbeat_s: Interval of backend servers' heartbeats, in seconds.
         max_lost_disks: Number of disks that may be lost at the same time.
+        catch_up_s: Time after which a coordinator that has started is relied
+            upon, in seconds.
         bind_ip: IP address to bind; empty if it is `ip`.
     """
 
@@ -98,6 +90,7 @@
     data_folder: str
     heartbeat_s: float
     max_lost_disks: int
+    catch_up_s: float
     bind_ip: str = ""
 
     @property
@@ -147,8 +140,9 @@
         self._pending_calls: dict[str, asyncio.Future[Any]] = {}
         self._call_count = 0
         self._pool = upstream.Pool(settings.bind_ip)
-        self._voter_options = attrs.evolve(
-            VOTER_OPTIONS, min_voters=2 * settings.max_lost_disks + 1
+        self._voter_options = options.derive_options(
+            catch_up_s=settings.catch_up_s,
+            max_lost_disks=settings.max_lost_disks,
         )
         address = f"{settings.ip}:{settings.peer_port}"
         self.role = coordinator_role.Coordinator(
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -315,6 +315,7 @@
   cluster @0 :Text;
   term @1 :Int64;
   votedFor @2 :Text;
+  wasVoter @3 :Bool;
 }
 
 struct HeadFlow {
@@ -367,6 +368,8 @@
 
 struct JoinRequest {
   member @0 :Text;
+  isFounder @1 :Bool;
+  wasVoter @2 :Bool;
 }
 
 struct KnownCoordinators {
@@ -706,6 +709,7 @@
 
 struct SetVoters {
   voters @0 :List(Text);
+  leaving @1 :Text;
 }
 
 struct Share {
@@ -720,6 +724,7 @@
   voters @2 :List(Text);
   configuration @3 :Configuration;
   outcomes @4 :List(Outcome);
+  leaving @5 :Text;
 }
 
 struct SnapshotRequest {
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -36,14 +36,7 @@
 ZONES = ("z1", "z2", "z3")
 LATENCY_S = 0.001
 HEARTBEAT_S = 1.2
-VOTER_OPTIONS = options.VoterOptions(
-    0.15,
-    0.7,
-    1.4,
-    first_election_max_s=0.4,
-    replace_after_s=6.0,
-    rejoin_after_s=2.0,
-)
+VOTER_OPTIONS = options.derive_options(catch_up_s=4.0, max_lost_disks=1)
 MODELS = (
     document.ModelProfile("large", 3, 0.6, 1.0, 1.5, 0.5),
     document.ModelProfile("small", 2, 0.4, 0.6, 1.5, 0.5),
@@ -151,8 +144,12 @@
         gateways_per_zone: int = 2,
         coordinators_per_zone: int = 1,
         retry_limits: budget.RetryLimits = budget.DEFAULT_RETRY_LIMITS,
+        zones: tuple[str, ...] = ZONES,
+        voter_options: options.VoterOptions = VOTER_OPTIONS,
     ) -> None:
         self.now = 100.0
+        self._zones = zones
+        self._voter_options = voter_options
         self._retry_limits = retry_limits
         self.rng = random.Random(seed)
         self._queue: list[tuple[float, int, Any]] = []
@@ -184,14 +181,14 @@
         self.coordinator_names = [
             nodes.make_node_name(zone, f"core{number or ''}", nodes.COORDINATOR)
             for number in range(coordinators_per_zone)
-            for zone in ZONES
+            for zone in zones
         ]
         # Operators list at most three coordinators as seeds.
         self.seeds = tuple(self.coordinator_names[:3])
         for node in self.coordinator_names:
             self.disks[node] = Disk(f"d{len(self.disks)}")
             self.start(node, first=True)
-        for zone in ZONES:
+        for zone in zones:
             for number in range(1, gateways_per_zone + 1):
                 vm = f"front{number}"
                 self.start_gateway(
@@ -217,14 +214,14 @@
                 seeds=self.seeds,
                 may_bootstrap=first,
                 heartbeat_s=HEARTBEAT_S,
-                zones=ZONES,
+                zones=self._zones,
             ),
             decode_document=decode_content,
             policy=group_builder_module.StandbyPolicy(),
             records=list(disk.records),
             rng=random.Random(f"{node}{self.rng.random()}"),
             now=self.now,
-            voter_options=VOTER_OPTIONS,
+            voter_options=self._voter_options,
         )
         role = self.coordinators[node]
         role.registry.restore(disk.servers, self.now)
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -109,6 +109,7 @@
                     data_folder=str(folder / zone),
                     heartbeat_s=0.2,
                     max_lost_disks=1,
+                    catch_up_s=4.0,
                 ),
                 server_codec=servers.PlatformServerCodec(),
                 decode_document=documents.decode_compressed,
