Keep connections between processes alive beside messages that are too large

Cause: a message above 4 MiB raised FrameError in the task of its connection. The task ended, nothing noticed, and no other one was ever started, so the process sent nothing more to that node.

- One mechanism for tasks (runtime/tasks.py): those that must keep running are logged and started again, one-shot tasks are logged, servers that end stop the process, and errors of callbacks and forgotten tasks are logged.
- A frame takes the largest configuration with all that goes around it; a larger message is logged and dropped alone.
- Queues are limited in bytes and age too; large messages are written in parts, over a connection of their own, so that heartbeats do not wait behind them.

--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -20,6 +20,7 @@
     peers as peers_module,
     process,
     server as server_module,
+    tasks,
 )
 from hickorylead.telemetry import logs
 
@@ -76,7 +77,7 @@
             wall_time=clock.read_wall(),
         )
         self.log = logs.Log(lambda: self.role.version)
-        self._orders: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.TaskSet(self.log)
         self._disk_error: OSError | None = None
         self._stop = asyncio.Event()
         self._peers = peers_module.Peers(
@@ -100,17 +101,18 @@
             self.settings["address"],
             self.settings["http_port"],
         )
+        tasks.report_unhandled(self.log)
         await self._peers.start()
         await http.start()
+        tasks.stop_on_end(http.task, self._stop)
         self.log.info("started", node=self.node)
         tick_task = asyncio.create_task(self._tick())
-        process.stop_on_failure(tick_task, self._stop)
+        tasks.stop_on_end(tick_task, self._stop)
         await process.wait_for_stop(self._stop)
         tick_task.cancel()
         await http.close()
         await self._peers.close()
-        for task in self._orders:
-            task.cancel()
+        await self._tasks.close()
         await self._session.close()
         if self._folder is not None:
             self._folder.close()
@@ -167,9 +169,7 @@
         # obsolete.
         if not self.role.may_issue_orders(clock.read_monotonic()):
             return
-        task = asyncio.create_task(self._post(order))
-        self._orders.add(task)
-        task.add_done_callback(self._orders.discard)
+        self._tasks.start(f"order to {order.vm}", self._post(order))
 
     async def _post(self, order: orders.Order) -> None:
         kind = type(order).__name__.lower()
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -34,6 +34,7 @@
     reload_signal,
     scrape,
     server as server_module,
+    tasks,
     ticker,
     upstream,
 )
@@ -136,7 +137,7 @@
         self._stop = asyncio.Event()
         self._folder = self._open_folder()
         self._disk_failed_at: float | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.TaskSet(log)
         self._pending_calls: dict[str, asyncio.Future[Any]] = {}
         self._call_count = 0
         self._pool = upstream.Pool(settings.bind_ip)
@@ -187,8 +188,10 @@
             self.settings.listen_ip,
             self.settings.control_port,
         )
+        tasks.report_unhandled(self._log)
         await self._peers.start()
         await http.start()
+        tasks.stop_on_end(http.task, self._stop)
         metrics_server = await scrape.serve(
             self._log,
             self.settings.listen_ip,
@@ -196,13 +199,14 @@
             self._collect_gauges,
         )
         self._log.write(notes.note("started", node=self._node))
-        tick_task = asyncio.ensure_future(
-            ticker.tick_forever(coordinator_role.TICK_S, self._tick, self._log)
+        self._tasks.keep_running(
+            "ticks",
+            lambda: ticker.tick_forever(
+                coordinator_role.TICK_S, self._tick, self._log
+            ),
         )
         await self._stop.wait()
-        tick_task.cancel()
-        for task in self._tasks:
-            task.cancel()
+        await self._tasks.close()
         await http.close()
         if metrics_server is not None:
             await metrics_server.close()
@@ -309,9 +313,11 @@
                 else:
                     self._complete_call(token, (version, content))
             case orders.SendOrder():
-                self._start_task(self._post(effect))
+                self._tasks.start(f"order to {effect.name}", self._post(effect))
             case orders.RequestReport():
-                self._start_task(self._request_report(effect))
+                self._tasks.start(
+                    f"probe of {effect.name}", self._request_report(effect)
+                )
 
     def _receive(self, sender: str, message: interface.Message) -> None:
         if self._disk_failed_at is not None and isinstance(
@@ -400,11 +406,6 @@
 
     # Backend servers.
 
-    def _start_task(self, coroutine: Any) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _call(
         self,
         name: str,
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -18,6 +18,7 @@
     process,
     response_queue as response_queue_module,
     server as server_module,
+    tasks as tasks_module,
     waiters,
 )
 from hickorylead.telemetry import logs, metrics as metrics_module, traces
@@ -88,12 +89,14 @@
             self.settings["address"],
             self.settings["caller_port"],
         )
+        tasks_module.report_unhandled(self.log)
         await self._peers.start()
         await http.start()
         self.log.info("started", node=self.node)
         stop = asyncio.Event()
         tick_task = asyncio.create_task(self._tick())
-        process.stop_on_failure(tick_task, stop)
+        tasks_module.stop_on_end(tick_task, stop)
+        tasks_module.stop_on_end(http.task, stop)
         tasks = [
             tick_task,
             asyncio.create_task(
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -25,6 +25,7 @@
     reload_signal,
     scrape,
     server as server_module,
+    tasks,
     ticker,
     upstream,
 )
@@ -173,7 +174,7 @@
             clock.read_boottime()
         )
         self._limits.report_close = self._report_close
-        self._probes: set[asyncio.Task[None]] = set()
+        self._tasks = tasks.TaskSet(log)
 
     async def run(self) -> None:
         """Serves until the process receives SIGTERM or SIGINT."""
@@ -192,10 +193,13 @@
         ready = server_module.HttpServer(
             self._make_ready_app(), settings.listen_ip, settings.ready_port
         )
+        tasks.report_unhandled(self._log)
         await self._peers.start()
         await ready.start()
+        tasks.stop_on_end(ready.task, self._stop)
         await self._relays.start(settings.listen_ip, settings.relay_port)
         await listener.start()
+        tasks.stop_on_end(listener.task, self._stop)
         metrics_server = await scrape.serve(
             self._log,
             self.settings.listen_ip,
@@ -203,20 +207,21 @@
             self._collect_gauges,
         )
         self._log.write(notes.note("started", node=self.name))
-        tick_tasks = [
-            asyncio.ensure_future(
-                ticker.tick_forever(self._get_tick_delay, self._tick, self._log)
+        self._tasks.keep_running(
+            "ticks",
+            lambda: ticker.tick_forever(
+                self._get_tick_delay, self._tick, self._log
             ),
-            asyncio.ensure_future(
-                ticker.tick_forever(
-                    CLOSE_IDLE_PERIOD_S, self._close_idle, self._log
-                )
+        )
+        self._tasks.keep_running(
+            "closing of idle connections",
+            lambda: ticker.tick_forever(
+                CLOSE_IDLE_PERIOD_S, self._close_idle, self._log
             ),
-        ]
+        )
         await self._stop.wait()
         await self._drain(listener)
-        for task in [*tick_tasks, *self._probes]:
-            task.cancel()
+        await self._tasks.close()
         self._relays.close()
         self._pool.close()
         await listener.close()
@@ -293,9 +298,9 @@
             case events.StartAttempt():
                 self._start_attempt(effect)
             case events.ProbeServer(replica):
-                task = asyncio.ensure_future(self._probe(replica))
-                self._probes.add(task)
-                task.add_done_callback(self._probes.discard)
+                self._tasks.start(
+                    f"probe of {replica.address}", self._probe(replica)
+                )
             case events.CancelAttempt(request_id, attempt):
                 exchange = self._exchanges.pop((request_id, attempt), None)
                 if exchange is not None:
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -252,6 +252,12 @@
                 raise OSError("the HTTP server did not start")
             await asyncio.sleep(0.005)
 
+    @property
+    def task(self) -> asyncio.Task[None]:
+        """The task that serves; it runs until the listener is closed."""
+        assert self._task is not None, "the listener was started"
+        return self._task
+
     def get_address(self) -> tuple[str, int]:
         """Returns the IP address and port on which it listens."""
         address = self._server.servers[0].sockets[0].getsockname()
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -10,11 +10,11 @@
 import asyncio
 import collections
 import contextlib
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING
 
 from returns import result
 
-from hickorylead.runtime import timeouts
+from hickorylead.runtime import tasks, timeouts
 from hickorylead.wire import codec, frame
 
 if TYPE_CHECKING:
@@ -27,10 +27,19 @@
 # Delay before a failed connection is replaced, in seconds. It is short, so that
 # a process that starts just after this one is soon connected.
 RECONNECT_DELAY_S = 0.1
-# Maximum number of messages queued for one node, which limits the memory used
-# for an unreachable node. The protocols above resend messages that are dropped.
+# Limits of the queue for one node, which bound the memory used for a node that
+# is unreachable or slow. The protocols above resend messages that are dropped.
 MAX_QUEUED_MESSAGES = 2000
-_READ_BYTES = 64 * 1024
+MAX_QUEUED_BYTES = 2 * frame.MAX_FRAME_BYTES
+# Age above which a message is outdated and is not sent any more, in seconds.
+MAX_QUEUE_AGE_S = 2.0
+# Size from which messages use a connection of their own, in bytes, so that
+# heartbeats and votes do not wait behind them.
+BULK_BYTES = 256 * 1024
+# Part of a message that is written at once, in bytes. The rest waits until the
+# receiver has taken it, so that no connection buffers a whole large message.
+WRITE_BYTES = 256 * 1024
+_READ_BYTES = 256 * 1024
 _ACK = b"\1"
 
 
@@ -40,11 +49,43 @@
     return ip.strip("[]"), int(port)
 
 
-class WarningLog(Protocol):
-    """Log for problems that were handled."""
+class MessageQueue:
+    """Messages for one node, limited in number, bytes and age."""
 
-    def warn(self, message: str, **fields: Any) -> None:
-        """Writes a log line."""
+    def __init__(self) -> None:
+        """Makes an empty queue."""
+        self._messages: collections.deque[tuple[float, bytes]] = (
+            collections.deque()
+        )
+        self.size_bytes = 0
+
+    def __len__(self) -> int:
+        """Returns the number of messages."""
+        return len(self._messages)
+
+    def append(self, payload: bytes, now: float) -> None:
+        """Adds a message; the oldest ones are dropped beyond a limit."""
+        self._messages.append((now, payload))
+        self.size_bytes += len(payload)
+        while (
+            len(self._messages) > MAX_QUEUED_MESSAGES
+            or self.size_bytes > MAX_QUEUED_BYTES
+        ):
+            self._remove_oldest()
+
+    def drop_outdated(self, now: float) -> None:
+        """Drops the messages that are too old to be sent."""
+        while self._messages and now - self._messages[0][0] > MAX_QUEUE_AGE_S:
+            self._remove_oldest()
+
+    def take(self) -> bytes:
+        """Removes the oldest message and returns it."""
+        return self._remove_oldest()
+
+    def _remove_oldest(self) -> bytes:
+        _, payload = self._messages.popleft()
+        self.size_bytes -= len(payload)
+        return payload
 
 
 class _Link:
@@ -53,19 +94,19 @@
     def __init__(self, address: str, bind_ip: str) -> None:
         self.address = address
         self._bind = (bind_ip, 0) if bind_ip else None
-        self.queue: collections.deque[bytes] = collections.deque(
-            maxlen=MAX_QUEUED_MESSAGES
-        )
+        self.queue = MessageQueue()
         self.wake = asyncio.Event()
         self.task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Sends the queued messages, over one connection after another."""
+        loop = asyncio.get_running_loop()
         while True:
             await self._wait_for_messages(None)
             with contextlib.suppress(OSError, TimeoutError):
                 await self._run_connection()
             await asyncio.sleep(RECONNECT_DELAY_S)
+            self.queue.drop_outdated(loop.time())
 
     async def _run_connection(self) -> None:
         ip, port = split_address(self.address)
@@ -76,7 +117,7 @@
         try:
             while True:
                 while self.queue:
-                    writer.write(frame.pack_frame(self.queue.popleft()))
+                    await self._write(writer, self.queue.take())
                 async with timeouts.limit_time(ACK_TIMEOUT_S):
                     await writer.drain()
                     if not await reader.read(_READ_BYTES):
@@ -85,6 +126,19 @@
         finally:
             writer.close()
 
+    async def _write(
+        self, writer: asyncio.StreamWriter, payload: bytes
+    ) -> None:
+        writer.write(frame.pack_header(payload))
+        if len(payload) <= WRITE_BYTES:
+            writer.write(payload)
+            return
+        view = memoryview(payload)
+        for start in range(0, len(payload), WRITE_BYTES):
+            writer.write(view[start : start + WRITE_BYTES])
+            async with timeouts.limit_time(ACK_TIMEOUT_S):
+                await writer.drain()
+
     async def _wait_for_messages(
         self, reader: asyncio.StreamReader | None
     ) -> None:
@@ -105,7 +159,7 @@
         address: str,
         addresses: Mapping[str, str],
         deliver: Callable[[str, interface.Message], None],
-        log: WarningLog,
+        log: tasks.WarningLog,
         bind_ip: str = "",
     ) -> None:
         """Makes the connections of a process; `start` opens them.
@@ -126,26 +180,28 @@
         self._configured_nodes = frozenset(addresses)
         self._deliver = deliver
         self._log = log
-        self._links: dict[str, _Link] = {}
+        # By node, and whether the connection is for large messages.
+        self._links: dict[tuple[str, bool], _Link] = {}
         self._last_encoded: tuple[interface.Message | None, bytes] = (None, b"")
         self._server: asyncio.Server | None = None
+        self._tasks = tasks.TaskSet(log)
         self._handlers: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts to receive messages."""
         ip, port = split_address(self._address)
         self._server = await asyncio.start_server(
-            self._serve, self._bind_ip or ip, port
+            self._serve, self._bind_ip or ip, port, limit=_READ_BYTES
         )
 
     async def close(self) -> None:
         """Closes all connections."""
         if self._server is not None:
             self._server.close()
-        tasks = [link.task for link in self._links.values() if link.task]
-        for task in [*tasks, *self._handlers]:
+        await self._tasks.close()
+        for task in self._handlers:
             task.cancel()
-        await asyncio.gather(*tasks, *self._handlers, return_exceptions=True)
+        await asyncio.gather(*self._handlers, return_exceptions=True)
 
     def send(self, node: str, message: interface.Message) -> None:
         """Sends a message; it is dropped if the node's address is unknown."""
@@ -160,14 +216,27 @@
             address = node[1:]
         if address is None:
             return
-        link = self._links.get(node)
+        payload = self._encode(message)
+        if len(payload) > frame.MAX_FRAME_BYTES:
+            self._log.warn(
+                "message too large",
+                node=node,
+                kind=type(message).__name__,
+                bytes=len(payload),
+            )
+            return
+        link = self._find_link(node, address, len(payload) >= BULK_BYTES)
+        link.queue.append(payload, asyncio.get_running_loop().time())
+        link.wake.set()
+
+    def _find_link(self, node: str, address: str, is_bulk: bool) -> _Link:
+        link = self._links.get((node, is_bulk))
         if link is None or link.address != address:
             if link is not None and link.task is not None:
                 link.task.cancel()
-            link = self._links[node] = _Link(address, self._bind_ip)
-            link.task = asyncio.create_task(link.run())
-        link.queue.append(self._encode(message))
-        link.wake.set()
+            link = self._links[node, is_bulk] = _Link(address, self._bind_ip)
+            link.task = self._tasks.keep_running(f"link to {node}", link.run)
+        return link
 
     def _encode(self, message: interface.Message) -> bytes:
         """Encodes a message, once even if it goes to several nodes."""
--- a/src/hickorylead/runtime/process.py
+++ b/src/hickorylead/runtime/process.py
@@ -28,21 +28,6 @@
     await stop.wait()
 
 
-def stop_on_failure(task: asyncio.Task[None], stop: asyncio.Event) -> None:
-    """Stops the process when a task that must keep running has failed.
-
-    A process without ticks still responds, but renews nothing and detects no
-    timeouts. This is worse than a process that has ended, since other nodes
-    detect the end of a process.
-    """
-
-    def on_done(completed: asyncio.Task[None]) -> None:
-        if not completed.cancelled() and completed.exception() is not None:
-            stop.set()
-
-    task.add_done_callback(on_done)
-
-
 async def export_traces(tracer: traces.Tracer, endpoint: str) -> None:
     """Sends completed spans to the trace endpoint periodically."""
     if not endpoint:
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -56,6 +56,12 @@
                 raise OSError("the HTTP server did not start")
             await asyncio.sleep(0.01)
 
+    @property
+    def task(self) -> asyncio.Task[None]:
+        """The task that serves; it runs until the server is closed."""
+        assert self._task is not None, "the server was started"
+        return self._task
+
     def stop_listening(self) -> None:
         """Stops accepting connections; the open ones continue."""
         for server in self._server.servers:
--- a/src/hickorylead/wire/frame.py
+++ b/src/hickorylead/wire/frame.py
@@ -5,18 +5,34 @@
 import struct
 
 HEADER = struct.Struct(">I")
-MAX_FRAME_BYTES = 4 * 1024 * 1024
+# Maximum size of a message. The largest one holds one configuration, which has
+# 4 MiB before it is compressed; packing adds an eighth at most, and a snapshot
+# 0.8 MB of outcomes.
+MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 
 class FrameError(ValueError):
     """The bytes are not a frame; the connection cannot be used any more."""
 
 
-def pack_frame(payload: bytes) -> bytes:
-    """Returns a frame around a payload."""
+def pack_header(payload: bytes) -> bytes:
+    """Returns what precedes a payload in its frame.
+
+    Raises:
+        FrameError: The payload is empty or too large.
+    """
     if not 0 < len(payload) <= MAX_FRAME_BYTES:
         raise FrameError(f"a frame of {len(payload)} bytes is not allowed")
-    return HEADER.pack(len(payload)) + payload
+    return HEADER.pack(len(payload))
+
+
+def pack_frame(payload: bytes) -> bytes:
+    """Returns a frame around a payload.
+
+    Raises:
+        FrameError: The payload is empty or too large.
+    """
+    return pack_header(payload) + payload
 
 
 class FrameReader:
--- a/tests/runtime/links.feature
+++ b/tests/runtime/links.feature
@@ -14,3 +14,27 @@
     messages.
     When 5000 messages are sent to an unreachable peer
     Then at most 2000 of them are queued
+
+  Scenario: A message that is too large does not end its connection
+    The task of the connection once ended, and the node was sent nothing more.
+    When a message larger than a frame and a small one are sent to a peer
+    Then the small one arrives and the large one is reported
+
+  Scenario: Small messages do not wait behind a large one
+    Heartbeats behind a configuration of some MB once cost a leader its role.
+    When a large message and a small one are sent to a peer that reads slowly
+    Then the small one arrives first
+
+  Scenario: Messages for a node that reads nothing use bounded memory
+    Large messages are limited by their bytes, not by their number.
+    When 100 messages of 1 MB are sent to an unreachable peer
+    Then at most 16 MB of them are queued
+
+  Scenario: A task that fails is reported and starts again
+    Nothing once noticed the end of a task that must keep running.
+    When a task that must keep running fails once
+    Then its failure is reported with its place and it runs again
+
+  Scenario: An error of a callback or a forgotten task is reported
+    When a callback fails that nothing waits for
+    Then its failure is reported with its place
