Send each configuration once, and only the highest of those in progress

Beside eight configurations of 3.6 MB, leaders lost their role and memory grew: entries were sent again with each heartbeat and each change, without a limit in bytes.

- A member has one unanswered message; meanwhile it gets heartbeats.
Batches end at 1 MiB.
- A leader proposes one configuration at a time, the highest first.
Those below it change nothing and are acknowledged once it is committed.
- Forwarded requests and updates of gateways are not sent again while they may be on their way, by size; a request with a known leader may take as long.

--- a/src/hickorylead/consensus/configuration_requests.py
+++ b/src/hickorylead/consensus/configuration_requests.py
@@ -19,12 +19,16 @@
 
 # Time after which a request that is still undecided gets the response "not
 # known", in seconds. Operators give up on a request after one second and try
-# another node.
+# another node, later if the configuration is large.
 REQUEST_TIMEOUT_S = 0.9
 # Interval at which a node forwards a request to the leader again, in seconds. A
 # leader replies within a few disk syncs; without a leader, the next one is
 # elected in about a second.
 RESEND_INTERVAL_S = 0.25
+# Rate at which a large configuration is at least sent and stored, in bytes/s:
+# a quarter of the slowest link and disk of a coordinator. It adds to the times
+# above.
+MIN_BYTES_PER_S = 1024 * 1024
 
 
 @attrs.frozen
@@ -50,8 +54,14 @@
     requester: str
     requested_at: float
     sent_at: float = -1e9
+    sent_to: str = ""
     change_id: str = ""
 
+    @property
+    def transfer_s(self) -> float:
+        """Time that sending and storing the content may take, in seconds."""
+        return len(self.content) / MIN_BYTES_PER_S
+
 
 @attrs.define
 class _Read:
@@ -76,6 +86,8 @@
         self._replaces: dict[str, _Replace] = {}
         self._reads: dict[str, _Read] = {}
         self._change_count = 0
+        # The change that this node has proposed and that is not committed yet.
+        self._proposed = ""
 
     def replace(
         self,
@@ -138,6 +150,8 @@
 
     def handle_committed(self, change_id: str) -> list[Effect]:
         """Completes the requests whose change has been committed."""
+        if change_id == self._proposed:
+            self._proposed = ""
         return [
             effect
             for token, pending in list(self._replaces.items())
@@ -147,6 +161,8 @@
 
     def handle_abandoned(self, change_id: str) -> None:
         """Clears a change that this node can no longer commit as the leader."""
+        if change_id == self._proposed:
+            self._proposed = ""
         for pending in self._replaces.values():
             if pending.change_id == change_id:
                 pending.change_id = ""
@@ -155,7 +171,10 @@
         """Advances pending requests and ends those that timed out."""
         effects: list[Effect] = []
         for token, pending in list(self._replaces.items()):
-            if now - pending.requested_at > REQUEST_TIMEOUT_S:
+            limit_s = REQUEST_TIMEOUT_S
+            if pending.change_id or self._find_leader(now):
+                limit_s += pending.transfer_s
+            if now - pending.requested_at > limit_s:
                 effects += self._finish_replace(token, False)
             else:
                 effects += self._advance_replace(token, now)
@@ -178,12 +197,19 @@
         if pending.change_id:
             return []
         if self._voter.role == "leader":
-            if not self._voter.is_ready_leader(now):
+            # One change at a time, the highest version first: those below it
+            # change nothing afterwards and need not be replicated.
+            if (
+                not self._voter.is_ready_leader(now)
+                or self._proposed
+                or pending.version < self._find_highest_version()
+            ):
                 return []
             self._change_count += 1
             pending.change_id = (
                 f"{self._voter.member}.{now:.3f}.{self._change_count}"
             )
+            self._proposed = pending.change_id
             change = changes.Change(
                 pending.change_id,
                 -1,
@@ -191,13 +217,17 @@
             )
             return [*self._voter.propose(change, now)]
         leader = self._find_leader(now)
+        interval_s = RESEND_INTERVAL_S + pending.transfer_s
         if (
             not leader
             or pending.requester
-            or now - pending.sent_at < RESEND_INTERVAL_S
+            or (
+                leader == pending.sent_to and now - pending.sent_at < interval_s
+            )
         ):
             return []
         pending.sent_at = now
+        pending.sent_to = leader
         request = messages.ReplaceRequest(
             self._node, token, pending.version, pending.content
         )
@@ -241,6 +271,9 @@
             ]
         return [events.AnswerReplace(token, accepted)]
 
+    def _find_highest_version(self) -> int:
+        return max(pending.version for pending in self._replaces.values())
+
     def _find_leader(self, now: float) -> str:
         if not self._voter.has_leader(now) or not self._voter.leader:
             return ""
--- a/src/hickorylead/consensus/log.py
+++ b/src/hickorylead/consensus/log.py
@@ -13,6 +13,15 @@
 EMPTY = messages.Snapshot(0, 0, (), model.Configuration())
 
 
+def measure_entries(entries: Iterable[messages.LogEntry]) -> int:
+    """Returns the size of the configurations in entries, in bytes."""
+    return sum(
+        len(entry.change.operation.content)
+        for entry in entries
+        if isinstance(entry.change.operation, changes.ReplaceWhole)
+    )
+
+
 class Log:
     """Entries by index, starting right after a snapshot."""
 
@@ -56,6 +65,26 @@
         position = max(0, index - self.snapshot.index - 1)
         return tuple(self._entries[position : position + limit])
 
+    def make_batch(
+        self, index: int, *, max_entries: int, max_bytes: int
+    ) -> tuple[messages.LogEntry, ...]:
+        """Returns entries from an index on; at least one, if there is any.
+
+        Args:
+            index: Index of the first one.
+            max_entries: Maximum number of entries.
+            max_bytes: Maximum size of the configurations in them, unless the
+                first one alone is larger, in bytes.
+        """
+        batch: list[messages.LogEntry] = []
+        size = 0
+        for entry in self.list_from(index, max_entries):
+            size += measure_entries((entry,))
+            if batch and size > max_bytes:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
     def append(self, entries: Iterable[messages.LogEntry]) -> None:
         """Adds entries that follow the last one."""
         for entry in entries:
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -6,17 +6,18 @@
 
 import attrs
 
-from hickorylead.consensus import membership, messages
+from hickorylead.consensus import log as log_module, membership, messages
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-    from hickorylead.consensus import (
-        log as log_module,
-        state_machine as state_machine_module,
-    )
+    from hickorylead.consensus import state_machine as state_machine_module
 
 MAX_ENTRIES_PER_APPEND = 64
+MAX_BYTES_PER_APPEND = 1024 * 1024
+# Rate at which a member at least receives and stores entries, in bytes/s: a
+# quarter of the slowest link and disk of a coordinator.
+MIN_BYTES_PER_S = 1024 * 1024
 
 
 @attrs.define
@@ -30,6 +31,9 @@
             was sent, or when the leader started to track the member.
         is_founder: Whether it was started together with the whole system.
         was_voter: Whether it has been a voter before.
+        unanswered_at: When entries or a snapshot were sent that the member has
+            not replied to yet; None if it has replied.
+        unanswered_s: How long the member may take for them, in seconds.
     """
 
     next_index: int
@@ -37,6 +41,8 @@
     last_contact_at: float = 0.0
     is_founder: bool = False
     was_voter: bool = True
+    unanswered_at: float | None = None
+    unanswered_s: float = 0.0
 
 
 @attrs.frozen
@@ -162,7 +168,7 @@
         }
 
     def send_to_all(self, header: Header, now: float) -> list[messages.Effect]:
-        """Sends each member the entries that it lacks, or a heartbeat."""
+        """Sends each member what it lacks, or a heartbeat."""
         return [
             effect
             for member in sorted(self.members)
@@ -172,45 +178,82 @@
     def send(
         self, member: str, header: Header, now: float
     ) -> list[messages.Effect]:
-        """Sends a member the entries that it lacks, or a heartbeat."""
+        """Sends a member what it lacks, or a heartbeat.
+
+        A member that has not replied to what it was sent gets heartbeats only.
+        Its reply to a heartbeat that was sent after the time that it may take
+        shows that the earlier message was lost.
+        """
         progress = self.members[member]
+        if progress.unanswered_at is None:
+            if self.is_behind(member):
+                return self.send_missing(member, header, now)
+            index = progress.next_index - 1
+        else:
+            index = max(progress.match_index, self._log.snapshot.index)
+        return [self._append(member, header, index, (), now)]
+
+    def send_missing(
+        self, member: str, header: Header, now: float
+    ) -> list[messages.Effect]:
+        """Sends a member the next part of what it lacks, if any."""
+        progress = self.members[member]
+        if progress.unanswered_at is not None or not self.is_behind(member):
+            return []
+        progress.unanswered_at = now
+        if self._log.get_term(progress.next_index - 1) is None:
+            progress.unanswered_s = self._estimate_transfer(())
+            snapshot = self._state_machine.make_snapshot(self._log)
+            request = messages.SnapshotRequest(
+                header.cluster,
+                member,
+                header.leader,
+                header.term,
+                snapshot,
+                now,
+            )
+            return [messages.Send(messages.get_node(member), request)]
+        entries = self._log.make_batch(
+            progress.next_index,
+            max_entries=MAX_ENTRIES_PER_APPEND,
+            max_bytes=MAX_BYTES_PER_APPEND,
+        )
+        progress.unanswered_s = self._estimate_transfer(entries)
         previous = progress.next_index - 1
+        return [self._append(member, header, previous, entries, now)]
+
+    def _estimate_transfer(
+        self, entries: tuple[messages.LogEntry, ...]
+    ) -> float:
+        """Returns how long entries or a snapshot may take, in seconds."""
+        if entries:
+            size = log_module.measure_entries(entries)
+        else:
+            size = len(self._state_machine.configuration.content)
+        return size / MIN_BYTES_PER_S
+
+    def _append(
+        self,
+        member: str,
+        header: Header,
+        previous: int,
+        entries: tuple[messages.LogEntry, ...],
+        now: float,
+    ) -> messages.Send:
         term = self._log.get_term(previous)
-        node = messages.get_node(member)
-        if term is None:
-            snapshot = self._state_machine.make_snapshot(self._log)
-            return [
-                messages.Send(
-                    node,
-                    messages.SnapshotRequest(
-                        header.cluster,
-                        member,
-                        header.leader,
-                        header.term,
-                        snapshot,
-                        now,
-                    ),
-                )
-            ]
-        entries = self._log.list_from(
-            progress.next_index, MAX_ENTRIES_PER_APPEND
+        assert term is not None, "the previous entry is known"
+        request = messages.AppendRequest(
+            cluster=header.cluster,
+            recipient=member,
+            leader=header.leader,
+            term=header.term,
+            previous_index=previous,
+            previous_term=term,
+            entries=entries,
+            commit=header.commit,
+            sent_at=now,
         )
-        return [
-            messages.Send(
-                node,
-                messages.AppendRequest(
-                    cluster=header.cluster,
-                    recipient=member,
-                    leader=header.leader,
-                    term=header.term,
-                    previous_index=previous,
-                    previous_term=term,
-                    entries=entries,
-                    commit=header.commit,
-                    sent_at=now,
-                ),
-            )
-        ]
+        return messages.Send(messages.get_node(member), request)
 
     def handle_reply(self, reply: messages.AppendReply) -> None:
         """Records what a tracked member reported."""
@@ -220,13 +263,18 @@
         # had waited in its buffers as recent contact, and stay leader after
         # another one was elected.
         progress.last_contact_at = max(progress.last_contact_at, reply.sent_at)
-        if not reply.matched:
+        if progress.unanswered_at is not None and (
+            reply.sent_at == progress.unanswered_at
+            or reply.sent_at > progress.unanswered_at + progress.unanswered_s
+        ):
+            progress.unanswered_at = None
+        if reply.matched:
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.next_index = max(progress.next_index, reply.index + 1)
+        elif progress.unanswered_at is None:
             progress.next_index = max(
                 1, min(progress.next_index - 1, reply.index + 1)
             )
-            return
-        progress.match_index = max(progress.match_index, reply.index)
-        progress.next_index = max(progress.next_index, reply.index + 1)
 
     def is_behind(self, member: str) -> bool:
         """Returns whether a member lacks entries of the log."""
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -427,11 +427,11 @@
         ):
             return []
         self._replicator.handle_reply(reply)
-        if not reply.matched:
-            return self._replicator.send(member, self._make_header(), now)
         effects = self._advance_commit(now)
-        if self.role == "leader" and self._replicator.is_behind(member):
-            effects += self._replicator.send(member, self._make_header(), now)
+        if self.role == "leader":
+            effects += self._replicator.send_missing(
+                member, self._make_header(), now
+            )
         return [*effects, *self._change_voters(now)]
 
     def _advance_commit(self, now: float) -> list[messages.Effect]:
--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -42,6 +42,9 @@
 # Time for which a configuration that was sent counts as in transit and is not
 # sent again, in seconds.
 RESEND_DOCUMENT_S = 0.5
+# Rate at which a gateway at least receives a configuration, in bytes/s: half of
+# the slowest link. A configuration in transit is not sent again.
+MIN_LINK_BYTES_PER_S = 1024 * 1024
 # The same time for a gateway that has no configuration yet, in seconds. The
 # home coordinator sends such a gateway the configuration again at each hello:
 # the first copy may not be marked as recent, if no leader had been elected yet.
@@ -186,12 +189,15 @@
             hello.node, hello.check, registry.digest, now
         )
 
-    def needs_document(self, node: str, version: int, now: float) -> bool:
+    def needs_document(
+        self, node: str, version: int, size: int, now: float
+    ) -> bool:
         """Returns whether to send a gateway this node's configuration.
 
         Args:
             node: The gateway, which has sent a hello before.
             version: Version of this node's configuration.
+            size: Size of that configuration, packed, in bytes.
             now: Present time.
         """
         gateway = self._gateways[node]
@@ -203,7 +209,10 @@
         interval_s = (
             RESEND_DOCUMENT_S if gateway.version else RESEND_FIRST_DOCUMENT_S
         )
-        if now - gateway.document_sent_at < interval_s:
+        if (
+            now - gateway.document_sent_at
+            < interval_s + size / MIN_LINK_BYTES_PER_S
+        ):
             return False
         is_overdue = now - gateway.outdated_since >= OUTDATED_GRACE_S
         if gateway.is_home or is_overdue:
--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import orjson
@@ -18,6 +19,8 @@
 
 MAX_HEARTBEAT_BYTES = 64 * 1024
 MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
+# Pause between two steps, in seconds. It gives timers and sockets their turn.
+YIELD_S = 0.001
 
 
 def make_app(process: coordinator.CoordinatorProcess) -> applications.Starlette:
@@ -46,6 +49,10 @@
 class _Views:
     def __init__(self, process: coordinator.CoordinatorProcess) -> None:
         self._process = process
+        # Large configurations are decoded one at a time, and the event loop
+        # runs between the steps: otherwise several of them at once would hold
+        # up heartbeats for longer than an election timeout.
+        self._decoding = asyncio.Lock()
 
     async def handle_heartbeat(
         self, request: requests.Request
@@ -79,20 +86,18 @@
         body = await _read_body(request, MAX_CONFIGURATION_BYTES)
         if body is None:
             return _refuse(413, "the configuration is too large")
-        match documents.decode_document(body):
-            case result.Success(configuration):
-                is_committed = await self._process.replace_configuration(
-                    configuration.version, document.compress_content(body)
-                )
-                if is_committed:
-                    return _respond({})
-                return _refuse(
-                    503,
-                    "not known whether it was committed: send it again",
-                )
-            case result.Failure(problem):
-                return _refuse(400, problem)
-        raise AssertionError("a result is a success or a failure")
+        async with self._decoding:
+            decoded = documents.decode_document(body)
+            await asyncio.sleep(YIELD_S)
+            if isinstance(decoded, result.Failure):
+                return _refuse(400, decoded.failure())
+            content = document.compress_content(body)
+            await asyncio.sleep(YIELD_S)
+        version = decoded.unwrap().version
+        del body, decoded
+        if await self._process.replace_configuration(version, content):
+            return _respond({})
+        return _refuse(503, "not known whether it was committed: send it again")
 
     async def handle_read(self, _: requests.Request) -> responses.Response:
         newest = await self._process.read_configuration()
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -560,7 +560,8 @@
             self._supervisor.record_output(
                 progress.name, now - progress.age_ms / 1000.0
             )
-        if self.gateways.needs_document(hello.node, self.version, now):
+        size = len(self.voter.configuration.content)
+        if self.gateways.needs_document(hello.node, self.version, size, now):
             effects.append(interface.Send(hello.node, self._make_update(now)))
         return effects
 
--- /dev/null
+++ b/tests/consensus/large_configurations.feature
@@ -0,0 +1,27 @@
+Feature: Large configurations
+
+  Scenario: Large configurations in progress together are all acknowledged
+    Together they once exceeded a frame, which ended the links between voters.
+    Given three coordinators with gateways
+    When 8 configurations of 2 MB are sent at once through all coordinators
+    Then all of them are acknowledged within 4 seconds
+    And no message exceeds a frame
+
+  Scenario: Large configurations survive a leader that ends in the middle
+    The next leader gets them from the operators' resends.
+    Given three coordinators with gateways
+    When 8 configurations of 2 MB are sent at once and the leader is killed
+    Then a read returns the newest acknowledged one within 6 seconds
+
+  Scenario: A voter that is down gets no entries again and again
+    The leader's memory once grew with each heartbeat to such a voter.
+    Given three coordinators with gateways
+    When a voter is down for 60 s while 10 configurations of 229 KB are sent
+    Then the leader sends it less than 1 MB
+    And it holds the newest version within 3 seconds of its return
+
+  Scenario: Configurations below the highest one are not replicated
+    They change nothing, and are acknowledged once the highest is committed.
+    Given three coordinators with gateways
+    When 8 configurations of 2 MB are sent at once through all coordinators
+    Then the log holds at most 4 of them
