--- a/src/hickorylead/storage/folder.py
+++ b/src/hickorylead/storage/folder.py
@@ -23,8 +23,10 @@
 # Size of the probe file, in bytes: that of a few of the largest configurations
 # in use.
 PROBE_BYTES = 64 * 1024
-# A journal with this many records is replaced by a snapshot.
+# A journal with this many records, or this many bytes beyond twice its last
+# replaced size, is replaced by a snapshot. The smallest disks have 128 MB.
 COMPACTION_RECORDS = 1024
+COMPACTION_BYTES = 16 * 1024 * 1024
 
 
 class DataFolder:
@@ -54,6 +56,7 @@
             _decode(payload, path) for payload in self._journal.payloads
         ]
         self._count = len(self.records)
+        self._compact_bytes = 0
 
     def persist(self, record: messages.Record) -> None:
         """Writes a record; it is on disk when this returns."""
@@ -62,12 +65,17 @@
 
     def needs_compaction(self) -> bool:
         """Returns whether the journal should be replaced by a snapshot."""
-        return self._count >= COMPACTION_RECORDS
+        return (
+            self._count >= COMPACTION_RECORDS
+            or self._journal.size_bytes
+            >= COMPACTION_BYTES + 2 * self._compact_bytes
+        )
 
     def rewrite(self, records: list[messages.Record]) -> None:
         """Replaces the journal by records that restore the same state."""
         self._journal.rewrite(codec.encode_record(r) for r in records)
         self._count = len(records)
+        self._compact_bytes = self._journal.size_bytes
 
     def check_writable(self) -> None:
         """Writes, syncs and removes a probe file.
--- a/src/hickorylead/storage/journal.py
+++ b/src/hickorylead/storage/journal.py
@@ -54,14 +54,17 @@
         self._file.truncate(scan.valid_bytes)
         os.fsync(self._file.fileno())
         sync_folder(path.parent)
+        self.size_bytes = scan.valid_bytes
 
     def append(self, payload: bytes) -> None:
         """Writes a record; it is on disk when this returns."""
-        self._file.write(_pack(payload))
+        record = _pack(payload)
+        self._file.write(record)
         self._file.flush()
         os.fsync(self._file.fileno())
         self._file.write(_MARK)
         self._file.flush()
+        self.size_bytes += len(record) + len(_MARK)
 
     def rewrite(self, payloads: Iterable[bytes]) -> None:
         """Replaces all records; a crash leaves all old or all new ones."""
@@ -75,6 +78,7 @@
         sync_folder(self._path.parent)
         self._file.close()
         self._file = open(self._path, "ab")  # noqa: SIM115
+        self.size_bytes = self._path.stat().st_size
 
     def close(self) -> None:
         """Closes the file."""
--- a/tests/steps/storage_steps.py
+++ b/tests/steps/storage_steps.py
@@ -194,3 +194,28 @@
 @then("opening the value's files gives the previous save")
 def _(context):
     assert set(context.values) == {b"value %d" % (context.count - 1)}
+
+
+@given("a voter that has persisted {count:d} records of 2 MB")
+def _(context, count):
+    context.folder = make_folder(context)
+    data_folder = folder.DataFolder(context.folder, NODE)
+    member = make_voter()
+    persist(data_folder, member.bootstrap("c", (f"{NODE}#a",)))
+    persist(data_folder, member.tick(5.0))
+    context.sizes = []
+    for version in range(1, count + 1):
+        content = random.Random(version).randbytes(2 * 1024 * 1024)
+        change = changes.Change(
+            f"c{version}", -1, changes.ReplaceWhole(version, content)
+        )
+        persist(data_folder, member.propose(change, 5.0))
+        if data_folder.needs_compaction():
+            data_folder.rewrite(member.export_records())
+        context.sizes.append((context.folder / "journal").stat().st_size)
+    data_folder.close()
+
+
+@then("its journal stays below {limit:d} MB")
+def _(context, limit):
+    assert max(context.sizes) < limit * 1_000_000, context.sizes
--- a/tests/storage/journal.feature
+++ b/tests/storage/journal.feature
@@ -50,3 +50,8 @@
     Given a value that was saved 3 times
     When the last save of the value is truncated at any byte
     Then opening the value's files gives the previous save
+
+  Scenario: A journal of a few large records is replaced by a snapshot
+    Large configurations once filled the disk before 1024 records were written.
+    Given a voter that has persisted 12 records of 2 MB
+    Then its journal stays below 40 MB
