Cut off replicas that send a head or framing without end

The parser keeps an unfinished header without a limit: memory grew until the request's time was over.

--- a/src/hickorylead/runtime/upstream_connection.py
+++ b/src/hickorylead/runtime/upstream_connection.py
@@ -25,6 +25,7 @@
 EXPIRY_MARGIN_S = 0.6
 # Keep-alive time of a connection if the replica specifies none, in seconds.
 DEFAULT_KEEPALIVE_S = 0.8
+# Maximum size of a head, and of what precedes or follows a piece of a body.
 MAX_HEAD_BYTES = 64 * 1024
 
 
@@ -82,6 +83,8 @@
         self._status = 0
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
+        # Bytes received since the head or the last piece of the body.
+        self._framing_bytes = 0
         self._has_length = False
         self._has_head = False
         self._keepalive_s = DEFAULT_KEEPALIVE_S
@@ -124,12 +127,16 @@
             # response.
             self.close()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.fail("bad_answer")
         except httptools.HttpParserError:
             self.fail("bad_answer")
+        if self._receiver is not None and self._framing_bytes > MAX_HEAD_BYTES:
+            # The parser itself keeps an unfinished header without a limit.
+            self.fail("framing_too_long" if self._has_head else "head_too_long")
 
     def pause_writing(self) -> None:
         """Handles a full write buffer."""
@@ -176,6 +183,7 @@
         if status < 200:
             # An interim response; the final one follows.
             return
+        self._framing_bytes = 0
         self._status = status
         self._has_head = True
         self._has_length = is_framed(status, self._headers)
@@ -185,6 +193,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Passes a chunk of the body to the receiver."""
+        self._framing_bytes = 0
         if self._receiver is not None:
             self._receiver.on_body_chunk(data)
 
@@ -217,6 +226,7 @@
     def send(self, data: bytes, receiver: Receiver) -> None:
         """Starts an exchange."""
         self._receiver = receiver
+        self._framing_bytes = 0
         self._has_head = self._has_length = False
         self._parser = httptools.HttpResponseParser(self)
         self._transport.write(data)
--- a/tests/platform/connections.feature
+++ b/tests/platform/connections.feature
@@ -31,3 +31,32 @@
     Given a replica that does not listen
     When a request is sent to the replica
     Then the result is not_run
+
+  Scenario Outline: Bytes without end are cut off
+    A replica in trouble may send bytes that are no response until its connection
+    is closed. They must not fill the gateway's memory.
+    Given a replica that sends <part> without end, <pace>
+    When a request is sent to the endless replica
+    Then it fails as <reason> and its connection is closed
+    And memory stayed flat
+
+    Examples:
+      | part               | pace | reason           |
+      | a status line      | fast | head_too_long    |
+      | a header           | fast | head_too_long    |
+      | a header           | slow | head_too_long    |
+      | headers            | fast | head_too_long    |
+      | interim responses  | fast | head_too_long    |
+      | a chunk extension  | fast | framing_too_long |
+      | a chunk extension  | slow | framing_too_long |
+      | a trailer          | fast | framing_too_long |
+      | bytes of a body    | fast | answer_too_long  |
+      | chunks of a body   | fast | answer_too_long  |
+      | a body with length | fast | answer_too_long  |
+
+  Scenario: Bytes without end after a response close the connection
+    Nothing waits for them, so they are not read at all.
+    Given a replica that sends bytes after its response without end, fast
+    When a request is sent to the endless replica
+    Then the request is complete and its connection is closed
+    And memory stayed flat
