Abort a large response that breaks off instead of sending its request again

Once 512 KiB were buffered, the caller got them, and the decision about another attempt did not regard that. After a part of a body that is no stream of events no other run is allowed now, at the one place that decides it.

--- a/src/hickorylead/forwarding/responses.py
+++ b/src/hickorylead/forwarding/responses.py
@@ -31,6 +31,7 @@
 ) -> list[events.Effect]:
     """Sends the part of a response buffered before it became too large."""
     effects = _start(pending, attempt)
+    pending.has_sent_body = True
     effects.append(
         events.WriteChunk(pending.request.request_id, bytes(attempt.body))
     )
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -108,6 +108,8 @@
         failures: Why its attempts failed, for the log.
         verdict: Whether one of its previous attempts may have run.
         started: Whether the caller has the head of the response.
+        has_sent_body: Whether the caller has a part of a body that is no stream
+            of events. No other replica can continue it.
         last_event_id: Id of the last event that the caller has.
         was_sent: Whether it was ever sent to a replica.
         last_attempt: The latest attempt, for the log.
@@ -139,6 +141,7 @@
     failures: list[str] = attrs.field(factory=list)
     verdict: verdict_module.Verdict = verdict_module.Verdict.NOT_RUN
     started: bool = False
+    has_sent_body: bool = False
     last_event_id: int = 0
     was_sent: bool = False
     last_attempt: Attempt | None = None
@@ -187,7 +190,13 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Whether the request may run on one more replica."""
+        """Whether the request may run on one more replica.
+
+        After the first byte of a response only a stream may, since it is
+        resumed after the last event that the caller has.
+        """
+        if self.has_sent_body:
+            return False
         if self.verdict is verdict_module.Verdict.NOT_RUN and not (
             self.live_attempts
         ):
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -34,6 +34,12 @@
     When an idempotent call gets the response to another request
     Then it was sent to two replicas, once each, and ends with status 200
 
+  Scenario: A large response that breaks off is not continued by another replica
+    Its caller once got the first part of one body and the whole of another one.
+    Given a gateway with 3 plain replicas
+    When a large response to an idempotent call breaks off
+    Then it was sent once and its response is aborted
+
   Scenario: A successful response without a signature is treated as a failure
     Given a gateway with 3 plain replicas
     When an idempotent call gets a successful response without a signature
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -134,6 +134,30 @@
     )
 
 
+@when("a large response to an idempotent call breaks off")
+def _(context):
+    harness = context.harness
+    context.name = harness.send_request("notices")
+    harness.send_head(
+        context.name,
+        attrs.evolve(
+            forwarder_harness.OK, echoed_attempt_id=f"try-{context.name}"
+        ),
+    )
+    harness.deliver(events.ChunkArrived(context.name, 1, bytes(600 * 1024)))
+    harness.deliver(
+        events.AttemptFailed(context.name, 1, Verdict.MAY_HAVE_RUN, "reset")
+    )
+
+
+@then("it was sent once and its response is aborted")
+def _(context):
+    harness = context.harness
+    assert len(harness.list_attempts(context.name)) == 1
+    assert harness.list_effects(context.name, events.AbortResponse)
+    assert not harness.list_effects(context.name, events.FinishResponse)
+
+
 @when("an idempotent call gets a successful response without a signature")
 def _(context):
     harness = context.harness
