Send several large configurations at once in the soak

Every fourth seed sends 2 to 8 configurations with 2,000 to 150,000 keys at once, one to three times, drawn by a generator of its own, so that the other faults of each seed stay as they are.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -155,6 +155,11 @@
         self._connection = self._writer = None
 
 
+# Rate at which an operator allows large configurations to be answered, in
+# bytes/s, beside the second that it waits for any response.
+LARGE_BYTES_PER_S = 1_000_000
+
+
 class Operator:
     """Changes the configuration, retrying until the change is acknowledged."""
 
@@ -176,8 +181,16 @@
         labels = ("a", "b") if racing else ("a",)
         await asyncio.gather(*(self._send(self.version, x) for x in labels))
 
-    async def _send(self, version: int, label: str) -> None:
-        body = orjson.dumps(make_configuration(version, label))
+    async def change_large(self, count: int, keys: int) -> None:
+        """Submits several new versions at once, each with many keys."""
+        versions = []
+        for _ in range(count):
+            self.version += self._rng.randint(1, 3)
+            versions.append(self.version)
+        await asyncio.gather(*(self._send(v, "a", keys) for v in versions))
+
+    async def _send(self, version: int, label: str, keys: int = 0) -> None:
+        body = orjson.dumps(make_configuration(version, label, keys))
         deadline = time.monotonic() + 20.0
         while time.monotonic() < deadline:
             status, _ = await self._request("POST", "/config/replace", body)
@@ -212,7 +225,7 @@
         node = self._rng.choice(self._coordinators)
         response = _Response()
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(1.0 + len(body) / LARGE_BYTES_PER_S):
                 reader, writer = await asyncio.open_connection(
                     node.ip, nodes.CONTROL_PORT
                 )
@@ -235,8 +248,15 @@
         return response.status, bytes(response.body)
 
 
-def make_configuration(version: int, label: str) -> dict:
-    """Returns a configuration whose workspace name holds its version."""
+def make_configuration(version: int, label: str, keys: int = 0) -> dict:
+    """Returns a configuration whose workspace name holds its version.
+
+    Args:
+        version: The version.
+        label: Tells configurations with the same version apart.
+        keys: Number of random keys beside the one that callers use.
+    """
+    rng = random.Random(f"{version} {label}")
     found = platform_cluster.make_configuration(version)
     found["Routes"].append(
         {
@@ -246,7 +266,8 @@
             "Kind": "idempotent",
         }
     )
+    more_keys = [rng.randbytes(10).hex() for _ in range(keys)]
     found["Tenants"] = [
-        {"Name": f"crew-{version}-{label}", "ApiKeys": ["key-1"]}
+        {"Name": f"crew-{version}-{label}", "ApiKeys": ["key-1", *more_keys]}
     ]
     return found
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -304,6 +304,8 @@
                 await self._retire_server(place)
             case plan.Change(racing):
                 await operator.change(racing=racing)
+            case plan.LargeChanges(count, keys):
+                await operator.change_large(count, keys)
             case plan.LoseResponses(share, duration_s):
                 self._server_faults.lost_response_share = share
                 await asyncio.sleep(duration_s)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -122,6 +122,19 @@
     racing: bool
 
 
+@attrs.frozen
+class LargeChanges:
+    """Several large configurations are sent at once.
+
+    Attributes:
+        count: How many.
+        keys: Keys of workspaces in each, of 20 random characters.
+    """
+
+    count: int
+    keys: int
+
+
 @attrs.frozen
 class LoseResponses:
     """For some time, servers run requests but lose part of the responses."""
@@ -184,6 +197,7 @@
     | Crash
     | Drain
     | Change
+    | LargeChanges
     | LoseResponses
     | DelayOrders
     | Isolate
@@ -216,6 +230,11 @@
         rng = random.Random(f"parts {seed}")
         fault = CrashingPart(f"bad{seed:x}", rng.uniform(6.0, 14.0), 4.0)
         plan.append((rng.uniform(0.0, seconds / 2), fault))
+    if seed % 4 == 2:
+        rng = random.Random(f"large {seed}")
+        for _ in range(rng.randint(1, 3)):
+            fault = LargeChanges(rng.randint(2, 8), rng.randint(2000, 150_000))
+            plan.append((rng.uniform(0.0, seconds), fault))
     return sorted(plan, key=lambda item: item[0])
 
 
