--- a/src/hickorylead/consensus/configuration_requests.py
+++ b/src/hickorylead/consensus/configuration_requests.py
@@ -25,9 +25,9 @@
 # leader replies within a few disk syncs; without a leader, the next one is
 # elected in about a second.
 RESEND_INTERVAL_S = 0.25
-# Rate at which a large configuration is at least sent and stored, in bytes/s:
-# a quarter of the slowest link and disk of a coordinator. It adds to the times
-# above.
+# Rate at which a large configuration is at least sent, decoded and stored, in
+# bytes/s: a twentieth of the slowest link of a coordinator. It adds to the
+# times above.
 MIN_BYTES_PER_S = 1024 * 1024
 
 
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -16,7 +16,7 @@
 MAX_ENTRIES_PER_APPEND = 64
 MAX_BYTES_PER_APPEND = 1024 * 1024
 # Rate at which a member at least receives and stores entries, in bytes/s: a
-# quarter of the slowest link and disk of a coordinator.
+# twentieth of the slowest link of a coordinator, as decoding takes longer.
 MIN_BYTES_PER_S = 1024 * 1024
 
 
