Read responses no faster than their callers do

Cause: what a replica sent faster than its caller read was queued in the gateway without a limit, up to the request's deadline; and a caller that read nothing kept its handler and buffers beyond the deadline, as the abort waited behind a write that never ended.

Change: a response stops being read from its replica (or relay) while 1 MiB waits for the caller; an abort closes the connection of a caller that takes nothing.

Result: of four scenarios with servers that send without end (a body for callers that read, read slowly or read nothing; an event), three failed on the code before; all pass, with a peak below 12 MiB.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -33,6 +33,9 @@
 # Retry-After of a request that is refused after this wait, in seconds, with a
 # jitter of 0.3 of it.
 STARTING_RETRY_S = 1.0
+# Size of the response waiting for a slow caller above which nothing more is
+# read from its replica, in bytes; reading goes on at half of it.
+MAX_WAITING_BYTES = 1024 * 1024
 
 
 class AttemptReceiver:
@@ -98,6 +101,7 @@
         scope: Any,
         send: Any,
         write_log: Callable[[notes.Note], None],
+        set_paused: Callable[[bool], None] = lambda _: None,
     ) -> None:
         """Makes the writer of a response that has not started yet.
 
@@ -105,8 +109,12 @@
             scope: ASGI scope of its request.
             send: Sends an ASGI message.
             write_log: Called with log lines.
+            set_paused: Called with whether to stop reading from the replica.
         """
         self._write_log = write_log
+        self._set_paused = set_paused
+        self._waiting_bytes = 0
+        self._is_paused = False
         extensions = scope.get("extensions") or {}
         extension = extensions.get(listener.CONNECTION_KEY) or {}
         self._connection: listener.CallerProtocol | None = extension.get(
@@ -127,8 +135,21 @@
             effect, events.StartResponse | events.WriteChunk
         ):
             self._write_now(effect)
-        else:
-            self._effects.put_nowait(effect)
+            return
+        self._effects.put_nowait(effect)
+        if isinstance(effect, events.WriteChunk):
+            self._waiting_bytes += len(effect.data)
+            if self._waiting_bytes > MAX_WAITING_BYTES:
+                # Also for a new attempt that goes on with the response.
+                self._is_paused = True
+                self._set_paused(True)
+        elif (
+            isinstance(effect, events.AbortResponse)
+            and self._connection is not None
+            and not self._connection.can_write()
+        ):
+            # The caller takes nothing, so the connection would wait for ever.
+            self._connection.transport.abort()
 
     def _write_now(
         self, effect: events.StartResponse | events.WriteChunk
@@ -163,8 +184,11 @@
             effect = await self._effects.get()
             self._is_sending = True
             match effect:
-                case events.StartResponse() | events.WriteChunk():
+                case events.StartResponse():
                     await self._send(_make_message(effect))
+                case events.WriteChunk(_, data):
+                    await self._send(_make_message(effect))
+                    self._record_sent(len(data))
                 case events.FinishResponse():
                     await self._send(_make_body(b"", more=False))
                     return None
@@ -176,6 +200,12 @@
                     return None
             self._is_sending = False
 
+    def _record_sent(self, size: int) -> None:
+        self._waiting_bytes -= size
+        if self._is_paused and self._waiting_bytes <= MAX_WAITING_BYTES / 2:
+            self._is_paused = False
+            self._set_paused(False)
+
     def _can_write_now(self) -> bool:
         return (
             self._connection is not None
@@ -296,7 +326,12 @@
     async def _forward(
         self, request: model.Request, scope: Any, receive: Any, send: Any
     ) -> None:
-        writer = ResponseWriter(scope, send, self._process.write_log)
+        writer = ResponseWriter(
+            scope,
+            send,
+            self._process.write_log,
+            lambda paused: self._process.set_paused(request.request_id, paused),
+        )
         self._process.response_writers[request.request_id] = writer
         watch_task = asyncio.ensure_future(
             self._watch_disconnect(request, receive)
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -349,9 +349,23 @@
         self._pool.close_idle()
         self._relays.pool.close_idle()
 
+    def set_paused(self, request_id: str, paused: bool) -> None:
+        """Stops or continues reading the response to a request."""
+        for (owner, _), exchange in self._exchanges.items():
+            if owner != request_id:
+                continue
+            if paused:
+                exchange.pause_reading()
+            else:
+                exchange.resume_reading()
+
     def _deliver(self, event: events.Event) -> None:
         if isinstance(event, events.ResponseCompleted | events.AttemptFailed):
-            self._exchanges.pop((event.request_id, event.attempt), None)
+            key = (event.request_id, event.attempt)
+            exchange = self._exchanges.pop(key, None)
+            if exchange is not None:
+                # Its connection may be used for the next request.
+                exchange.resume_reading()
         self.apply(event)
 
     def _collect_gauges(self) -> dict[str, float]:
--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -159,6 +159,16 @@
         if self._channel is not None:
             self._channel.abort()
 
+    def pause_reading(self) -> None:
+        """Stops reading the response."""
+        if self._channel is not None and self._channel.is_usable:
+            self._channel.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads the response again."""
+        if self._channel is not None and self._channel.is_usable:
+            self._channel.transport.resume_reading()
+
     async def _run(
         self,
         pool: RelayPool,
--- a/src/hickorylead/runtime/upstream.py
+++ b/src/hickorylead/runtime/upstream.py
@@ -47,6 +47,16 @@
         if self._connection is not None:
             self._connection.close()
 
+    def pause_reading(self) -> None:
+        """Stops reading the response."""
+        if self._connection is not None:
+            self._connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Reads the response again."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
     async def _connect(self, data: bytes) -> None:
         found = await self._pool.try_connect(self._address)
         if isinstance(found, str):
--- a/src/hickorylead_standins/platform.py
+++ b/src/hickorylead_standins/platform.py
@@ -77,6 +77,8 @@
         retry_after_s: Pause that it requests when it sheds; None if it
             requests none.
         is_leaving: Whether all its responses say that it is leaving.
+        endless: Bytes that it sends without end, behind a head without a
+            length; empty for a response that ends.
     """
 
     events: int = 0
@@ -86,6 +88,7 @@
     limit_per_s: float | None = None
     retry_after_s: float | None = None
     is_leaving: bool = False
+    endless: bytes = b""
 
 
 class PlatformServer:
@@ -113,6 +116,8 @@
         """
         self.name = name
         self.manner = Manner()
+        # Responses without end that are being sent.
+        self.endless_count = 0
         self.received: list[Received] = []
         self.state = "ready"
         self._service = service
@@ -227,6 +232,8 @@
             write_response(
                 writer, 503, b"", **{"Not-Executed": "1"}, **extra_headers
             )
+        elif self.manner.endless:
+            await self._send_without_end(request, writer)
         elif self.manner.events:
             await self._stream(request, writer)
         else:
@@ -242,6 +249,23 @@
             write_response(writer, 200, body, **headers)
             writer.write(self.manner.extra)
 
+    async def _send_without_end(
+        self, request: Received, writer: asyncio.StreamWriter
+    ) -> None:
+        attempt_id = request.headers.get("attempt-id", "")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            + f"Attempt-Id: {attempt_id}\r\n".encode()
+            + f"Server-Seal: seal.{self.name}\r\n\r\n".encode()
+        )
+        self.endless_count += 1
+        try:
+            while True:
+                writer.write(self.manner.endless)
+                await writer.drain()
+        finally:
+            self.endless_count -= 1
+
     async def _stream(
         self, request: Received, writer: asyncio.StreamWriter
     ) -> None:
--- a/tests/platform/faults.feature
+++ b/tests/platform/faults.feature
@@ -54,3 +54,15 @@
     All coordinators restart. A request that ended three servers would end
     three more if the new process could not decode the file of the previous one.
     Then a request that was blocked before a coordinator restarts stays blocked
+
+  Scenario Outline: A response without end takes no memory of the gateway
+    A server in trouble sends bytes until its connection is closed. A caller that
+    reads more slowly once had the difference buffered without a limit.
+    Then <part> without end ends for a caller that <manner>, in flat memory
+
+    Examples:
+      | part       | manner        |
+      | a body     | reads         |
+      | a body     | reads slowly  |
+      | a body     | reads nothing |
+      | an event   | reads         |
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import pathlib
+import tracemalloc
 
 from behave import then
 import orjson
@@ -328,3 +329,57 @@
 @then("a request that was blocked before a coordinator restarts stays blocked")
 def _(context):
     asyncio.run(platform_cluster.run_session(restart_blocking_coordinator))
+
+
+# Route, first bytes and size of a piece, by what a server sends without end.
+ENDLESS = {
+    "a body": ("/alerts/1", b"x" * 65536),
+    "an event": ("/drafts/1", b"id: 1\ndata: " + b"x" * 65536),
+}
+# Bytes that a caller reads at once, and the pause after that in seconds.
+READING = {"reads": (65536, 0.0), "reads slowly": (65536, 0.02)}
+MAX_ENDLESS_PEAK_BYTES = 12 * 1024 * 1024
+
+
+@then("{part} without end ends for a caller that {manner}, in flat memory")
+def _(_, part, manner):
+    async def call(cluster):
+        path, piece = ENDLESS[part]
+        for server in cluster.servers:
+            server.manner.endless = piece
+        ip, _, port = cluster.caller_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: host.example\r\n"
+            "Attempt-Id: a1\r\nAuthorization: Token key-1\r\n"
+            "Time-Budget: 4000\r\nContent-Length: 0\r\n"
+            f"Model: {platform_cluster.MODEL}\r\nToken-Count: 5,9\r\n\r\n"
+        )
+        tracemalloc.start()
+        try:
+            writer.write(head.encode())
+            await cluster.wait_for(
+                lambda: any(s.received for s in cluster.servers)
+            )
+            reading = asyncio.ensure_future(read(reader, manner))
+            await cluster.wait_for(
+                lambda: not any(s.endless_count for s in cluster.servers), 8.0
+            )
+            await cluster.wait_for(
+                lambda: not cluster.gateway.response_writers, 2.0
+            )
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        reading.cancel()
+        writer.close()
+        assert peak < MAX_ENDLESS_PEAK_BYTES, peak
+
+    async def read(reader, manner):
+        if manner not in READING:
+            return
+        size, pause_s = READING[manner]
+        while await reader.read(size):
+            await asyncio.sleep(pause_s)
+
+    asyncio.run(platform_cluster.run_session(call))
