--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -36,6 +36,7 @@
     orders,
     peer_directory as peer_directory_module,
     registry as registry_module,
+    save_schedule,
     supervisor as supervisor_module,
 )
 from hickorylead.notices import (
@@ -58,9 +59,6 @@
 
 TICK_S = 0.05
 INSTANCE_RETENTION_S = 60.0
-# Shortest period between two saves of backend servers, in seconds: a save needs
-# a disk sync, which blocks the event loop for 2 ms on an ordinary disk.
-SAVE_PERIOD_S = 1.0
 
 CoordinatorEvent: TypeAlias = (
     interface.Tick
@@ -130,7 +128,6 @@
         self._divergence = divergence.DivergenceDetector()
         # Public like the registry, as the process restores both from the disk.
         self.crashes = crash_tracker_module.CrashTracker(identity.node)
-        self._saved_crash_digest = 0
         self._permit_broker = permit_broker.PermitBroker(
             identity.node,
             registry=self.registry,
@@ -152,9 +149,10 @@
         self._alive_sequences: dict[str, int] = {}
         # Changed servers to send to gateways with the next tick, by name.
         self._unreported: dict[str, instances.Instance] = {}
-        self._saved_changes = 0
         self.voter_monitor = voter_monitor.VoterMonitor(now)
-        self._next_save = now + SAVE_PERIOD_S
+        self._save_schedule = save_schedule.SaveSchedule(
+            self.registry, self.crashes, now
+        )
         self.restart_voter(records, rng, now, voter_options)
 
     def restart_voter(
@@ -273,24 +271,7 @@
         effects += self._send_pauses(now)
         if self._supervisor.is_due(now):
             effects += self._supervisor.plan(now)
-        return effects + self._save(now)
-
-    def _save(self, now: float) -> list[CoordinatorEffect]:
-        if now < self._next_save:
-            return []
-        effects: list[CoordinatorEffect] = []
-        if self.registry.change_count != self._saved_changes:
-            self._saved_changes = self.registry.change_count
-            known = tuple(self.registry.list_present())
-            effects.append(events.SaveInstances(known))
-        if self.crashes.digest != self._saved_crash_digest:
-            self._saved_crash_digest = self.crashes.digest
-            effects.append(
-                events.SaveCrashes(self.crashes.make_full_update(now))
-            )
-        if effects:
-            self._next_save = now + SAVE_PERIOD_S
-        return effects
+        return [*effects, *self._save_schedule.tick(now)]
 
     # Requests under which servers end.
 
