Log answers to operators, rejected requests and gateways that are behind

Cause: the log did not tell a change that was acknowledged without a commit from one that came late, nor a missing route from a route without a server. Change: coordinators log proposals, answers to changes and reads, and gateways that stay behind for a second; gateways log requests without a route or key, and the version under which a configuration was sent.

--- a/src/hickorylead/consensus/configuration_requests.py
+++ b/src/hickorylead/consensus/configuration_requests.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, Any, TypeAlias
 
 import attrs
 
+from hickorylead import notes
 from hickorylead.configuration import changes
 from hickorylead.consensus import messages as consensus_messages
 from hickorylead.fleet import events, messages
@@ -44,6 +45,7 @@
     | events.AnswerReplace
     | events.AnswerRead
     | consensus_messages.Effect
+    | notes.Note
 )
 
 
@@ -134,7 +136,7 @@
         match message:
             case messages.ReplaceReply(token, accepted):
                 if token in self._replaces and accepted:
-                    return self._finish_replace(token, True)
+                    return self._finish_replace(token, True, now)
             case messages.ReadReply(token, known, version, content):
                 read = self._reads.get(token)
                 if read is None or not known:
@@ -144,11 +146,10 @@
                     content = own.content
                 if version and not content:
                     return []
-                del self._reads[token]
-                return [events.AnswerRead(token, version, content)]
+                return self._finish_read(token, version, content, now)
         return []
 
-    def handle_committed(self, change_id: str) -> list[Effect]:
+    def handle_committed(self, change_id: str, now: float) -> list[Effect]:
         """Completes the requests whose change has been committed."""
         if change_id == self._proposed:
             self._proposed = ""
@@ -156,7 +157,7 @@
             effect
             for token, pending in list(self._replaces.items())
             if pending.change_id == change_id
-            for effect in self._finish_replace(token, True)
+            for effect in self._finish_replace(token, True, now)
         ]
 
     def handle_abandoned(self, change_id: str) -> None:
@@ -175,14 +176,15 @@
             if pending.change_id or self._find_leader(now):
                 limit_s += pending.transfer_s
             if now - pending.requested_at > limit_s:
-                effects += self._finish_replace(token, False)
+                effects += self._finish_replace(token, False, now)
             else:
                 effects += self._advance_replace(token, now)
         for token, read in list(self._reads.items()):
             if now - read.requested_at > REQUEST_TIMEOUT_S:
-                del self._reads[token]
-                if not read.requester:
-                    effects.append(events.AnswerRead(token, 0, None))
+                if read.requester:
+                    del self._reads[token]
+                else:
+                    effects += self._finish_read(token, 0, None, now)
             else:
                 effects += self._advance_read(token, now)
         return effects
@@ -193,7 +195,7 @@
             # The configuration that this voter has applied is committed, so an
             # equal or higher version is already in force and the request
             # changes nothing.
-            return self._finish_replace(token, True)
+            return self._finish_replace(token, True, now)
         if pending.change_id:
             return []
         if self._voter.role == "leader":
@@ -215,7 +217,14 @@
                 -1,
                 changes.ReplaceWhole(pending.version, pending.content),
             )
-            return [*self._voter.propose(change, now)]
+            proposed = notes.note(
+                "configuration_proposed",
+                outside_version=pending.version,
+                size_bytes=len(pending.content),
+                requester=pending.requester,
+                term=self._voter.term,
+            )
+            return [proposed, *self._voter.propose(change, now)]
         leader = self._find_leader(now)
         interval_s = RESEND_INTERVAL_S + pending.transfer_s
         if (
@@ -238,8 +247,7 @@
         if self._voter.role == "leader":
             if not self._voter.is_read_confirmed(read.requested_at, now):
                 return []
-            del self._reads[token]
-            return [self._respond_to_read(token, read)]
+            return self._respond_to_read(token, read, now)
         leader = self._find_leader(now)
         if (
             not leader
@@ -251,17 +259,36 @@
         held = self._voter.configuration.outside_version
         return [SendTo(leader, messages.ReadRequest(self._node, token, held))]
 
-    def _respond_to_read(self, token: str, read: _Read) -> Effect:
+    def _respond_to_read(
+        self, token: str, read: _Read, now: float
+    ) -> list[Effect]:
         held = self._voter.configuration
         if not read.requester:
-            return events.AnswerRead(token, held.outside_version, held.content)
+            return self._finish_read(
+                token, held.outside_version, held.content, now
+            )
+        del self._reads[token]
         content = (
             b"" if read.held_version == held.outside_version else held.content
         )
         reply = messages.ReadReply(token, True, held.outside_version, content)
-        return SendTo(read.requester, reply)
+        return [SendTo(read.requester, reply)]
+
+    def _finish_read(
+        self, token: str, version: int, content: bytes | None, now: float
+    ) -> list[Effect]:
+        read = self._reads.pop(token)
+        note = notes.note(
+            "configuration_read",
+            outside_version=version,
+            is_known=content is not None,
+            **self._describe(read.requested_at, now),
+        )
+        return [events.AnswerRead(token, version, content), note]
 
-    def _finish_replace(self, token: str, accepted: bool) -> list[Effect]:
+    def _finish_replace(
+        self, token: str, accepted: bool, now: float
+    ) -> list[Effect]:
         pending = self._replaces.pop(token)
         if pending.requester:
             return [
@@ -269,7 +296,21 @@
                     pending.requester, messages.ReplaceReply(token, accepted)
                 )
             ]
-        return [events.AnswerReplace(token, accepted)]
+        note = notes.note(
+            "configuration_answered",
+            outside_version=pending.version,
+            is_accepted=accepted,
+            **self._describe(pending.requested_at, now),
+        )
+        return [events.AnswerReplace(token, accepted), note]
+
+    def _describe(self, requested_at: float, now: float) -> dict[str, Any]:
+        """Returns what a log line says of this voter and the time taken."""
+        return {
+            "held_version": self._voter.configuration.outside_version,
+            "leader": self._voter.leader,
+            "after_s": round(now - requested_at, 3),
+        }
 
     def _find_highest_version(self) -> int:
         return max(pending.version for pending in self._replaces.values())
--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from hickorylead import notes
 from hickorylead.fleet import (
     divergence,
     events,
@@ -42,6 +43,9 @@
 # Time for which a configuration that was sent counts as in transit and is not
 # sent again, in seconds.
 RESEND_DOCUMENT_S = 0.5
+# Time after which a gateway that still holds an older configuration is reported
+# to the log, and interval of further reports, in seconds.
+OUTDATED_REPORT_S = 1.0
 # Rate at which a gateway at least receives a configuration, in bytes/s: half of
 # the slowest link. A configuration in transit is not sent again.
 MIN_LINK_BYTES_PER_S = 1024 * 1024
@@ -65,6 +69,7 @@
     coordinators_sent_at: float = -1e9
     coordinators_sent: tuple[str, ...] = ()
     outdated_since: float | None = None
+    next_outdated_report: float = 0.0
     document_sent_at: float = -1e9
     loan_sent_at: float = -1e9
 
@@ -206,6 +211,7 @@
             return False
         if gateway.outdated_since is None:
             gateway.outdated_since = now
+            gateway.next_outdated_report = now + OUTDATED_REPORT_S
         interval_s = (
             RESEND_DOCUMENT_S if gateway.version else RESEND_FIRST_DOCUMENT_S
         )
@@ -220,6 +226,25 @@
             return True
         return False
 
+    def report_outdated(self, node: str, now: float) -> list[notes.Note]:
+        """Reports a gateway that has held an older configuration for long."""
+        gateway = self._gateways[node]
+        since = gateway.outdated_since
+        if since is None or now < gateway.next_outdated_report:
+            return []
+        gateway.next_outdated_report = now + OUTDATED_REPORT_S
+        return [
+            notes.note(
+                "gateway_outdated",
+                level="warning",
+                gateway=node,
+                held_version=gateway.version,
+                is_home=gateway.is_home,
+                outdated_s=round(now - since, 3),
+                sent_ago_s=round(now - gateway.document_sent_at, 3),
+            )
+        ]
+
     def record_document_sent(self, nodes_sent: list[str], now: float) -> None:
         """Records that gateways were sent an unrequested configuration."""
         for node in nodes_sent:
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -544,7 +544,7 @@
         size = len(self.voter.configuration.content)
         if self.gateways.needs_document(hello.node, self.version, size, now):
             effects.append(interface.Send(hello.node, self._make_update(now)))
-        return effects
+        return [*effects, *self.gateways.report_outdated(hello.node, now)]
 
     def _make_update(self, now: float) -> messages.DocumentUpdate:
         held = self.voter.configuration
@@ -726,7 +726,7 @@
                 case consensus_messages.Answer(outcome):
                     wrapped += self._convert_effects(
                         self._configuration_requests.handle_committed(
-                            outcome.change_id
+                            outcome.change_id, now
                         ),
                         now,
                     )
@@ -761,6 +761,7 @@
                 version_before=before,
                 outside_version=self.version,
                 leader=self.voter.leader,
+                is_fresh=self.is_fresh(now),
             )
         )
         return effects + self._supervisor.plan(now)
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -419,7 +419,7 @@
         ):
             stale, self._stale_update = self._stale_update, None
             if self.routes is None:
-                effects += self._apply_document(stale)
+                effects += self._apply_document(stale, now)
         if now >= self._next_cleanup:
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._registry.prune(now, INSTANCE_RETENTION_S)
@@ -633,7 +633,7 @@
                     ):
                         self._stale_update = message
                     return []
-                return self._apply_document(message)
+                return self._apply_document(message, now)
         return []
 
     def _set_gateway_count(
@@ -662,7 +662,7 @@
         ]
 
     def _apply_document(
-        self, update: messages.DocumentUpdate
+        self, update: messages.DocumentUpdate, now: float
     ) -> list[GatewayEffect]:
         before = self.document.version if self.document else 0
         if update.version <= before:
@@ -681,6 +681,9 @@
                         outside_version=document.version,
                         sender=update.sender,
                         is_fresh=update.is_fresh,
+                        sent_version=update.version,
+                        size_bytes=len(update.content),
+                        uptime_s=round(now - self._started_at, 3),
                     )
                 ]
             case result.Failure(problem):
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -298,9 +298,9 @@
         routes = self._process.role.routes or routes
         match routes.find(host, path, metadata.key):
             case routes_module.NoRoute():
-                return events.Refuse("", 404, "no_route")
+                return self._reject(404, "no_route", metadata, host, path)
             case routes_module.InvalidKey():
-                return events.Refuse("", 401, "unknown_key")
+                return self._reject(401, "unknown_key", metadata, host, path)
             case routes_module.RouteMatch(route, workspace):
                 pass
         query = scope["query_string"]
@@ -323,6 +323,28 @@
             waited_s=waited_s,
         )
 
+    def _reject(
+        self,
+        status: int,
+        code: str,
+        metadata: model.RequestMetadata,
+        host: str,
+        path: str,
+    ) -> events.Refuse:
+        """Returns a refusal that the configuration in force requires."""
+        document = self._process.role.document
+        self._process.write_log(
+            notes.note(
+                "request_rejected",
+                attempt_id=metadata.attempt_id,
+                code=code,
+                host=host,
+                path=path,
+                configuration=document.version if document else 0,
+            )
+        )
+        return events.Refuse("", status, code)
+
     async def _forward(
         self, request: model.Request, scope: Any, receive: Any, send: Any
     ) -> None:
