Decode only the newest of the configurations that wait at a gateway

Callers saw: under changes in quick succession, late gateways obeyed versions that had long been replaced. Cause: each configuration was decoded as it was read, 51 ms of processor time for 1,640 routes, also if newer ones waited behind it in the same connection. Change: a gateway keeps the newest one that arrives and decodes it at its next tick; what it waits for after a start is in a module of its own.

--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -28,6 +28,7 @@
 from hickorylead.forwarding import (
     choice as choice_module,
     connection_monitor,
+    document_inbox,
     events,
     forwarder as forwarder_module,
     health,
@@ -80,10 +81,6 @@
 # coordinator has no leader or a replica of another zone is stalled: changes
 # must arrive within 2 s.
 OTHER_COORDINATOR_HELLO_URGENT_PERIOD_S = 0.5
-# Time from its start after which a gateway applies a configuration from a
-# coordinator that may be behind, in seconds: a coordinator that is up to date
-# replies sooner.
-STALE_WAIT_S = 1.2
 # Time within which a working replica sends output again, in seconds.
 PROGRESS_WINDOW_S = 0.4
 INSTANCE_RETENTION_S = 60.0
@@ -150,7 +147,7 @@
         """
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
-        self._decode_document = decode_document
+        self._inbox = document_inbox.DocumentInbox(decode_document, now)
         self._registry = registry_module.Registry()
         self._directory = replica_directory.ReplicaDirectory(
             self._registry, zone=self._zone
@@ -203,7 +200,6 @@
             started_at=now,
         )
         self.routes: routes_module.RouteTable | None = None
-        self._stale_update: messages.DocumentUpdate | None = None
         self._started_at = now
         self._coordinators = coordinator_view.CoordinatorView(self._zone)
         self._next_hello = now
@@ -354,7 +350,10 @@
                 return [*effects]
 
     def _tick(self, late_s: float, now: float) -> list[GatewayEffect]:
-        effects: list[GatewayEffect] = [*self._forwarder.tick(now, late_s)]
+        effects: list[GatewayEffect] = [
+            *self._apply_document(now),
+            *self._forwarder.tick(now, late_s),
+        ]
         stalled = set(self._list_stalled(now))
         new_stalled = stalled - self._reported_stalled
         # All input up to the planned time of this tick has been handled. What
@@ -413,13 +412,6 @@
         elif has_become_short and home_coordinator:
             hello = self._make_hello(home_coordinator, now)
             effects.append(interface.Send(home_coordinator, hello))
-        if (
-            self._stale_update is not None
-            and now - self._started_at > STALE_WAIT_S
-        ):
-            stale, self._stale_update = self._stale_update, None
-            if self.routes is None:
-                effects += self._apply_document(stale, now)
         if now >= self._next_cleanup:
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._registry.prune(now, INSTANCE_RETENTION_S)
@@ -543,11 +535,10 @@
     def _make_hello(self, node: str, now: float) -> messages.GatewayHello:
         """Returns the hello to send to a coordinator."""
         is_home = node == self._coordinators.home
-        document = self.document
         return messages.GatewayHello(
             node=self._identity.node,
             boot=self._identity.boot,
-            version=document.version if document else 0,
+            version=self._get_version(),
             check=self._registry.digest,
             is_home=is_home,
             loads=self._list_loads() if is_home else (),
@@ -621,19 +612,10 @@
                 self._coordinators.update_addresses(
                     dict(zip(names, addresses, strict=False)), now
                 )
-            case messages.DocumentUpdate(_, version):
-                if not version or not message.content:
-                    return []
-                if self.routes is None and not message.is_fresh:
-                    # The sender may be behind; an up-to-date coordinator may
-                    # still reply.
-                    if (
-                        self._stale_update is None
-                        or self._stale_update.version < version
-                    ):
-                        self._stale_update = message
-                    return []
-                return self._apply_document(message, now)
+            case messages.DocumentUpdate():
+                self._inbox.add(message, self._get_version())
+                if self.routes is None:
+                    return self._apply_document(now)
         return []
 
     def _set_gateway_count(
@@ -661,41 +643,18 @@
             )
         ]
 
-    def _apply_document(
-        self, update: messages.DocumentUpdate, now: float
-    ) -> list[GatewayEffect]:
-        before = self.document.version if self.document else 0
-        if update.version <= before:
-            # The update is delayed, or from a coordinator that is behind: an
-            # older version would restore a replaced route or a revoked key.
-            return []
-        match self._decode_document(update.content):
-            case result.Success(document):
-                self.routes = routes_module.RouteTable(document)
-                self._forwarder.document = document
-                self._directory.set_document(document)
-                return [
-                    notes.note(
-                        "configuration_applied",
-                        version_before=before,
-                        outside_version=document.version,
-                        sender=update.sender,
-                        is_fresh=update.is_fresh,
-                        sent_version=update.version,
-                        size_bytes=len(update.content),
-                        uptime_s=round(now - self._started_at, 3),
-                    )
-                ]
-            case result.Failure(problem):
-                return [
-                    notes.note(
-                        "configuration_unreadable",
-                        level="error",
-                        why=str(problem),
-                        sender=update.sender,
-                    )
-                ]
-        raise AssertionError("a result is a success or a failure")
+    def _get_version(self) -> int:
+        """Returns the version in force at this gateway; 0 if there is none."""
+        return self.document.version if self.document else 0
+
+    def _apply_document(self, now: float) -> list[GatewayEffect]:
+        """Puts the newest configuration that has arrived in force."""
+        taken = self._inbox.take(self._get_version(), now)
+        if taken.document is not None:
+            self.routes = routes_module.RouteTable(taken.document)
+            self._forwarder.document = taken.document
+            self._directory.set_document(taken.document)
+        return [*taken.written]
 
     def _apply_loads(self, loads: tuple[messages.HeadLoad, ...]) -> None:
         reported = {load.name: load.running for load in loads}
