Refuse content that was sent under another version than its own

Callers saw: a gateway could return to an older configuration, with replaced routes and revoked keys. Cause: a gateway compared the version of the message and put the content in force. A coordinator takes the two from different places; after a fault of its disk they differ. Evidence: the scenario found configuration 4 in force after 5 before. Change: content is put in force only if it has the version of its message. Result: configuration 5 stays in force, and the mismatch is logged.

--- a/src/hickorylead/forwarding/document_inbox.py
+++ b/src/hickorylead/forwarding/document_inbox.py
@@ -100,12 +100,14 @@
             "uptime_s": round(now - self._started_at, 3),
         }
         match self._decode(update.content):
-            case result.Success(document):
+            case result.Success(document) if document.version == update.version:
                 written = notes.Note(
                     "configuration_applied",
                     fields={"outside_version": document.version, **fields},
                 )
                 return Taken(document, (written,))
+            case result.Success(document):
+                problem = f"the content has version {document.version}"
             case result.Failure(why):
                 problem = str(why)
         written = notes.Note(
--- a/tests/forwarding/configuration_updates.feature
+++ b/tests/forwarding/configuration_updates.feature
@@ -12,6 +12,13 @@
     When configurations 9 and 7 arrive before its next tick
     Then configuration 9 is in force
 
+  Scenario: Content of another version than the one it was sent as is not put in force
+    A coordinator that lost its newest entries would otherwise restore an older one.
+    Given a gateway with configuration 5
+    When the content of configuration 4 arrives as version 8
+    Then configuration 5 is in force
+    And the gateway reports that the content has version 4
+
   Scenario: A gateway that has started prefers a coordinator that is up to date
     Given a gateway without a configuration
     When configuration 4 arrives from a coordinator that may be behind
