Tell replies to a former process from those to the present one

Callers saw: a change could be acknowledged that no leader had ever proposed, so it was not in force and could not be read back; a read could return what a read of the former process had been answered. Cause: a coordinator numbers the requests that it forwards to the leader from 1 at each start, with the incarnation of its disk. A reply that was on its way during a restart then belongs to another request. Change: forwarded requests carry an id of the start; other replies are ignored.

--- a/src/hickorylead/consensus/configuration_requests.py
+++ b/src/hickorylead/consensus/configuration_requests.py
@@ -76,14 +76,19 @@
 class ConfigurationRequests:
     """Pending requests to replace or read the complete configuration."""
 
-    def __init__(self, *, node: str, voter: voter_module.Voter) -> None:
+    def __init__(
+        self, *, node: str, start_id: str, voter: voter_module.Voter
+    ) -> None:
         """Creates the state without any pending requests.
 
         Args:
             node: Name of this coordinator.
+            start_id: Distinguishes its starts. A reply to what a former process
+                forwarded must not be taken for that to another request.
             voter: Its voter.
         """
         self._node = node
+        self._start_id = start_id
         self._voter = voter
         self._replaces: dict[str, _Replace] = {}
         self._reads: dict[str, _Read] = {}
@@ -134,10 +139,12 @@
     def receive(self, message: messages.Message, now: float) -> list[Effect]:
         """Handles the leader's reply to a forwarded request."""
         match message:
-            case messages.ReplaceReply(token, accepted):
+            case messages.ReplaceReply(forwarded, accepted):
+                token = self._find_token(forwarded)
                 if token in self._replaces and accepted:
                     return self._finish_replace(token, True, now)
-            case messages.ReadReply(token, known, version, content):
+            case messages.ReadReply(forwarded, known, version, content):
+                token = self._find_token(forwarded)
                 read = self._reads.get(token)
                 if read is None or not known:
                     return []
@@ -238,7 +245,10 @@
         pending.sent_at = now
         pending.sent_to = leader
         request = messages.ReplaceRequest(
-            self._node, token, pending.version, pending.content
+            self._node,
+            self._make_forwarded(token),
+            pending.version,
+            pending.content,
         )
         return [SendTo(leader, request)]
 
@@ -257,7 +267,18 @@
             return []
         read.sent_at = now
         held = self._voter.configuration.outside_version
-        return [SendTo(leader, messages.ReadRequest(self._node, token, held))]
+        request = messages.ReadRequest(
+            self._node, self._make_forwarded(token), held
+        )
+        return [SendTo(leader, request)]
+
+    def _make_forwarded(self, token: str) -> str:
+        return f"{self._start_id}/{token}"
+
+    def _find_token(self, forwarded: str) -> str:
+        """Returns a forwarded request's token; empty for another start's."""
+        start_id, _, token = forwarded.partition("/")
+        return token if start_id == self._start_id else ""
 
     def _respond_to_read(
         self, token: str, read: _Read, now: float
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -175,7 +175,9 @@
         self.voter.restore(records)
         self._configuration_requests = (
             configuration_requests.ConfigurationRequests(
-                node=self._identity.node, voter=self.voter
+                node=self._identity.node,
+                start_id=f"{rng.getrandbits(32):08x}",
+                voter=self.voter,
             )
         )
         self._load_document()
--- /dev/null
+++ b/tests/steps/configuration_promise_steps.py
@@ -0,0 +1,248 @@
+"""Steps about acknowledged configurations under losses."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from steps import fleet_steps, voter_replacement_steps
+from support import fleet_simulation, loss_schedules
+
+from hickorylead.consensus import options
+from hickorylead.fleet import events, messages
+from hickorylead.roles import interface
+
+CALL = "call 1"
+STEP_S = 0.0005
+
+
+@given("six coordinators of which two may be lost")
+def _(context):
+    simulation = fleet_simulation.FleetSimulation(
+        servers_per_zone=0,
+        gateways_per_zone=0,
+        coordinators_per_zone=2,
+        voter_options=options.derive_options(catch_up_s=6.0, max_lost_disks=2),
+    )
+    simulation.run(4.0)
+    fleet_steps.replace_until_acknowledged(
+        simulation, simulation.coordinator_names[0], 7
+    )
+    simulation.run(1.0)
+    context.simulation = simulation
+
+
+def restart_and_deliver(context, kind, make_request):
+    """Restarts a coordinator and delivers a reply to its former process."""
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    node = next(n for n in simulation.coordinator_names if n != leader)
+    replies = []
+
+    def capture(sender, target, message):
+        if target == node and isinstance(message, kind):
+            replies.append((sender, message))
+
+    simulation.on_send = capture
+    simulation.one_way_partitions.add((leader, node))
+    simulation.replace(leader, 6)
+    simulation.run(0.1)
+    simulation.apply(node, make_request(8))
+    simulation.run(0.1)
+    simulation.kill(node)
+    for other in simulation.coordinator_names:
+        if other != node:
+            simulation.partition(node, other)
+    simulation.run(0.5)
+    simulation.start(node)
+    simulation.outcomes.pop(CALL, None)
+    simulation.apply(node, make_request(9))
+    assert replies
+    for sender, message in replies:
+        arrived = interface.MessageArrived(sender, message, 0.0)
+        simulation.apply(node, arrived)
+
+
+def make_change(version):
+    document = fleet_simulation.make_document(version)
+    content = fleet_simulation.encode_content(document)
+    return events.ReplaceRequested(CALL, version, content)
+
+
+@when(
+    "a coordinator that has started again gets the reply to its former"
+    " process's change"
+)
+def _(context):
+    restart_and_deliver(context, messages.ReplaceReply, make_change)
+
+
+@when(
+    "a coordinator that has started again gets the reply to its former"
+    " process's read"
+)
+def _(context):
+    restart_and_deliver(
+        context, messages.ReadReply, lambda _: events.ReadRequested(CALL)
+    )
+
+
+@then("the change that was sent to the new process is not acknowledged")
+def _(context):
+    assert context.simulation.outcomes.get(CALL) is not True
+
+
+@then("the read that was sent to the new process is not answered")
+def _(context):
+    assert context.simulation.outcomes.get(CALL) is None
+
+
+def find_stale(simulation, version):
+    """Returns the coordinators that claim to be up to date and are not."""
+    return [
+        (round(simulation.now, 4), node, role.version)
+        for node, role in simulation.coordinators.items()
+        if node not in simulation.frozen
+        and role.is_fresh(simulation.now)
+        and role.version < version
+    ]
+
+
+def watch(simulation, version, seconds):
+    """Runs in short steps; returns where a version is older than claimed."""
+    end = simulation.now + seconds
+    found = []
+    while simulation.now < end:
+        simulation.run(STEP_S)
+        found += find_stale(simulation, version)
+    return found
+
+
+@when("one is cut off while another leader accepts version 9")
+def _(context):
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    names = simulation.coordinator_names
+    cut = next(n for n in names if n != leader)
+    for other in names:
+        if other != cut:
+            simulation.partition(cut, other)
+    simulation.run(0.5)
+    simulation.kill(leader)
+    simulation.run_until(lambda: simulation.find_leader(), 5.0)
+    fleet_steps.replace_until_acknowledged(
+        simulation, simulation.find_leader(), 9
+    )
+    simulation.run(1.0)
+    simulation.heal()
+
+
+@then(
+    "no coordinator that claims to be up to date has an older version for 3"
+    " seconds after the cut"
+)
+def _(context):
+    found = watch(context.simulation, 9, 3.0)
+    assert not found, found[:3]
+
+
+@when("the leader ends right after it has acknowledged version 9")
+def _(context):
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    token = simulation.replace(leader, 9)
+    while not simulation.outcomes.get(token):
+        simulation.run(STEP_S)
+    simulation.kill(leader)
+    context.leader = leader
+
+
+@then(
+    "no follower of the next leader claims to be up to date with an older"
+    " version"
+)
+def _(context):
+    simulation = context.simulation
+    end = simulation.now + 5.0
+    while simulation.now < end:
+        simulation.run(STEP_S)
+        found = [
+            (at, node, version)
+            for at, node, version in find_stale(simulation, 9)
+            if not simulation.coordinators[node].voter.leader.startswith(
+                context.leader
+            )
+        ]
+        assert not found, found
+
+
+@when("one is stopped for 4 seconds while version 9 is acknowledged")
+def _(context):
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    node = next(n for n in simulation.coordinator_names if n != leader)
+    simulation.frozen.add(node)
+    simulation.run(1.0)
+    fleet_steps.replace_until_acknowledged(simulation, leader, 9)
+    simulation.run(3.0)
+    context.node = node
+
+
+@then(
+    "it does not claim to be up to date with an older version once it goes on"
+)
+def _(context):
+    simulation, node = context.simulation, context.node
+    simulation.frozen.discard(node)
+    for event in simulation.buffers.pop(node, []):
+        simulation.apply(node, event)
+        assert not find_stale(simulation, 9)
+    found = watch(simulation, 9, 2.0)
+    assert not found, found[:3]
+
+
+@when(
+    "a voter is cut off and another one loses its disk at the first change of"
+    " voters"
+)
+def _(context):
+    simulation, leader, (cut, other) = voter_replacement_steps.prepare(context)
+    for node in simulation.coordinator_names:
+        if node != cut:
+            simulation.partition(cut, node)
+    simulation.run(1.0)
+    new = voter_replacement_steps.add_successor(simulation, cut)
+    simulation.partition(cut, new)
+    voter = simulation.coordinators[leader].voter
+    while len(voter.voters) == 3:
+        simulation.run(STEP_S)
+    simulation.kill(other)
+    simulation.wipe(other)
+    simulation.run(1.0)
+    simulation.start(other)
+    simulation.run(2.0)
+    simulation.heal()
+
+
+@then("version 7 is read within 12 seconds after the cut")
+def _(context):
+    simulation = context.simulation
+
+    def is_read():
+        leader = simulation.find_leader()
+        if not leader:
+            return False
+        token = simulation.read(leader)
+        simulation.run(0.5)
+        return simulation.outcomes.get(token) == 7
+
+    simulation.run_until(is_read, 12.0)
+
+
+@then(
+    "the overlapping loss schedules {first:d} to {last:d} keep what was"
+    " acknowledged"
+)
+def _(context, first, last):
+    problems = loss_schedules.run_schedules(
+        first, last - first + 1, overlaps=True
+    )
+    assert not problems, "\n".join(problems)
