Take only what was sent lately for a proof that a coordinator is up to date

Callers saw: a gateway that starts could take an older configuration from a coordinator that called it recent, and obey it. Cause: a coordinator judged by the arrival of messages. One that had been stopped counted those that waited in its buffers; under a new leader it counted the commit index from before that leader's first entry, and kept its claim while its entries did not continue the leader's. Evidence: before, a coordinator stopped for 4 s claimed to be up to date with version 7 after version 9 was acknowledged, and four followers of a new leader did. The scenario of entries that do not continue did not fail before. Change: replies have the time of the follower's clock, which the leader's next messages repeat; a follower is up to date if that is recent and an entry of the leader's term is applied.

--- a/src/hickorylead/consensus/messages.py
+++ b/src/hickorylead/consensus/messages.py
@@ -90,6 +90,8 @@
 
     Attributes:
         sent_at: Time of sending, by the leader's clock; the reply repeats it.
+        echoed_at: Time of the recipient's last reply that had arrived, by the
+            recipient's clock; 0 if none had.
     """
 
     cluster: str
@@ -101,6 +103,7 @@
     entries: tuple[LogEntry, ...]
     commit: int
     sent_at: float = 0.0
+    echoed_at: float = 0.0
 
 
 @attrs.frozen
@@ -114,6 +117,7 @@
         index: Last index at which the logs agree; if not `matched`, the index
             after which the leader should try next.
         sent_at: Time of the request, by the leader's clock.
+        replied_at: Time of this reply, by the member's clock.
     """
 
     member: str
@@ -121,6 +125,7 @@
     matched: bool
     index: int
     sent_at: float = 0.0
+    replied_at: float = 0.0
 
 
 @attrs.frozen
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -34,6 +34,8 @@
         unanswered_at: When entries or a snapshot were sent that the member has
             not replied to yet; None if it has replied.
         unanswered_s: How long the member may take for them, in seconds.
+        replied_at: Time of the reply to the latest request, by the member's
+            clock; 0 if there was none.
     """
 
     next_index: int
@@ -43,6 +45,7 @@
     was_voter: bool = True
     unanswered_at: float | None = None
     unanswered_s: float = 0.0
+    replied_at: float = 0.0
 
 
 @attrs.frozen
@@ -252,6 +255,7 @@
             entries=entries,
             commit=header.commit,
             sent_at=now,
+            echoed_at=self.members[member].replied_at,
         )
         return messages.Send(messages.get_node(member), request)
 
@@ -262,7 +266,9 @@
         # arrived: after a freeze, a leader would otherwise count replies that
         # had waited in its buffers as recent contact, and stay leader after
         # another one was elected.
-        progress.last_contact_at = max(progress.last_contact_at, reply.sent_at)
+        if reply.sent_at >= progress.last_contact_at:
+            progress.last_contact_at = reply.sent_at
+            progress.replied_at = reply.replied_at
         if progress.unanswered_at is not None and (
             reply.sent_at == progress.unanswered_at
             or reply.sent_at > progress.unanswered_at + progress.unanswered_s
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -11,6 +11,7 @@
 
 from hickorylead.configuration import changes, model
 from hickorylead.consensus import (
+    freshness,
     log as log_module,
     membership,
     messages,
@@ -62,10 +63,7 @@
         self.member = f"{node}#{incarnation}"
         self.role: Role = "follower"
         self.leader = ""
-        # Whether this voter has every entry that the leader had committed when
-        # it sent its last append; false from a start until the first append
-        # arrives.
-        self.is_caught_up = False
+        self._freshness = freshness.Freshness(options.election_max_s)
         self.log = log_module.Log()
         self.commit = 0
         self._state_machine = state_machine_module.StateMachine()
@@ -172,6 +170,12 @@
             and self.log.get_term(self.commit) == self.term
         )
 
+    def is_fresh(self, now: float) -> bool:
+        """Returns whether all that was committed recently is applied here."""
+        if self.role == "leader":
+            return self.is_ready_leader(now)
+        return self.has_leader(now) and self._freshness.is_current(now)
+
     def is_read_confirmed(self, requested_at: float, now: float) -> bool:
         """Returns whether a read requested at a time may be answered now.
 
@@ -549,16 +553,21 @@
             known = request.previous_term
         if known != request.previous_term:
             hint = min(self.log.last_index, request.previous_index - 1)
+            self._freshness.record_append(is_caught_up=False, echoed_at=0.0)
             reply = messages.AppendReply(
-                self.member, self.term, False, hint, request.sent_at
+                self.member, self.term, False, hint, request.sent_at, now
             )
             return [*effects, messages.Send(node, reply)]
         effects += self._merge_entries(request.entries)
         agreed = request.previous_index + len(request.entries)
         effects += self._commit_to(min(request.commit, agreed), now)
-        self.is_caught_up = self.commit >= request.commit
+        self._freshness.record_append(
+            is_caught_up=self.commit >= request.commit
+            and self.log.get_term(self.commit) == self.term,
+            echoed_at=request.echoed_at,
+        )
         reply = messages.AppendReply(
-            self.member, self.term, True, agreed, request.sent_at
+            self.member, self.term, True, agreed, request.sent_at, now
         )
         return [*effects, messages.Send(node, reply)]
 
@@ -606,6 +615,7 @@
             True,
             max(self.commit, snapshot.index),
             request.sent_at,
+            now,
         )
         node = messages.get_node(request.leader)
         return [*effects, messages.Send(node, reply)]
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -189,9 +189,7 @@
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether this node's configuration is certain to be recent."""
-        if self.voter.role == "leader":
-            return self.voter.is_ready_leader(now)
-        return self.voter.is_caught_up and self.voter.has_leader(now)
+        return self.voter.is_fresh(now)
 
     def reduce(
         self, event: CoordinatorEvent, now: float
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -33,6 +33,7 @@
   matched @2 :Bool;
   index @3 :Int64;
   sentAt @4 :Float64;
+  repliedAt @5 :Float64;
 }
 
 struct AppendRequest {
@@ -45,6 +46,7 @@
   entries @6 :List(LogEntry);
   commit @7 :Int64;
   sentAt @8 :Float64;
+  echoedAt @9 :Float64;
 }
 
 struct ApplyPreset {
--- a/tests/consensus/configuration_promises.feature
+++ b/tests/consensus/configuration_promises.feature
@@ -10,3 +10,20 @@
     Given three coordinators with gateways
     When a coordinator that has started again gets the reply to its former process's read
     Then the read that was sent to the new process is not answered
+
+  Scenario: A coordinator that missed changes under a new leader is not up to date
+    Its entries do not continue the new leader's, which gateways would not notice.
+    Given six coordinators of which two may be lost
+    When one is cut off while another leader accepts version 9
+    Then no coordinator that claims to be up to date has an older version for 3 seconds after the cut
+
+  Scenario: Followers of a new leader are not up to date before it has committed
+    A new leader may not know yet that the last change was committed.
+    Given six coordinators of which two may be lost
+    When the leader ends right after it has acknowledged version 9
+    Then no follower of the next leader claims to be up to date with an older version
+
+  Scenario: A coordinator that was stopped is not up to date by messages from before
+    Given six coordinators of which two may be lost
+    When one is stopped for 4 seconds while version 9 is acknowledged
+    Then it does not claim to be up to date with an older version once it goes on
