--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -259,8 +259,12 @@
         )
         return messages.Send(messages.get_node(member), request)
 
-    def handle_reply(self, reply: messages.AppendReply) -> None:
-        """Records what a tracked member reported."""
+    def handle_reply(self, reply: messages.AppendReply) -> bool:
+        """Records what a tracked member reported.
+
+        Returns:
+            Whether it holds entries that it was not known to hold.
+        """
         progress = self.members[reply.member]
         # The time of contact is when the request was sent, not when the reply
         # arrived: after a freeze, a leader would otherwise count replies that
@@ -274,6 +278,7 @@
             or reply.sent_at > progress.unanswered_at + progress.unanswered_s
         ):
             progress.unanswered_at = None
+        known_index = progress.match_index
         if reply.matched:
             progress.match_index = max(progress.match_index, reply.index)
             progress.next_index = max(progress.next_index, reply.index + 1)
@@ -281,6 +286,7 @@
             progress.next_index = max(
                 1, min(progress.next_index - 1, reply.index + 1)
             )
+        return progress.match_index > known_index
 
     def is_behind(self, member: str) -> bool:
         """Returns whether a member lacks entries of the log."""
--- a/tests/consensus/configuration_promises.feature
+++ b/tests/consensus/configuration_promises.feature
@@ -27,3 +27,9 @@
     Given six coordinators of which two may be lost
     When one is stopped for 4 seconds while version 9 is acknowledged
     Then it does not claim to be up to date with an older version once it goes on
+
+  Scenario: A change is known to all coordinators when it is acknowledged
+    Gateways would otherwise wait for the next leader if this one ends.
+    Given six coordinators of which two may be lost
+    When the leader ends right after it has acknowledged version 9
+    Then all other coordinators hold version 9 within 0.05 seconds
--- a/tests/steps/configuration_promise_steps.py
+++ b/tests/steps/configuration_promise_steps.py
@@ -174,6 +174,16 @@
         assert not found, found
 
 
+@then(
+    "all other coordinators hold version {version:d} within {seconds:g} seconds"
+)
+def _(context, version, seconds):
+    simulation = context.simulation
+    simulation.run(seconds)
+    held = {n: role.version for n, role in simulation.coordinators.items()}
+    assert set(held.values()) == {version}, held
+
+
 @when("one is stopped for 4 seconds while version 9 is acknowledged")
 def _(context):
     simulation = context.simulation
