Send gateways a version and its own content

Callers saw: after a fault of a coordinator's disk, gateways could get older content under the newest version and obey it. Cause: the version came from what the coordinator had applied, the content from its voter, which starts again from the disk. Evidence: before, an update named version 7 and had the content of version 5. Change: version, content and document are kept together, in a module of its own. Result: the update has the content of the version that it names.

--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -30,6 +30,7 @@
     divergence,
     events,
     gateways as gateways_module,
+    held_document,
     identity as identity_module,
     instances,
     messages,
@@ -116,8 +117,7 @@
         """
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
-        self._decode_document = decode_document
-        self.document: document_module.Document | None = None
+        self._held = held_document.HeldDocument(decode_document)
         self.registry = registry_module.Registry()
         self.peers = peer_directory_module.PeerDirectory(
             node=identity.node, seeds=identity.seeds
@@ -185,7 +185,12 @@
     @property
     def version(self) -> int:
         """Operators' version of the configuration that this node holds."""
-        return self.document.version if self.document else 0
+        return self._held.version
+
+    @property
+    def document(self) -> document_module.Document | None:
+        """The configuration that this node has applied."""
+        return self._held.document
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether this node's configuration is certain to be recent."""
@@ -541,18 +546,14 @@
             self._supervisor.record_output(
                 progress.name, now - progress.age_ms / 1000.0
             )
-        size = len(self.voter.configuration.content)
+        size = self._held.size_bytes
         if self.gateways.needs_document(hello.node, self.version, size, now):
             effects.append(interface.Send(hello.node, self._make_update(now)))
         return [*effects, *self.gateways.report_outdated(hello.node, now)]
 
     def _make_update(self, now: float) -> messages.DocumentUpdate:
-        held = self.voter.configuration
-        return messages.DocumentUpdate(
-            self._identity.node,
-            self.version,
-            held.content if self.document else b"",
-            self.is_fresh(now),
+        return self._held.make_update(
+            self._identity.node, is_fresh=self.is_fresh(now)
         )
 
     # Backend servers.
@@ -767,25 +768,11 @@
         return effects + self._supervisor.plan(now)
 
     def _load_document(self) -> str:
-        """Loads the configuration that the voter holds.
-
-        Returns:
-            Why the configuration could not be decoded; empty if it was decoded
-            or is not newer than the one in use.
-        """
-        held = self.voter.configuration
-        if not held.content or held.outside_version <= self.version:
-            # A voter that restarted without its log may hold an older version
-            # than this node.
-            return ""
-        match self._decode_document(held.content):
-            case result.Success(document):
-                self.document = document
-                self._supervisor.services = document.services
-                return ""
-            case result.Failure(problem):
-                return str(problem)
-        raise AssertionError("a result is a success or a failure")
+        """Loads what the voter holds; returns why it could not be decoded."""
+        problem = self._held.load(self.voter.configuration)
+        if self.document is not None:
+            self._supervisor.services = self.document.services
+        return problem
 
     def _send_all(
         self, sent: Iterable[tuple[str, interface.Message]]
--- a/tests/consensus/configuration_promises.feature
+++ b/tests/consensus/configuration_promises.feature
@@ -43,3 +43,9 @@
   Scenario: Losses that overlap while disks remain lose nothing that was acknowledged
     Random schedules in which more VMs are lost than allowed, but not more disks.
     Then the overlapping loss schedules 0 to 9 keep what was acknowledged
+
+  Scenario: A coordinator with an older disk sends no older content as a newer version
+    Gateways would put the older configuration in force again.
+    Given three coordinators with gateways
+    When a coordinator that holds version 7 gets its disk of version 5 back
+    Then what it sends to a gateway that starts has the version that it names
--- a/tests/steps/configuration_promise_steps.py
+++ b/tests/steps/configuration_promise_steps.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 from behave import given, then, when
 from steps import fleet_steps, voter_replacement_steps
 from support import fleet_simulation, loss_schedules
 
-from hickorylead.consensus import options
+from hickorylead.consensus import messages as consensus_messages, options
 from hickorylead.fleet import events, messages
-from hickorylead.roles import interface
+from hickorylead.roles import interface, nodes
 
 CALL = "call 1"
 STEP_S = 0.0005
@@ -256,3 +258,54 @@
         first, last - first + 1, overlaps=True
     )
     assert not problems, "\n".join(problems)
+
+
+@when("a coordinator that holds version 7 gets its disk of version 5 back")
+def _(context):
+    simulation = context.simulation
+    names = simulation.coordinator_names
+    fleet_steps.replace_until_acknowledged(simulation, names[0], 5)
+    simulation.run(1.0)
+    leader = simulation.find_leader()
+    node = next(n for n in names if n != leader)
+    role = simulation.coordinators[node]
+    snapshot = consensus_messages.Snapshot(
+        role.voter.commit,
+        role.voter.term,
+        role.voter.voters,
+        role.voter.configuration,
+    )
+    records = [
+        consensus_messages.HardState(role.voter.cluster, role.voter.term),
+        consensus_messages.InstallSnapshot(snapshot),
+    ]
+    fleet_steps.replace_until_acknowledged(simulation, names[0], 7)
+    simulation.run(1.0)
+    simulation.partition(node, leader)
+    role.restart_voter(
+        records,
+        random.Random(1),
+        simulation.now,
+        fleet_simulation.VOTER_OPTIONS,
+    )
+    context.node = node
+
+
+@then("what it sends to a gateway that starts has the version that it names")
+def _(context):
+    simulation, node = context.simulation, context.node
+    updates = []
+
+    def capture(sender, _, message):
+        if sender == node and isinstance(message, messages.DocumentUpdate):
+            updates.append(message)
+
+    simulation.on_send = capture
+    simulation.start_gateway(
+        nodes.make_node_name(nodes.get_zone(node), "new", nodes.GATEWAY)
+    )
+    simulation.run(1.0)
+    assert updates
+    for update in updates:
+        document = fleet_simulation.decode_content(update.content).unwrap()
+        assert document.version == update.version, (document, update.version)
