Remove a voter whose disk is certainly lost before its successor is added

Cause: the change of order at 2f + 1 voters also applied to a voter whose node had joined anew with an empty disk. Once the new member voted, nothing told any more that the old one was lost, and a third member was added beside both. Change: such a voter is removed first, as before: its disk is lost, so its vote protects nothing.

--- a/src/hickorylead/consensus/membership.py
+++ b/src/hickorylead/consensus/membership.py
@@ -8,7 +8,8 @@
 
 - A voter without contact is removed once a successor has been added. Removing
   it first would leave 2f voters: if it is only cut off and f others lose their
-  disks meanwhile, the disks that remain would be no majority.
+  disks meanwhile, the disks that remain would be no majority. A voter whose
+  disk is certainly lost is removed first, as its node has joined anew.
 - A voter that lives stays until its successor votes: one change adds the
   successor and names the voter that leaves, the next one removes that voter.
   Since the log names it, the next leader completes what another one has begun.
@@ -127,7 +128,11 @@
 
 
 def _change_smallest(situation: Situation) -> changes.SetVoters | None:
-    if situation.gone:
+    if situation.lost:
+        # Its disk is lost as well, so its vote protects nothing any more.
+        is_ready = any(c.is_caught_up for c in situation.candidates)
+        return _remove(situation, situation.lost[0]) if is_ready else None
+    if situation.missed:
         return _fill(situation)
     if situation.is_any_silent:
         # The silent voter may be the one that a new VM replaces.
--- a/tests/support/loss_schedules.py
+++ b/tests/support/loss_schedules.py
@@ -137,7 +137,10 @@
         while self.simulation.now < end:
             self.simulation.run(min(STEP_S, end - self.simulation.now))
             self._extend_lost_disks()
-            if self.simulation.now >= self._next_change:
+            if (
+                self.simulation.coordinators
+                and self.simulation.now >= self._next_change
+            ):
                 self._next_change = self.simulation.now + CHANGE_PERIOD_S
                 self._version += 1
                 node = self._rng.choice(list(self.simulation.coordinators))
