--- a/src/hickorylead/consensus/membership.py
+++ b/src/hickorylead/consensus/membership.py
@@ -6,7 +6,7 @@
 votes leaves one loss too few. At the smallest size, a successor therefore takes
 the place of its predecessor:
 
-- A voter without contact is removed once a successor has been added. Removing
+- A voter without contact stays until its successor votes as well. Removing
   it first would leave 2f voters: if it is only cut off and f others lose their
   disks meanwhile, the disks that remain would be no majority. A voter whose
   disk is certainly lost is removed first, as its node has joined anew.
@@ -133,7 +133,11 @@
         is_ready = any(c.is_caught_up for c in situation.candidates)
         return _remove(situation, situation.lost[0]) if is_ready else None
     if situation.missed:
-        return _fill(situation)
+        filled = _fill(situation)
+        if filled is None:
+            return None
+        # The next leader may not miss that voter yet, or not any more.
+        return attrs.evolve(filled, leaving=situation.missed[0])
     if situation.is_any_silent:
         # The silent voter may be the one that a new VM replaces.
         return None
--- a/src/hickorylead/consensus/messages.py
+++ b/src/hickorylead/consensus/messages.py
@@ -91,7 +91,7 @@
     Attributes:
         sent_at: Time of sending, by the leader's clock; the reply repeats it.
         echoed_at: Time of the recipient's last reply that had arrived, by the
-            recipient's clock; 0 if none had.
+            recipient's clock; `freshness.NO_REPLY` if none had.
     """
 
     cluster: str
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from hickorylead.consensus import log as log_module, membership, messages
+from hickorylead.consensus import (
+    freshness,
+    log as log_module,
+    membership,
+    messages,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -35,7 +40,7 @@
             not replied to yet; None if it has replied.
         unanswered_s: How long the member may take for them, in seconds.
         replied_at: Time of the reply to the latest request, by the member's
-            clock; 0 if there was none.
+            clock; `freshness.NO_REPLY` if there was none.
     """
 
     next_index: int
@@ -45,7 +50,7 @@
     was_voter: bool = True
     unanswered_at: float | None = None
     unanswered_s: float = 0.0
-    replied_at: float = 0.0
+    replied_at: float = freshness.NO_REPLY
 
 
 @attrs.frozen
@@ -272,7 +277,7 @@
         # another one was elected.
         if reply.sent_at >= progress.last_contact_at:
             progress.last_contact_at = reply.sent_at
-            progress.replied_at = reply.replied_at
+            progress.replied_at = reply.replied_at or freshness.NO_REPLY
         if progress.unanswered_at is not None and (
             reply.sent_at == progress.unanswered_at
             or reply.sent_at > progress.unanswered_at + progress.unanswered_s
@@ -288,6 +293,10 @@
             )
         return progress.match_index > known_index
 
+    def is_committed(self, member: str, commit: int) -> bool:
+        """Returns whether all that a member holds is committed."""
+        return self.members[member].match_index <= commit
+
     def is_behind(self, member: str) -> bool:
         """Returns whether a member lacks entries of the log."""
         return self.members[member].next_index <= self._log.last_index
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -431,15 +431,16 @@
         ):
             return []
         holds_more = self._replicator.handle_reply(reply)
+        commit_before = self.commit
         committed = self._advance_commit(now)
         if self.role != "leader":
             return committed
         # The others know the commit before it is acknowledged, so that their
         # gateways need no next leader if this one ends.
         header = self._make_header()
-        if committed:
+        if self.commit > commit_before:
             effects = self._replicate(now)
-        elif holds_more:
+        elif holds_more and self._replicator.is_committed(member, self.commit):
             effects = self._replicator.send(member, header, now)
         else:
             effects = self._replicator.send_missing(member, header, now)
@@ -561,7 +562,9 @@
             known = request.previous_term
         if known != request.previous_term:
             hint = min(self.log.last_index, request.previous_index - 1)
-            self._freshness.record_append(is_caught_up=False, echoed_at=0.0)
+            self._freshness.record_append(
+                is_caught_up=False, echoed_at=request.echoed_at, now=now
+            )
             reply = messages.AppendReply(
                 self.member, self.term, False, hint, request.sent_at, now
             )
@@ -573,6 +576,7 @@
             is_caught_up=self.commit >= request.commit
             and self.log.get_term(self.commit) == self.term,
             echoed_at=request.echoed_at,
+            now=now,
         )
         reply = messages.AppendReply(
             self.member, self.term, True, agreed, request.sent_at, now
--- a/src/hickorylead/forwarding/document_inbox.py
+++ b/src/hickorylead/forwarding/document_inbox.py
@@ -85,7 +85,9 @@
             held_version: Version in force at this gateway; 0 if there is none.
             now: Present time.
         """
-        if self._stale and now - self._started_at > STALE_WAIT_S:
+        if self._stale and (
+            held_version or now - self._started_at > STALE_WAIT_S
+        ):
             self._waiting = _choose_newer(self._waiting, self._stale)
             self._stale = None
         update, self._waiting = self._waiting, None
--- a/tests/consensus/configuration_promises.feature
+++ b/tests/consensus/configuration_promises.feature
@@ -49,3 +49,24 @@
     Given three coordinators with gateways
     When a coordinator that holds version 7 gets its disk of version 5 back
     Then what it sends to a gateway that starts has the version that it names
+
+  Scenario: Followers of a leader that cannot commit are not up to date
+    It may not know that the last change was committed.
+    Given six coordinators of which two may be lost
+    When version 9 is acknowledged unknown to the followers and the next leader cannot commit
+    Then no coordinator that claims to be up to date has an older version for 0.6 seconds
+
+  Scenario: Followers of a leader that repeats no times are up to date by arrival
+    During an upgrade a leader of the build before may lead.
+    Given six coordinators of which two may be lost
+    When the leader repeats no times of its followers
+    Then all coordinators are up to date after 1 second
+
+  Scenario: The next leader removes a missed voter whose successor was added
+    A set of 2f + 2 with a voter that is replaced later tolerates one loss too few.
+    Given three coordinators with gateways
+    When the leader ends after it has added the successor of a voter that returns
+    Then there are three voters within 12 seconds
+
+  Scenario: A voter that lost its disk is removed before others are added
+    Then the loss schedules 1022 to 1022 leave a majority of the voters
--- a/tests/steps/configuration_promise_steps.py
+++ b/tests/steps/configuration_promise_steps.py
@@ -4,6 +4,7 @@
 
 import random
 
+import attrs
 from behave import given, then, when
 from steps import fleet_steps, voter_replacement_steps
 from support import fleet_simulation, loss_schedules
@@ -309,3 +310,106 @@
     for update in updates:
         document = fleet_simulation.decode_content(update.content).unwrap()
         assert document.version == update.version, (document, update.version)
+
+
+@when(
+    "version 9 is acknowledged unknown to the followers and the next leader"
+    " cannot commit"
+)
+def _(context):
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    others = [n for n in simulation.coordinator_names if n != leader]
+    index = simulation.coordinators[leader].voter.log.last_index + 1
+    token = simulation.replace(leader, 9)
+    while any(
+        simulation.coordinators[n].voter.log.last_index < index for n in others
+    ):
+        simulation.run(STEP_S / 5)
+    simulation.one_way_partitions |= {(leader, node) for node in others}
+    simulation.run(0.01)
+    assert simulation.outcomes.get(token)
+    simulation.kill(leader)
+    simulation.one_way_partitions.clear()
+
+    def find_next():
+        return [
+            n
+            for n in others
+            if simulation.coordinators[n].voter.role == "leader"
+        ]
+
+    while not find_next():
+        simulation.run(STEP_S / 5)
+    successor = find_next()[0]
+    followers = [n for n in others if n != successor]
+    simulation.one_way_partitions |= {(n, successor) for n in followers[2:]}
+
+
+@then(
+    "no coordinator that claims to be up to date has an older version for"
+    " {seconds:g} seconds"
+)
+def _(context, seconds):
+    found = watch(context.simulation, 9, seconds)
+    assert not found, found[:3]
+
+
+@when("the leader repeats no times of its followers")
+def _(context):
+    simulation = context.simulation
+    deliver = simulation.apply
+
+    def remove_times(node, event):
+        match event:
+            case interface.MessageArrived(
+                sender, consensus_messages.AppendRequest() as request
+            ):
+                event = interface.MessageArrived(
+                    sender, attrs.evolve(request, echoed_at=0.0), 0.0
+                )
+        deliver(node, event)
+
+    simulation.apply = remove_times
+
+
+@then("all coordinators are up to date after {seconds:g} second")
+def _(context, seconds):
+    simulation = context.simulation
+    simulation.run(seconds)
+    for node, role in simulation.coordinators.items():
+        assert role.is_fresh(simulation.now), node
+
+
+@when(
+    "the leader ends after it has added the successor of a voter that returns"
+)
+def _(context):
+    simulation, leader, (cut, _) = voter_replacement_steps.prepare(context)
+    for node in simulation.coordinator_names:
+        if node != cut:
+            simulation.partition(cut, node)
+    simulation.run(1.0)
+    new = voter_replacement_steps.add_successor(simulation, cut)
+    simulation.partition(cut, new)
+    voter = simulation.coordinators[leader].voter
+    while len(voter.voters) == 3:
+        simulation.run(STEP_S)
+    simulation.run(0.0012)
+    simulation.kill(leader)
+    simulation.heal()
+    simulation.run(0.5)
+    simulation.start(leader)
+
+
+@then("there are three voters within {seconds:g} seconds")
+def _(context, seconds):
+    simulation = context.simulation
+
+    def has_three():
+        leader = simulation.find_leader()
+        return leader and len(simulation.coordinators[leader].voter.voters) == 3
+
+    simulation.run_until(has_three, seconds)
+    simulation.run(2.0)
+    assert has_three()
