Encode the table of servers once for all gateways that need it

Callers saw: on a busy machine no configuration could be read or changed for minutes, and gateways kept what they had. Cause: each gateway that starts or changes its home coordinator gets the table of all servers, made and encoded for it alone: 24 ms for 169 servers. A late coordinator is left by its gateways after 1.2 s, they ask the others for the table, which makes these late as well, and so on. Change: the table and the list are shared while they do not change, and a connection encodes the last few messages once. Result: at most 2 tables, 2 encodings.

--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -18,7 +18,10 @@
 from hickorylead.roles import nodes
 
 if TYPE_CHECKING:
-    from hickorylead.fleet import registry as registry_module
+    from hickorylead.fleet import (
+        full_sync as full_sync_module,
+        registry as registry_module,
+    )
 
 # Time without a hello after which a gateway gets no more updates, in seconds.
 GATEWAY_TIMEOUT_S = 10.0
@@ -123,7 +126,7 @@
         *,
         registry: registry_module.Registry,
         known: messages.KnownCoordinators,
-        sender: str,
+        full_sync: full_sync_module.FullSync,
         now: float,
     ) -> list[tuple[str, messages.Message]]:
         """Handles a hello; returns the messages to send to the gateway.
@@ -132,7 +135,7 @@
             hello: The hello.
             registry: Backend servers known to this coordinator.
             known: Coordinators known to this one.
-            sender: Name of this coordinator.
+            full_sync: Source of full syncs.
             now: Present time.
         """
         previous = self._gateways.get(hello.node)
@@ -169,10 +172,7 @@
         else:
             needs_full_sync = self._needs_full_sync(hello, registry, now)
         if needs_full_sync:
-            update = messages.InstanceNews(
-                sender, tuple(registry.instances.values()), is_full=True
-            )
-            sent.append((hello.node, update))
+            sent.append((hello.node, full_sync.make(is_full=True)))
         if hello.is_home and hello.is_short:
             borrowers = len(self.list_home_gateways(now))
             sent.append((hello.node, self._lend(hello.node, borrowers, now)))
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -29,6 +29,7 @@
     descriptions,
     divergence,
     events,
+    full_sync,
     gateways as gateways_module,
     held_document,
     identity as identity_module,
@@ -119,6 +120,8 @@
         self._zone = nodes.get_zone(identity.node)
         self._held = held_document.HeldDocument(decode_document)
         self.registry = registry_module.Registry()
+        self._full_sync = full_sync.FullSync(identity.node, self.registry)
+        self._listed = messages.KnownCoordinators(identity.node, (), ())
         self.peers = peer_directory_module.PeerDirectory(
             node=identity.node, seeds=identity.seeds
         )
@@ -502,10 +505,8 @@
         )
         if not is_new and not differs:
             return effects
-        update = messages.InstanceNews(
-            self._identity.node,
-            tuple(self.registry.instances.values()),
-            is_full=self._supervisor.has_full_view(now),
+        update = self._full_sync.make(
+            is_full=self._supervisor.has_full_view(now)
         )
         return [*effects, interface.Send(hello.node, update)]
 
@@ -532,10 +533,8 @@
         sent = self.gateways.handle_hello(
             hello,
             registry=self.registry,
-            known=announcements.list_coordinators(
-                self._identity, self.peers, is_fresh=self.is_fresh(now)
-            ),
-            sender=self._identity.node,
+            known=self._list_coordinators(now),
+            full_sync=self._full_sync,
             now=now,
         )
         effects += self.gateways.save(self._identity.node, now)
@@ -551,6 +550,15 @@
             effects.append(interface.Send(hello.node, self._make_update(now)))
         return [*effects, *self.gateways.report_outdated(hello.node, now)]
 
+    def _list_coordinators(self, now: float) -> messages.KnownCoordinators:
+        """Returns the list for gateways, the same message while it is equal."""
+        listed = announcements.list_coordinators(
+            self._identity, self.peers, is_fresh=self.is_fresh(now)
+        )
+        if listed != self._listed:
+            self._listed = listed
+        return self._listed
+
     def _make_update(self, now: float) -> messages.DocumentUpdate:
         return self._held.make_update(
             self._identity.node, is_fresh=self.is_fresh(now)
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -33,6 +33,10 @@
 MAX_QUEUED_BYTES = 2 * frame.MAX_FRAME_BYTES
 # Age above which a message is outdated and is not sent any more, in seconds.
 MAX_QUEUE_AGE_S = 2.0
+# Messages whose encoded form is kept for further recipients, and their bytes,
+# unless a single one is larger.
+MAX_ENCODED_MESSAGES = 4
+MAX_ENCODED_BYTES = 1024 * 1024
 # Size from which messages use a connection of their own, in bytes, so that
 # heartbeats and votes do not wait behind them.
 BULK_BYTES = 256 * 1024
@@ -182,7 +186,10 @@
         self._log = log
         # By node, and whether the connection is for large messages.
         self._links: dict[tuple[str, bool], _Link] = {}
-        self._last_encoded: tuple[interface.Message | None, bytes] = (None, b"")
+        # The last messages, by identity, with their encoded form.
+        self._encoded: collections.OrderedDict[
+            int, tuple[interface.Message, bytes]
+        ] = collections.OrderedDict()
         self._server: asyncio.Server | None = None
         self._tasks = tasks.TaskSet(log)
         self._handlers: set[asyncio.Task[None]] = set()
@@ -240,12 +247,20 @@
 
     def _encode(self, message: interface.Message) -> bytes:
         """Encodes a message, once even if it goes to several nodes."""
-        last, payload = self._last_encoded
-        if last is not message:
+        key = id(message)
+        if key not in self._encoded:
             envelope = codec.Envelope(self._node, self._address, message)
             payload = codec.encode_envelope(envelope)
-            self._last_encoded = (message, payload)
-        return payload
+            # The message is kept as well, so that its identity stays its own.
+            self._encoded[key] = message, payload
+            while len(self._encoded) > 1 and (
+                len(self._encoded) > MAX_ENCODED_MESSAGES
+                or sum(len(kept) for _, kept in self._encoded.values())
+                > MAX_ENCODED_BYTES
+            ):
+                self._encoded.popitem(last=False)
+        self._encoded.move_to_end(key)
+        return self._encoded[key][1]
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -157,3 +157,9 @@
     Then a gateway transfers less than 1.5 KB a second in the quiet seconds
     And a gateway transfers less than 2 KB a second in the other seconds
     And each change reaches a gateway at most once
+
+  Scenario: Gateways that start together get one table of servers
+    A table made for each of them keeps a coordinator that is late from catching up.
+    Given three coordinators with 8 gateways a zone
+    When all gateways of a zone start at once
+    Then each gets all servers, from at most 2 tables
--- a/tests/runtime/links.feature
+++ b/tests/runtime/links.feature
@@ -38,3 +38,12 @@
   Scenario: An error of a callback or a forgotten task is reported
     When a callback fails that nothing waits for
     Then its failure is reported with its place
+
+  Scenario: A message for many nodes is encoded once, also among others
+    Encoding a table for each gateway once kept late coordinators from catching up.
+    When two messages are sent to 20 nodes by turns
+    Then 2 messages were encoded
+
+  Scenario: Encoded messages use bounded memory
+    When 10 messages of 600 KB are sent
+    Then at most 1 MB of them is kept encoded
--- a/tests/steps/configuration_update_steps.py
+++ b/tests/steps/configuration_update_steps.py
@@ -129,3 +129,39 @@
         if note.event == "configuration_unreadable"
     ]
     assert problems == [f"the content has version {version}"], problems
+
+
+@given("three coordinators with {count:d} gateways a zone")
+def _(context, count):
+    context.simulation = fleet_simulation.FleetSimulation(
+        gateways_per_zone=count
+    )
+    context.simulation.bootstrap()
+
+
+@when("all gateways of a zone start at once")
+def _(context):
+    simulation = context.simulation
+    context.tables = {}
+
+    def capture(_, target, message):
+        if isinstance(message, messages.InstanceNews) and message.is_full:
+            context.tables.setdefault(target, []).append(message)
+
+    simulation.on_send = capture
+    zone = fleet_simulation.ZONES[0]
+    context.started = [n for n in simulation.gateways if n.startswith(zone)]
+    for node in context.started:
+        simulation.kill(node)
+        simulation.start_gateway(node)
+    simulation.run(2.0)
+
+
+@then("each gets all servers, from at most {count:d} tables")
+def _(context, count):
+    for node in context.started:
+        assert context.tables.get(node), node
+    found = {
+        id(table) for node in context.started for table in context.tables[node]
+    }
+    assert len(found) <= count, len(found)
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from hickorylead.configuration import messages, model
+from hickorylead.fleet import messages as fleet_messages
 from hickorylead.runtime import peers, tasks
 from hickorylead.wire import codec, frame
 
@@ -240,3 +241,48 @@
     (failed,) = context.log.warn.call_args_list
     assert failed.args == ("error unhandled",), failed
     assert "in fail" in failed.kwargs["place"], failed
+
+
+def make_large_message(size_bytes):
+    content = random.Random(size_bytes).randbytes(size_bytes)
+    return fleet_messages.DocumentUpdate("z/vm1/entry", 1, content, True)
+
+
+@when("two messages are sent to {count:d} nodes by turns")
+def _(context, count):
+    async def run():
+        sender = make_peers("127.0.0.1:1")
+        with mock.patch.object(
+            codec, "encode_envelope", wraps=codec.encode_envelope
+        ) as encode:
+            pair = make_message(1), make_message(2)
+            for number in range(count):
+                for message in pair:
+                    sender.send(f"@127.0.0.1:{number + 2}", message)
+            context.encoded = encode.call_count
+        await sender.close()
+
+    asyncio.run(run())
+
+
+@then("{count:d} messages were encoded")
+def _(context, count):
+    assert context.encoded == count, context.encoded
+
+
+@when("{count:d} messages of {size:d} KB are sent")
+def _(context, count, size):
+    async def run():
+        sender = make_peers("127.0.0.1:1")
+        for number in range(count):
+            message = make_large_message(size * 1024 + number)
+            sender.send("z/vm1/control", message)
+        context.kept = [len(kept) for _, kept in sender._encoded.values()]
+        await sender.close()
+
+    asyncio.run(run())
+
+
+@then("at most {count:d} MB of them is kept encoded")
+def _(context, count):
+    assert context.kept and sum(context.kept) <= count * 1024 * 1024
