--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -243,7 +243,7 @@
     assert "in fail" in failed.kwargs["place"], failed
 
 
-def make_large_message(size_bytes):
+def make_document_update(size_bytes):
     content = random.Random(size_bytes).randbytes(size_bytes)
     return fleet_messages.DocumentUpdate("z/vm1/entry", 1, content, True)
 
@@ -275,7 +275,7 @@
     async def run():
         sender = make_peers("127.0.0.1:1")
         for number in range(count):
-            message = make_large_message(size * 1024 + number)
+            message = make_document_update(size * 1024 + number)
             sender.send("z/vm1/control", message)
         context.kept = [len(kept) for _, kept in sender._encoded.values()]
         await sender.close()
