Accept a key that one workspace lists twice

A valid change was refused with 400: operators got no acknowledgement for it. Cause: the check for shared keys counted keys, not the workspaces of each. Only a key of two workspaces fails to identify its caller. Evidence: 'A key that one workspace lists twice is no shared key' failed before with UnwrapFailedError ('two workspaces share a key'). Change: each workspace counts once for a key. Result: tests/platform/formats.feature and tests/forwarding/routes.feature pass, 73 scenarios; a key of two workspaces is refused as before.

--- a/src/hickorylead/configuration/document.py
+++ b/src/hickorylead/configuration/document.py
@@ -252,7 +252,7 @@
     for route in document.routes if changed is None else changed:
         problems += _validate_route(route, names)
     keys = collections.Counter(
-        key for workspace in document.workspaces for key in workspace.keys
+        key for workspace in document.workspaces for key in set(workspace.keys)
     )
     if any(count > 1 for count in keys.values()):
         # A shared key would not identify the workspace of a caller.
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -28,6 +28,10 @@
       | an unknown service     | names the unknown       |
       | a timeout of 0         | the timeout             |
 
+  Scenario: A key that one workspace lists twice is no shared key
+    Given a platform configuration with a key twice in one workspace
+    Then it is decoded
+
   Scenario: A change of one route decodes that route only
     Decoding thousands of routes for each change makes gateways late.
     Given a decoder that has decoded a configuration with 300 routes
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -143,11 +143,18 @@
             route["Service"] = "nowhere"
         case "a timeout of 0":
             route["TimeoutMs"] = 0
+        case "a key twice in one workspace":
+            body["Tenants"][0]["ApiKeys"] *= 2
     context.body = orjson.dumps(body)
     if change == "its end cut off":
         context.body = context.body[:-20]
 
 
+@then("it is decoded")
+def _(context):
+    documents.decode_document(context.body).unwrap()
+
+
 @then('decoding it fails with "{reason}"')
 def _(context, reason):
     match documents.decode_document(context.body):
