Refuse configurations whose values have other JSON types

Operators got 200 for configurations that cannot be read: a timeout or weight of "nan", "8000" or true, "false" as AuthExempt (which opened the route to all callers), a string as list of keys (each of its letters became a key). Cause: float(), int() and bool() take strings and flags. And a route counted as unchanged if its fields were equal in Python, where 1 equals true. Change: numbers, flags and lists are checked by their JSON type; null stands for an absent flag, list or time as before. A route is unchanged if its encoding is.

--- a/src/hickorylead/platform/documents.py
+++ b/src/hickorylead/platform/documents.py
@@ -28,9 +28,9 @@
 
     def __init__(self) -> None:
         """Makes a decoder that has not decoded anything yet."""
-        # Fields of the routes of the last valid configuration, and the routes
-        # decoded from them, by name.
-        self._known: dict[str, tuple[dict[str, Any], document.Route]] = {}
+        # The routes of the last valid configuration, encoded and decoded, by
+        # name. Fields that are equal in Python may differ in JSON: 1 and true.
+        self._known: dict[str, tuple[bytes, document.Route]] = {}
         # Names of the services of that configuration.
         self._services: frozenset[str] = frozenset()
         # Number of routes that were decoded so far.
@@ -49,7 +49,9 @@
         """Returns the configuration in a request body, or why it is invalid."""
         try:
             fields = orjson.loads(data)
-            routes = tuple(map(self._decode_route, fields["Routes"]))
+            route_fields = values.expect_list(fields["Routes"])
+            encoded = [orjson.dumps(route) for route in route_fields]
+            routes = tuple(map(self._decode_route, route_fields, encoded))
             decoded = _decode(fields, routes)
         except KeyError as error:
             return result.Failure(f"the field {error.args[0]} is missing")
@@ -70,16 +72,16 @@
             return result.Failure("; ".join(problems))
         self._services = services
         self._known = {
-            route.name: (route_fields, route)
-            for route_fields, route in zip(
-                fields["Routes"], routes, strict=True
-            )
+            route.name: (route_encoded, route)
+            for route_encoded, route in zip(encoded, routes, strict=True)
         }
         return result.Success(decoded)
 
-    def _decode_route(self, fields: dict[str, Any]) -> document.Route:
+    def _decode_route(
+        self, fields: dict[str, Any], encoded: bytes
+    ) -> document.Route:
         known = self._known.get(fields["Name"])
-        if known is not None and known[0] == fields:
+        if known is not None and known[0] == encoded:
             return known[1]
         self.decoded_routes += 1
         return _decode_route(fields)
@@ -98,12 +100,14 @@
     return document.Document(
         version=values.expect_integer(fields["Version"]),
         routes=routes,
-        services=tuple(_decode_service(s) for s in fields["Services"]),
+        services=tuple(
+            map(_decode_service, values.expect_list(fields["Services"]))
+        ),
         limits=document.Limits(
-            max_header_bytes=int(
+            max_header_bytes=_decode_int(
                 limits.get("MaxHeaderBytes", default.max_header_bytes)
             ),
-            max_body_bytes=int(
+            max_body_bytes=_decode_int(
                 limits.get("MaxBodyBytes", default.max_body_bytes)
             ),
             header_timeout_s=_decode_ms(
@@ -114,24 +118,27 @@
             ),
         ),
         workspaces=tuple(
-            document.Workspace(
-                name=values.expect_string(workspace["Name"]),
-                keys=tuple(
-                    map(values.expect_string, workspace.get("ApiKeys") or ())
-                ),
-                priority=workspace.get("Priority"),
-            )
-            for workspace in fields.get("Tenants") or ()
+            map(_decode_workspace, _list_values(fields, "Tenants"))
         ),
     )
 
 
+def _decode_workspace(fields: dict[str, Any]) -> document.Workspace:
+    priority = fields.get("Priority")
+    return document.Workspace(
+        name=values.expect_string(fields["Name"]),
+        keys=tuple(map(values.expect_string, _list_values(fields, "ApiKeys"))),
+        priority=None if priority is None else _decode_int(priority),
+    )
+
+
 def _decode_route(fields: dict[str, Any]) -> document.Route:
-    split = fields.get("TrafficSplit")
+    split = _list_values(fields, "TrafficSplit")
     if split:
         targets = tuple(
             document.Target(
-                values.expect_string(part["Service"]), float(part["Weight"])
+                values.expect_string(part["Service"]),
+                _decode_float(part["Weight"]),
             )
             for part in split
         )
@@ -145,17 +152,17 @@
         prefix=values.expect_string(fields["PathPrefix"]),
         kind=_KINDS[fields["Kind"]],
         targets=targets,
-        timeout_s=float(fields["TimeoutMs"]) * _MS,
+        timeout_s=_decode_float(fields["TimeoutMs"]) * _MS,
         objective_s=_decode_ms(fields, "TargetLatencyMs", 1.0),
         max_event_gap_s=_decode_ms(fields, "GapTargetMs", 0.0),
-        priority=int(fields.get("Priority", 1)),
-        max_attempts=max(1, int(fields.get("MaxAttempts", 1))),
+        priority=_decode_int(fields.get("Priority", 1)),
+        max_attempts=max(1, _decode_int(fields.get("MaxAttempts", 1))),
         # The platform marks the routes that need no key.
-        needs_key=not fields.get("AuthExempt", False),
+        needs_key=not _decode_flag(fields, "AuthExempt"),
         # Despite its name, this field marks routes whose requests carry a
         # prompt, announced by the model and prompt headers.
-        has_prompts=bool(fields.get("SessionAffinity", False)),
-        resumable=bool(fields.get("StreamResume", False)),
+        has_prompts=_decode_flag(fields, "SessionAffinity"),
+        resumable=_decode_flag(fields, "StreamResume"),
     )
 
 
@@ -164,42 +171,63 @@
     return document.Service(
         name=values.expect_string(fields["Name"]),
         health_path=str(fields.get("HealthPath", "/health")),
-        max_connections=max(0, int(fields.get("MaxConnections", 0))),
+        max_connections=max(0, _decode_int(fields.get("MaxConnections", 0))),
         engine=_decode_engine(engine) if engine else None,
     )
 
 
 def _decode_engine(fields: dict[str, Any]) -> document.EngineProfile:
     return document.EngineProfile(
-        slots=int(fields["Slots"]),
-        kv_cache_tokens=int(fields.get("KvCapacityTokens", 0)),
-        decode_step_s=float(fields["step_ms"]) * _MS,
-        decode_step_per_request_s=float(fields.get("per_seq_ms", 0.0)) * _MS,
+        slots=_decode_int(fields["Slots"]),
+        kv_cache_tokens=_decode_int(fields.get("KvCapacityTokens", 0)),
+        decode_step_s=_decode_float(fields["step_ms"]) * _MS,
+        decode_step_per_request_s=_decode_float(fields.get("per_seq_ms", 0.0))
+        * _MS,
         # `context_per_k` is in milliseconds per 1,000 tokens of context.
-        decode_step_per_context_token_s=float(fields.get("context_per_k", 0.0))
+        decode_step_per_context_token_s=_decode_float(
+            fields.get("context_per_k", 0.0)
+        )
         * _MS
         / 1000,
-        prefill_per_token_s=1.0 / max(1.0, float(fields["read_per_s"])),
-        prefill_chunk_tokens=int(fields.get("chunk", 2048)),
-        steps_per_event=int(fields.get("Stride", 1)),
+        prefill_per_token_s=1.0 / max(1.0, _decode_float(fields["read_per_s"])),
+        prefill_chunk_tokens=_decode_int(fields.get("chunk", 2048)),
+        steps_per_event=_decode_int(fields.get("Stride", 1)),
         models=tuple(
             document.ModelProfile(
                 name=values.expect_string(model["Name"]),
-                group_size=int(model["size"]),
-                initial_vm_share=float(model.get("Share", 0.0)),
-                time_factor=float(model.get("pace", 1.0)),
-                load_s=float(model.get("LoadS", 0.0)),
-                staged_load_s=float(model.get("WarmS", 0.0)),
+                group_size=_decode_int(model["size"]),
+                initial_vm_share=_decode_float(model.get("Share", 0.0)),
+                time_factor=_decode_float(model.get("pace", 1.0)),
+                load_s=_decode_float(model.get("LoadS", 0.0)),
+                staged_load_s=_decode_float(model.get("WarmS", 0.0)),
             )
-            for model in fields.get("Models") or ()
+            for model in _list_values(fields, "Models")
         ),
-        max_load_starts_per_s=float(fields.get("LoadsPerS", 1.0)),
-        max_concurrent_loads=int(fields.get("loads_at_once", 0)),
-        max_staged_models=int(fields.get("RetainedCount", 1)),
-        group_start_s=float(fields.get("FormMs", 0.0)) * _MS,
+        max_load_starts_per_s=_decode_float(fields.get("LoadsPerS", 1.0)),
+        max_concurrent_loads=_decode_int(fields.get("loads_at_once", 0)),
+        max_staged_models=_decode_int(fields.get("RetainedCount", 1)),
+        group_start_s=_decode_float(fields.get("FormMs", 0.0)) * _MS,
     )
 
 
 def _decode_ms(fields: dict[str, Any], name: str, default: float) -> float:
     value = fields.get(name)
-    return default if value is None else float(value) * _MS
+    return default if value is None else _decode_float(value) * _MS
+
+
+def _decode_float(value: Any) -> float:
+    return float(values.expect_number(value))
+
+
+def _decode_int(value: Any) -> int:
+    return int(values.expect_number(value))
+
+
+def _decode_flag(fields: dict[str, Any], name: str) -> bool:
+    value = fields.get(name)
+    return False if value is None else values.expect_flag(value)
+
+
+def _list_values(fields: dict[str, Any], name: str) -> list[Any]:
+    value = fields.get(name)
+    return [] if value is None else values.expect_list(value)
--- a/src/hickorylead/platform/values.py
+++ b/src/hickorylead/platform/values.py
@@ -36,3 +36,37 @@
     if type(value) is not int:
         raise TypeError(f"{value!r:.40} is not an integer")
     return value
+
+
+def expect_number(value: Any) -> float:
+    """Returns the value if it is an integer or another finite number.
+
+    Raises:
+        TypeError: It is of another type. In Python, `true` is an integer too,
+            and `float` accepts strings such as "nan".
+    """
+    if type(value) is not int and type(value) is not float:
+        raise TypeError(f"{value!r:.40} is not a number")
+    return value
+
+
+def expect_flag(value: Any) -> bool:
+    """Returns the value if it is `true` or `false`.
+
+    Raises:
+        TypeError: It is of another type.
+    """
+    if not isinstance(value, bool):
+        raise TypeError(f"{value!r:.40} is not a flag")
+    return value
+
+
+def expect_list(value: Any) -> list[Any]:
+    """Returns the value if it is a list.
+
+    Raises:
+        TypeError: It is of another type.
+    """
+    if not isinstance(value, list):
+        raise TypeError(f"{value!r:.40} is not a list")
+    return value
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -27,6 +27,16 @@
       | an unknown kind        | is missing              |
       | an unknown service     | names the unknown       |
       | a timeout of 0         | the timeout             |
+      | a string as timeout    | is not a number         |
+      | no number as timeout   | is not a number         |
+      | a flag as timeout      | is not a number         |
+      | no number as weight    | is not a number         |
+      | a flag as weight       | is not a number         |
+      | a string as priority   | is not a number         |
+      | a string as rank       | is not a number         |
+      | a string as flag       | is not a flag           |
+      | a string as keys       | is not a list           |
+      | an object as routes    | is not a list           |
 
   Scenario: A key that one workspace lists twice is no shared key
     Given a platform configuration with a key twice in one workspace
@@ -39,6 +49,11 @@
     Then 1 route is decoded
     And the configuration has 300 routes and the new timeout
 
+  Scenario: A flag that becomes the number equal to it is decoded
+    Given a decoder that has decoded a configuration with 300 routes
+    When the timeout of one route becomes 1 and then a flag
+    Then it is rejected with "is not a number"
+
   Scenario: A route that has not changed is invalid once its service is gone
     Given a decoder that has decoded a configuration with 300 routes
     When the service of the routes is renamed
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -143,6 +143,30 @@
             route["Service"] = "nowhere"
         case "a timeout of 0":
             route["TimeoutMs"] = 0
+        case "a string as timeout":
+            route["TimeoutMs"] = "8000"
+        case "no number as timeout":
+            route["TimeoutMs"] = "nan"
+        case "a flag as timeout":
+            route["TimeoutMs"] = True
+        case "no number as weight":
+            route["TrafficSplit"] = [
+                {"Service": route["Service"], "Weight": "nan"}
+            ]
+        case "a flag as weight":
+            route["TrafficSplit"] = [
+                {"Service": route["Service"], "Weight": True}
+            ]
+        case "a string as priority":
+            route["Priority"] = "1"
+        case "a string as rank":
+            body["Tenants"][0]["Priority"] = "1"
+        case "a string as flag":
+            route["AuthExempt"] = "false"
+        case "a string as keys":
+            body["Tenants"][0]["ApiKeys"] = "secret"
+        case "an object as routes":
+            body["Routes"] = {}
         case "a key twice in one workspace":
             body["Tenants"][0]["ApiKeys"] *= 2
     context.body = orjson.dumps(body)
@@ -199,6 +223,13 @@
         context.decoded = context.decoder.decode(orjson.dumps(context.body))
 
 
+@when("the timeout of one route becomes 1 and then a flag")
+def _(context):
+    for timeout in (1, True):
+        context.body["Routes"][7]["TimeoutMs"] = timeout
+        context.decoded = context.decoder.decode(orjson.dumps(context.body))
+
+
 @then("{count:d} route is decoded")
 def _(context, count):
     assert context.decoder.decoded_routes == count
