Refuse a version that messages and the log cannot hold

A configuration with a version of 2^63 or more was decoded as valid. Cause: JSON has integers of 64 bits without a sign, messages and the log those with one; encoding such a version raises KjException 'Value out-of-range', in a script that encoded a DocumentUpdate with version 2^63. What a coordinator does then was not run. Evidence: row 'a version of 2^63' of 'An invalid configuration is rejected' failed before: it was decoded. Change: MAX_VERSION bounds the version. Result: tests/platform/formats.feature passes.

--- a/src/hickorylead/configuration/document.py
+++ b/src/hickorylead/configuration/document.py
@@ -21,6 +21,8 @@
 # small compressed configuration could expand to far more memory than its own
 # size.
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
+# Largest version: messages and the log hold it in 64 bits with a sign.
+MAX_VERSION = 2**63 - 1
 
 
 class RouteKind(enum.Enum):
@@ -238,6 +240,8 @@
     problems = []
     if document.version < 1:
         problems.append("the version is not above 0")
+    if document.version > MAX_VERSION:
+        problems.append(f"the version is above {MAX_VERSION}")
     names = {service.name for service in document.services}
     if len(names) != len(document.services):
         problems.append("two services share a name")
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -37,6 +37,7 @@
       | a string as flag       | is not a flag           |
       | a string as keys       | is not a list           |
       | an object as routes    | is not a list           |
+      | a version of 2^63      | the version is above    |
 
   Scenario: A key that one workspace lists twice is no shared key
     Given a platform configuration with a key twice in one workspace
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -167,6 +167,8 @@
             body["Tenants"][0]["ApiKeys"] = "secret"
         case "an object as routes":
             body["Routes"] = {}
+        case "a version of 2^63":
+            body["Version"] = 2**63
         case "a key twice in one workspace":
             body["Tenants"][0]["ApiKeys"] *= 2
     context.body = orjson.dumps(body)
