Refuse a split route that also names an unknown service

Cause: Service is not read if there is a split. Evidence: row 'a foreign Service' and 'A service that a split route names beside its weights must exist' failed before: both were decoded. Change: Service must exist also beside a split, at each decoding, as the set of services may have changed while the route has not. An empty or null Service is none.

--- a/src/hickorylead/platform/documents.py
+++ b/src/hickorylead/platform/documents.py
@@ -68,6 +68,7 @@
             known = {id(route) for _, route in self._known.values()}
             changed = tuple(route for route in routes if id(route) not in known)
         problems = document.validate_document(decoded, changed)
+        problems += _find_unknown_services(route_fields, services)
         if problems:
             return result.Failure("; ".join(problems))
         self._services = services
@@ -92,6 +93,19 @@
     return DocumentDecoder().decode(data)
 
 
+def _find_unknown_services(
+    routes: list[dict[str, Any]], services: frozenset[str]
+) -> list[str]:
+    """Returns problems of services that split routes name but do not use."""
+    return [
+        f"route {fields['Name']} names the unknown service {fields['Service']}"
+        for fields in routes
+        if fields.get("TrafficSplit")
+        and fields.get("Service")
+        and fields["Service"] not in services
+    ]
+
+
 def _decode(
     fields: dict[str, Any], routes: tuple[document.Route, ...]
 ) -> document.Document:
@@ -134,6 +148,7 @@
 
 def _decode_route(fields: dict[str, Any]) -> document.Route:
     split = _list_values(fields, "TrafficSplit")
+    values.expect_string(fields.get("Service") or "")
     if split:
         targets = tuple(
             document.Target(
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -38,6 +38,7 @@
       | a string as keys       | is not a list           |
       | an object as routes    | is not a list           |
       | a version of 2^63      | the version is above    |
+      | a foreign Service      | names the unknown       |
 
   Scenario: A key that one workspace lists twice is no shared key
     Given a platform configuration with a key twice in one workspace
@@ -55,6 +56,11 @@
     When the timeout of one route becomes 1 and then a flag
     Then it is rejected with "is not a number"
 
+  Scenario: A service that a split route names beside its weights must exist
+    Given a decoder that has decoded a configuration with 300 routes
+    When one route is split and its unused service goes away
+    Then it is rejected with "names the unknown service"
+
   Scenario: A route that has not changed is invalid once its service is gone
     Given a decoder that has decoded a configuration with 300 routes
     When the service of the routes is renamed
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -169,6 +169,9 @@
             body["Routes"] = {}
         case "a version of 2^63":
             body["Version"] = 2**63
+        case "a foreign Service":
+            route["TrafficSplit"] = [{"Service": route["Service"], "Weight": 1}]
+            route["Service"] = "nowhere"
         case "a key twice in one workspace":
             body["Tenants"][0]["ApiKeys"] *= 2
     context.body = orjson.dumps(body)
@@ -232,6 +235,18 @@
         context.decoded = context.decoder.decode(orjson.dumps(context.body))
 
 
+@when("one route is split and its unused service goes away")
+def _(context):
+    body = context.body
+    split = [{"Service": body["Routes"][7]["Service"], "Weight": 1}]
+    body["Routes"][7]["TrafficSplit"] = split
+    body["Routes"][7]["Service"] = "unused"
+    body["Services"].append({"Name": "unused"})
+    context.decoder.decode(orjson.dumps(body)).unwrap()
+    body["Services"].pop()
+    context.decoded = context.decoder.decode(orjson.dumps(body))
+
+
 @then("{count:d} route is decoded")
 def _(context, count):
     assert context.decoder.decoded_routes == count
