Serve requests with a model by plain services of their route

Requests of a route with SessionAffinity that was moved to a service without an Engine were refused with 503 'no_replica'; of a split, the share drawn for it. Cause: replicas were looked up by service and model, and those of a plain service are kept under no model. Evidence: 'A call with a model is served by a plain service of its route' failed before with 'ASSERT FAILED: []': the request was sent to no replica. Change: the replicas of a plain service are found for any model.

--- a/src/hickorylead/forwarding/replica_directory.py
+++ b/src/hickorylead/forwarding/replica_directory.py
@@ -67,9 +67,14 @@
         }
 
     def list_replicas(self, service: str, name: str) -> list[model.Replica]:
-        """Returns the replicas of a service and model, in a stable order."""
+        """Returns the replicas of a service and model, in a stable order.
+
+        Replicas of a plain service have no model of their own, so all of them
+        are returned for any model.
+        """
         self._refresh()
-        return self._replicas.get((service, name), [])
+        found = self._replicas.get((service, name))
+        return found or self._replicas.get((service, ""), [])
 
     def count(self) -> int:
         """Returns how many replicas there are."""
--- a/tests/forwarding/forwarder.feature
+++ b/tests/forwarding/forwarder.feature
@@ -13,6 +13,12 @@
     When a non-idempotent call is refused as not run and then completed
     Then it was sent to two replicas, once each, and ends with status 200
 
+  Scenario: A call with a model is served by a plain service of its route
+    A route whose requests name a model may be split or moved to a plain service.
+    Given a gateway with 2 plain replicas
+    When a call with a model is sent to the plain service
+    Then a plain replica gets it and completes it
+
   Scenario: A call that every replica refused gets a retry time
     All replicas are full and state that they did not run the alert, so the
     caller may retry the alert.
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -31,6 +31,23 @@
     context.harness = forwarder_harness.ForwarderHarness(models=count)
 
 
+@when("a call with a model is sent to the plain service")
+def _(context):
+    context.name = context.harness.send_request("drafts", service="plain")
+
+
+@then("a plain replica gets it and completes it")
+def _(context):
+    harness = context.harness
+    attempts = harness.list_attempts(context.name)
+    assert [a.replica.service for a in attempts] == ["plain"], harness.effects
+    attempt = harness.send_head(context.name)
+    harness.send_events(context.name, [1, 2, 3], attempt=attempt)
+    harness.deliver(events.ResponseCompleted(context.name, attempt))
+    finished = harness.list_effects(context.name, events.FinishResponse)
+    assert len(finished) == 1, harness.effects
+
+
 @when("a non-idempotent call is reset")
 def _(context):
     harness = context.harness
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -144,8 +144,9 @@
         body: bytes = b"",
         target: bytes = b"/x/",
         parts: tuple[str, ...] = (),
+        service: str = "",
     ) -> str:
-        """Sends a request; returns its id."""
+        """Sends a request to a service of its route; returns its id."""
         self.request_count += 1
         name = f"r{self.request_count}"
         found = ROUTES[route]
@@ -162,7 +163,7 @@
                         prompt_parts=parts,
                     ),
                     route=found,
-                    service=found.targets[0].service,
+                    service=service or found.targets[0].service,
                     workspace="crew",
                     method="POST",
                     target=target,
