--- a/src/hickorylead/configuration/document.py
+++ b/src/hickorylead/configuration/document.py
@@ -21,6 +21,8 @@
 # small compressed configuration could expand to far more memory than its own
 # size.
 MAX_CONTENT_BYTES = 8 * 1024 * 1024
+# Largest version: messages and the log hold it in 64 bits with a sign.
+MAX_VERSION = 2**63 - 1
 
 
 class RouteKind(enum.Enum):
@@ -238,6 +240,8 @@
     problems = []
     if document.version < 1:
         problems.append("the version is not above 0")
+    if document.version > MAX_VERSION:
+        problems.append(f"the version is above {MAX_VERSION}")
     names = {service.name for service in document.services}
     if len(names) != len(document.services):
         problems.append("two services share a name")
@@ -252,7 +256,7 @@
     for route in document.routes if changed is None else changed:
         problems += _validate_route(route, names)
     keys = collections.Counter(
-        key for workspace in document.workspaces for key in workspace.keys
+        key for workspace in document.workspaces for key in set(workspace.keys)
     )
     if any(count > 1 for count in keys.values()):
         # A shared key would not identify the workspace of a caller.
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -143,11 +143,47 @@
             route["Service"] = "nowhere"
         case "a timeout of 0":
             route["TimeoutMs"] = 0
+        case "a string as timeout":
+            route["TimeoutMs"] = "8000"
+        case "no number as timeout":
+            route["TimeoutMs"] = "nan"
+        case "a flag as timeout":
+            route["TimeoutMs"] = True
+        case "no number as weight":
+            route["TrafficSplit"] = [
+                {"Service": route["Service"], "Weight": "nan"}
+            ]
+        case "a flag as weight":
+            route["TrafficSplit"] = [
+                {"Service": route["Service"], "Weight": True}
+            ]
+        case "a string as priority":
+            route["Priority"] = "1"
+        case "a string as rank":
+            body["Tenants"][0]["Priority"] = "1"
+        case "a string as flag":
+            route["AuthExempt"] = "false"
+        case "a string as keys":
+            body["Tenants"][0]["ApiKeys"] = "secret"
+        case "an object as routes":
+            body["Routes"] = {}
+        case "a version of 2^63":
+            body["Version"] = 2**63
+        case "a foreign Service":
+            route["TrafficSplit"] = [{"Service": route["Service"], "Weight": 1}]
+            route["Service"] = "nowhere"
+        case "a key twice in one workspace":
+            body["Tenants"][0]["ApiKeys"] *= 2
     context.body = orjson.dumps(body)
     if change == "its end cut off":
         context.body = context.body[:-20]
 
 
+@then("it is decoded")
+def _(context):
+    documents.decode_document(context.body).unwrap()
+
+
 @then('decoding it fails with "{reason}"')
 def _(context, reason):
     match documents.decode_document(context.body):
@@ -192,6 +228,25 @@
         context.decoded = context.decoder.decode(orjson.dumps(context.body))
 
 
+@when("the timeout of one route becomes 1 and then a flag")
+def _(context):
+    for timeout in (1, True):
+        context.body["Routes"][7]["TimeoutMs"] = timeout
+        context.decoded = context.decoder.decode(orjson.dumps(context.body))
+
+
+@when("one route is split and its unused service goes away")
+def _(context):
+    body = context.body
+    split = [{"Service": body["Routes"][7]["Service"], "Weight": 1}]
+    body["Routes"][7]["TrafficSplit"] = split
+    body["Routes"][7]["Service"] = "unused"
+    body["Services"].append({"Name": "unused"})
+    context.decoder.decode(orjson.dumps(body)).unwrap()
+    body["Services"].pop()
+    context.decoded = context.decoder.decode(orjson.dumps(body))
+
+
 @then("{count:d} route is decoded")
 def _(context, count):
     assert context.decoder.decoded_routes == count
