Sync the folders in which a data folder is made

Callers could see: a configuration that was acknowledged was gone after all VMs had lost power. It needs a data folder that the process made itself. Cause: the folder's own name was never synced, so a power loss could drop the whole folder; the voter then started as a new one. Change: the parent of each folder that is made is synced. The scenario plays each state that a power loss may leave at each step of saves, a compaction and a start. A folder that was made by a process that ended before this sync, and one that exists already, are not synced again.

--- a/src/hickorylead/storage/folder.py
+++ b/src/hickorylead/storage/folder.py
@@ -45,7 +45,7 @@
         """
         self._path = path
         try:
-            path.mkdir(parents=True, exist_ok=True)
+            _make_folder(path)
             self.incarnation = _open_identity(path, node)
             self._journal = journal.Journal(path / _JOURNAL_FILE)
         except OSError as error:
@@ -95,6 +95,15 @@
         self._journal.close()
 
 
+def _make_folder(path: pathlib.Path) -> None:
+    """Makes a folder and its missing parents, all of which are on disk."""
+    missing = [path, *path.parents]
+    missing = [folder for folder in missing if not folder.exists()]
+    path.mkdir(parents=True, exist_ok=True)
+    for folder in missing:
+        journal.sync_folder(folder.parent)
+
+
 def _open_identity(path: pathlib.Path, node: str) -> str:
     file = path / _IDENTITY_FILE
     if not file.exists():
--- a/tests/steps/storage_steps.py
+++ b/tests/steps/storage_steps.py
@@ -7,6 +7,7 @@
 import tempfile
 
 from behave import given, then, when
+from support import power_loss
 
 from hickorylead import errors
 from hickorylead.configuration import changes
@@ -219,3 +220,70 @@
 @then("its journal stays below {limit:d} MB")
 def _(context, limit):
     assert max(context.sizes) < limit * 1_000_000, context.sizes
+
+
+class SavedFolder:
+    """A data folder on a disk that records what a power loss may leave."""
+
+    def __init__(self, root):
+        self._disk = power_loss.Disk(root)
+        self._path = root / "data" / "voter"
+        self._saved = []
+        # The records that were acknowledged, after each step.
+        self.acknowledged = [[]]
+
+    def _acknowledge(self, saved):
+        self._saved = saved
+        self.acknowledged.append(saved)
+        self._disk.acknowledged_count += 1
+
+    def _save(self, data_folder, number):
+        record = messages.TruncateLog(number)
+        data_folder.persist(record)
+        self._acknowledge([*self._saved, record])
+
+    def run(self):
+        """Saves, replaces and reopens; returns the states of the disk."""
+        with self._disk.record():
+            opened = folder.DataFolder(self._path, NODE)
+            for number in range(3):
+                self._save(opened, number)
+            replaced = [messages.TruncateLog(10)]
+            opened.rewrite(replaced)
+            self._acknowledge(replaced)
+            for number in range(11, 13):
+                self._save(opened, number)
+            opened.close()
+            opened = folder.DataFolder(self._path, NODE)
+            self._save(opened, 13)
+            opened.close()
+        return self._disk.states
+
+    def check(self, state):
+        """Returns what is wrong with a folder after a power loss, if any."""
+        with tempfile.TemporaryDirectory() as name:
+            root = pathlib.Path(name)
+            state.write(root)
+            try:
+                opened = folder.DataFolder(root / "data" / "voter", NODE)
+            except errors.DataFolderError as error:
+                return f"after step {state.acknowledged_count}: {error}"
+            opened.close()
+        count = state.acknowledged_count
+        if opened.records in self.acknowledged[count : count + 2]:
+            return ""
+        files = [path for path, _ in state.files]
+        return f"after step {count}: {len(opened.records)} records of {files}"
+
+
+@when("the power fails at any step of saves, a compaction and a start")
+def _(context):
+    saved = SavedFolder(make_folder(context))
+    states = saved.run()
+    assert len(states) > 1000, len(states)
+    context.problems = sorted(filter(None, map(saved.check, states)))
+
+
+@then("the data folder opens with all that was acknowledged")
+def _(context):
+    assert not context.problems, context.problems[:3]
--- a/tests/storage/journal.feature
+++ b/tests/storage/journal.feature
@@ -55,3 +55,8 @@
     Large configurations once filled the disk before 1024 records were written.
     Given a voter that has persisted 12 records of 2 MB
     Then its journal stays below 40 MB
+
+  Scenario: A power loss at any step keeps what was acknowledged
+    Each write since the last sync is kept, torn or lost, and so is each name.
+    When the power fails at any step of saves, a compaction and a start
+    Then the data folder opens with all that was acknowledged
