--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -668,6 +668,7 @@
         if self._state_machine.is_snapshot_due(self.log):
             snapshot = self._state_machine.make_snapshot(self.log)
             self.log.install(snapshot)
+            self._state_machine.record_snapshot()
             effects.append(messages.Persist(messages.InstallSnapshot(snapshot)))
         return effects
 
--- a/tests/consensus/large_configurations.feature
+++ b/tests/consensus/large_configurations.feature
@@ -25,3 +25,8 @@
     Given three coordinators with gateways
     When 8 configurations of 2 MB are sent at once through all coordinators
     Then the log holds at most 4 of them
+
+  Scenario: A snapshot replaces the log once for each 2 MB of configurations
+    A snapshot with each change doubles the writes, and the log holds no entry to send.
+    When a voter commits 30 configurations of 200 KB
+    Then it has made 2 snapshots
--- a/tests/steps/large_configuration_steps.py
+++ b/tests/steps/large_configuration_steps.py
@@ -7,8 +7,11 @@
 from behave import then, when
 from support import fleet_simulation
 
-from hickorylead.configuration import document
-from hickorylead.consensus import messages as consensus_messages
+from hickorylead.configuration import changes, document
+from hickorylead.consensus import (
+    messages as consensus_messages,
+    voter as voter_module,
+)
 from hickorylead.fleet import events
 from hickorylead.wire import codec, frame
 
@@ -155,3 +158,34 @@
     simulation.run_until(
         lambda: voter.configuration.outside_version == 11, limit
     )
+
+
+@when("a voter commits {count:d} configurations of {size:d} KB")
+def _(context, count, size):
+    member = "z1/core/coordinator#disk"
+    voter = voter_module.Voter(
+        node="z1/core/coordinator",
+        incarnation="disk",
+        peers=(),
+        rng=random.Random(1),
+        now=0.0,
+    )
+    voter.bootstrap("cluster", (member,))
+    voter.tick(5.0)
+    effects = []
+    for number in range(1, count + 1):
+        content = random.Random(number).randbytes(size * 1024)
+        operation = changes.ReplaceWhole(number, content)
+        change = changes.Change(f"change {number}", -1, operation)
+        effects += voter.propose(change, 5.0)
+    context.snapshots = [
+        effect
+        for effect in effects
+        if isinstance(effect, consensus_messages.Persist)
+        and isinstance(effect.record, consensus_messages.InstallSnapshot)
+    ]
+
+
+@then("it has made {count:d} snapshots")
+def _(context, count):
+    assert len(context.snapshots) == count, len(context.snapshots)
