Test forwarding and turns of the event loop beside large configurations

Both scenarios guard what the voters and the operators' API do already: a large configuration is forwarded once while it is on its way, and the event loop has a turn before each step.

--- a/tests/consensus/large_configurations.feature
+++ b/tests/consensus/large_configurations.feature
@@ -30,3 +30,14 @@
     A snapshot with each change doubles the writes, and the log holds no entry to send.
     When a voter commits 30 configurations of 200 KB
     Then it has made 2 snapshots
+
+  Scenario: A forwarded configuration is not sent again while it is on its way
+    Each was once forwarded four times a second with its content.
+    Given three coordinators with gateways
+    When a configuration of 2 MB is forwarded to a leader that is slow to commit
+    Then it was forwarded once within 1 second
+
+  Scenario: The event loop has its turn between the steps of large configurations
+    Several in a row once held up heartbeats for longer than an election timeout.
+    When 3 operators send configurations to one coordinator at once
+    Then the event loop had a turn before each step
--- a/tests/steps/large_configuration_steps.py
+++ b/tests/steps/large_configuration_steps.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from unittest import mock
 
 from behave import then, when
-from support import fleet_simulation
+import orjson
+from support import fleet_simulation, platform_cluster
 
 from hickorylead.configuration import changes, document
 from hickorylead.consensus import (
     messages as consensus_messages,
     voter as voter_module,
 )
-from hickorylead.fleet import events
+from hickorylead.fleet import events, messages
+from hickorylead.platform import control
 from hickorylead.wire import codec, frame
 
 VERSIONS = (10, 13, 14, 18, 21, 22, 26, 29)
@@ -189,3 +193,85 @@
 @then("it has made {count:d} snapshots")
 def _(context, count):
     assert len(context.snapshots) == count, len(context.snapshots)
+
+
+@when("a configuration of 2 MB is forwarded to a leader that is slow to commit")
+def _(context):
+    simulation = context.simulation
+    leader = simulation.find_leader()
+    others = [n for n in simulation.coordinator_names if n != leader]
+    context.tokens, context.contents, context.forwarded = {}, {}, []
+
+    def record(sender, target, message):
+        if isinstance(message, messages.ReplaceRequest):
+            context.forwarded.append((sender, target))
+
+    simulation.on_send = record
+    # Nothing is committed, but the leader keeps its role.
+    voter = simulation.coordinators[leader].voter
+    voter._replicator.send_missing = lambda *_: []
+    send(context, 10, 2 * 1024 * 1024, others[0])
+    simulation.run(1.0)
+
+
+@then("it was forwarded once within 1 second")
+def _(context):
+    assert len(context.forwarded) == 1, context.forwarded
+
+
+class FakeRequest:
+    """A request with a body in one part."""
+
+    def __init__(self, body):
+        self._body = body
+
+    async def stream(self):
+        yield self._body
+
+
+@when("{count:d} operators send configurations to one coordinator at once")
+def _(context, count):
+    context.steps = []
+
+    async def run():
+        turns = 0
+
+        async def count_turns():
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        def record(function):
+            def call(*arguments):
+                context.steps.append(turns)
+                return function(*arguments)
+
+            return call
+
+        process = mock.Mock()
+        process.replace_configuration = mock.AsyncMock(return_value=True)
+        views = control._Views(process)
+        counting = asyncio.ensure_future(count_turns())
+        body = orjson.dumps(platform_cluster.make_configuration(4))
+        decoder = views._decoder
+        with (
+            mock.patch.object(decoder, "decode", record(decoder.decode)),
+            mock.patch.object(
+                document, "compress_content", record(document.compress_content)
+            ),
+        ):
+            responses = await asyncio.gather(
+                *(views.handle_replace(FakeRequest(body)) for _ in range(count))
+            )
+        counting.cancel()
+        assert [r.status_code for r in responses] == [200] * count
+
+    asyncio.run(run())
+    context.count = count
+
+
+@then("the event loop had a turn before each step")
+def _(context):
+    assert len(context.steps) == 2 * context.count, context.steps
+    assert context.steps == sorted(set(context.steps)), context.steps
