--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -90,7 +90,7 @@
             for place, zone in enumerate(nodes.ZONES)
             for role, count, first in (
                 ("coordinator", 2, 1),
-                ("gateway", options.gateways // 3, 11),
+                ("gateway", (options.gateways + place) // 3, 11),
             )
             for number in range(count)
         ]
@@ -128,13 +128,8 @@
 
     def _start(self) -> None:
         options = self._options
-        seeds = [node.ip for node in self.coordinators[:3]]
         for node in self.nodes:
-            node.write_settings(
-                seeds,
-                is_bootstrap=node.role == "coordinator",
-                retry_burst=options.retry_burst,
-            )
+            self._write_settings(node)
             node.start()
         for place, zone in enumerate(nodes.ZONES):
             own = [n for n in self.coordinators if n.zone == zone]
@@ -166,6 +161,13 @@
                 )
             )
 
+    def _write_settings(self, node: FleetNode) -> None:
+        node.write_settings(
+            [other.ip for other in self.coordinators[:3]],
+            is_bootstrap=node.role == "coordinator",
+            retry_burst=self._options.retry_burst,
+        )
+
     def _start_script(self, script: str, **arguments) -> subprocess.Popen:
         words = [
             word
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import os
 import pathlib
 import shutil
@@ -10,6 +11,7 @@
 import subprocess
 import sys
 import time
+import types
 
 import attrs
 
@@ -86,9 +88,23 @@
         return log.read_bytes().count(b'"relay":"z') if log.exists() else 0
 
     def write_settings(
-        self, seeds: list[str], *, is_bootstrap: bool, retry_burst: float
+        self,
+        seeds: list[str],
+        *,
+        is_bootstrap: bool,
+        retry_burst: float,
+        max_lost: int = 1,
+        bounds: Mapping[str, float] = types.MappingProxyType({}),
     ) -> None:
-        """Writes its settings file."""
+        """Writes its settings file.
+
+        Args:
+            seeds: IP addresses of coordinators.
+            is_bootstrap: Whether the whole system starts for the first time.
+            retry_burst: Retries beyond the share of requests, in a window.
+            max_lost: Coordinators that may be lost at the same time.
+            bounds: Further bounds by name.
+        """
         lines = [
             f"NodeName={self.name}",
             f"Ip={self.ip}",
@@ -101,7 +117,8 @@
             f"Bounds.GraceS={GRACE_S}",
             f"Bounds.BudgetRatio={RETRY_RATIO}",
             f"Bounds.BudgetExtra={retry_burst}",
-            "FaultTolerance.Machines=1",
+            f"FaultTolerance.Machines={max_lost}",
+            *(f"Bounds.{name}={value}" for name, value in bounds.items()),
         ]
         if self.role == "gateway":
             lines += [
