--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -264,12 +264,8 @@
         )
         return messages.Send(messages.get_node(member), request)
 
-    def handle_reply(self, reply: messages.AppendReply) -> bool:
-        """Records what a tracked member reported.
-
-        Returns:
-            Whether it holds entries that it was not known to hold.
-        """
+    def handle_reply(self, reply: messages.AppendReply) -> None:
+        """Records what a tracked member reported."""
         progress = self.members[reply.member]
         # The time of contact is when the request was sent, not when the reply
         # arrived: after a freeze, a leader would otherwise count replies that
@@ -283,7 +279,6 @@
             or reply.sent_at > progress.unanswered_at + progress.unanswered_s
         ):
             progress.unanswered_at = None
-        known_index = progress.match_index
         if reply.matched:
             progress.match_index = max(progress.match_index, reply.index)
             progress.next_index = max(progress.next_index, reply.index + 1)
@@ -291,11 +286,6 @@
             progress.next_index = max(
                 1, min(progress.next_index - 1, reply.index + 1)
             )
-        return progress.match_index > known_index
-
-    def is_committed(self, member: str, commit: int) -> bool:
-        """Returns whether all that a member holds is committed."""
-        return self.members[member].match_index <= commit
 
     def is_behind(self, member: str) -> bool:
         """Returns whether a member lacks entries of the log."""
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -430,21 +430,12 @@
             or member not in self._replicator.members
         ):
             return []
-        holds_more = self._replicator.handle_reply(reply)
-        commit_before = self.commit
-        committed = self._advance_commit(now)
-        if self.role != "leader":
-            return committed
-        # The others know the commit before it is acknowledged, so that their
-        # gateways need no next leader if this one ends.
-        header = self._make_header()
-        if self.commit > commit_before:
-            effects = self._replicate(now)
-        elif holds_more and self._replicator.is_committed(member, self.commit):
-            effects = self._replicator.send(member, header, now)
-        else:
-            effects = self._replicator.send_missing(member, header, now)
-        effects += committed
+        self._replicator.handle_reply(reply)
+        effects = self._advance_commit(now)
+        if self.role == "leader":
+            effects += self._replicator.send_missing(
+                member, self._make_header(), now
+            )
         return [*effects, *self._change_voters(now)]
 
     def _advance_commit(self, now: float) -> list[messages.Effect]:
