--- a/tests/soak/configuration_fleet.py
+++ b/tests/soak/configuration_fleet.py
@@ -448,9 +448,8 @@
     return int(fields[1]), body
 
 
-def main() -> int:
-    """Runs one fleet; returns 1 if a promise was broken."""
-    parser = argparse.ArgumentParser(description=__doc__)
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Adds the options of a run to a command line."""
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--slot", type=int, default=30, help="address block")
     parser.add_argument("--gateways", type=int, default=70)
@@ -468,6 +467,12 @@
     parser.add_argument("--retry-burst", type=float, default=240.0)
     parser.add_argument("--sources", help="folder of another build's sources")
     parser.add_argument("--keep", help="folder for logs")
+
+
+def main() -> int:
+    """Runs one fleet; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    add_options(parser)
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))
     fleet = ConfigurationFleet(options)
