Log elections, lost peers and what a coordinator's loop spends its time on

The hypotheses on the unreadable configuration could not be told apart: no line said why a leader led no more, which peers a coordinator held for lost, or what work an event loop did while it was late.

Adds the lines election_started, leadership_lost, peer_lost, peer_found and turn_costs. No decision depends on them.

--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -75,7 +75,7 @@
         self._trial = False
         self._replicator = replication.Replicator(self.log, self._state_machine)
         self._pending: dict[int, str] = {}
-        self._last_leader_contact_at = now
+        self.last_leader_contact_at = now
         self._leads_since = now
         self._election_deadline = now
         self._next_heartbeat = now
@@ -137,7 +137,7 @@
         """Starts a cluster; returns no effects if there is one already."""
         if self.cluster:
             return []
-        self._election_deadline = self._last_leader_contact_at
+        self._election_deadline = self.last_leader_contact_at
         # The first log entry contains the set of voters and replicates it. If
         # the set were only in a snapshot of this voter, the other voters could
         # not elect a leader after the loss of this voter.
@@ -148,14 +148,23 @@
             *self._append([entry]),
         ]
 
+    def measure_silences(self, now: float) -> dict[str, int]:
+        """Returns how long ago each member got the latest request it answered.
+
+        In ms, by member, as known to a leader or to one that led before.
+        """
+        return {
+            member: round(1000 * (now - progress.last_contact_at))
+            for member, progress in sorted(self._replicator.members.items())
+        }
+
     def has_leader(self, now: float) -> bool:
         """Returns whether a leader with a majority was recently in contact."""
         if self.role == "leader":
             return self._has_majority(now)
         return (
             self.leader != ""
-            and now - self._last_leader_contact_at
-            < self._options.election_max_s
+            and now - self.last_leader_contact_at < self._options.election_max_s
         )
 
     def is_ready_leader(self, now: float) -> bool:
@@ -202,7 +211,7 @@
         effects: list[messages.Effect] = []
         if now >= self._election_deadline:
             effects += self._start_election(now)
-        if now - self._last_leader_contact_at > self._options.rejoin_after_s:
+        if now - self.last_leader_contact_at > self._options.rejoin_after_s:
             effects += self._request_join(now)
         return effects
 
@@ -528,7 +537,7 @@
         if term > self.term or self.role != "follower":
             effects += self._step_down(term, now)
         self.leader = leader
-        self._last_leader_contact_at = now
+        self.last_leader_contact_at = now
         self._reset_election_deadline(now)
         return effects
 
--- a/src/hickorylead/consensus/voter_monitor.py
+++ b/src/hickorylead/consensus/voter_monitor.py
@@ -24,6 +24,7 @@
         """Creates a monitor that has not seen a leader yet."""
         self._voters: tuple[str, ...] = ()
         self._leader = ""
+        self._role = "follower"
         self._led_at = now
         self._next_report = now + REPORT_AFTER_S
 
@@ -62,6 +63,9 @@
                 )
             )
             self._leader = voter.leader
+        if voter.role != self._role:
+            found += self._describe_role(voter, now)
+            self._role = voter.role
         if voter.has_leader(now) or not voter.cluster:
             self._led_at = now
             self._next_report = now + REPORT_AFTER_S
@@ -85,3 +89,28 @@
                 )
             )
         return found
+
+    def _describe_role(
+        self, voter: voter_module.Voter, now: float
+    ) -> list[notes.Note]:
+        """Returns why this voter leads no more, or wants to lead."""
+        if self._role == "leader":
+            return [
+                notes.note(
+                    "leadership_lost",
+                    level="warning",
+                    term=voter.term,
+                    silent_ms=voter.measure_silences(now),
+                )
+            ]
+        if voter.role == "candidate":
+            return [
+                notes.note(
+                    "election_started",
+                    term=voter.term,
+                    last_contact_ms=round(
+                        1000 * (now - voter.last_leader_contact_at)
+                    ),
+                )
+            ]
+        return []
--- a/src/hickorylead/fleet/peer_directory.py
+++ b/src/hickorylead/fleet/peer_directory.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hickorylead import rendezvous
+from hickorylead import notes, rendezvous
 from hickorylead.roles import nodes
 
 if TYPE_CHECKING:
@@ -58,6 +58,7 @@
         self._node = node
         self.seeds = tuple(seeds)
         self.known: dict[str, Peer] = {}
+        self._reported: frozenset[str] = frozenset()
 
     @property
     def heard_at(self) -> dict[str, float]:
@@ -97,6 +98,19 @@
             if now - peer.last_hello_at <= PEER_TIMEOUT_S
         )
 
+    def report_changes(self, now: float) -> list[notes.Note]:
+        """Returns which peers are treated as lost or as back since the last."""
+        alive = frozenset(self.list_alive(now))
+        before, self._reported = self._reported, alive
+        return [
+            notes.note(
+                "peer_found" if node in alive else "peer_lost",
+                peer=node,
+                silent_ms=round(1000 * (now - self.heard_at.get(node, now))),
+            )
+            for node in sorted(alive ^ before)
+        ]
+
     def list_home_coordinators(self, now: float) -> list[str]:
         """Returns the alive peers that are home coordinators, sorted."""
         return [n for n in self.list_alive(now) if self.known[n].gateways]
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -258,6 +258,7 @@
         effects += self._convert_effects(
             self._configuration_requests.tick(now), now
         )
+        effects += self.peers.report_changes(now)
         if now >= self._next_hello:
             self._next_hello = now + peer_directory_module.HELLO_PERIOD_S
             effects += self._send_hellos(now)
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -39,7 +39,7 @@
     upstream,
 )
 from hickorylead.storage import folder as folder_module, saved_value
-from hickorylead.telemetry import decisions
+from hickorylead.telemetry import decisions, turn_costs
 from hickorylead.wire import codec
 
 if TYPE_CHECKING:
@@ -140,6 +140,7 @@
         self._tasks = tasks.TaskSet(log)
         self._pending_calls: dict[str, asyncio.Future[Any]] = {}
         self._call_count = 0
+        self._costs = turn_costs.TurnCosts(clock.read_monotonic())
         self._pool = upstream.Pool(settings.bind_ip)
         self._voter_options = options.derive_options(
             catch_up_s=settings.catch_up_s,
@@ -175,6 +176,7 @@
             deliver=self._receive,
             log=log,
             bind_ip=settings.bind_ip,
+            costs=self._costs,
         )
 
     async def run(self) -> None:
@@ -274,7 +276,10 @@
     def apply(self, event: coordinator_role.CoordinatorEvent) -> None:
         """Passes an event to the reducer and carries out its effects."""
         now = clock.read_boottime()
+        began = clock.read_monotonic()
         effects = self.role.reduce(event, now)
+        decided = clock.read_monotonic()
+        self._costs.record(_name_work(event), decided - began)
         try:
             for effect in effects:
                 self._carry_out(effect)
@@ -282,6 +287,7 @@
                 self._folder.rewrite(self.role.voter.export_records())
         except OSError as error:
             self._handle_disk_failure(error, now)
+        self._costs.record("effects", clock.read_monotonic() - decided)
 
     def _carry_out(self, effect: coordinator_role.CoordinatorEffect) -> None:
         match effect:
@@ -330,6 +336,8 @@
         if self._disk_failed_at is not None:
             self._retry_disk()
         self.apply(interface.Tick(clock.read_wall()))
+        for note in self._costs.report(clock.read_monotonic()):
+            self._log.write(note)
 
     # The disk.
 
@@ -501,3 +509,10 @@
         self.settings = settings
         self.role.peers.seeds = settings.seeds
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
+
+
+def _name_work(event: coordinator_role.CoordinatorEvent) -> str:
+    """Returns the kind of work that an event causes, for the log."""
+    if isinstance(event, interface.MessageArrived):
+        return type(event.message).__name__
+    return type(event).__name__
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -14,13 +14,14 @@
 
 from returns import result
 
-from hickorylead.runtime import tasks, timeouts
+from hickorylead.runtime import clock, tasks, timeouts
 from hickorylead.wire import codec, frame
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from hickorylead.roles import interface
+    from hickorylead.telemetry import turn_costs
 
 CONNECT_TIMEOUT_S = 1.0
 ACK_TIMEOUT_S = 2.0
@@ -165,6 +166,7 @@
         deliver: Callable[[str, interface.Message], None],
         log: tasks.WarningLog,
         bind_ip: str = "",
+        costs: turn_costs.TurnCosts | None = None,
     ) -> None:
         """Makes the connections of a process; `start` opens them.
 
@@ -176,7 +178,9 @@
             log: Log for malformed input.
             bind_ip: IP address to listen on and to connect from, if it is not
                 that of the address.
+            costs: Account of the time that decoding takes, if there is one.
         """
+        self._costs = costs
         self._bind_ip = bind_ip
         self._node = node
         self._address = address
@@ -285,7 +289,11 @@
             writer.close()
 
     def _receive(self, payload: bytes) -> None:
-        match codec.decode_envelope(payload):
+        began = clock.read_monotonic()
+        decoded = codec.decode_envelope(payload)
+        if self._costs is not None:
+            self._costs.record("decode", clock.read_monotonic() - began)
+        match decoded:
             case result.Success(envelope):
                 if envelope.sender not in self._configured_nodes:
                     self._addresses[envelope.sender] = envelope.address
--- a/tests/soak/overload.py
+++ b/tests/soak/overload.py
@@ -149,9 +149,7 @@
                     case "leader_changed":
                         leaders.append((line["term"], line["time"]))
                     case "order_given":
-                        orders.append(
-                            (line["time"], line["server"], node.name)
-                        )
+                        orders.append((line["time"], line["server"], node.name))
                         if line["order"] == "join":
                             groups.add(line["group"])
         del paused
