--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -278,16 +278,18 @@
         now = clock.read_boottime()
         began = clock.read_monotonic()
         effects = self.role.reduce(event, now)
-        decided = clock.read_monotonic()
-        self._costs.record(_name_work(event), decided - began)
+        self._costs.record(_name_work(event), clock.read_monotonic() - began)
         try:
             for effect in effects:
+                began = clock.read_monotonic()
                 self._carry_out(effect)
+                self._costs.record(
+                    _name_work(effect), clock.read_monotonic() - began
+                )
             if self._folder.needs_compaction():
                 self._folder.rewrite(self.role.voter.export_records())
         except OSError as error:
             self._handle_disk_failure(error, now)
-        self._costs.record("effects", clock.read_monotonic() - decided)
 
     def _carry_out(self, effect: coordinator_role.CoordinatorEffect) -> None:
         match effect:
@@ -511,8 +513,12 @@
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
 
 
-def _name_work(event: coordinator_role.CoordinatorEvent) -> str:
-    """Returns the kind of work that an event causes, for the log."""
-    if isinstance(event, interface.MessageArrived):
-        return type(event.message).__name__
-    return type(event).__name__
+def _name_work(
+    item: coordinator_role.CoordinatorEvent
+    | coordinator_role.CoordinatorEffect,
+) -> str:
+    """Returns the kind of work that an event or effect causes, for the log."""
+    kind = type(item).__name__
+    if isinstance(item, interface.MessageArrived | interface.Send):
+        return f"{kind} {type(item.message).__name__}"
+    return kind
