Reproduce leaders that are lost to lateness alone, in simulated time

Operators saw that nobody could read the configuration while all coordinators ran.

The scenario shows the first step of it without load: a leader whose loop is late by 0.3 to 0.5 s loses its role, though its followers are on time.

--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -10,7 +10,7 @@
 import itertools
 import json
 import random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 from returns import result
@@ -33,6 +33,9 @@
 from hickorylead.roles import coordinator, gateway, interface, nodes
 from support import simulated_servers
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 ZONES = ("z1", "z2", "z3")
 LATENCY_S = 0.001
 HEARTBEAT_S = 1.2
@@ -135,6 +138,9 @@
 class FleetSimulation:
     """All nodes of a small deployment."""
 
+    # Further arguments of each coordinator.
+    coordinator_arguments: Mapping[str, Any] = {}
+
     def __init__(
         self,
         *,
@@ -222,6 +228,7 @@
             rng=random.Random(f"{node}{self.rng.random()}"),
             now=self.now,
             voter_options=self._voter_options,
+            **self.coordinator_arguments,
         )
         role = self.coordinators[node]
         role.registry.restore(disk.servers, self.now)
