Take a coordinator's own lateness off silence, and order its work

Operators could not read the configuration though all coordinators ran. Loops were later than every timeout. After a late turn the timers were judged before the messages that waited in the sockets, so leaders stepped down, peers counted as lost, their servers were taken over and ordered again, and that work kept the loops late.

OwnPauses is the one rule for silence: of the time between two moments at which all that had arrived was handled, 0.2 s count at most. Elections, the contact of a leader, peers and silent servers are judged by it; how old state is stays on real time. A leader that no majority has answered recently keeps its role for the longest election timeout instead of the shortest, but lets no follower count as up to date meanwhile, so no reply is stale.

WorkQueue has three lanes: votes, the log, reads and hellos; reports and tables; planning.

--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -62,12 +62,15 @@
         leader: The leader.
         term: Its term.
         commit: Index up to which the log is committed.
+        is_in_touch: Whether a majority has replied recently. Otherwise another
+            leader may have committed changes that this one does not know.
     """
 
     cluster: str
     leader: str
     term: int
     commit: int
+    is_in_touch: bool = True
 
 
 class Replicator:
@@ -260,7 +263,11 @@
             entries=entries,
             commit=header.commit,
             sent_at=now,
-            echoed_at=self.members[member].replied_at,
+            echoed_at=(
+                self.members[member].replied_at
+                if header.is_in_touch
+                else freshness.NO_REPLY
+            ),
         )
         return messages.Send(messages.get_node(member), request)
 
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -19,6 +19,7 @@
     replication,
     state_machine as state_machine_module,
 )
+from hickorylead.turns import own_pauses
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -46,6 +47,7 @@
         now: float,
         options: options_module.VoterOptions = options_module.DEFAULT_OPTIONS,
         is_founder: bool = False,
+        pauses: own_pauses.OwnPauses | None = None,
     ) -> None:
         """Creates a voter with an empty log.
 
@@ -57,7 +59,9 @@
             now: Present time.
             options: Timeouts for elections and for lost voters.
             is_founder: Whether it is started together with the whole system.
+            pauses: Pauses of the process, if they are shared with others.
         """
+        self._pauses = pauses or own_pauses.OwnPauses(now)
         self._options = options
         self._is_founder = is_founder
         self.member = f"{node}#{incarnation}"
@@ -77,15 +81,14 @@
         self._pending: dict[int, str] = {}
         self.last_leader_contact_at = now
         self._leads_since = now
-        self._election_deadline = now
+        self._election_timer_started_at = now
+        self._election_timeout_s = 0.0
         self._next_heartbeat = now
         self._next_join = now
-        self._reset_election_deadline(now)
+        self._restart_election_timer(now)
         if options.first_election_max_s:
             longest_s = options.first_election_max_s
-            self._election_deadline = now + rng.uniform(
-                longest_s / 4, longest_s
-            )
+            self._election_timeout_s = rng.uniform(longest_s / 4, longest_s)
 
     @property
     def term(self) -> int:
@@ -137,7 +140,7 @@
         """Starts a cluster; returns no effects if there is one already."""
         if self.cluster:
             return []
-        self._election_deadline = self.last_leader_contact_at
+        self._election_timeout_s = 0.0
         # The first log entry contains the set of voters and replicates it. If
         # the set were only in a snapshot of this voter, the other voters could
         # not elect a leader after the loss of this voter.
@@ -164,7 +167,8 @@
             return self._has_majority(now)
         return (
             self.leader != ""
-            and now - self.last_leader_contact_at < self._options.election_max_s
+            and self._measure_silence(self.last_leader_contact_at, now)
+            < self._options.election_max_s
         )
 
     def is_ready_leader(self, now: float) -> bool:
@@ -204,14 +208,17 @@
 
     def tick(self, now: float) -> list[messages.Effect]:
         """Handles the passing of time; to be called several times a second."""
+        self._pauses.record_listening(now)
         if self.role == "leader":
             return self._tick_leader(now)
         if not (self.cluster and self.member in self.voters):
             return self._request_join(now)
         effects: list[messages.Effect] = []
-        if now >= self._election_deadline:
+        waited_s = self._measure_silence(self._election_timer_started_at, now)
+        if waited_s >= self._election_timeout_s:
             effects += self._start_election(now)
-        if now - self.last_leader_contact_at > self._options.rejoin_after_s:
+        silent_s = self._measure_silence(self.last_leader_contact_at, now)
+        if silent_s > self._options.rejoin_after_s:
             effects += self._request_join(now)
         return effects
 
@@ -262,7 +269,7 @@
         # would return with a high term and depose a working leader. A trial
         # vote changes no term and is refused by voters that have a leader, so
         # the candidate does not raise its term.
-        self._reset_election_deadline(now)
+        self._restart_election_timer(now)
         self.role = "candidate"
         self.leader = ""
         self._trial = True
@@ -332,7 +339,7 @@
             )
             if granted:
                 effects += self._update_hard_state(voted_for=request.candidate)
-                self._reset_election_deadline(now)
+                self._restart_election_timer(now)
         reply = messages.VoteReply(
             self.member, self.term, granted, request.trial
         )
@@ -388,7 +395,7 @@
                 if change_id
             ]
             self._pending.clear()
-            self._reset_election_deadline(now)
+            self._restart_election_timer(now)
         self.role = "follower"
         self.leader = ""
         return effects
@@ -397,11 +404,10 @@
 
     def _tick_leader(self, now: float) -> list[messages.Effect]:
         # A leader that is partitioned without a connection error would keep its
-        # role: its callers would wait for ever, and its reads would be stale.
-        # So a leader steps down once it has had no contact with a majority for
-        # the shortest election timeout, before another leader can have been
-        # elected.
-        if not self._has_majority(now):
+        # role, and its callers would wait for ever. Replies that are late do
+        # not end its term: until they arrive it confirms no read, and its
+        # followers do not count as up to date.
+        if not self._hears_majority(now):
             return self._step_down(self.term, now)
         self._replicator.prune(self.voters, now - LEARNER_RETENTION_S)
         effects = self._change_voters(now)
@@ -415,16 +421,32 @@
         )
         return self._is_majority(reached | {self.member})
 
+    def _hears_majority(self, now: float) -> bool:
+        heard = {
+            member
+            for member, progress in self._replicator.members.items()
+            if self._measure_silence(progress.last_contact_at, now)
+            < self._options.election_max_s
+        }
+        return self._is_majority(heard | {self.member})
+
+    def _measure_silence(self, since: float, now: float) -> float:
+        return self._pauses.measure_silence(since, now)
+
     def _replicate(self, now: float) -> list[messages.Effect]:
         self._next_heartbeat = now + self._options.heartbeat_s
         return [
             *self._advance_commit(now),
-            *self._replicator.send_to_all(self._make_header(), now),
+            *self._replicator.send_to_all(self._make_header(now), now),
         ]
 
-    def _make_header(self) -> replication.Header:
+    def _make_header(self, now: float) -> replication.Header:
         return replication.Header(
-            self.cluster, self.member, self.term, self.commit
+            self.cluster,
+            self.member,
+            self.term,
+            self.commit,
+            is_in_touch=self._has_majority(now),
         )
 
     def _receive_append_reply(
@@ -443,7 +465,7 @@
         effects = self._advance_commit(now)
         if self.role == "leader":
             effects += self._replicator.send_missing(
-                member, self._make_header(), now
+                member, self._make_header(now), now
             )
         return [*effects, *self._change_voters(now)]
 
@@ -464,7 +486,7 @@
         if self.role != "leader" or join.member in self.voters:
             return []
         self._replicator.track(join, now)
-        return self._replicator.send(join.member, self._make_header(), now)
+        return self._replicator.send(join.member, self._make_header(now), now)
 
     def _change_voters(self, now: float) -> list[messages.Effect]:
         if self.role != "leader" or self._is_changing_voters():
@@ -538,7 +560,7 @@
             effects += self._step_down(term, now)
         self.leader = leader
         self.last_leader_contact_at = now
-        self._reset_election_deadline(now)
+        self._restart_election_timer(now)
         return effects
 
     def _receive_append(
@@ -710,7 +732,8 @@
         voters = set(self.voters)
         return 2 * len(members & voters) > len(voters)
 
-    def _reset_election_deadline(self, now: float) -> None:
-        self._election_deadline = now + self._rng.uniform(
+    def _restart_election_timer(self, now: float) -> None:
+        self._election_timer_started_at = now
+        self._election_timeout_s = self._rng.uniform(
             self._options.election_min_s, self._options.election_max_s
         )
--- a/src/hickorylead/fleet/events.py
+++ b/src/hickorylead/fleet/events.py
@@ -44,6 +44,21 @@
     content: bytes
 
 
+@attrs.frozen
+class UrgentTick:
+    """Event: time has passed, and all urgent messages were handled."""
+
+
+@attrs.frozen
+class OrdinaryTick:
+    """Event: time has passed, and all that had arrived was handled."""
+
+
+@attrs.frozen
+class PlanningDue:
+    """Event: servers may be given orders, as nothing more urgent waits."""
+
+
 @attrs.frozen
 class ReadRequested:
     """Event: an operator requested the newest configuration."""
--- a/src/hickorylead/fleet/peer_directory.py
+++ b/src/hickorylead/fleet/peer_directory.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
     from hickorylead.fleet import messages
+    from hickorylead.turns import own_pauses
 
 # Period at which coordinators send each other a hello, in seconds.
 HELLO_PERIOD_S = 0.3
@@ -48,14 +49,22 @@
 class PeerDirectory:
     """The known other coordinators."""
 
-    def __init__(self, *, node: str, seeds: Iterable[str]) -> None:
+    def __init__(
+        self,
+        *,
+        node: str,
+        seeds: Iterable[str],
+        pauses: own_pauses.OwnPauses,
+    ) -> None:
         """Makes a directory without peers.
 
         Args:
             node: Name of this node.
             seeds: Addresses to begin with, as `ip:port`.
+            pauses: Times at which this node did not handle hellos.
         """
         self._node = node
+        self._pauses = pauses
         self.seeds = tuple(seeds)
         self.known: dict[str, Peer] = {}
         self._reported: frozenset[str] = frozenset()
@@ -95,7 +104,9 @@
         return sorted(
             node
             for node, peer in self.known.items()
-            if now - peer.last_hello_at <= PEER_TIMEOUT_S
+            if peer.incarnation
+            and self._pauses.measure_silence(peer.last_hello_at, now)
+            <= PEER_TIMEOUT_S
         )
 
     def report_changes(self, now: float) -> list[notes.Note]:
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from hickorylead.turns import own_pauses
+
 # Time for which an incarnation that has ended is retained, in seconds, so that
 # its late heartbeats are recognized as such. Heartbeats that a partition
 # delayed arrive when the partition heals; partitions are reported to last
@@ -176,14 +178,23 @@
         ]
 
     def list_silent(
-        self, timeout_s: float, now: float
+        self, timeout_s: float, pauses: own_pauses.OwnPauses, now: float
     ) -> list[instances.Instance]:
-        """Returns servers without updates for `timeout_s`, not yet silent."""
+        """Returns servers without updates for `timeout_s`, not yet silent.
+
+        Args:
+            timeout_s: The silence, in seconds.
+            pauses: Times at which this node did not handle updates.
+            now: Present time.
+        """
         return [
             instance
             for instance in self.list_present()
             if not instance.silent
-            and now - self.last_update_at.get(instance.name, now) > timeout_s
+            and pauses.measure_silence(
+                self.last_update_at.get(instance.name, now), now
+            )
+            > timeout_s
         ]
 
     def list_stale(self, timeout_s: float, now: float) -> frozenset[str]:
--- a/src/hickorylead/fleet/supervisor.py
+++ b/src/hickorylead/fleet/supervisor.py
@@ -25,6 +25,7 @@
         peer_directory as peer_directory_module,
         registry as registry_module,
     )
+    from hickorylead.turns import own_pauses
 
 PLAN_PERIOD_S = 0.25
 # Shortest time after a planning round in which an update may start another one,
@@ -60,6 +61,8 @@
         registry: registry_module.Registry,
         peers: peer_directory_module.PeerDirectory,
         has_leader: Callable[[float], bool],
+        pauses: own_pauses.OwnPauses,
+        defers_planning: bool,
         now: float,
     ) -> None:
         """Makes a supervisor that has just started.
@@ -71,6 +74,9 @@
             registry: Backend servers known to the node.
             peers: Other coordinators.
             has_leader: Returns whether the node has contact to a leader.
+            pauses: Times at which the node did not handle heartbeats.
+            defers_planning: Whether rounds are only marked as due, and begun by
+                the caller.
             now: Present time.
         """
         self._identity = identity
@@ -78,6 +84,8 @@
         self._registry = registry
         self._peers = peers
         self._has_leader = has_leader
+        self._pauses_of_node = pauses
+        self.defers_planning = defers_planning
         self._failure_detector = failure_detector_module.FailureDetector(
             identity.heartbeat_s
         )
@@ -203,7 +211,7 @@
     def probe_silent(self, now: float) -> list[Effect]:
         """Probes servers whose heartbeats are missing."""
         silent = self._registry.list_silent(
-            self._failure_detector.probe_after_s, now
+            self._failure_detector.probe_after_s, self._pauses_of_node, now
         )
         owned = [i for i in silent if self._is_owned(i, now)]
         return self._probe(owned, now)
@@ -221,11 +229,13 @@
 
     def is_due(self, now: float) -> bool:
         """Returns whether a planning round is due."""
-        return now >= self._next_plan
+        return now >= max(
+            self._next_plan, self._planned_at + MIN_PLAN_INTERVAL_S
+        )
 
     def plan_soon(self, now: float) -> list[Effect]:
-        """Plans at once, or on the next tick if a round has just ended."""
-        if now - self._planned_at < MIN_PLAN_INTERVAL_S:
+        """Plans at once, or later if a round has just ended."""
+        if self.defers_planning or now - self._planned_at < MIN_PLAN_INTERVAL_S:
             self._next_plan = now
             return []
         return self.plan(now)
--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -11,6 +11,7 @@
 
 from hickorylead.configuration import document
 from hickorylead.platform import documents, servers
+from hickorylead.turns import work_queue
 
 if TYPE_CHECKING:
     from starlette import requests
@@ -46,6 +47,13 @@
     )
 
 
+def find_lane(path: str) -> work_queue.Lane:
+    """Returns how urgent a request is, by its path."""
+    if path.startswith("/config/"):
+        return work_queue.Lane.URGENT
+    return work_queue.Lane.ORDINARY
+
+
 class _Views:
     def __init__(self, process: coordinator.CoordinatorProcess) -> None:
         self._process = process
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -102,6 +102,7 @@
         server_codec=servers.PlatformServerCodec(),
         decode_document=documents.DocumentDecoder().decode_compressed,
         make_app=control.make_app,
+        find_lane=control.find_lane,
         reload=lambda: _make_coordinator_settings(
             settings_module.load_settings("coordinator")
         ),
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -51,6 +51,7 @@
 )
 from hickorylead.relaying import messages as relay_messages, relay_broker
 from hickorylead.roles import interface, nodes
+from hickorylead.turns import own_pauses
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -65,6 +66,9 @@
 CoordinatorEvent: TypeAlias = (
     interface.Tick
     | interface.MessageArrived
+    | events.UrgentTick
+    | events.OrdinaryTick
+    | events.PlanningDue
     | events.HeartbeatArrived
     | events.InstanceLeft
     | events.ReplaceRequested
@@ -102,6 +106,7 @@
         rng: random.Random,
         now: float,
         voter_options: options.VoterOptions = options.DEFAULT_OPTIONS,
+        defers_planning: bool = False,
     ) -> None:
         """Initializes a coordinator that has just started.
 
@@ -115,6 +120,8 @@
             now: Present time.
             voter_options: Options of its voter, such as how soon a lost voter
                 is detected.
+            defers_planning: Whether servers are given orders only on
+                `PlanningDue`, once `is_planning_due`.
         """
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
@@ -122,9 +129,18 @@
         self.registry = registry_module.Registry()
         self._full_sync = full_sync.FullSync(identity.node, self.registry)
         self._listed = messages.KnownCoordinators(identity.node, (), ())
+        # Urgent messages are handled before others, so that each lane of the
+        # process has pauses of its own.
+        self._urgent_pauses = own_pauses.OwnPauses(now)
+        self._ordinary_pauses = own_pauses.OwnPauses(now)
         self.peers = peer_directory_module.PeerDirectory(
-            node=identity.node, seeds=identity.seeds
+            node=identity.node,
+            seeds=identity.seeds,
+            pauses=self._urgent_pauses,
         )
+        # Hellos whose state is still to be compared, and whether their sender
+        # was lost before, by node.
+        self._unsynced: dict[str, tuple[messages.CoordinatorHello, bool]] = {}
         self.gateways = gateways_module.Gateways(
             zone=self._zone, is_first_start=identity.may_bootstrap
         )
@@ -146,9 +162,12 @@
             registry=self.registry,
             peers=self.peers,
             has_leader=lambda at: self.voter.has_leader(at),
+            pauses=self._ordinary_pauses,
+            defers_planning=defers_planning,
             now=now,
         )
         self._next_hello = now
+        self._next_alive = now
         self._alive_sequences: dict[str, int] = {}
         # Changed servers to send to gateways with the next tick, by name.
         self._unreported: dict[str, instances.Instance] = {}
@@ -174,6 +193,7 @@
             now=now,
             options=attrs.evolve(voter_options, zones=self._identity.zones),
             is_founder=self._identity.may_bootstrap,
+            pauses=self._urgent_pauses,
         )
         self.voter.restore(records)
         self._configuration_requests = (
@@ -205,7 +225,13 @@
         """Handles one event and returns the effects to carry out."""
         match event:
             case interface.Tick():
-                return self._tick(now)
+                return [*self._tick_urgent(now), *self._tick_ordinary(now)]
+            case events.UrgentTick():
+                return self._tick_urgent(now)
+            case events.OrdinaryTick():
+                return self._tick_ordinary(now)
+            case events.PlanningDue():
+                return [*self._supervisor.plan(now)]
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
             case events.HeartbeatArrived(instance):
@@ -248,7 +274,12 @@
 
     # Periodic work.
 
-    def _tick(self, now: float) -> list[CoordinatorEffect]:
+    def is_planning_due(self, now: float) -> bool:
+        """Returns whether a planning round is due that was deferred."""
+        return self._supervisor.defers_planning and self._supervisor.is_due(now)
+
+    def _tick_urgent(self, now: float) -> list[CoordinatorEffect]:
+        """Does what others judge this coordinator by."""
         effects: list[CoordinatorEffect] = []
         self.voter.set_peers(self.peers.heard_at)
         effects += self._convert_effects(self.voter.tick(now), now)
@@ -263,9 +294,6 @@
             self._next_hello = now + peer_directory_module.HELLO_PERIOD_S
             effects += self._send_hellos(now)
             effects += self._bootstrap_cluster(now)
-        effects += self._supervisor.probe_silent(now)
-        effects += self._mark_lost(now)
-        effects += self._update_gateways(now)
         sent = self.gateways.tick(
             is_fresh=self.is_fresh(now),
             other_gateways=self.peers.count_gateways(now),
@@ -274,11 +302,21 @@
             now=now,
         )
         effects += self.gateways.save(self._identity.node, now)
-        effects += self._send_all(sent)
+        return [*effects, *self._send_all(sent)]
+
+    def _tick_ordinary(self, now: float) -> list[CoordinatorEffect]:
+        self._ordinary_pauses.record_listening(now)
+        effects = self._sync_coordinators(now)
+        effects += self._send_alive(now)
+        effects += self._supervisor.probe_silent(now)
+        effects += self._mark_lost(now)
+        effects += self._update_gateways(now)
         effects += self._update_blocks(now)
         effects += self._send_all(self._permit_broker.tick(now))
         effects += self._send_pauses(now)
-        if self._supervisor.is_due(now):
+        if not self._supervisor.defers_planning and self._supervisor.is_due(
+            now
+        ):
             effects += self._supervisor.plan(now)
         return [*effects, *self._save_schedule.tick(now)]
 
@@ -316,8 +354,6 @@
 
     def _send_hellos(self, now: float) -> list[CoordinatorEffect]:
         self.peers.prune(now)
-        self.registry.prune(now, INSTANCE_RETENTION_S)
-        self._pause_relay.prune(now)
         hello = announcements.make_hello(
             self._identity,
             voter=self.voter,
@@ -328,20 +364,26 @@
             crashes=self.crashes.digest,
         )
         targets = self.peers.list_hello_targets()
-        effects: list[CoordinatorEffect] = [
+        return [
             interface.Send(node, hello)
             for node in targets
             if node != f"@{self._identity.address}"
         ]
-        if self._alive_sequences:
-            alive = announcements.make_alive(
-                self._identity.node, self._alive_sequences, self.registry
-            )
-            self._alive_sequences = {}
-            effects += [
-                interface.Send(n, alive) for n in self.peers.list_alive(now)
-            ]
-        return effects
+
+    def _send_alive(self, now: float) -> list[CoordinatorEffect]:
+        """Sends which servers sent heartbeats, as often as hellos are sent."""
+        if now < self._next_alive:
+            return []
+        self._next_alive = now + peer_directory_module.HELLO_PERIOD_S
+        self.registry.prune(now, INSTANCE_RETENTION_S)
+        self._pause_relay.prune(now)
+        if not self._alive_sequences:
+            return []
+        alive = announcements.make_alive(
+            self._identity.node, self._alive_sequences, self.registry
+        )
+        self._alive_sequences = {}
+        return [interface.Send(n, alive) for n in self.peers.list_alive(now)]
 
     def _bootstrap_cluster(self, now: float) -> list[CoordinatorEffect]:
         """Bootstraps the configuration log at the cluster's first start."""
@@ -490,26 +532,35 @@
     def _handle_hello(
         self, hello: messages.CoordinatorHello, now: float
     ) -> list[CoordinatorEffect]:
-        is_new = hello.node not in self.peers.list_alive(now)
-        differs = self._divergence.needs_full_sync(
-            hello.node, hello.check, self.registry.digest, now
-        )
+        _, was_new = self._unsynced.get(hello.node, (hello, False))
+        is_new = was_new or hello.node not in self.peers.list_alive(now)
         self.peers.handle_hello(hello, now)
+        self._unsynced[hello.node] = hello, is_new
         if hello.has_traffic:
             # Gateways report requests only to their home coordinator, which
             # reports them in its hellos.
             self._supervisor.record_traffic()
-        effects = self._send_all(
-            self.crashes.sync_coordinator(
-                hello.node, hello.crashes, is_new=is_new, now=now
+        return []
+
+    def _sync_coordinators(self, now: float) -> list[CoordinatorEffect]:
+        """Sends other coordinators what their last hellos show them to lack."""
+        effects: list[CoordinatorEffect] = []
+        unsynced, self._unsynced = self._unsynced, {}
+        for hello, is_new in unsynced.values():
+            differs = self._divergence.needs_full_sync(
+                hello.node, hello.check, self.registry.digest, now
             )
-        )
-        if not is_new and not differs:
-            return effects
-        update = self._full_sync.make(
-            is_full=self._supervisor.has_full_view(now)
-        )
-        return [*effects, interface.Send(hello.node, update)]
+            effects += self._send_all(
+                self.crashes.sync_coordinator(
+                    hello.node, hello.crashes, is_new=is_new, now=now
+                )
+            )
+            if is_new or differs:
+                update = self._full_sync.make(
+                    is_full=self._supervisor.has_full_view(now)
+                )
+                effects.append(interface.Send(hello.node, update))
+        return effects
 
     def _handle_gateway_hello(
         self, hello: messages.GatewayHello, now: float
@@ -774,7 +825,7 @@
                 is_fresh=self.is_fresh(now),
             )
         )
-        return effects + self._supervisor.plan(now)
+        return effects + self._supervisor.plan_soon(now)
 
     def _load_document(self) -> str:
         """Loads what the voter holds; returns why it could not be decoded."""
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import pathlib
 import random
 import signal
@@ -36,10 +37,12 @@
     server as server_module,
     tasks,
     ticker,
+    turns,
     upstream,
 )
 from hickorylead.storage import folder as folder_module, saved_value
 from hickorylead.telemetry import decisions, turn_costs
+from hickorylead.turns import work_queue
 from hickorylead.wire import codec
 
 if TYPE_CHECKING:
@@ -57,6 +60,12 @@
 DISK_RETRY_S = 0.5
 
 
+_TICKS: dict[work_queue.Lane, events.UrgentTick | events.OrdinaryTick] = {
+    work_queue.Lane.URGENT: events.UrgentTick(),
+    work_queue.Lane.ORDINARY: events.OrdinaryTick(),
+}
+
+
 @attrs.frozen
 class Settings:
     """Settings of a coordinator.
@@ -112,6 +121,7 @@
             [bytes], result.Result[document_module.Document, str]
         ],
         make_app: Callable[[CoordinatorProcess], Any],
+        find_lane: Callable[[str], work_queue.Lane],
         reload: Callable[[], Settings],
         log: decisions.DecisionLog,
     ) -> None:
@@ -122,6 +132,7 @@
             server_codec: Encodes and decodes calls to backend servers.
             decode_document: Decodes a complete configuration.
             make_app: Makes the API for backend servers and operators.
+            find_lane: Returns how urgent a request to that API is, by its path.
             reload: Loads the settings again.
             log: Log of decisions.
         """
@@ -133,6 +144,7 @@
         self._server_codec = server_codec
         self._reload = reload
         self._make_app = make_app
+        self._find_lane = find_lane
         self._rng = random.Random(f"{self._node} {clock.read_wall()}")
         self._stop = asyncio.Event()
         self._folder = self._open_folder()
@@ -141,6 +153,9 @@
         self._pending_calls: dict[str, asyncio.Future[Any]] = {}
         self._call_count = 0
         self._costs = turn_costs.TurnCosts(clock.read_monotonic())
+        self._turns = turns.Turns(log, self._costs)
+        self._waiting_ticks: set[work_queue.Lane] = set()
+        self._is_planning_queued = False
         self._pool = upstream.Pool(settings.bind_ip)
         self._voter_options = options.derive_options(
             catch_up_s=settings.catch_up_s,
@@ -163,6 +178,7 @@
             rng=self._rng,
             now=clock.read_boottime(),
             voter_options=self._voter_options,
+            defers_planning=True,
         )
         data_folder = pathlib.Path(settings.data_folder)
         self._saved_servers = saved_value.SavedValue(data_folder, "servers")
@@ -177,6 +193,7 @@
             log=log,
             bind_ip=settings.bind_ip,
             costs=self._costs,
+            turns=self._turns,
         )
 
     async def run(self) -> None:
@@ -186,7 +203,9 @@
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         reload_signal.handle(loop, self._reload_settings)
         http = server_module.HttpServer(
-            self._make_app(self),
+            turns.TurnLimitedApp(
+                self._make_app(self), self._turns, self._find_lane
+            ),
             self.settings.listen_ip,
             self.settings.control_port,
         )
@@ -290,6 +309,9 @@
                 self._folder.rewrite(self.role.voter.export_records())
         except OSError as error:
             self._handle_disk_failure(error, now)
+        if not self._is_planning_queued and self.role.is_planning_due(now):
+            self._is_planning_queued = True
+            self._turns.add(work_queue.Lane.BACKGROUND, self._plan)
 
     def _carry_out(self, effect: coordinator_role.CoordinatorEffect) -> None:
         match effect:
@@ -335,12 +357,32 @@
         self.apply(interface.MessageArrived(sender, message, clock.read_wall()))
 
     def _tick(self) -> None:
-        if self._disk_failed_at is not None:
-            self._retry_disk()
-        self.apply(interface.Tick(clock.read_wall()))
+        # What the sockets hold is queued before the ticks, so that no silence
+        # is judged before it has been read.
+        asyncio.get_running_loop().call_soon(self._queue_ticks)
         for note in self._costs.report(clock.read_monotonic()):
             self._log.write(note)
 
+    def _queue_ticks(self) -> None:
+        for lane, event in _TICKS.items():
+            if lane not in self._waiting_ticks:
+                self._waiting_ticks.add(lane)
+                self._turns.add(
+                    lane, functools.partial(self._apply_tick, lane, event)
+                )
+
+    def _apply_tick(
+        self, lane: work_queue.Lane, event: coordinator_role.CoordinatorEvent
+    ) -> None:
+        self._waiting_ticks.discard(lane)
+        if lane == work_queue.Lane.URGENT and self._disk_failed_at is not None:
+            self._retry_disk()
+        self.apply(event)
+
+    def _plan(self) -> None:
+        self._is_planning_queued = False
+        self.apply(events.PlanningDue())
+
     # The disk.
 
     def _restore_saved(self) -> None:
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -10,17 +10,21 @@
 import asyncio
 import collections
 import contextlib
+import enum
 from typing import TYPE_CHECKING
 
 from returns import result
 
+from hickorylead.roles import urgency
 from hickorylead.runtime import clock, tasks, timeouts
+from hickorylead.turns import work_queue
 from hickorylead.wire import codec, frame
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from hickorylead.roles import interface
+    from hickorylead.runtime import turns as turns_module
     from hickorylead.telemetry import turn_costs
 
 CONNECT_TIMEOUT_S = 1.0
@@ -45,6 +49,9 @@
 # receiver has taken it, so that no connection buffers a whole large message.
 WRITE_BYTES = 256 * 1024
 _READ_BYTES = 256 * 1024
+# Received bytes of one connection that may wait to be handled; beyond that the
+# connection is not read, so that its sender waits.
+MAX_WAITING_BYTES = 512 * 1024
 _ACK = b"\1"
 
 
@@ -154,6 +161,66 @@
             await self.wake.wait()
 
 
+class _Kind(enum.Enum):
+    """What an outgoing connection is for."""
+
+    URGENT = enum.auto()
+    ORDINARY = enum.auto()
+    BULK = enum.auto()
+
+
+def _choose_kind(message: interface.Message, payload: bytes) -> _Kind:
+    if len(payload) >= BULK_BYTES:
+        return _Kind.BULK
+    if urgency.find_lane(message) == work_queue.Lane.URGENT:
+        return _Kind.URGENT
+    return _Kind.ORDINARY
+
+
+class _Inbox:
+    """Messages of one incoming connection that wait for their turn.
+
+    A sender uses one connection for each kind of message, so the lane of a
+    message is that of the one before it: it must be known before the message
+    is decoded.
+    """
+
+    def __init__(
+        self,
+        turns: turns_module.Turns | None,
+        handle: Callable[[bytes], work_queue.Lane | None],
+    ) -> None:
+        self._turns = turns
+        self._handle = handle
+        self._lane = work_queue.Lane.URGENT
+        self._waiting_bytes = 0
+        self._has_space = asyncio.Event()
+        self._has_space.set()
+
+    def add(self, payload: bytes) -> None:
+        if self._turns is None:
+            self._handle(payload)
+            return
+        self._waiting_bytes += len(payload)
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._has_space.clear()
+        self._turns.add(self._lane, lambda: self._handle_next(payload))
+
+    async def wait_for_space(self) -> None:
+        """Waits until another part of the connection may be read."""
+        await self._has_space.wait()
+
+    def _handle_next(self, payload: bytes) -> None:
+        try:
+            lane = self._handle(payload)
+            if lane is not None:
+                self._lane = lane
+        finally:
+            self._waiting_bytes -= len(payload)
+            if self._waiting_bytes <= MAX_WAITING_BYTES:
+                self._has_space.set()
+
+
 class Peers:
     """All connections of one process."""
 
@@ -167,6 +234,7 @@
         log: tasks.WarningLog,
         bind_ip: str = "",
         costs: turn_costs.TurnCosts | None = None,
+        turns: turns_module.Turns | None = None,
     ) -> None:
         """Makes the connections of a process; `start` opens them.
 
@@ -179,7 +247,10 @@
             bind_ip: IP address to listen on and to connect from, if it is not
                 that of the address.
             costs: Account of the time that decoding takes, if there is one.
+            turns: Order in which received messages are handled; None to handle
+                each message at once.
         """
+        self._turns = turns
         self._costs = costs
         self._bind_ip = bind_ip
         self._node = node
@@ -188,8 +259,7 @@
         self._configured_nodes = frozenset(addresses)
         self._deliver = deliver
         self._log = log
-        # By node, and whether the connection is for large messages.
-        self._links: dict[tuple[str, bool], _Link] = {}
+        self._links: dict[tuple[str, _Kind], _Link] = {}
         # The last messages, by identity, with their encoded form.
         self._encoded: collections.OrderedDict[
             int, tuple[interface.Message, bytes]
@@ -236,16 +306,16 @@
                 bytes=len(payload),
             )
             return
-        link = self._find_link(node, address, len(payload) >= BULK_BYTES)
+        link = self._find_link(node, address, _choose_kind(message, payload))
         link.queue.append(payload, asyncio.get_running_loop().time())
         link.wake.set()
 
-    def _find_link(self, node: str, address: str, is_bulk: bool) -> _Link:
-        link = self._links.get((node, is_bulk))
+    def _find_link(self, node: str, address: str, kind: _Kind) -> _Link:
+        link = self._links.get((node, kind))
         if link is None or link.address != address:
             if link is not None and link.task is not None:
                 link.task.cancel()
-            link = self._links[node, is_bulk] = _Link(address, self._bind_ip)
+            link = self._links[node, kind] = _Link(address, self._bind_ip)
             link.task = self._tasks.keep_running(f"link to {node}", link.run)
         return link
 
@@ -273,12 +343,14 @@
         assert task is not None
         self._handlers.add(task)
         frames = frame.FrameReader()
+        inbox = _Inbox(self._turns, self._receive)
         try:
             while data := await reader.read(_READ_BYTES):
                 for payload in frames.feed(data):
-                    self._receive(payload)
+                    inbox.add(payload)
                 writer.write(_ACK)
                 await writer.drain()
+                await inbox.wait_for_space()
         except frame.FrameError as error:
             self._log.warn("bad frame", detail=str(error))
         except (OSError, asyncio.CancelledError):
@@ -288,7 +360,8 @@
             self._handlers.discard(task)
             writer.close()
 
-    def _receive(self, payload: bytes) -> None:
+    def _receive(self, payload: bytes) -> work_queue.Lane | None:
+        """Handles a message; returns its lane, None if it is malformed."""
         began = clock.read_monotonic()
         decoded = codec.decode_envelope(payload)
         if self._costs is not None:
@@ -298,5 +371,7 @@
                 if envelope.sender not in self._configured_nodes:
                     self._addresses[envelope.sender] = envelope.address
                 self._deliver(envelope.sender, envelope.message)
+                return urgency.find_lane(envelope.message)
             case result.Failure(problem):
                 self._log.warn("bad message", detail=problem)
+        return None
--- /dev/null
+++ b/src/hickorylead/turns/own_pauses.py
@@ -0,0 +1,71 @@
+"""Pauses of the process itself, which are no silence of others.
+
+A process that was stopped, or whose turns came late, has not read what others
+sent meanwhile. Whoever judges a silence takes these times off it: of the time
+between two moments at which all that had arrived was handled, a short part
+counts, however long it was.
+"""
+
+from __future__ import annotations
+
+import bisect
+import math
+
+# Time between two moments of listening that counts as such, in seconds: two of
+# the longest ticks of a role.
+MAX_GAP_S = 0.2
+# Time for which pauses are kept, in seconds. All silences that are judged are
+# shorter.
+RETENTION_S = 120.0
+
+
+class OwnPauses:
+    """Times at which this process did not listen to others."""
+
+    def __init__(self, now: float) -> None:
+        """Starts to listen.
+
+        Args:
+            now: Present time, in seconds.
+        """
+        self._listened_at = now
+        self._total_s = 0.0
+        # End of each pause, and the sum of all pauses up to it.
+        self._ends: list[float] = [-math.inf]
+        self._totals: list[float] = [0.0]
+
+    def record_listening(self, now: float) -> float:
+        """Records that all that had arrived was handled.
+
+        Args:
+            now: Present time, in seconds.
+
+        Returns:
+            The pause that has ended, in seconds; 0 if there was none.
+        """
+        pause_s = max(0.0, now - self._listened_at - MAX_GAP_S)
+        self._listened_at = max(now, self._listened_at)
+        if pause_s:
+            self._total_s += pause_s
+            self._ends.append(now)
+            self._totals.append(self._total_s)
+            self._forget(now - RETENTION_S)
+        return pause_s
+
+    def measure_silence(self, since: float, now: float) -> float:
+        """Returns for how long another process was silent while this listened.
+
+        Args:
+            since: When it was last heard of, in seconds.
+            now: Present time, in seconds.
+        """
+        if since == -math.inf:
+            return math.inf
+        present_s = max(0.0, now - self._listened_at - MAX_GAP_S)
+        before_s = self._totals[bisect.bisect_right(self._ends, since) - 1]
+        paused_s = self._total_s + present_s - before_s
+        return max(0.0, now - since - paused_s)
+
+    def _forget(self, until: float) -> None:
+        kept = max(0, bisect.bisect_right(self._ends, until) - 1)
+        del self._ends[:kept], self._totals[:kept]
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -87,7 +87,7 @@
         links = make_peers("127.0.0.1:9")
         for number in range(count):
             links.send("z/vm1/control", make_message(number))
-        context.queued = len(links._links["z/vm1/control", False].queue)
+        context.queued = sum(len(link.queue) for link in links._links.values())
         await links.close()
 
     asyncio.run(run())
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -320,6 +320,7 @@
         server_codec=process._server_codec,
         decode_document=documents.DocumentDecoder().decode_compressed,
         make_app=process._make_app,
+        find_lane=process._find_lane,
         reload=process._reload,
         log=process._log,
     )
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -114,6 +114,7 @@
                 server_codec=servers.PlatformServerCodec(),
                 decode_document=documents.DocumentDecoder().decode_compressed,
                 make_app=control.make_app,
+                find_lane=control.find_lane,
                 reload=lambda: None,
                 log=log,
             )
