--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -981,7 +981,8 @@
     role = simulation.coordinators[context.removed_node]
     for other in simulation.coordinators.values():
         # Two disks may be lost at once: five voters always stay.
-        other.voter._options = attrs.evolve(other.voter._options, min_voters=5)
+        state = other.voter._state
+        state.options = attrs.evolve(state.options, min_voters=5)
     simulation.frozen.add(context.removed_node)
     for version in range(2, 12):
         replace_until_acknowledged(simulation, leader, version)
