Count no lateness of a gateway as silence of its coordinators

Cause: a gateway judged its home coordinator's silence by its tick's lateness, which only the first tick after a pause has. If messages still waited at the second tick, on time, or if a message or request came before the tick, all coordinators seemed lost: the gateway gave up its home coordinator, said hello to all, and was sent the full table again.

Change: CoordinatorView judges both silences, that of a coordinator and that of a missing leader, with the gateway's OwnPauses, recorded at each tick.

--- a/src/hickorylead/roles/coordinator_view.py
+++ b/src/hickorylead/roles/coordinator_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from hickorylead.roles import nodes
@@ -9,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
+    from hickorylead.turns import own_pauses
+
 # Time without a message after which a coordinator is not used as home
 # coordinator, in seconds. A coordinator sends the loads of its zone every
 # 0.25 s, but may block on its disk between two such messages.
@@ -24,13 +27,15 @@
 class CoordinatorView:
     """Coordinators that a gateway has discovered."""
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, pauses: own_pauses.OwnPauses) -> None:
         """Makes a view without coordinators.
 
         Args:
             zone: Zone of the gateway.
+            pauses: Times at which the gateway did not handle messages.
         """
         self._zone = zone
+        self._pauses = pauses
         self._addresses: dict[str, str] = {}
         self._last_received_at: dict[str, float] = {}
         # Whether each coordinator last reported that it has a leader, and the
@@ -109,7 +114,8 @@
         pool = [n for n in own if n in fresh] or own or alive
         is_partitioned = (
             self._home_stale_since is not None
-            and now - self._home_stale_since > HOME_COORDINATOR_STALE_TIMEOUT_S
+            and self._pauses.measure_silence(self._home_stale_since, now)
+            > HOME_COORDINATOR_STALE_TIMEOUT_S
         )
         if is_partitioned and fresh and not set(pool) & set(fresh):
             pool = fresh
@@ -119,7 +125,8 @@
         return min(pool, default="")
 
     def _is_alive(self, node: str, now: float) -> bool:
+        received_at = self._last_received_at.get(node, -math.inf)
         return (
-            now - self._last_received_at.get(node, -1e9)
+            self._pauses.measure_silence(received_at, now)
             < HOME_COORDINATOR_TIMEOUT_S
         )
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -54,6 +54,7 @@
     relay_offers,
 )
 from hickorylead.roles import coordinator_view, interface, nodes
+from hickorylead.turns import own_pauses
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -201,7 +202,10 @@
         )
         self.routes: routes_module.RouteTable | None = None
         self._started_at = now
-        self._coordinators = coordinator_view.CoordinatorView(self._zone)
+        self._pauses = own_pauses.OwnPauses(now)
+        self._coordinators = coordinator_view.CoordinatorView(
+            self._zone, self._pauses
+        )
         self._next_hello = now
         self._next_cleanup = now + CLEANUP_PERIOD_S
         self._next_faulty_servers = now
@@ -350,15 +354,14 @@
                 return [*effects]
 
     def _tick(self, late_s: float, now: float) -> list[GatewayEffect]:
+        self._pauses.record_listening(now)
         effects: list[GatewayEffect] = [
             *self._apply_document(now),
             *self._forwarder.tick(now, late_s),
         ]
         stalled = set(self._list_stalled(now))
         new_stalled = stalled - self._reported_stalled
-        # All input up to the planned time of this tick has been handled. What
-        # coordinators sent after that may still wait.
-        home_coordinator = self._coordinators.find_home(now - late_s)
+        home_coordinator = self._coordinators.find_home(now)
         if not home_coordinator:
             self._informed_since = math.inf
         elif self._informed_since == math.inf:
--- a/tests/fleet/coordination.feature
+++ b/tests/fleet/coordination.feature
@@ -102,6 +102,37 @@
     When the first tick of a gateway after a pause of 3 seconds precedes all messages
     Then the gateway keeps its home coordinator
 
+  Scenario Outline: A late gateway sends no hellos as if it had lost its home coordinator
+    Ticks come while messages of the late time still wait.
+    Given three coordinators with gateways
+    When a gateway is <late> seconds late, and the messages of that time are handled after its next <count> ticks
+    Then the gateway keeps its home coordinator
+    And all hellos of the gateway name the same home coordinator
+    And the gateway sends the other coordinators at most one hello each
+
+    Examples:
+      | late | count |
+      | 2    | 1     |
+      | 2    | 2     |
+      | 2    | 5     |
+      | 10   | 2     |
+
+  Scenario: A late gateway does not take its lateness for a lost leader
+    Given three coordinators with gateways
+    When a gateway whose home coordinator has just lost its leader is 2 seconds late
+    Then the gateway keeps its home coordinator
+    And all hellos of the gateway name the same home coordinator
+
+  Scenario: A gateway replaces a lost home coordinator in time
+    Given three coordinators with gateways
+    When a gateway's home coordinator is killed while the gateway is on time
+    Then the gateway has another home coordinator within 2 seconds
+
+  Scenario: A late gateway replaces a home coordinator that was lost meanwhile
+    Given three coordinators with gateways
+    When a gateway's home coordinator is killed while the gateway is 2 seconds late
+    Then the gateway has another home coordinator within 1.5 seconds
+
   Scenario: Gateways of a partitioned home coordinator get new configurations
     The home coordinator of a gateway is partitioned from the other
     coordinators, but not from its gateways, so it cannot send them a newer
