Count no lateness of a gateway as survival of a server

Cause: a gateway decides that a server survived a run if no coordinator has reported its end for some time. After a late turn it decided so before it had read the report, and the run proved traits sound that had ended the server.

Change: RunEvidence.decide_ended counts that time with the gateway's OwnPauses. Entries, which have none, are unchanged.

Result: the new example (2 s late after a complete response) fails without the change and passes with it; all of tests/crashes passes (85 scenarios).

--- a/src/hickorylead/crashes/crash_guard.py
+++ b/src/hickorylead/crashes/crash_guard.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from hickorylead.turns import own_pauses
+
 # Time after which the gateway reports a lost run a second time, in seconds: the
 # first message is lost if the coordinator's process ends, and the coordinator
 # restarts in a second or less.
@@ -176,6 +178,7 @@
         now: float,
         *,
         informed_since: float = -math.inf,
+        pauses: own_pauses.OwnPauses | None = None,
     ) -> None:
         """Decides about runs that ended without the loss of a connection.
 
@@ -184,9 +187,10 @@
             now: Present time.
             informed_since: Time since which coordinators tell this gateway
                 which servers have ended; infinite if none does.
+            pauses: Times at which the gateway did not handle what they sent.
         """
         for run in self.evidence.decide_ended(
-            has_ended, now, informed_since=informed_since
+            has_ended, now, informed_since=informed_since, pauses=pauses
         ):
             if run.is_proven:
                 self.record_complete_response(run.traits[0], now)
--- a/src/hickorylead/crashes/run_evidence.py
+++ b/src/hickorylead/crashes/run_evidence.py
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hickorylead.turns import own_pauses
+
 # Time from its first output after which a run that still sends output has not
 # ended its server, in seconds. Servers end within 0.1 s of the first output.
 PROVEN_S = 0.5
@@ -144,6 +146,7 @@
         now: float,
         *,
         informed_since: float = -math.inf,
+        pauses: own_pauses.OwnPauses | None = None,
     ) -> list[Run]:
         """Decides about runs that ended some time ago, and returns these.
 
@@ -152,6 +155,7 @@
             now: Present time.
             informed_since: Time since which coordinators tell this gateway
                 which servers have ended; infinite if none does.
+            pauses: Times at which the gateway did not handle what they sent.
         """
         decided: list[Run] = []
         for run in list(self._ended):
@@ -162,9 +166,13 @@
             if run.is_proven:
                 del self._ended[run]
                 continue
+            since = max(run.ended_at, informed_since)
+            watched_s = (
+                pauses.measure_silence(since, now) if pauses else now - since
+            )
             if has_ended(run.server, run.born):
                 self._accuse(run.server, run.born, run.ended_at)
-            elif now - max(run.ended_at, informed_since) < limit_s:
+            elif watched_s < limit_s:
                 # Nobody can tell yet whether the server survived the run.
                 continue
             elif run.is_complete:
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -378,6 +378,7 @@
                 ),
                 now,
                 informed_since=self._informed_since,
+                pauses=self._pauses,
             )
         effects += [
             interface.Send(*sent)
--- a/tests/crashes/run_evidence.feature
+++ b/tests/crashes/run_evidence.feature
@@ -23,6 +23,7 @@
       | completes without framing, and its server lives on for 1.1 seconds |
       | completes without framing, and its server is lost after 2.0 seconds |
       | loses its caller after the first output     |
+      | completes, and the gateway is then 2 seconds late |
 
   Scenario Outline: A run that its server did not survive is reported with its parts
     Given a gateway with 3 replicas of each kind
--- a/tests/steps/run_evidence_steps.py
+++ b/tests/steps/run_evidence_steps.py
@@ -54,6 +54,7 @@
             server, born, harness.now
         ),
         harness.now,
+        pauses=harness.pauses,
     )
 
 
@@ -95,6 +96,20 @@
     decide(context.harness)
 
 
+@when(
+    "a stream with shared parts completes, and the gateway is then "
+    "{seconds:g} seconds late"
+)
+def _(context, seconds):
+    harness = context.harness
+    complete(context, start(context))
+    harness.now += seconds
+    harness.pauses.record_listening(harness.now)
+    decide(harness)
+    harness.advance(0.1)
+    decide(harness)
+
+
 @when(
     "a stream with shared parts completes without framing, and its server "
     "lives on for {seconds:g} seconds"
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -24,6 +24,7 @@
 from hickorylead.notices import notice_store
 from hickorylead.ratelimits import permit_pool
 from hickorylead.relaying import relay_directory
+from hickorylead.turns import own_pauses
 from hickorylead.verdict import Verdict
 from support import fleet_simulation
 
@@ -38,6 +39,7 @@
         self, *, plain: int = 0, models: int = 0, max_connections: int = 0
     ) -> None:
         self.now = 50.0
+        self.pauses = own_pauses.OwnPauses(self.now)
         self.registry = registry.Registry()
         for number in range(plain):
             self._add(f"p{number}", "plain", 0)
@@ -181,6 +183,7 @@
         end = self.now + seconds
         while self.now < end:
             self.now += 0.01
+            self.pauses.record_listening(self.now)
             self._handle(self.forwarder.tick(self.now))
             if each is not None:
                 each()
