Use no local share of a limit because of a late turn

Cause: a gateway whose turn was late, with replies to its requests for permits waiting, took the late time for silence of all coordinators, and used its local share beside the permits that they had granted.

Change: PermitPool measures that silence with the gateway's OwnPauses. The step that lets seconds pass now lets the gateway listen meanwhile, so that its scenarios judge a real silence as before.

Result: the new scenario (1.3 s late) fails without the change and passes with it; tests/limits/permits.feature passes (19 scenarios).

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -18,6 +18,7 @@
     permit_broker,
     permit_pool,
 )
+from hickorylead.turns import own_pauses
 from hickorylead.wire import codec
 
 GATEWAY = "waikato-1/front-hamilton-12/gateway"
@@ -98,7 +99,12 @@
 def print_memory() -> None:
     """Prints the memory that a gateway and a coordinator use for limits."""
     tracemalloc.start()
-    pool = permit_pool.PermitPool(GATEWAY, first=1, rng=random.Random(1))
+    pool = permit_pool.PermitPool(
+        GATEWAY,
+        first=1,
+        rng=random.Random(1),
+        pauses=own_pauses.OwnPauses(100.0),
+    )
     pool.merge_limits(make_limits(ALL), 100.0)
     for limit in make_limits(ALL):
         pool.request_permit(make_replica(limit), is_needed=False, now=100.0)
@@ -134,7 +140,12 @@
         lambda: codec.encode_envelope(codec.Envelope(GATEWAY, "", request))
     )
     print(f"decoding it: {decode_us:.0f} us; encoding it: {encode_us:.0f} us")
-    pool = permit_pool.PermitPool(GATEWAY, first=1, rng=random.Random(1))
+    pool = permit_pool.PermitPool(
+        GATEWAY,
+        first=1,
+        rng=random.Random(1),
+        pauses=own_pauses.OwnPauses(100.0),
+    )
     pool.merge_limits(limits, 100.0)
     replicas = [make_replica(limit) for limit in limits]
 
--- a/src/hickorylead/ratelimits/permit_pool.py
+++ b/src/hickorylead/ratelimits/permit_pool.py
@@ -21,6 +21,7 @@
     import random
 
     from hickorylead.forwarding import model
+    from hickorylead.turns import own_pauses
 
 # Interval at which the gateway requests permits for requests that another
 # server could take as well, in seconds.
@@ -69,7 +70,14 @@
 class PermitPool:
     """The limits that a gateway has received, and its permits."""
 
-    def __init__(self, node: str, *, first: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        node: str,
+        *,
+        first: int,
+        rng: random.Random,
+        pauses: own_pauses.OwnPauses,
+    ) -> None:
         """Makes a pool without limits and permits.
 
         Args:
@@ -78,7 +86,9 @@
                 each incarnation of the gateway.
             rng: Randomizes the initial local tokens, so that gateways without
                 coordinators do not all send at once.
+            pauses: Times at which the gateway did not handle replies.
         """
+        self._pauses = pauses
         self._node = node
         self._rng = rng
         self._numbers = itertools.count(first)
@@ -338,18 +348,18 @@
             self._lacks_home_coordinator
             or now - self._last_request_at <= LOCAL_SHARE_AFTER_S
         )
-        if (
-            since is None
-            or now - since < LOCAL_SHARE_AFTER_S
-            or not is_requesting
-        ):
+        over_s = -1.0
+        if since is not None:
+            silent_s = self._pauses.measure_silence(since, now)
+            over_s = silent_s - LOCAL_SHARE_AFTER_S
+        if over_s < 0 or not is_requesting:
             account.local_updated_at = None
             return False
         if account.local_updated_at is None:
             # Gateways lose their coordinators at the same time. With equal
             # initial tokens, all gateways would send at the same moment.
             account.local_tokens = self._rng.random()
-            account.local_updated_at = since + LOCAL_SHARE_AFTER_S
+            account.local_updated_at = now - over_s
         per_s = max(known.per_s, allocator.MIN_RATE_PER_S) / self._gateway_count
         elapsed_s = now - account.local_updated_at
         account.local_updated_at = now
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -148,6 +148,7 @@
         """
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
+        self._pauses = own_pauses.OwnPauses(now)
         self._inbox = document_inbox.DocumentInbox(decode_document, now)
         self._registry = registry_module.Registry()
         self._directory = replica_directory.ReplicaDirectory(
@@ -161,7 +162,10 @@
         )
         self._reachability = reachability_module.Reachability()
         self._permits = permit_pool_module.PermitPool(
-            identity.node, first=identity.boot, rng=rng
+            identity.node,
+            first=identity.boot,
+            rng=rng,
+            pauses=self._pauses,
         )
         self._relays = relay_directory.RelayDirectory(self._zone, rng)
         self._offers = relay_offers.RelayOffers(
@@ -202,7 +206,6 @@
         )
         self.routes: routes_module.RouteTable | None = None
         self._started_at = now
-        self._pauses = own_pauses.OwnPauses(now)
         self._coordinators = coordinator_view.CoordinatorView(
             self._zone, self._pauses
         )
--- a/tests/limits/permits.feature
+++ b/tests/limits/permits.feature
@@ -72,6 +72,13 @@
     Then the call is not sent
     And the gateway requests 1 permit that a request needs
 
+  Scenario: A late gateway does not use its local share before it has read the replies
+    Given a gateway with 1 replica of each kind
+    When the plain replica names a limit of 100 a second
+    And calls arrive for 0.4 seconds and no coordinator replies
+    And the gateway is 1.3 seconds late, and calls that arrive come first
+    Then none of these calls is sent
+
   Scenario: A gateway without replies from coordinators uses an equal share of the limit
     The gateway assumes that there are nine gateways.
     Given a gateway with 1 replica of each kind
--- a/tests/steps/permit_steps.py
+++ b/tests/steps/permit_steps.py
@@ -125,7 +125,27 @@
 
 @when("{seconds:g} seconds pass")
 def _(context, seconds):
-    context.harness.now += seconds
+    harness = context.harness
+    end = harness.now + seconds
+    while harness.now < end:
+        harness.now = min(end, harness.now + 0.1)
+        harness.pauses.record_listening(harness.now)
+
+
+@when(
+    "the gateway is {seconds:g} seconds late, and calls that arrive come first"
+)
+def _(context, seconds):
+    harness = context.harness
+    harness.now += seconds
+    context.names = [harness.send_request("alerts") for _ in range(3)]
+    harness.advance(0.3, each=lambda: collect_request(harness))
+
+
+@then("none of these calls is sent")
+def _(context):
+    sent = [n for n in context.names if context.harness.list_attempts(n)]
+    assert not sent, sent
 
 
 @when("a reply with {count:d} permits of {lease_s:g} seconds arrives {when}")
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -50,7 +50,9 @@
         self.notices = notice_store.NoticeStore()
         self.reachability = reachability.Reachability()
         rng = random.Random(1)
-        self.permits = permit_pool.PermitPool("z1/front1", first=1, rng=rng)
+        self.permits = permit_pool.PermitPool(
+            "z1/front1", first=1, rng=rng, pauses=self.pauses
+        )
         self.relays = relay_directory.RelayDirectory("z1", rng)
         directory = replica_directory.ReplicaDirectory(self.registry, zone="z1")
         self.directory = directory
