Count towards a limit only the time in which the event loop ran

Cause: limit_time added the lateness of its timer once, up to the limit. In a loop whose every turn is late, a connection of 0.15 s and a probe of 0.25 s ended before the response in the socket was read, and an unanswered probe makes a server lost. In a loop with turns of 10 ms a limit of 0.25 s ended only after 0.78 s.

Change: each limit keeps the pauses of its loop (OwnPauses) by ten checks within the limit; the time between two checks counts as a fifth of the limit at most. A limit reached in a late check is checked once more. A wait for a silent peer ends at the limit in a loop that is on time, and within 14 turns of a loop that is always late. OwnPauses takes the counted gap as an optional argument.

--- a/src/hickorylead/runtime/timeouts.py
+++ b/src/hickorylead/runtime/timeouts.py
@@ -6,20 +6,30 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from hickorylead.turns import own_pauses
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-# A timer that is later than this, in seconds, shows a pause of the process.
-MIN_PAUSE_S = 0.005
+# Number of checks within a limit in an event loop that is on time.
+CHECKS = 10
+# Number of checks after which a limit ends however late each of them is, beside
+# the last one.
+MAX_LATE_CHECKS = 5
+# Rounding error of a sum of times, in seconds.
+ROUNDING_S = 1e-6
 
 
 @contextlib.asynccontextmanager
 async def limit_time(seconds: float) -> AsyncIterator[None]:
     """Limits the time that the other end of a connection may take.
 
-    After a pause, what arrived meanwhile has not been read yet, or not been
-    handled. The time by which the timer is late is therefore added once more,
-    up to the limit itself in all.
+    Only the time in which the event loop ran counts: of the time between two
+    checks, a fifth of the limit at most. A limit that is reached in a late
+    check is checked once more, as what arrived meanwhile may take several turns
+    of the loop to be handled. So a wait for a silent peer ends at the limit in
+    a loop that is on time. In a loop that is always late it ends with the sixth
+    check, within 14 turns of the loop: two for each check and two for the end.
 
     Args:
         seconds: The limit.
@@ -28,18 +38,25 @@
         TimeoutError: The limit has passed.
     """
     loop = asyncio.get_running_loop()
-    left_s = seconds
-    due = loop.time() + seconds
+    period_s = seconds / CHECKS
+    began = loop.time()
+    pauses = own_pauses.OwnPauses(began, seconds / MAX_LATE_CHECKS)
+    due = began + period_s
+    is_last = False
     timer: asyncio.TimerHandle
 
     def check() -> None:
-        nonlocal left_s, due, timer
-        added_s = min(left_s, loop.time() - due)
-        if added_s <= MIN_PAUSE_S:
-            scope.reschedule(loop.time())
-            return
-        left_s -= added_s
-        due = loop.time() + added_s
+        nonlocal due, is_last, timer
+        now = loop.time()
+        pauses.record_listening(now)
+        left_s = seconds - pauses.measure_silence(began, now)
+        if left_s <= ROUNDING_S:
+            if is_last or now - due <= period_s:
+                scope.reschedule(now)
+                return
+            is_last = True
+            left_s = period_s
+        due = now + min(left_s, period_s)
         timer = loop.call_at(due, check)
 
     async with asyncio.timeout(None) as scope:
--- a/src/hickorylead/turns/own_pauses.py
+++ b/src/hickorylead/turns/own_pauses.py
@@ -22,12 +22,15 @@
 class OwnPauses:
     """Times at which this process did not listen to others."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, max_gap_s: float = MAX_GAP_S) -> None:
         """Starts to listen.
 
         Args:
             now: Present time, in seconds.
+            max_gap_s: Time between two moments of listening that counts as
+                such, in seconds.
         """
+        self._max_gap_s = max_gap_s
         self._listened_at = now
         self._total_s = 0.0
         # End of each pause, and the sum of all pauses up to it.
@@ -43,7 +46,7 @@
         Returns:
             The pause that has ended, in seconds; 0 if there was none.
         """
-        pause_s = max(0.0, now - self._listened_at - MAX_GAP_S)
+        pause_s = max(0.0, now - self._listened_at - self._max_gap_s)
         self._listened_at = max(now, self._listened_at)
         if pause_s:
             self._total_s += pause_s
@@ -61,7 +64,7 @@
         """
         if since == -math.inf:
             return math.inf
-        present_s = max(0.0, now - self._listened_at - MAX_GAP_S)
+        present_s = max(0.0, now - self._listened_at - self._max_gap_s)
         before_s = self._totals[bisect.bisect_right(self._ends, since) - 1]
         paused_s = self._total_s + present_s - before_s
         return max(0.0, now - since - paused_s)
--- a/tests/steps/timeout_steps.py
+++ b/tests/steps/timeout_steps.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import time
 
 from behave import then, when
 
-from hickorylead.runtime import timeouts
+from hickorylead.fleet import server_codec
+from hickorylead.runtime import calls, timeouts, upstream
 
 
 class _PausedLoop(asyncio.SelectorEventLoop):
@@ -82,3 +85,143 @@
     except TimeoutError:
         return
     raise AssertionError("the call did not end")
+
+
+class _PromptServer:
+    """A server whose responses are in the socket by the caller's next turn."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener.setblocking(False)
+        self._connection: socket.socket | None = None
+        ip, port = self._listener.getsockname()
+        self.address = f"{ip}:{port}"
+
+    def respond(self) -> None:
+        """Accepts a connection, or responds to a request, if there is one."""
+        with contextlib.suppress(BlockingIOError):
+            if self._connection is None:
+                self._connection, _ = self._listener.accept()
+                self._connection.setblocking(False)
+            if self._connection.recv(4096):
+                self._connection.sendall(
+                    b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+                )
+
+    def close(self) -> None:
+        """Closes the sockets."""
+        self._listener.close()
+        if self._connection is not None:
+            self._connection.close()
+
+
+class _SlowLoop(asyncio.SelectorEventLoop):
+    """An event loop each of whose turns takes a set time."""
+
+    def __init__(self, turn_s: float) -> None:
+        self.turns = 0
+        self.turn_s = turn_s
+        self.ended_s = 0.0
+        super().__init__()
+
+    def time(self) -> float:
+        return self.ended_s
+
+    def run_turns(self, work) -> None:
+        """Begins to take time for turns, with some work in each."""
+        self.turns += 1
+        self.ended_s += self.turn_s
+        work()
+        self.call_soon(self.run_turns, work)
+
+
+@contextlib.contextmanager
+def run_slow_loop(turn_s, work=lambda: None):
+    """Returns a loop with slow turns, and closes it."""
+    loop = _SlowLoop(turn_s)
+    loop.call_soon(loop.run_turns, work)
+    try:
+        yield loop
+    finally:
+        loop.close()
+
+
+async def wait_for_silent_server(limit_s):
+    """Waits until a limit ends; returns its turns and its time."""
+    loop = asyncio.get_running_loop()
+    turns, began = loop.turns, loop.time()
+    with contextlib.suppress(TimeoutError):
+        async with timeouts.limit_time(limit_s):
+            await asyncio.Event().wait()
+    return loop.turns - turns, loop.time() - began
+
+
+@when("every turn of the process takes {turn:g} seconds")
+def _(context, turn):
+    context.turn_s = turn
+
+
+@when(
+    "every turn of the process takes {turn:g} seconds and a server responds at"
+    " once"
+)
+def _(context, turn):
+    context.turn_s = turn
+    context.server = _PromptServer()
+    context.add_cleanup(context.server.close)
+
+
+@then("the response to a call arrives within a timeout of {limit:g} seconds")
+def _(context, limit):
+    async def make_call():
+        pool = upstream.Pool()
+        call = server_codec.HttpCall("GET", "/report", None)
+        response = await calls.make_call(
+            pool, context.server.address, call, limit
+        )
+        pool.close()
+        return response
+
+    with run_slow_loop(context.turn_s, context.server.respond) as loop:
+        response = loop.run_until_complete(make_call())
+    assert isinstance(response, calls.Response), response
+    assert response.status == 200, response
+
+
+@then("a wait with a timeout of {limit:g} seconds ends within {turns:d} turns")
+def _(context, limit, turns):
+    with run_slow_loop(context.turn_s) as loop:
+        found, _ = loop.run_until_complete(wait_for_silent_server(limit))
+    assert found <= turns, found
+
+
+@then(
+    "a wait with a timeout of {limit:g} seconds ends after {least:g} to"
+    " {most:g} seconds"
+)
+def _(context, limit, least, most):
+    with run_slow_loop(context.turn_s) as loop:
+        _, found = loop.run_until_complete(wait_for_silent_server(limit))
+    assert least - 0.001 <= found <= most + 0.001, found
+
+
+@when("a limit is in force while a turn takes {turn:g} seconds")
+def _(context, turn):
+    context.late_turn_s = turn
+
+
+@then(
+    "a later wait with a timeout of {limit:g} seconds ends after {least:g} to"
+    " {most:g} seconds"
+)
+def _(context, limit, least, most):
+    async def wait_after_late_turn():
+        loop = asyncio.get_running_loop()
+        async with timeouts.limit_time(60.0):
+            loop.ended_s += context.late_turn_s
+            # The task that waits begins before the loop's timers are called.
+            return await asyncio.create_task(wait_for_silent_server(limit))
+
+    with run_slow_loop(0.01) as loop:
+        _, found = loop.run_until_complete(wait_after_late_turn())
+    assert least - 0.001 <= found <= most + 0.001, found
