Judge waits for servers by the time in which the coordinator listened

Cause: a planner whose turn was late sent orders again whose effect waited in its queue, formed a group anew, disbanded groups whose members' heartbeats waited, and treated replicas as lost whose output gateways had reported. A server that responded to nothing got an order every 0.6 s.

Change: OrderTracker, Planner and FailureDetector measure their waits for responses, effects, first heartbeats and output by the coordinator's own pauses. An order that is sent again without a response waits twice as long each time, up to four times the first wait, until the server responds, a report or an effect arrives, or it restarts; orders held back while a server is paused do not count. Staleness, load time-outs and limits, and the intervals of probes stay on real time.

--- a/src/hickorylead/fleet/failure_detector.py
+++ b/src/hickorylead/fleet/failure_detector.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
     from hickorylead.fleet import instances, registry as registry_module
+    from hickorylead.turns import own_pauses
 
 # Number of heartbeat periods without a heartbeat after which a server is
 # probed. Heartbeats have a jitter of a tenth. A server sends a heartbeat that
@@ -44,12 +45,17 @@
     group would abort working requests.
     """
 
-    def __init__(self, heartbeat_s: float) -> None:
+    def __init__(
+        self, heartbeat_s: float, pauses: own_pauses.OwnPauses
+    ) -> None:
         """Makes a detector without suspects.
 
         Args:
             heartbeat_s: Heartbeat period, in seconds.
+            pauses: Times at which the node did not handle heartbeats and what
+                gateways report.
         """
+        self._pauses = pauses
         self.probe_after_s = PROBE_AFTER_PERIODS * heartbeat_s
         self._suspicions: dict[str, _Suspicion] = {}
         self._cleared: dict[str, float] = {}
@@ -113,7 +119,7 @@
         self._last_output_at = {
             h: t
             for h, t in self._last_output_at.items()
-            if now - t < OUTPUT_TIMEOUT_S
+            if self._pauses.measure_silence(t, now) < OUTPUT_TIMEOUT_S
         }
         progressing = set()
         for head in self._last_output_at:
@@ -134,6 +140,8 @@
             for i in registry.list_present()
             if i.silent
             and (i.member.group, i.member.epoch) not in progressing
-            and not registry.awaits_first_heartbeat(i.name, now)
+            and not registry.awaits_first_heartbeat(
+                i.name, now, pauses=self._pauses
+            )
         )
         return frozenset(lost)
--- a/src/hickorylead/fleet/order_tracker.py
+++ b/src/hickorylead/fleet/order_tracker.py
@@ -18,15 +18,22 @@
 
 import attrs
 
-from hickorylead.fleet import instances, orders
+from hickorylead.fleet import (
+    instances,
+    order_effects,
+    order_waits,
+    orders,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from hickorylead.turns import own_pauses
+
 Effect: TypeAlias = orders.SendOrder | orders.RequestReport
 
-# Time after which an order without a response is sent again, in seconds: above
-# the time-out of an order (0.4 s).
+# Time after which an order without a response is sent again first, in seconds:
+# above the time-out of an order (0.4 s).
 ORDER_RETRY_S = 0.6
 # Time for which a server's other orders wait for the response to an order to
 # stage, in seconds; responses arrive within a few ms.
@@ -38,8 +45,6 @@
 # Time after which a probe of a server's state is repeated, in seconds. The
 # reported state is about 0.25 s old: an earlier probe would show nothing new.
 PROBE_INTERVAL_S = 0.3
-
-
 # Time after which an order to stage without a response is sent again, in
 # seconds: the order may have been lost. If the server accepted it after all,
 # the server has counted it and refuses the second order.
@@ -84,8 +89,14 @@
 class OrderTracker:
     """Orders of one planner, by server."""
 
-    def __init__(self) -> None:
-        """Makes a tracker without orders."""
+    def __init__(self, *, pauses: own_pauses.OwnPauses | None = None) -> None:
+        """Makes a tracker without orders.
+
+        Args:
+            pauses: Times at which the process did not handle what servers sent;
+                None if there are none.
+        """
+        self.waits = order_waits.OrderWaits(pauses)
         self._pending: dict[str, _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._contested: set[str] = set()
@@ -129,15 +140,17 @@
         for name in [n for n in self._probed_at if n not in servers]:
             del self._probed_at[name]
         self._contested &= servers.keys()
+        self.waits.retain(servers.keys())
         self._apply_reports(servers)
         for name, pending in list(self._pending.items()):
             instance = servers[name]
-            if _shows_effect(pending.order, instance):
+            if order_effects.shows_effect(pending.order, instance):
                 # The effect is often reported before the response arrives.
                 if not pending.acknowledged:
                     self._increment_accepted(name)
                 del self._pending[name]
-            elif _is_pointless(pending.order, instance):
+                self.waits.end_backoff(name)
+            elif order_effects.is_pointless(pending.order, instance):
                 del self._pending[name]
             elif pending.acknowledged and pending.sequence == _UNKNOWN:
                 pending.sequence = instance.sequence
@@ -172,6 +185,7 @@
             self._reports.pop(name, None)
             self._probed_at.pop(name, None)
             self._contested.discard(name)
+            self.waits.end_backoff(name)
         for name in [n for n in self._start_times if n not in servers]:
             del self._start_times[name]
 
@@ -205,7 +219,9 @@
         return self._effects
 
     def handle_response(self, event: orders.OrderAnswered) -> None:
-        """Handles the response to an order."""
+        """Handles the response to an order, or that there was none."""
+        if event.status:
+            self.waits.end_backoff(event.name)
         pending = self._pending.get(event.name)
         if pending is None or pending.order != event.order:
             return
@@ -236,6 +252,7 @@
             return
         if event.accepted is None:
             return
+        self.waits.end_backoff(event.name)
         is_contested = event.name in self._contested
         if not is_contested and event.accepted <= self._accepted.get(
             event.name, 0
@@ -267,9 +284,11 @@
             return False
         pending = self._pending.get(instance.name)
         if pending is not None and pending.order == order:
-            wait_s = EFFECT_WAIT_S if pending.acknowledged else ORDER_RETRY_S
-            if self._now - pending.issued_at < wait_s:
+            wait_s = _get_first_wait(pending)
+            wait_s *= self.waits.get_backoff(instance.name)
+            if self.measure_wait(pending.issued_at) < wait_s:
                 return False
+            self.waits.record_repeat(instance.name)
         renewed = _Pending(order, self._now)
         if pending is not None and pending.order == order:
             # A join that was acknowledged once stays acknowledged. Otherwise,
@@ -294,6 +313,10 @@
         )
         return True
 
+    def measure_wait(self, since: float) -> float:
+        """Returns for how long servers have had time to be heard."""
+        return self.waits.measure(since, self._now)
+
     def is_stale(self, instance: instances.Instance) -> bool:
         """Returns whether a server's state is too old to send it orders."""
         return instance.name in self._stale
@@ -312,14 +335,14 @@
             return False
         if isinstance(pending.order, orders.Stage):
             # Before the response the number of accepted orders is not known.
-            wait_s = self._now - pending.issued_at
-            return not pending.acknowledged and wait_s < RESPONSE_WAIT_S
+            waited_s = self.measure_wait(pending.issued_at)
+            return not pending.acknowledged and waited_s < RESPONSE_WAIT_S
         if pending.acknowledged and isinstance(pending.order, orders.Join):
             # The server is in the group, though no heartbeat has reported it
             # yet. The number of accepted orders includes this join; with that
             # number the server would accept another join.
             return True
-        return self._now - pending.issued_at < EFFECT_WAIT_S
+        return self.measure_wait(pending.issued_at) < EFFECT_WAIT_S
 
     def is_loading(self, instance: instances.Instance) -> bool:
         """Returns whether the server is loading, on any planner's order."""
@@ -338,11 +361,11 @@
         return since is not None and self._now - since < STAGE_TIMEOUT_S
 
     def _is_load(self, pending: _Pending) -> bool:
-        wait_s = STAGE_TIMEOUT_S if pending.acknowledged else STAGE_RETRY_S
-        return (
-            isinstance(pending.order, orders.Stage)
-            and self._now - pending.issued_at < wait_s
-        )
+        if not isinstance(pending.order, orders.Stage):
+            return False
+        if pending.acknowledged:
+            return self._now - pending.issued_at < STAGE_TIMEOUT_S
+        return self.measure_wait(pending.issued_at) < STAGE_RETRY_S
 
     def _probe(self, instance: instances.Instance) -> None:
         if (
@@ -359,41 +382,18 @@
         self._accepted[name] = self._accepted.get(name, 0) + 1
 
 
+def _get_first_wait(pending: _Pending) -> float:
+    """Returns after how long an order is sent again first, in seconds."""
+    if pending.acknowledged:
+        return EFFECT_WAIT_S
+    if isinstance(pending.order, orders.Stage):
+        return STAGE_RETRY_S
+    return ORDER_RETRY_S
+
+
 def _get_group_key(instance: instances.Instance) -> GroupKey:
     return instance.member.group, instance.member.epoch
 
 
 def _is_empty(instance: instances.Instance) -> bool:
     return not (instance.staged or instance.last_model or instance.has_group)
-
-
-def _shows_effect(order: orders.Order, instance: instances.Instance) -> bool:
-    """Returns whether a server reports the effect of an order."""
-    member = instance.member
-    found = (member.group, member.epoch)
-    match order:
-        case orders.Join(group, epoch):
-            return found == (group, epoch)
-        case orders.Open(group, epoch):
-            return (
-                found == (group, epoch) and member.state == instances.GROUP_OPEN
-            )
-        case orders.Close(group, epoch):
-            return found == (group, epoch) and member.state in (
-                instances.GROUP_CLOSING,
-                instances.GROUP_READY,
-            )
-        case orders.Leave(group, epoch):
-            return found != (group, epoch)
-        case orders.Stage(model):
-            return model in instance.staged
-
-
-def _is_pointless(order: orders.Order, instance: instances.Instance) -> bool:
-    """Returns whether an open or close is for a group a server has left."""
-    match order:
-        case orders.Open(group, epoch) | orders.Close(group, epoch):
-            member = instance.member
-            return (member.group, member.epoch) != (group, epoch)
-        case _:
-            return False
--- a/src/hickorylead/fleet/planner.py
+++ b/src/hickorylead/fleet/planner.py
@@ -33,6 +33,7 @@
     from collections.abc import Iterable, Mapping
 
     from hickorylead.configuration import document as document_module
+    from hickorylead.turns import own_pauses
 
 # Time for which a planner waits for the first heartbeats of a group's missing
 # members before it disbands the group, in seconds: two heartbeat periods, as
@@ -49,6 +50,7 @@
         number: int,
         policy: group_builder_module.StandbyPolicy,
         start_id: str,
+        pauses: own_pauses.OwnPauses | None = None,
     ) -> None:
         """Makes a planner that has issued no orders.
 
@@ -57,9 +59,11 @@
             policy: Trade-off between downtime and stranded accelerators.
             start_id: Unique id of the planner's start; a part of the name of
                 each group that the planner forms.
+            pauses: Times at which the process did not handle what servers sent;
+                None if there are none.
         """
         self._policy = policy
-        self._tracker = order_tracker_module.OrderTracker()
+        self._tracker = order_tracker_module.OrderTracker(pauses=pauses)
         self._standbys = standbys.Standbys()
         self._epochs = group_builder_module.Epochs(number)
         self._group_builder = group_builder_module.GroupBuilder(
@@ -125,6 +129,10 @@
         """Handles the response to an order."""
         self._tracker.handle_response(event)
 
+    def record_unsent(self, name: str) -> None:
+        """Records that an order was held back, so that none is unanswered."""
+        self._tracker.waits.end_backoff(name)
+
     def handle_report(self, event: orders.ReportArrived) -> None:
         """Handles the number of accepted orders that a server reports."""
         self._tracker.handle_report(event)
@@ -203,7 +211,7 @@
             if key in found or forming.members[0] not in domain.present:
                 continue
             if (
-                self._now - forming.started_at
+                self._tracker.measure_wait(forming.started_at)
                 > order_tracker_module.EFFECT_WAIT_S
             ):
                 del self._group_builder.forming[key]
@@ -266,7 +274,7 @@
         restart of all coordinators would end all groups that serve.
         """
         since = self._first_seen.setdefault(key, self._now)
-        return self._now - since < FIRST_HEARTBEAT_WAIT_S
+        return self._tracker.measure_wait(since) < FIRST_HEARTBEAT_WAIT_S
 
     def _advance(
         self,
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -139,13 +139,28 @@
                 self.last_update_at[old.name] = now
                 self._restored[old.name] = now
 
-    def awaits_first_heartbeat(self, name: str, now: float) -> bool:
-        """Returns whether a restored server still has time for a heartbeat."""
+    def awaits_first_heartbeat(
+        self,
+        name: str,
+        now: float,
+        *,
+        pauses: own_pauses.OwnPauses | None = None,
+    ) -> bool:
+        """Returns whether a restored server still has time for a heartbeat.
+
+        Args:
+            name: The server.
+            now: Present time.
+            pauses: Times at which this node did not handle heartbeats; None if
+                there are none.
+        """
         restored_at = self._restored.get(name)
-        return (
-            restored_at is not None
-            and now - restored_at < FIRST_HEARTBEAT_WAIT_S
-        )
+        if restored_at is None:
+            return False
+        if pauses is None:
+            return now - restored_at < FIRST_HEARTBEAT_WAIT_S
+        silence_s = pauses.measure_silence(restored_at, now)
+        return silence_s < FIRST_HEARTBEAT_WAIT_S
 
     def has_ended(self, name: str, born: int, now: float) -> bool:
         """Returns whether an incarnation is known to have ended unannounced.
--- a/src/hickorylead/fleet/supervisor.py
+++ b/src/hickorylead/fleet/supervisor.py
@@ -87,12 +87,13 @@
         self._pauses_of_node = pauses
         self.defers_planning = defers_planning
         self._failure_detector = failure_detector_module.FailureDetector(
-            identity.heartbeat_s
+            identity.heartbeat_s, pauses
         )
         self._planner = planner_module.Planner(
             number=identity_module.number_node(identity.node),
             policy=policy,
             start_id=start_id,
+            pauses=pauses,
         )
         self._has_traffic = not identity.may_bootstrap
         # A node that has received the state of only some servers would form
@@ -272,12 +273,13 @@
         )
         # An order to a paused server is not sent: it counts as unanswered and
         # is issued again.
-        return [
-            effect
-            for item in issued
-            if not self._is_paused(item.name, now)
-            for effect in (item, *descriptions.describe_order(item))
-        ]
+        effects: list[Effect] = []
+        for item in issued:
+            if self._is_paused(item.name, now):
+                self._planner.record_unsent(item.name)
+            else:
+                effects += [item, *descriptions.describe_order(item)]
+        return effects
 
     def handle_response(self, event: orders.OrderAnswered) -> list[Effect]:
         """Handles the response to an order."""
