Remove no voter because the leader itself was late

A leader that keeps its role through a late turn judged by real time which voters it had missed: after 2.5 s it removed one that worked.

How long a voter is missed is measured like all other silence, without the leader's own pauses.

--- a/src/hickorylead/consensus/leadership.py
+++ b/src/hickorylead/consensus/leadership.py
@@ -8,6 +8,8 @@
 from hickorylead.consensus import membership, messages, replication
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hickorylead.consensus import voter_state
 
 # Time after which a leader stops sending to a member without a vote that does
@@ -196,6 +198,20 @@
 
     # Changes of the set of voters, one at a time.
 
+    def _list_missed(
+        self, voters: Iterable[str], silent_s: float, now: float
+    ) -> list[str]:
+        """Returns the voters that were silent for a time, longest first."""
+        silences = [
+            (self._state.measure_silence(contact_at, now), voter)
+            for voter, contact_at in self._replicator.list_contacts(voters)
+        ]
+        return [
+            voter
+            for silence_s, voter in sorted(silences, key=lambda s: -s[0])
+            if silence_s > silent_s
+        ]
+
     def _change_voters(self, now: float) -> list[messages.Effect]:
         if self._state.role != "leader" or self._is_changing_voters():
             return []
@@ -219,9 +235,9 @@
         silent: list[str] = []
         if replace_after_s and now - self._leads_since >= options.join_period_s:
             # A new leader first gives every voter time to reply.
-            missed = self._replicator.list_missed(voters, now - replace_after_s)
-            silent = self._replicator.list_missed(
-                voters, now - SILENT_HEARTBEATS * options.heartbeat_s
+            missed = self._list_missed(voters, replace_after_s, now)
+            silent = self._list_missed(
+                voters, SILENT_HEARTBEATS * options.heartbeat_s, now
             )
         chosen = membership.choose_voters(
             membership.Situation(
--- a/src/hickorylead/consensus/replication.py
+++ b/src/hickorylead/consensus/replication.py
@@ -131,15 +131,13 @@
             if member in voters or progress.last_contact_at >= since
         }
 
-    def list_missed(self, voters: Iterable[str], since: float) -> list[str]:
-        """Returns the voters without contact since a time, longest first."""
-        missed = [
-            (self.members[voter].last_contact_at, voter)
+    def list_contacts(self, voters: Iterable[str]) -> list[tuple[str, float]]:
+        """Returns the tracked voters with their last contact, by name."""
+        return sorted(
+            (voter, self.members[voter].last_contact_at)
             for voter in voters
             if voter in self.members
-            and self.members[voter].last_contact_at < since
-        ]
-        return [voter for _, voter in sorted(missed)]
+        )
 
     def list_candidates(
         self, voters: Collection[str], index: int, since: float
--- a/tests/consensus/late_loops.feature
+++ b/tests/consensus/late_loops.feature
@@ -13,6 +13,11 @@
     When all loops are late by 1.9 seconds at once
     Then the leader is the same and no term has passed
 
+  Scenario: A leader that was late removes no voter
+    The replies of voters that work wait in its sockets.
+    When the leader's loop is late by 4 seconds while the others stop too
+    Then all voters of before were voters all the time
+
   Scenario: A late follower starts no election and loses no peer
     Its own lateness must not count as the silence of others.
     When a follower's loop is late by 3 seconds
--- a/tests/steps/late_loop_steps.py
+++ b/tests/steps/late_loop_steps.py
@@ -74,6 +74,27 @@
     context.fleet.run(seconds + 3.0)
 
 
+@when(
+    "the leader's loop is late by {seconds:g} seconds while the others stop too"
+)
+def _(context, seconds):
+    fleet = context.fleet
+    context.voters = set(fleet.coordinators[context.leader].voter.voters)
+    for node in fleet.coordinators:
+        fleet.stop_loop(node, seconds + (node == context.leader) * 0.01)
+    context.removed = set()
+    for _ in range(300):
+        fleet.run((seconds + 3.0) / 300)
+        for role in fleet.coordinators.values():
+            context.removed |= context.voters - set(role.voter.voters)
+
+
+@then("all voters of before were voters all the time")
+def _(context):
+    assert context.voters
+    assert not context.removed, context.removed
+
+
 @then("the leader is the same and no term has passed")
 def _(context):
     fleet = context.fleet
--- a/tests/support/late_loops.py
+++ b/tests/support/late_loops.py
@@ -35,6 +35,7 @@
     "UrgentTick": 0.004,
     "OrdinaryTick": 0.006,
     "PlanningDue": 0.01,
+    "ConfigurationDue": 0.05,
     "HeartbeatArrived": 0.004,
     "CoordinatorHello": 0.003,
 }
@@ -78,8 +79,8 @@
         del now
         return self._turn.popleft() if self._turn else None
 
-    def add_planning(self, role: coordinator.Coordinator, now: float) -> None:
-        """Does nothing, as ticks contain planning."""
+    def add_deferred(self, role: coordinator.Coordinator, now: float) -> None:
+        """Does nothing, as ticks contain that work."""
 
 
 class UrgencyOrder:
@@ -112,12 +113,14 @@
         self._waiting.discard(type(taken[2]).__name__)
         return taken[2]
 
-    def add_planning(self, role: coordinator.Coordinator, now: float) -> None:
-        """Queues planning if it is due."""
-        if role.is_planning_due(now):
-            self._add_once(
-                work_queue.Lane.BACKGROUND, events.PlanningDue(), now
-            )
+    def add_deferred(self, role: coordinator.Coordinator, now: float) -> None:
+        """Queues the work that is due."""
+        lanes = {
+            events.ConfigurationDue: work_queue.Lane.ORDINARY,
+            events.PlanningDue: work_queue.Lane.BACKGROUND,
+        }
+        for due in role.list_due_work(now):
+            self._add_once(lanes[type(due)], due, now)
 
     def _add_once(self, lane: Any, event: Any, now: float) -> None:
         kind = type(event).__name__
@@ -175,7 +178,7 @@
 class LateFleet(fleet_simulation.FleetSimulation):
     """A deployment with six coordinators, each with an event loop."""
 
-    coordinator_arguments = {"defers_planning": True} if HAS_LANES else {}
+    coordinator_arguments = {"defers_work": True} if HAS_LANES else {}
 
     def __init__(self, seed: int = 1) -> None:
         self.loops: dict[str, Loop] = {}
@@ -371,5 +374,5 @@
             return
         for effect in effects:
             self._carry_out(node, effect)
-        loop.order.add_planning(self.coordinators[node], self.now)
+        loop.order.add_deferred(self.coordinators[node], self.now)
         self._handle_next(node, loop)
