Let what a late coordinator can put off wait, and send nothing twice for it

Beside 24 busy processes acknowledged configurations were in force at gateways up to 8.7 s later (69 requests saw an older one in 30 s): the coordinator decoded them (50 ms of processor time) before it sent them on. Its full tables went to gateways whose hellos had waited, as their digests looked outdated.

A configuration goes to gateways as it was committed and is decoded later. Digests, documents in transit and gateways are judged without own pauses. Only a new home coordinator sends limits, pauses and blocks at once. A heartbeat whose sender has closed its connection is no error. The peers that are alive are listed once for each present time. A turn does four pieces of work at least.

--- a/src/hickorylead/crashes/crash_tracker.py
+++ b/src/hickorylead/crashes/crash_tracker.py
@@ -23,6 +23,7 @@
     from collections.abc import Callable, Iterable
 
     from hickorylead.crashes import trait_history
+    from hickorylead.turns import own_pauses
 
 Sent: TypeAlias = tuple[str, messages.Message]
 
@@ -36,11 +37,15 @@
 class CrashTracker:
     """The crash history of one coordinator, and its updates to other nodes."""
 
-    def __init__(self, node: str) -> None:
+    def __init__(
+        self, node: str, pauses: own_pauses.OwnPauses | None = None
+    ) -> None:
         """Makes a tracker without lost runs.
 
         Args:
             node: Name of the coordinator.
+            pauses: Times at which it did not handle other nodes' digests, if
+                they are known.
         """
         self._node = node
         self._history = crash_history.CrashHistory()
@@ -53,8 +58,8 @@
         self._own_gateways: tuple[str, ...] = ()
         self._other_home_coordinators: tuple[str, ...] = ()
         self._next_prune_at = 0.0
-        self._coordinators = divergence.DivergenceDetector()
-        self._gateways = divergence.DivergenceDetector()
+        self._coordinators = divergence.DivergenceDetector(pauses)
+        self._gateways = divergence.DivergenceDetector(pauses)
 
     @property
     def digest(self) -> int:
--- a/src/hickorylead/fleet/divergence.py
+++ b/src/hickorylead/fleet/divergence.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from hickorylead.turns import own_pauses
+
 # Time for which two nodes' states must differ before one of the nodes sends the
 # other a full sync, in seconds: for a moment, updates may be in transit.
 MISMATCH_GRACE_S = 0.7
@@ -23,8 +28,14 @@
 class DivergenceDetector:
     """Nodes whose digest differs from this node's, by name."""
 
-    def __init__(self) -> None:
-        """Makes a detector without differing nodes."""
+    def __init__(self, pauses: own_pauses.OwnPauses | None = None) -> None:
+        """Makes a detector without differing nodes.
+
+        Args:
+            pauses: Times at which this node did not handle other nodes'
+                digests, if they are known.
+        """
+        self._pauses = pauses
         self._differences: dict[str, _Difference] = {}
 
     def clear(self, node: str) -> None:
@@ -48,15 +59,20 @@
             return False
         if (
             difference.digest != node_digest
-            and now - difference.since < RESEND_INTERVAL_S
+            and self._measure(difference.since, now) < RESEND_INTERVAL_S
         ):
             # The node's digest still changes, so updates do reach the node.
             difference.digest = node_digest
             return False
         if (
-            now - difference.since < MISMATCH_GRACE_S
-            or now - difference.sent_at < RESEND_INTERVAL_S
+            self._measure(difference.since, now) < MISMATCH_GRACE_S
+            or self._measure(difference.sent_at, now) < RESEND_INTERVAL_S
         ):
             return False
         difference.sent_at = now
         return True
+
+    def _measure(self, since: float, now: float) -> float:
+        if self._pauses is None:
+            return now - since
+        return self._pauses.measure_silence(since, now)
--- a/src/hickorylead/fleet/events.py
+++ b/src/hickorylead/fleet/events.py
@@ -59,6 +59,11 @@
     """Event: servers may be given orders, as nothing more urgent waits."""
 
 
+@attrs.frozen
+class ConfigurationDue:
+    """Event: a configuration that the log holds may be decoded and applied."""
+
+
 @attrs.frozen
 class ReadRequested:
     """Event: an operator requested the newest configuration."""
--- a/src/hickorylead/fleet/gateways.py
+++ b/src/hickorylead/fleet/gateways.py
@@ -22,6 +22,7 @@
         full_sync as full_sync_module,
         registry as registry_module,
     )
+    from hickorylead.turns import own_pauses
 
 # Time without a hello after which a gateway gets no more updates, in seconds.
 GATEWAY_TIMEOUT_S = 10.0
@@ -80,16 +81,24 @@
 class Gateways:
     """Gateways by name."""
 
-    def __init__(self, *, zone: str, is_first_start: bool) -> None:
+    def __init__(
+        self,
+        *,
+        zone: str,
+        is_first_start: bool,
+        pauses: own_pauses.OwnPauses,
+    ) -> None:
         """Makes a view without gateways.
 
         Args:
             zone: Zone of the coordinator.
             is_first_start: Whether the whole system starts for the first time.
+            pauses: Times at which the coordinator did not handle hellos.
         """
+        self._pauses = pauses
         self._zone = zone
         self._gateways: dict[str, _Gateway] = {}
-        self._divergence = divergence.DivergenceDetector()
+        self._divergence = divergence.DivergenceDetector(pauses)
         self._next_loads = 0.0
         self._count = gateway_count.GatewayCount(0)
         self._loans = limit_loans.LoanLedger(is_first=is_first_start)
@@ -104,7 +113,7 @@
         return [
             name
             for name, gateway in self._gateways.items()
-            if now - gateway.last_hello_at <= GATEWAY_TIMEOUT_S
+            if self._measure(gateway.last_hello_at, now) <= GATEWAY_TIMEOUT_S
         ]
 
     def list_home_gateways(self, now: float) -> list[str]:
@@ -142,7 +151,7 @@
         is_new = (
             previous is None
             or previous.boot != hello.boot
-            or now - previous.last_hello_at > GATEWAY_TIMEOUT_S
+            or self._measure(previous.last_hello_at, now) > GATEWAY_TIMEOUT_S
         )
         if previous is None or is_new:
             previous = _Gateway(hello.boot, now)
@@ -185,7 +194,9 @@
         now: float,
     ) -> bool:
         """Returns whether to send a full sync; only home coordinators do."""
-        if not hello.is_home or registry.had_digest(hello.check, now):
+        if not hello.is_home or registry.had_digest(
+            hello.check, self._pauses, now
+        ):
             # The missing updates are in transit, or the gateway's home
             # coordinator, which is another node, sends them.
             self._divergence.clear(hello.node)
@@ -216,11 +227,13 @@
             RESEND_DOCUMENT_S if gateway.version else RESEND_FIRST_DOCUMENT_S
         )
         if (
-            now - gateway.document_sent_at
+            self._measure(gateway.document_sent_at, now)
             < interval_s + size / MIN_LINK_BYTES_PER_S
         ):
             return False
-        is_overdue = now - gateway.outdated_since >= OUTDATED_GRACE_S
+        is_overdue = (
+            self._measure(gateway.outdated_since, now) >= OUTDATED_GRACE_S
+        )
         if gateway.is_home or is_overdue:
             gateway.document_sent_at = now
             return True
@@ -230,7 +243,11 @@
         """Reports a gateway that has held an older configuration for long."""
         gateway = self._gateways[node]
         since = gateway.outdated_since
-        if since is None or now < gateway.next_outdated_report:
+        if (
+            since is None
+            or now < gateway.next_outdated_report
+            or self._measure(since, now) < OUTDATED_REPORT_S
+        ):
             return []
         gateway.next_outdated_report = now + OUTDATED_REPORT_S
         return [
@@ -329,6 +346,9 @@
         self._saved = record
         return [events.SaveGatewayRecord(record)]
 
+    def _measure(self, since: float, now: float) -> float:
+        return self._pauses.measure_silence(since, now)
+
     def _lend(
         self, name: str, borrowers: int, now: float
     ) -> messages.RetryLoan:
--- a/src/hickorylead/fleet/held_document.py
+++ b/src/hickorylead/fleet/held_document.py
@@ -17,6 +17,8 @@
 class HeldDocument:
     """The newest committed configuration, decoded and as operators sent it.
 
+    Gateways get it before this node has decoded it.
+
     It is kept when the voter has to start again with what its disk holds, which
     may be older.
     """
@@ -32,34 +34,43 @@
         """
         self._decode = decode
         self._content = b""
+        # The operator's version; 0 if there is no configuration.
+        self.version = 0
         self.document: document_module.Document | None = None
 
-    @property
-    def version(self) -> int:
-        """The operator's version; 0 if there is no configuration."""
-        return self.document.version if self.document else 0
-
     @property
     def size_bytes(self) -> int:
         """Size of the configuration as it is sent to gateways, in bytes."""
         return len(self._content)
 
-    def load(self, configuration: model.Configuration) -> str:
-        """Applies a committed configuration if it is newer.
+    def load(self, configuration: model.Configuration) -> bool:
+        """Holds a committed configuration from now on, still encoded.
 
         Returns:
-            Why it could not be decoded; empty if it was decoded or is not
-            newer.
+            Whether it is newer than what was held.
         """
         if (
             not configuration.content
             or configuration.outside_version <= self.version
         ):
+            return False
+        self.version = configuration.outside_version
+        self._content = configuration.content
+        return True
+
+    def decode(self) -> str:
+        """Decodes what is held, if that was not done yet.
+
+        Returns:
+            Why it could not be decoded; empty if it was.
+        """
+        if self.document is not None and self.document.version >= self.version:
+            return ""
+        if not self._content:
             return ""
-        match self._decode(configuration.content):
+        match self._decode(self._content):
             case result.Success(document):
                 self.document = document
-                self._content = configuration.content
                 return ""
             case result.Failure(problem):
                 return str(problem)
--- a/src/hickorylead/fleet/peer_directory.py
+++ b/src/hickorylead/fleet/peer_directory.py
@@ -68,6 +68,8 @@
         self.seeds = tuple(seeds)
         self.known: dict[str, Peer] = {}
         self._reported: frozenset[str] = frozenset()
+        # The peers that are alive, and for which present time.
+        self._alive: tuple[float, list[str]] | None = None
 
     @property
     def heard_at(self) -> dict[str, float]:
@@ -80,6 +82,7 @@
         """Handles a hello and the nodes that it lists."""
         if hello.node == self._node:
             return
+        self._alive = None
         peer = self.known.setdefault(hello.node, Peer(hello.address, now))
         peer.address = hello.address
         peer.last_hello_at = now
@@ -98,16 +101,20 @@
         for node, peer in list(self.known.items()):
             if now - peer.last_hello_at > PEER_RETENTION_S:
                 del self.known[node]
+                self._alive = None
 
     def list_alive(self, now: float) -> list[str]:
         """Returns the peers that sent a hello recently, sorted."""
-        return sorted(
-            node
-            for node, peer in self.known.items()
-            if peer.incarnation
-            and self._pauses.measure_silence(peer.last_hello_at, now)
-            <= PEER_TIMEOUT_S
-        )
+        if self._alive is None or self._alive[0] != now:
+            alive = sorted(
+                node
+                for node, peer in self.known.items()
+                if peer.incarnation
+                and self._pauses.measure_silence(peer.last_hello_at, now)
+                <= PEER_TIMEOUT_S
+            )
+            self._alive = now, alive
+        return list(self._alive[1])
 
     def report_changes(self, now: float) -> list[notes.Note]:
         """Returns which peers are treated as lost or as back since the last."""
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -59,11 +59,21 @@
         """A digest of all instances, equal at nodes with equal state."""
         return self._digest
 
-    def had_digest(self, digest: int, now: float) -> bool:
-        """Returns whether a digest is this node's, or was until recently."""
+    def had_digest(
+        self, digest: int, pauses: own_pauses.OwnPauses, now: float
+    ) -> bool:
+        """Returns whether a digest is this node's, or was until recently.
+
+        Args:
+            digest: The digest of another node.
+            pauses: Times at which this node did not handle other nodes'
+                digests.
+            now: Present time.
+        """
         while (
             self._previous_digests
-            and now - self._previous_digests[0][0] > DIGEST_RETENTION_S
+            and pauses.measure_silence(self._previous_digests[0][0], now)
+            > DIGEST_RETENTION_S
         ):
             self._previous_digests.popleft()
         return digest == self._digest or any(
--- a/src/hickorylead/fleet/supervisor.py
+++ b/src/hickorylead/fleet/supervisor.py
@@ -62,7 +62,7 @@
         peers: peer_directory_module.PeerDirectory,
         has_leader: Callable[[float], bool],
         pauses: own_pauses.OwnPauses,
-        defers_planning: bool,
+        is_deferred: bool,
         now: float,
     ) -> None:
         """Makes a supervisor that has just started.
@@ -75,7 +75,7 @@
             peers: Other coordinators.
             has_leader: Returns whether the node has contact to a leader.
             pauses: Times at which the node did not handle heartbeats.
-            defers_planning: Whether rounds are only marked as due, and begun by
+            is_deferred: Whether rounds are only marked as due, and begun by
                 the caller.
             now: Present time.
         """
@@ -85,7 +85,7 @@
         self._peers = peers
         self._has_leader = has_leader
         self._pauses_of_node = pauses
-        self.defers_planning = defers_planning
+        self._is_deferred = is_deferred
         self._failure_detector = failure_detector_module.FailureDetector(
             identity.heartbeat_s, pauses
         )
@@ -236,7 +236,7 @@
 
     def plan_soon(self, now: float) -> list[Effect]:
         """Plans at once, or later if a round has just ended."""
-        if self.defers_planning or now - self._planned_at < MIN_PLAN_INTERVAL_S:
+        if self._is_deferred or now - self._planned_at < MIN_PLAN_INTERVAL_S:
             self._next_plan = now
             return []
         return self.plan(now)
--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -7,15 +7,18 @@
 
 import orjson
 from returns import result
-from starlette import applications, responses, routing
+from starlette import (
+    applications,
+    requests as starlette_requests,
+    responses,
+    routing,
+)
 
 from hickorylead.configuration import document
 from hickorylead.platform import documents, servers
 from hickorylead.turns import work_queue
 
 if TYPE_CHECKING:
-    from starlette import requests
-
     from hickorylead.runtime import coordinator
 
 MAX_HEARTBEAT_BYTES = 64 * 1024
@@ -43,7 +46,10 @@
                 "/config/replace", views.handle_replace, methods=["POST"]
             ),
             routing.Route("/config/read", views.handle_read, methods=["GET"]),
-        ]
+        ],
+        exception_handlers={
+            starlette_requests.ClientDisconnect: _handle_disconnect
+        },
     )
 
 
@@ -64,7 +70,7 @@
         self._decoder = documents.DocumentDecoder()
 
     async def handle_heartbeat(
-        self, request: requests.Request
+        self, request: starlette_requests.Request
     ) -> responses.Response:
         body = await _read_body(request, MAX_HEARTBEAT_BYTES)
         if body is None:
@@ -78,7 +84,7 @@
         raise AssertionError("a result is a success or a failure")
 
     async def handle_deregistration(
-        self, request: requests.Request
+        self, request: starlette_requests.Request
     ) -> responses.Response:
         body = await _read_body(request, MAX_HEARTBEAT_BYTES)
         match servers.decode_start_time(body or b""):
@@ -90,7 +96,7 @@
         raise AssertionError("a result is a success or a failure")
 
     async def handle_replace(
-        self, request: requests.Request
+        self, request: starlette_requests.Request
     ) -> responses.Response:
         body = await _read_body(request, MAX_CONFIGURATION_BYTES)
         if body is None:
@@ -108,7 +114,9 @@
             return _respond({})
         return _refuse(503, "not known whether it was committed: send it again")
 
-    async def handle_read(self, _: requests.Request) -> responses.Response:
+    async def handle_read(
+        self, _: starlette_requests.Request
+    ) -> responses.Response:
         newest = await self._process.read_configuration()
         if newest is None or not newest[0]:
             return _refuse(503, "the newest configuration is not known here")
@@ -118,7 +126,16 @@
         )
 
 
-async def _read_body(request: requests.Request, limit: int) -> bytes | None:
+async def _handle_disconnect(
+    _: starlette_requests.Request, __: Exception
+) -> responses.Response:
+    """Responds to nobody: the client gave up before its turn."""
+    return _refuse(503, "the connection was closed")
+
+
+async def _read_body(
+    request: starlette_requests.Request, limit: int
+) -> bytes | None:
     body = bytearray()
     async for chunk in request.stream():
         body += chunk
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -69,6 +69,7 @@
     | events.UrgentTick
     | events.OrdinaryTick
     | events.PlanningDue
+    | events.ConfigurationDue
     | events.HeartbeatArrived
     | events.InstanceLeft
     | events.ReplaceRequested
@@ -106,7 +107,7 @@
         rng: random.Random,
         now: float,
         voter_options: options.VoterOptions = options.DEFAULT_OPTIONS,
-        defers_planning: bool = False,
+        defers_work: bool = False,
     ) -> None:
         """Initializes a coordinator that has just started.
 
@@ -120,9 +121,11 @@
             now: Present time.
             voter_options: Options of its voter, such as how soon a lost voter
                 is detected.
-            defers_planning: Whether servers are given orders only on
-                `PlanningDue`, once `is_planning_due`.
+            defers_work: Whether work that can wait is only done on events that
+                `list_due_work` names.
         """
+        self._defers_work = defers_work
+        self._has_unapplied = False
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
         self._held = held_document.HeldDocument(decode_document)
@@ -142,11 +145,15 @@
         # was lost before, by node.
         self._unsynced: dict[str, tuple[messages.CoordinatorHello, bool]] = {}
         self.gateways = gateways_module.Gateways(
-            zone=self._zone, is_first_start=identity.may_bootstrap
+            zone=self._zone,
+            is_first_start=identity.may_bootstrap,
+            pauses=self._ordinary_pauses,
         )
-        self._divergence = divergence.DivergenceDetector()
+        self._divergence = divergence.DivergenceDetector(self._ordinary_pauses)
         # Public like the registry, as the process restores both from the disk.
-        self.crashes = crash_tracker_module.CrashTracker(identity.node)
+        self.crashes = crash_tracker_module.CrashTracker(
+            identity.node, self._ordinary_pauses
+        )
         self._permit_broker = permit_broker.PermitBroker(
             identity.node,
             registry=self.registry,
@@ -163,7 +170,7 @@
             peers=self.peers,
             has_leader=lambda at: self.voter.has_leader(at),
             pauses=self._ordinary_pauses,
-            defers_planning=defers_planning,
+            is_deferred=defers_work,
             now=now,
         )
         self._next_hello = now
@@ -203,7 +210,8 @@
                 voter=self.voter,
             )
         )
-        self._load_document()
+        self._held.load(self.voter.configuration)
+        self._decode_document()
 
     @property
     def version(self) -> int:
@@ -232,6 +240,8 @@
                 return self._tick_ordinary(now)
             case events.PlanningDue():
                 return [*self._supervisor.plan(now)]
+            case events.ConfigurationDue():
+                return self._apply_configuration(now)
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
             case events.HeartbeatArrived(instance):
@@ -274,9 +284,18 @@
 
     # Periodic work.
 
-    def is_planning_due(self, now: float) -> bool:
-        """Returns whether a planning round is due that was deferred."""
-        return self._supervisor.defers_planning and self._supervisor.is_due(now)
+    def list_due_work(
+        self, now: float
+    ) -> list[events.ConfigurationDue | events.PlanningDue]:
+        """Returns the events for work that was put off and is due."""
+        if not self._defers_work:
+            return []
+        due: list[events.ConfigurationDue | events.PlanningDue] = []
+        if self._has_unapplied:
+            due.append(events.ConfigurationDue())
+        if self._supervisor.is_due(now):
+            due.append(events.PlanningDue())
+        return due
 
     def _tick_urgent(self, now: float) -> list[CoordinatorEffect]:
         """Does what others judge this coordinator by."""
@@ -314,9 +333,7 @@
         effects += self._update_blocks(now)
         effects += self._send_all(self._permit_broker.tick(now))
         effects += self._send_pauses(now)
-        if not self._supervisor.defers_planning and self._supervisor.is_due(
-            now
-        ):
+        if not self._defers_work and self._supervisor.is_due(now):
             effects += self._supervisor.plan(now)
         return [*effects, *self._save_schedule.tick(now)]
 
@@ -567,7 +584,7 @@
     ) -> list[CoordinatorEffect]:
         if hello.loads:
             self._supervisor.record_traffic()
-        is_new = not self.gateways.is_home_coordinator_of(
+        is_new = hello.is_home and not self.gateways.is_home_coordinator_of(
             hello.node, hello.boot
         )
         effects = self._send_all(
@@ -794,22 +811,19 @@
                 case consensus_messages.Abandon(change_id):
                     self._configuration_requests.handle_abandoned(change_id)
                 case consensus_messages.Apply():
-                    wrapped += self._apply_configuration(now)
+                    wrapped += self._publish_configuration(now)
+                    if not self._defers_work:
+                        wrapped += self._apply_configuration(now)
                 case _:
                     wrapped.append(effect)
         return wrapped
 
-    def _apply_configuration(self, now: float) -> list[CoordinatorEffect]:
+    def _publish_configuration(self, now: float) -> list[CoordinatorEffect]:
+        """Sends a new configuration to the gateways, as it was committed."""
         before = self.version
-        problem = self._load_document()
-        if problem:
-            return [
-                notes.note(
-                    "configuration_unreadable", level="error", why=problem
-                )
-            ]
-        if self.version == before:
+        if not self._held.load(self.voter.configuration):
             return []
+        self._has_unapplied = True
         update = self._make_update(now)
         own = self.gateways.list_home_gateways(now)
         self.gateways.record_document_sent(own, now)
@@ -825,11 +839,25 @@
                 is_fresh=self.is_fresh(now),
             )
         )
-        return effects + self._supervisor.plan_soon(now)
+        return effects
+
+    def _apply_configuration(self, now: float) -> list[CoordinatorEffect]:
+        """Decodes a new configuration, and plans by it."""
+        if not self._has_unapplied:
+            return []
+        self._has_unapplied = False
+        problem = self._decode_document()
+        if problem:
+            return [
+                notes.note(
+                    "configuration_unreadable", level="error", why=problem
+                )
+            ]
+        return [*self._supervisor.plan_soon(now)]
 
-    def _load_document(self) -> str:
-        """Loads what the voter holds; returns why it could not be decoded."""
-        problem = self._held.load(self.voter.configuration)
+    def _decode_document(self) -> str:
+        """Decodes what is held; returns why it could not be decoded."""
+        problem = self._held.decode()
         if self.document is not None:
             self._supervisor.services = self.document.services
         return problem
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -66,6 +66,12 @@
 }
 
 
+_LANES: dict[type, work_queue.Lane] = {
+    events.ConfigurationDue: work_queue.Lane.ORDINARY,
+    events.PlanningDue: work_queue.Lane.BACKGROUND,
+}
+
+
 @attrs.frozen
 class Settings:
     """Settings of a coordinator.
@@ -155,7 +161,9 @@
         self._costs = turn_costs.TurnCosts(clock.read_monotonic())
         self._turns = turns.Turns(log, self._costs)
         self._waiting_ticks: set[work_queue.Lane] = set()
-        self._is_planning_queued = False
+        self._queued_work: set[events.ConfigurationDue | events.PlanningDue] = (
+            set()
+        )
         self._pool = upstream.Pool(settings.bind_ip)
         self._voter_options = options.derive_options(
             catch_up_s=settings.catch_up_s,
@@ -178,7 +186,7 @@
             rng=self._rng,
             now=clock.read_boottime(),
             voter_options=self._voter_options,
-            defers_planning=True,
+            defers_work=True,
         )
         data_folder = pathlib.Path(settings.data_folder)
         self._saved_servers = saved_value.SavedValue(data_folder, "servers")
@@ -309,9 +317,12 @@
                 self._folder.rewrite(self.role.voter.export_records())
         except OSError as error:
             self._handle_disk_failure(error, now)
-        if not self._is_planning_queued and self.role.is_planning_due(now):
-            self._is_planning_queued = True
-            self._turns.add(work_queue.Lane.BACKGROUND, self._plan)
+        for due in self.role.list_due_work(now):
+            if due not in self._queued_work:
+                self._queued_work.add(due)
+                self._turns.add(
+                    _LANES[type(due)], functools.partial(self._do_work, due)
+                )
 
     def _carry_out(self, effect: coordinator_role.CoordinatorEffect) -> None:
         match effect:
@@ -379,9 +390,11 @@
             self._retry_disk()
         self.apply(event)
 
-    def _plan(self) -> None:
-        self._is_planning_queued = False
-        self.apply(events.PlanningDue())
+    def _do_work(
+        self, due: events.ConfigurationDue | events.PlanningDue
+    ) -> None:
+        self._queued_work.discard(due)
+        self.apply(due)
 
     # The disk.
 
--- a/src/hickorylead/turns/own_pauses.py
+++ b/src/hickorylead/turns/own_pauses.py
@@ -65,7 +65,8 @@
         if since == -math.inf:
             return math.inf
         present_s = max(0.0, now - self._listened_at - self._max_gap_s)
-        before_s = self._totals[bisect.bisect_right(self._ends, since) - 1]
+        place = max(0, bisect.bisect_right(self._ends, since) - 1)
+        before_s = self._totals[place]
         paused_s = self._total_s + present_s - before_s
         return max(0.0, now - since - paused_s)
 
--- a/src/hickorylead/turns/work_queue.py
+++ b/src/hickorylead/turns/work_queue.py
@@ -6,9 +6,12 @@
 import enum
 from typing import Generic, TypeVar
 
-# Time after which work that is not urgent gives way, in seconds. What has
-# arrived meanwhile is then read, and urgent work of it goes first.
+# Work that is not urgent gives way after this many seconds and pieces. What has
+# arrived meanwhile is then read, and urgent work goes first. Reading takes as
+# long as some pieces of work, so that a process with little processor time
+# would do little else after each piece.
 MAX_TURN_S = 0.01
+MIN_TURN_PIECES = 4
 # Longest time for which background work waits behind ordinary work, in seconds.
 MAX_BACKGROUND_WAIT_S = 0.5
 
@@ -38,7 +41,7 @@
             lane: collections.deque() for lane in Lane
         }
         self._turn_ends_at = 0.0
-        self._is_first = True
+        self._pieces = 0
 
     def __len__(self) -> int:
         """Returns the number of pieces of work."""
@@ -55,13 +58,12 @@
     def begin_turn(self, now: float) -> None:
         """Begins a turn, after what had arrived was read."""
         self._turn_ends_at = now + MAX_TURN_S
-        self._is_first = True
+        self._pieces = 0
 
     def take(self, now: float) -> tuple[Lane, float, Work] | None:
         """Removes the next work; None once other arrivals must be read first.
 
-        Each turn does some work that is not urgent, so that urgent work cannot
-        keep all else from being done.
+        Each turn does some work that is not urgent.
 
         Args:
             now: Present time.
@@ -73,9 +75,9 @@
         if lane is None:
             return None
         if lane != Lane.URGENT:
-            if now >= self._turn_ends_at and not self._is_first:
+            if now >= self._turn_ends_at and self._pieces >= MIN_TURN_PIECES:
                 return None
-            self._is_first = False
+            self._pieces += 1
         since, work = self._lanes[lane].popleft()
         return lane, now - since, work
 
