Name the argument of deferred planning in the steps as the supervisor does

The steps of late coordinators were written beside the change that renamed the argument of Supervisor, and all nine scenarios ended with a TypeError after both had been joined. With the present name they pass.

--- a/tests/steps/late_coordinator_steps.py
+++ b/tests/steps/late_coordinator_steps.py
@@ -51,7 +51,7 @@
             ),
             has_leader=lambda _: True,
             pauses=self.pauses,
-            defers_planning=True,
+            is_deferred=True,
             now=self.now,
         )
         self.supervisor.services = (planning.SERVICE,)
