Take off a silence only the part of a pause that lies in it

A message that was handled in a late turn, before the tick that ends the pause, got the whole pause taken off its silence: after a stop of 10 s a dead process counted as alive for 9.8 s more, and its voter refused trial votes meanwhile.

Only the overlap of each pause with the silence counts. Found by review; the scenario fails on the code before (0 s instead of 5 s).

--- a/src/hickorylead/turns/own_pauses.py
+++ b/src/hickorylead/turns/own_pauses.py
@@ -64,10 +64,14 @@
         """
         if since == -math.inf:
             return math.inf
-        present_s = max(0.0, now - self._listened_at - self._max_gap_s)
-        place = max(0, bisect.bisect_right(self._ends, since) - 1)
-        before_s = self._totals[place]
-        paused_s = self._total_s + present_s - before_s
+        present_since = max(self._listened_at + self._max_gap_s, since)
+        paused_s = max(0.0, now - present_since)
+        place = bisect.bisect_right(self._ends, since)
+        if place < len(self._ends):
+            # The first pause that ended later may have begun before.
+            first_s = self._totals[place] - self._totals[max(0, place - 1)]
+            paused_s += min(first_s, self._ends[place] - since)
+            paused_s += self._total_s - self._totals[place]
         return max(0.0, now - since - paused_s)
 
     def _forget(self, until: float) -> None:
--- a/tests/turns/own_pauses.feature
+++ b/tests/turns/own_pauses.feature
@@ -35,6 +35,20 @@
     Then the silence since 14.9 seconds is 0 seconds
     And at 15.1 seconds the silence since 15 seconds is 0.1 seconds
 
+  Scenario: A pause that had begun before the last message takes off its rest only
+    A dead process would otherwise count as alive for as long as the pause was.
+    Given a process that has listened until 10 seconds
+    When it listens again at 20 seconds
+    And it listens every 0.05 seconds until 25 seconds
+    Then the silence since 19.9 seconds is 5 seconds
+    And the silence since 15 seconds is 5 seconds
+    And at 25 seconds the silence since 10 seconds is 5.2 seconds
+
+  Scenario: The present pause takes off nothing before the last message
+    Given a process that has listened until 10 seconds
+    Then at 20 seconds the silence since 19 seconds is 0 seconds
+    And at 20 seconds the silence since 10.1 seconds is 0.1 seconds
+
   Scenario: What was never heard of is silent for ever
     A pause must not turn an unknown process into one that is alive.
     Given a process that has listened until 10 seconds
