Answer reads and propose changes without recent replies of a majority

With turns of 0.4 s a leader's replies are 0.8 to 1.2 s old. It kept its role and confirmed no read, as that asked for replies to requests of the last 0.7 s beside those since the read: a stable leader that serves nothing.

A read needs replies of a majority since it arrived, and a change those to its entry; neither needs more. Followers still count as up to date, and loans and permits are given, by real time only.

--- a/src/hickorylead/consensus/configuration_requests.py
+++ b/src/hickorylead/consensus/configuration_requests.py
@@ -209,7 +209,7 @@
             # One change at a time, the highest version first: those below it
             # change nothing afterwards and need not be replicated.
             if (
-                not self._voter.is_ready_leader(now)
+                not self._voter.knows_commits()
                 or self._proposed
                 or pending.version < self._find_highest_version()
             ):
@@ -255,7 +255,7 @@
     def _advance_read(self, token: str, now: float) -> list[Effect]:
         read = self._reads[token]
         if self._voter.role == "leader":
-            if not self._voter.is_read_confirmed(read.requested_at, now):
+            if not self._voter.is_read_confirmed(read.requested_at):
                 return []
             return self._respond_to_read(token, read, now)
         leader = self._find_leader(now)
--- a/src/hickorylead/consensus/leadership.py
+++ b/src/hickorylead/consensus/leadership.py
@@ -53,13 +53,20 @@
         A new leader holds every committed entry, but it can determine which
         entries those are only once an entry of its own term is committed.
         """
+        return self.knows_commits() and self.has_majority(now)
+
+    def knows_commits(self) -> bool:
+        """Returns whether this voter leads and knows which entries commit.
+
+        A majority need not have replied recently: a change is committed, and a
+        read answered, only once a majority has replied to it.
+        """
         return (
             self._state.role == "leader"
-            and self.has_majority(now)
             and self._state.log.get_term(self._state.commit) == self._state.term
         )
 
-    def is_read_confirmed(self, requested_at: float, now: float) -> bool:
+    def is_read_confirmed(self, requested_at: float) -> bool:
         """Returns whether a read requested at a time may be answered now.
 
         A leader may have been replaced without having received any message
@@ -68,7 +75,7 @@
         leader can have been elected before it arrived.
         """
         reached = self._replicator.list_reached(requested_at)
-        return self.is_ready(now) and self._state.is_majority(
+        return self.knows_commits() and self._state.is_majority(
             reached | {self._state.member}
         )
 
--- a/src/hickorylead/consensus/voter.py
+++ b/src/hickorylead/consensus/voter.py
@@ -196,9 +196,13 @@
             return self.is_ready_leader(now)
         return self.has_leader(now) and self._following.is_current(now)
 
-    def is_read_confirmed(self, requested_at: float, now: float) -> bool:
+    def knows_commits(self) -> bool:
+        """Returns whether this voter leads and may propose changes."""
+        return self._leadership.knows_commits()
+
+    def is_read_confirmed(self, requested_at: float) -> bool:
         """Returns whether a read requested at a time may be answered now."""
-        return self._leadership.is_read_confirmed(requested_at, now)
+        return self._leadership.is_read_confirmed(requested_at)
 
     def send_heartbeats(self, now: float) -> list[messages.Effect]:
         """Sends heartbeats at once, so that a read is confirmed soon."""
