Keep the order of a connection, and what a client that gave up had sent

The lane of a message was that of the one handled before it, so messages of one connection could overtake each other, and all that a new connection had sent at first was urgent. A heartbeat that waited until its server gave up was dropped, after which the server was probed.

The first message tells the lane of its connection, and each kind of message has one of its own. A request is read before it waits for its turn. Ticks are queued three iterations after their timer, as the sockets are read in the first and their tasks run in the second. Planning applies a waiting configuration first. Found by review.

--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -239,7 +239,10 @@
             case events.OrdinaryTick():
                 return self._tick_ordinary(now)
             case events.PlanningDue():
-                return [*self._supervisor.plan(now)]
+                return [
+                    *self._apply_configuration(now),
+                    *self._supervisor.plan(now),
+                ]
             case events.ConfigurationDue():
                 return self._apply_configuration(now)
             case interface.MessageArrived(sender, message):
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -370,7 +370,7 @@
     def _tick(self) -> None:
         # What the sockets hold is queued before the ticks, so that no silence
         # is judged before it has been read.
-        asyncio.get_running_loop().call_soon(self._queue_ticks)
+        self._turns.call_after_reading(self._queue_ticks)
         for note in self._costs.report(clock.read_monotonic()):
             self._log.write(note)
 
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -10,7 +10,6 @@
 import asyncio
 import collections
 import contextlib
-import enum
 from typing import TYPE_CHECKING
 
 from returns import result
@@ -161,38 +160,28 @@
             await self.wake.wait()
 
 
-class _Kind(enum.Enum):
-    """What an outgoing connection is for."""
-
-    URGENT = enum.auto()
-    ORDINARY = enum.auto()
-    BULK = enum.auto()
-
-
-def _choose_kind(message: interface.Message, payload: bytes) -> _Kind:
-    if len(payload) >= BULK_BYTES:
-        return _Kind.BULK
-    if urgency.find_lane(message) == work_queue.Lane.URGENT:
-        return _Kind.URGENT
-    return _Kind.ORDINARY
+def _choose_kind(
+    message: interface.Message, payload: bytes
+) -> tuple[work_queue.Lane, bool]:
+    """Returns which of a node's connections a message uses."""
+    return urgency.find_lane(message), len(payload) >= BULK_BYTES
 
 
 class _Inbox:
     """Messages of one incoming connection that wait for their turn.
 
-    A sender uses one connection for each kind of message, so the lane of a
-    message is that of the one before it: it must be known before the message
-    is decoded.
+    A sender uses one connection for each kind of message, so the first message
+    tells the lane of all.
     """
 
     def __init__(
         self,
         turns: turns_module.Turns | None,
-        handle: Callable[[bytes], work_queue.Lane | None],
+        handle: Callable[[bytes], None],
     ) -> None:
         self._turns = turns
         self._handle = handle
-        self._lane = work_queue.Lane.URGENT
+        self._lane: work_queue.Lane | None = None
         self._waiting_bytes = 0
         self._has_space = asyncio.Event()
         self._has_space.set()
@@ -201,6 +190,8 @@
         if self._turns is None:
             self._handle(payload)
             return
+        if self._lane is None:
+            self._lane = _find_lane(payload)
         self._waiting_bytes += len(payload)
         if self._waiting_bytes > MAX_WAITING_BYTES:
             self._has_space.clear()
@@ -212,15 +203,20 @@
 
     def _handle_next(self, payload: bytes) -> None:
         try:
-            lane = self._handle(payload)
-            if lane is not None:
-                self._lane = lane
+            self._handle(payload)
         finally:
             self._waiting_bytes -= len(payload)
             if self._waiting_bytes <= MAX_WAITING_BYTES:
                 self._has_space.set()
 
 
+def _find_lane(payload: bytes) -> work_queue.Lane:
+    match codec.decode_envelope(payload):
+        case result.Success(envelope):
+            return urgency.find_lane(envelope.message)
+    return work_queue.Lane.ORDINARY
+
+
 class Peers:
     """All connections of one process."""
 
@@ -259,7 +255,8 @@
         self._configured_nodes = frozenset(addresses)
         self._deliver = deliver
         self._log = log
-        self._links: dict[tuple[str, _Kind], _Link] = {}
+        # By node, lane, and whether the connection is for large messages.
+        self._links: dict[tuple[str, tuple[work_queue.Lane, bool]], _Link] = {}
         # The last messages, by identity, with their encoded form.
         self._encoded: collections.OrderedDict[
             int, tuple[interface.Message, bytes]
@@ -310,7 +307,9 @@
         link.queue.append(payload, asyncio.get_running_loop().time())
         link.wake.set()
 
-    def _find_link(self, node: str, address: str, kind: _Kind) -> _Link:
+    def _find_link(
+        self, node: str, address: str, kind: tuple[work_queue.Lane, bool]
+    ) -> _Link:
         link = self._links.get((node, kind))
         if link is None or link.address != address:
             if link is not None and link.task is not None:
@@ -360,8 +359,7 @@
             self._handlers.discard(task)
             writer.close()
 
-    def _receive(self, payload: bytes) -> work_queue.Lane | None:
-        """Handles a message; returns its lane, None if it is malformed."""
+    def _receive(self, payload: bytes) -> None:
         began = clock.read_monotonic()
         decoded = codec.decode_envelope(payload)
         if self._costs is not None:
@@ -371,7 +369,5 @@
                 if envelope.sender not in self._configured_nodes:
                     self._addresses[envelope.sender] = envelope.address
                 self._deliver(envelope.sender, envelope.message)
-                return urgency.find_lane(envelope.message)
             case result.Failure(problem):
                 self._log.warn("bad message", detail=problem)
-        return None
--- a/src/hickorylead/runtime/turns.py
+++ b/src/hickorylead/runtime/turns.py
@@ -57,6 +57,15 @@
         self.add(lane, begin)
         await turn
 
+    def call_after_reading(self, callback: Callable[[], None]) -> None:
+        """Calls a function once the sockets have been read and queued.
+
+        The loop reads the sockets in its next iteration, and the tasks that
+        were waiting for them run in the one after it.
+        """
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, loop.call_soon, callback)
+
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -109,8 +118,21 @@
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handles one request once it is its turn."""
-        if scope["type"] == "http":
-            lane = self._find_lane(scope["path"])
-            if lane != work_queue.Lane.URGENT:
-                await self._turns.wait_for_turn(lane)
-        await self._app(scope, receive, send)
+        if scope["type"] != "http":
+            await self._app(scope, receive, send)
+            return
+        lane = self._find_lane(scope["path"])
+        if lane == work_queue.Lane.URGENT:
+            await self._app(scope, receive, send)
+            return
+        # Read before the wait: a client that gives up meanwhile has told what
+        # it had to tell.
+        first = await receive()
+
+        async def receive_again() -> Any:
+            nonlocal first
+            message, first = first, None
+            return message if message is not None else await receive()
+
+        await self._turns.wait_for_turn(lane)
+        await self._app(scope, receive_again, send)
