--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -231,7 +231,7 @@
         failed = collections.defaultdict(list)
         attempts = {}
         for node in self.gateways:
-            for line in _read_lines(node.folder / "log.jsonl"):
+            for line in read_lines(node.folder / "log.jsonl"):
                 if line.get("event") == "request_ended":
                     ended[line["attempt_id"]] = line
                     attempts[line["request_id"]] = line["attempt_id"]
@@ -244,13 +244,13 @@
         }
         runs = collections.defaultdict(list)
         for path in self._folder.glob("servers-*.jsonl"):
-            for line in _read_lines(path):
+            for line in read_lines(path):
                 if "attempt" in line:
                     runs[line["attempt"]].append(line["end"])
         counts: collections.Counter[str] = collections.Counter()
         early = []
         for path in self._folder.glob("load-*.jsonl"):
-            for line in _read_lines(path):
+            for line in read_lines(path):
                 counts[line["end"]] += 1
                 if line["end"] in ("complete", "refused"):
                     continue
@@ -271,7 +271,7 @@
         """Returns how often gateways wrote some log lines."""
         counts: collections.Counter[str] = collections.Counter()
         for node in self.gateways:
-            for line in _read_lines(node.folder / "log.jsonl"):
+            for line in read_lines(node.folder / "log.jsonl"):
                 event = line.get("event", "")
                 if event == "attempt_failed":
                     counts[f"attempt_failed: {line['reason']}"] += 1
@@ -354,7 +354,8 @@
     }
 
 
-def _read_lines(path: pathlib.Path) -> list[dict]:
+def read_lines(path: pathlib.Path) -> list[dict]:
+    """Returns the log lines in a file; none if it does not exist."""
     found = []
     for row in path.read_bytes().splitlines() if path.exists() else ():
         try:
--- a/tests/soak/overload.py
+++ b/tests/soak/overload.py
@@ -16,16 +16,17 @@
 import subprocess
 import sys
 import time
-from typing import Any
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 if __name__ == "__main__":
     sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
 
 import attrs  # noqa: E402
-import orjson  # noqa: E402
 
-from soak import configuration_fleet  # noqa: E402
+from soak import (  # noqa: E402
+    configuration_fleet,
+    fleet as fleet_module,
+)
 
 BUSY_PROGRAM = """
 import sys, time
@@ -139,10 +140,9 @@
     def summarize(self) -> Row:
         """Returns what the run showed."""
         counts = self.checker.counts
-        paused = counts["pause of a coordinator"]
         lateness, leaders, orders, groups = [], [], [], set()
         for node in self.coordinators:
-            for line in _read_lines(node.folder / "log.jsonl"):
+            for line in fleet_module.read_lines(node.folder / "log.jsonl"):
                 match line.get("event"):
                     case "loop_late":
                         lateness.append((line["time"], line["late_s"], node))
@@ -152,7 +152,6 @@
                         orders.append((line["time"], line["server"], node.name))
                         if line["order"] == "join":
                             groups.add(line["group"])
-        del paused
         until = min(self.killed_at, time.time())
         terms = {}
         for term, at in leaders:
@@ -216,17 +215,6 @@
     return used_s / (time.clock_gettime(time.CLOCK_BOOTTIME) - started_s)
 
 
-def _read_lines(path: pathlib.Path) -> list[dict[str, Any]]:
-    found = []
-    for row in path.read_bytes().splitlines() if path.exists() else ():
-        try:
-            found.append(orjson.loads(row))
-        except orjson.JSONDecodeError:
-            # The last line of a killed process may be incomplete.
-            continue
-    return found
-
-
 def main() -> int:
     """Runs one fleet for each load; returns 1 if a promise was broken."""
     parser = argparse.ArgumentParser(description=__doc__)
