Name the request and its state when a caller's connection ends within it

Cause: caller_connection_closed named no request, and nothing was written about what a gateway still owed when its drain ended, so that a response that was cut could not be explained from the logs. Change: each connection knows its state (head, body, waiting, responding, flushing) and its request; the line has them, and the end of a drain lists what is left (owed_at_end, drained).

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -15,7 +15,7 @@
     refusals,
     routes as routes_module,
 )
-from hickorylead.runtime import clock, listener, upstream_connection
+from hickorylead.runtime import clock, http_connection, upstream_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -115,11 +115,7 @@
         self._set_paused = set_paused
         self._waiting_bytes = 0
         self._is_paused = False
-        extensions = scope.get("extensions") or {}
-        extension = extensions.get(listener.CONNECTION_KEY) or {}
-        self._connection: listener.CallerProtocol | None = extension.get(
-            "protocol"
-        )
+        self._connection = http_connection.find_connection(scope)
         self._send = send
         self._effects: asyncio.Queue[events.Effect] = asyncio.Queue()
         # Whether the task still has an effect to send; later effects must not
@@ -258,7 +254,13 @@
         """Handles one request."""
         if scope["type"] != "http":
             return
-        decoded = await self._make_request(scope, receive)
+        self._count += 1
+        request_id = f"{self._process.name}-{self._count:x}"
+        connection = http_connection.find_connection(scope)
+        if connection is not None:
+            connection.request_id = request_id
+            connection.attempt_id = _find_attempt_id(scope, self)
+        decoded = await self._make_request(request_id, scope, receive)
         if decoded is None:
             return
         if isinstance(decoded, events.Refuse):
@@ -269,7 +271,7 @@
         await self._forward(decoded, scope, receive, send)
 
     async def _make_request(
-        self, scope: Any, receive: Any
+        self, request_id: str, scope: Any, receive: Any
     ) -> model.Request | events.Refuse | None:
         """Returns the request, a refusal, or None after a disconnect."""
         metadata = self._header_codec.decode_metadata(scope["headers"])
@@ -305,10 +307,9 @@
                 pass
         query = scope["query_string"]
         target = scope["raw_path"] + (b"?" + query if query else b"")
-        self._count += 1
         name = workspace.name if workspace else ""
         return model.Request(
-            request_id=f"{self._process.name}-{self._count:x}",
+            request_id=request_id,
             metadata=_strip_model(metadata, route),
             route=route,
             service=self._process.choose_service(route),
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -13,6 +13,7 @@
 
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
+from hickorylead.draining import descriptions as owed_descriptions
 from hickorylead.forwarding import events, model, routes as routes_module
 from hickorylead.roles import gateway as gateway_role, interface, nodes
 from hickorylead.runtime import (
@@ -39,6 +40,7 @@
     from starlette import requests
 
     from hickorylead.configuration import document as document_module
+    from hickorylead.draining import owed as owed_module
     from hickorylead.forwarding import header_codec as header_codec_module
 
 # How long a balancer may still send new connections after the gateway becomes
@@ -255,6 +257,11 @@
         ) and clock.read_boottime() < deadline:
             await asyncio.sleep(POLL_S)
             listener.close_idle()
+        now = clock.read_boottime()
+        for note in owed_descriptions.describe_end(
+            listener.list_owed(), started_at, now
+        ):
+            self._log.write(note)
 
     async def wait_for_routes(
         self, limit_s: float
@@ -342,8 +349,18 @@
         if replica is not None:
             self.apply(events.ServerProbed(replica, failure))
 
-    def _report_close(self, by: str, why: str) -> None:
-        self._log.write(notes.note("caller_connection_closed", by=by, why=why))
+    def _report_close(self, owed: owed_module.Owed, by: str, why: str) -> None:
+        self._log.write(
+            notes.Note(
+                "caller_connection_closed",
+                owed.request_id,
+                {
+                    "by": by,
+                    "why": why,
+                    **owed_descriptions.describe(owed, clock.read_boottime()),
+                },
+            )
+        )
 
     def _close_idle(self) -> None:
         self._pool.close_idle()
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -8,14 +8,15 @@
 
 import attrs
 import uvicorn
-from uvicorn.protocols.http import httptools_impl
 
-from hickorylead.runtime import sockets
+from hickorylead.runtime import http_connection, sockets
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     import socket
 
+    from hickorylead.draining import owed as owed_module
+
 
 @attrs.define
 class ListenerLimits:
@@ -30,8 +31,8 @@
             response.
         accept_connection: Returns whether to serve a new connection; otherwise
             it is closed unread.
-        report_close: Called when a connection ends within a request, with who
-            closed it and why.
+        report_close: Called when a connection ends within a request, with what
+            was owed, who closed it and why.
     """
 
     max_header_bytes: int = 16384
@@ -39,11 +40,10 @@
     idle_timeout_s: float = 15.0
     close_after_response: bool = False
     accept_connection: Callable[[], bool] = lambda: True
-    report_close: Callable[[str, str], None] = lambda _by, _why: None
-
+    report_close: Callable[[owed_module.Owed, str, str], None] = (
+        lambda _owed, _by, _why: None
+    )
 
-# Key of a request's connection in the extensions of its ASGI scope.
-CONNECTION_KEY = "hickorylead.connection"
 
 _HEAD_TOO_LONG_RESPONSE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -55,7 +55,7 @@
 )
 
 
-class CallerProtocol(httptools_impl.HttpToolsProtocol):
+class CallerProtocol(http_connection.HttpConnection):
     """A caller's connection with limits on request heads and idle time."""
 
     limits: ListenerLimits
@@ -65,7 +65,6 @@
         super().__init__(*args, **kwargs)
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
-        self._in_head = False
         self._is_closed_unread = False
         self._has_eof = False
         # Why this process closed the connection, unless it aborts a response.
@@ -86,14 +85,15 @@
             return
         self._cancel_head_timer()
         self._unset_keepalive_if_required()
-        if self._in_head or not self._is_idle():
+        owed = self.describe_unfinished()
+        if owed is not None:
             if exc is not None:
-                self.limits.report_close("caller", "reset")
+                self.limits.report_close(owed, "caller", "reset")
             elif self._has_eof:
-                self.limits.report_close("caller", "closed")
+                self.limits.report_close(owed, "caller", "closed")
             else:
                 reason = self._close_reason or "response_aborted"
-                self.limits.report_close("gateway", reason)
+                self.limits.report_close(owed, "gateway", reason)
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
@@ -105,9 +105,9 @@
         """Handles bytes from the caller."""
         if self._is_closed_unread:
             return
-        if not self._in_head and self._is_idle():
-            self._in_head = True
+        if not self._in_head and self.is_idle:
             self._head_bytes = 0
+            self._cancel_head_timer()
             self._head_timer = self.loop.call_later(
                 self.limits.header_timeout_s, self._reject_slow_head
             )
@@ -130,10 +130,8 @@
 
     def on_headers_complete(self) -> None:
         """Handles the end of the head."""
-        self._in_head = False
         self._cancel_head_timer()
         super().on_headers_complete()
-        self.scope["extensions"] = {CONNECTION_KEY: {"protocol": self}}
         if self.limits.close_after_response and self.cycle is not None:
             self.cycle.keep_alive = False
 
@@ -142,13 +140,9 @@
         self.timeout_keep_alive = self.limits.idle_timeout_s  # type: ignore[assignment]
         super().on_response_complete()
 
-    def can_write(self) -> bool:
-        """Returns whether data can be sent now without waiting."""
-        return not self.flow.write_paused
-
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
-        if not self._in_head and self._is_idle():
+        if not self._in_head and self.is_idle:
             self.transport.close()
 
     def timeout_keep_alive_handler(self) -> None:
@@ -156,10 +150,6 @@
         self._close_reason = "idle_timeout"
         super().timeout_keep_alive_handler()
 
-    def _is_idle(self) -> bool:
-        """Returns whether the latest request has its complete response."""
-        return self.cycle is None or self.cycle.response_complete
-
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self.limits.max_header_bytes:
@@ -275,6 +265,15 @@
             if isinstance(connection, CallerProtocol):
                 connection.close_if_idle()
 
+    def list_owed(self) -> list[owed_module.Owed]:
+        """Returns what the process owes to its callers."""
+        found = [
+            connection.describe_owed()
+            for connection in self._server.server_state.connections
+            if isinstance(connection, CallerProtocol)
+        ]
+        return [owed for owed in found if owed is not None]
+
     async def close(self) -> None:
         """Closes the open connections and stops the server."""
         self._server.should_exit = True
--- a/tests/steps/caller_steps.py
+++ b/tests/steps/caller_steps.py
@@ -7,7 +7,12 @@
 from behave import given, then, when
 
 from hickorylead.forwarding import events
-from hickorylead.runtime import forwarding, listener, sockets
+from hickorylead.runtime import (
+    forwarding,
+    http_connection,
+    listener,
+    sockets,
+)
 
 
 class SlowConnection:
@@ -39,7 +44,9 @@
     async def run():
         connection = SlowConnection()
         scope = {
-            "extensions": {listener.CONNECTION_KEY: {"protocol": connection}}
+            "extensions": {
+                http_connection.CONNECTION_KEY: {"protocol": connection}
+            }
         }
         writer = forwarding.ResponseWriter(scope, connection.send, print)
         task = asyncio.ensure_future(writer.run())
@@ -82,7 +89,7 @@
     async def run():
         scope = {
             "extensions": {
-                listener.CONNECTION_KEY: {"protocol": SlowConnection()}
+                http_connection.CONNECTION_KEY: {"protocol": SlowConnection()}
             }
         }
         writer = forwarding.ResponseWriter(
