--- a/src/hickorylead_standins/platform.py
+++ b/src/hickorylead_standins/platform.py
@@ -68,6 +68,7 @@
 
     Attributes:
         events: Number of events of a streaming response; 0 for a plain one.
+        event_interval_s: Time from one of these events to the next, in seconds.
         cut_after: Event in the middle of which it resets the connection; 0 if
             none.
         sheds: Whether it refuses requests as not executed.
@@ -82,6 +83,7 @@
     """
 
     events: int = 0
+    event_interval_s: float = 0.005
     cut_after: int = 0
     sheds: bool = False
     extra: bytes = b""
@@ -288,7 +290,7 @@
             if number == self.manner.cut_after:
                 writer.transport.abort()
                 return
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(self.manner.event_interval_s)
         writer.write(b"0\r\n\r\n")
 
     def _handle_order(self, order: dict[str, Any]) -> int:
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -132,7 +132,7 @@
         lambda: any(len(s.received) > before[s.name] for s in cluster.servers)
     )
     cluster.gateway._stop.set()
-    ready_address = f"127.0.7.9:{platform_cluster.READY_PORT}"
+    ready_address = f"{platform_cluster.NET}.9:{platform_cluster.READY_PORT}"
 
     async def is_unready():
         response = await platform.send_raw(ready_address, READINESS)
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -20,6 +20,8 @@
 METRICS_PORT = 7605
 RELAY_PORT = 7606
 MODEL = "tiny"
+# Runs beside each other need addresses of their own.
+NET = os.environ.get("HICKORYLEAD_TEST_NET", "127.0.7")
 
 
 def make_configuration(version: int, *, key: str = "key-1") -> dict:
@@ -91,8 +93,8 @@
             read_wall_time=clock.read_wall,
             descriptor=self._log,
         )
-        self.controls = [f"127.0.7.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
-        seeds = tuple(f"127.0.7.{n}:{PEER_PORT}" for n in (1, 2, 3))
+        self.controls = [f"{NET}.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
+        seeds = tuple(f"{NET}.{n}:{PEER_PORT}" for n in (1, 2, 3))
         self._tasks: list[asyncio.Task] = []
         self.coordinators = [
             coordinator.CoordinatorProcess(
@@ -100,7 +102,7 @@
                     vm=f"core{number}",
                     zone=zone,
                     zones=ZONES,
-                    ip=f"127.0.7.{number}",
+                    ip=f"{NET}.{number}",
                     control_port=CONTROL_PORT,
                     peer_port=PEER_PORT,
                     seeds=seeds,
@@ -125,7 +127,7 @@
                 gateway.Settings(
                     vm=f"front{number}",
                     zone="z1",
-                    ip=f"127.0.7.{8 + number}",
+                    ip=f"{NET}.{8 + number}",
                     caller_port=CALLER_PORT,
                     ready_port=READY_PORT,
                     peer_port=PEER_PORT,
@@ -145,7 +147,7 @@
         self.metrics_addresses = [
             f"{process.settings.ip}:{METRICS_PORT}" for process in self.gateways
         ]
-        self.caller_address = f"127.0.7.9:{CALLER_PORT}"
+        self.caller_address = f"{NET}.9:{CALLER_PORT}"
         self.servers: list[platform.PlatformServer] = []
         self.lines: list[str] = []
 
@@ -177,7 +179,7 @@
         server = platform.PlatformServer(
             name,
             service=service,
-            address=f"127.0.7.{host}:7610",
+            address=f"{NET}.{host}:7610",
             zone="z1",
             controls=self.controls,
             domain="" if domain is None else f"z1-d{domain}",
@@ -306,7 +308,7 @@
     )
     cluster.record_received(since)
     head = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
-    response = await platform.send_raw(f"127.0.7.9:{METRICS_PORT}", head)
+    response = await platform.send_raw(f"{NET}.9:{METRICS_PORT}", head)
     for line in response.decode().splitlines():
         if 'le="+Inf"' in line or line.startswith("hickorylead_replicas"):
             cluster.record("metrics", line)
