Account for all that a stopping gateway owes, and decide each end

What callers saw: around SIGTERM streams ended without their end, and connections were reset while their bodies still came; the log had a traceback and no request id.

Cause: the drain counted response writers. A request whose body still came, bytes that waited in a socket, and connections that sent the next request at once were not in it; requests that could not end were accepted; what was left at the end was cancelled with the event loop, and the HTTP server wrote a bare 500.

Change: each connection knows what it owes (draining/owed, runtime/ http_connection). Requests that cannot end in the time left, by their limits and by how long requests of their route took, are refused at once as not run (draining/admission, forwarding/arrivals). The reducer ends what is left: cancelled at the replica, a line with the id. The HTTP server sends nothing by itself, also for malformed input: bytes of a 400 or 431 are no longer written into a running response. Large modules are split.

--- a/src/hickorylead/draining/descriptions.py
+++ b/src/hickorylead/draining/descriptions.py
@@ -24,23 +24,49 @@
     }
 
 
-def describe_end(
+def describe_close(
+    owed: owed_module.Owed, by: str, why: str, now: float
+) -> notes.Note:
+    """Returns the line about a connection that ends within a request.
+
+    Args:
+        owed: What was owed.
+        by: Who closed it: `caller` or `gateway`.
+        why: Stable code.
+        now: Present time.
+    """
+    return notes.Note(
+        "caller_connection_closed",
+        owed.request_id,
+        {"by": by, "why": why, **describe(owed, now)},
+    )
+
+
+def describe_refusal(owed: owed_module.Owed, now: float) -> notes.Note:
+    """Returns the line about a request that a planned stop refuses."""
+    return notes.Note(
+        "connection_refused", owed.request_id, describe(owed, now)
+    )
+
+
+def describe_abort(owed: owed_module.Owed, now: float) -> notes.Note:
+    """Returns the line about a connection that a planned stop closes."""
+    return notes.Note(
+        "connection_aborted", owed.request_id, describe(owed, now), "warning"
+    )
+
+
+def describe_drained(
     owed: Sequence[owed_module.Owed], stopped_at: float, now: float
-) -> list[notes.Note]:
-    """Returns the lines about the end of a drain, and about what is left.
+) -> notes.Note:
+    """Returns the line about the end of a drain.
 
     Args:
-        owed: What is left.
+        owed: What was left and has been ended.
         stopped_at: When the process was asked to stop.
         now: Present time.
     """
     counts = collections.Counter(item.phase.value for item in owed)
-    return [
-        *(
-            notes.Note("owed_at_end", item.request_id, describe(item, now))
-            for item in owed
-        ),
-        notes.note(
-            "drained", after_s=round(now - stopped_at, 3), left=dict(counts)
-        ),
-    ]
+    return notes.note(
+        "drained", after_s=round(now - stopped_at, 3), aborted=dict(counts)
+    )
--- a/src/hickorylead/forwarding/descriptions.py
+++ b/src/hickorylead/forwarding/descriptions.py
@@ -16,6 +16,9 @@
         state,
     )
 
+# Outcome of a request whose response was delivered completely.
+ANSWERED = "answered"
+
 
 def describe_attempt(
     pending: state.PendingRequest, attempt: state.Attempt
@@ -132,7 +135,7 @@
             ),
             **(_describe_choice(last_attempt) if last_attempt else {}),
         },
-        level="debug" if outcome == "answered" else "info",
+        level="debug" if outcome == ANSWERED else "info",
     )
 
 
--- a/src/hickorylead/forwarding/events.py
+++ b/src/hickorylead/forwarding/events.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hickorylead import notes, verdict as verdict_module
+from hickorylead.configuration import document as document_module
 from hickorylead.forwarding import model
 from hickorylead.relaying import relay_directory
 
@@ -18,6 +19,37 @@
     request: model.Request
 
 
+@attrs.frozen
+class RequestOpened:
+    """Event: the head of a request is complete, and its body may still come.
+
+    Attributes:
+        request_id: The request.
+        attempt_id: Id that its caller gave it.
+        route: Its route; None if none is known yet.
+        budget_s: Time that its caller allows, in seconds; None if unlimited.
+    """
+
+    request_id: str
+    attempt_id: str
+    route: document_module.Route | None
+    budget_s: float | None
+
+
+@attrs.frozen
+class RequestDropped:
+    """Event: a request ended before it had arrived completely."""
+
+    request_id: str
+
+
+@attrs.frozen
+class TimeOver:
+    """Event: the time of a planned stop is over for a request."""
+
+    request_id: str
+
+
 @attrs.frozen
 class CallerDisconnected:
     """Event: the caller closed its connection before the response ended."""
@@ -98,7 +130,10 @@
 
 
 Event: TypeAlias = (
-    RequestArrived
+    RequestOpened
+    | RequestDropped
+    | RequestArrived
+    | TimeOver
     | CallerDisconnected
     | AttemptConnected
     | ResponseHeadArrived
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -11,7 +11,9 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.crashes import crash_guard as crash_guard_module
+from hickorylead.draining import admission as admission_module
 from hickorylead.forwarding import (
+    arrivals as arrivals_module,
     attempts as attempts_module,
     choice as choice_module,
     connection_monitor,
@@ -95,6 +97,8 @@
         self._limits = limits
         self._retries = limits.retries
         self._pending: dict[str, state.PendingRequest] = {}
+        self._admission = admission_module.StopAdmission()
+        self._arrivals = arrivals_module.Arrivals(self._admission)
         self._run_guard = run_guard.RunGuard(guard, self._pending)
         self._heads = response_heads.HeadEvaluator(
             health=health, notices=notices, permits=permits
@@ -152,8 +156,15 @@
         match event:
             case events.ChunkArrived():
                 return self._responses.handle_chunk(event, now)
+            case events.RequestOpened():
+                return self._arrivals.open(event, now)
+            case events.RequestDropped(request_id):
+                self._arrivals.close(request_id)
+                return []
             case events.RequestArrived(request):
                 return self._handle_arrival(request, now)
+            case events.TimeOver(request_id):
+                return self._end_stopped(request_id, now)
             case events.AttemptConnected(request_id, attempt):
                 found = self._attempts.find(request_id, attempt)
                 if found is None:
@@ -174,6 +185,10 @@
                 effects = self._connections.handle_probe(event, now)
                 return [*effects, *self.dispatch_waiting(now)]
 
+    def stop(self, ends_at: float) -> None:
+        """Refuses from now on what cannot be finished by a given time."""
+        self._admission.stop(ends_at)
+
     def tick(self, now: float, late_s: float = 0.0) -> list[events.Effect]:
         """Handles deadlines, waiting requests and stalled replicas.
 
@@ -183,6 +198,8 @@
                 input of the process up to the planned time has been handled.
         """
         effects = self._connections.tick(now)
+        if self._admission.is_stopping:
+            effects += self._arrivals.check(now)
         for pending in list(self._pending.values()):
             if now >= pending.ends_at:
                 effects += self._expire(pending, now)
@@ -226,6 +243,7 @@
     def _handle_arrival(
         self, request: model.Request, now: float
     ) -> list[events.Effect]:
+        self._arrivals.close(request.request_id)
         pending = state.make_pending(request, now)
         self._pending[request.request_id] = pending
         self._retries.record_request(request.service, now)
@@ -241,6 +259,8 @@
         if pending.ends_at - now < state.MIN_TIME_LEFT_S:
             return self._expire(pending, now)
         # Arrivals, retries and waiting requests all pass through this method.
+        if not self._may_finish(pending, now):
+            return self._refuse(pending, refusals.refuse_stopping(pending), now)
         blocked_s = self._run_guard.find_block_remaining_s(pending, now)
         if blocked_s is not None:
             return self._refuse_blocked(pending, blocked_s, now)
@@ -283,6 +303,17 @@
                     now,
                 )
 
+    def _may_finish(self, pending: state.PendingRequest, now: float) -> bool:
+        """Returns whether a request can still end before the process does.
+
+        One that may have run is sent again: refusing it would help nobody.
+        """
+        if pending.started or pending.verdict is not Verdict.NOT_RUN:
+            return True
+        return self._admission.may_finish(
+            pending.request.route.name, pending.ends_at - now, now
+        )
+
     def _may_repeat(self, pending: state.PendingRequest, now: float) -> bool:
         """Returns whether the budget covers a retry of a request."""
         return self._retries.may_retry(pending.request.service, now)
@@ -343,6 +374,19 @@
         effects = self._attempts.cancel_all(pending, now)
         return effects + self._end_failed(pending, "deadline", now)
 
+    def _end_stopped(self, request_id: str, now: float) -> list[events.Effect]:
+        """Ends a request at the end of a planned stop."""
+        pending = self._pending.get(request_id)
+        if pending is None:
+            return self._arrivals.end(request_id, now)
+        effects = self._attempts.cancel_all(pending, now)
+        if pending.started:
+            return effects + self._end_failed(
+                pending, refusals.STOPPING_REASON, now
+            )
+        refusal = refusals.refuse_stopping(pending)
+        return effects + self._refuse(pending, refusal, now)
+
     def _refuse_blocked(
         self, pending: state.PendingRequest, blocked_s: float, now: float
     ) -> list[events.Effect]:
@@ -375,6 +419,8 @@
             self._attempts.release(pending, attempt)
         request = pending.request
         del self._pending[request.request_id]
+        if outcome == descriptions.ANSWERED:
+            self._admission.record(request.route.name, now - pending.arrived_at)
         return [
             descriptions.describe_end(
                 pending,
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -24,6 +24,11 @@
 # Retry time while neither this gateway nor a relay can connect to a server, in
 # seconds: by then the next probe has ended, or another gateway gets the retry.
 UNREACHABLE_RETRY_S = 0.8
+# Retry time of a request that a stopping process cannot finish, in seconds:
+# another process can serve it at once.
+STOPPING_RETRY_S = 0.1
+# Reason code of a request that a stopping process cannot finish.
+STOPPING_REASON = "stopping"
 # Reason code of a request that is blocked because it ended servers.
 BLOCKED_REASON = "ends_servers"
 # Retry times vary at random by up to this share, above and below the usual
@@ -81,6 +86,17 @@
     return _refuse(pending, reason, retry_s)
 
 
+def refuse_stopping(pending: state.PendingRequest) -> events.Refuse:
+    """Returns the refusal of a request that cannot be finished any more."""
+    return _refuse(pending, STOPPING_REASON, STOPPING_RETRY_S)
+
+
+def refuse_unread(request_id: str) -> events.Refuse:
+    """Returns the refusal, by a stopping process, of a request not yet read."""
+    retry_s = jitter_retry_after(request_id, STOPPING_RETRY_S)
+    return events.Refuse(request_id, 503, STOPPING_REASON, retry_s)
+
+
 def jitter_retry_after(request_id: str, retry_s: float) -> float:
     """Returns the retry time for one caller, in seconds.
 
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -336,8 +336,9 @@
                 return self._tick(late_s, now)
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
-            case interface.StopRequested():
+            case interface.StopRequested(left_s):
                 self._stopping = True
+                self._forwarder.stop(now + left_s)
                 return [notes.note("stopping", open=self.count_pending())]
             case events.ServerProbed():
                 return self._handle_probe(event, now)
--- a/src/hickorylead/roles/interface.py
+++ b/src/hickorylead/roles/interface.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -122,7 +123,13 @@
 
 @attrs.frozen
 class StopRequested:
-    """Event: this process is to stop gracefully."""
+    """Event: this process is to stop gracefully.
+
+    Attributes:
+        left_s: Time after which requests that are left are ended, in seconds.
+    """
+
+    left_s: float = math.inf
 
 
 EntryEvent: TypeAlias = (
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -6,24 +6,30 @@
 import random
 import secrets
 import signal
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
-from starlette import applications, responses, routing
 
 from hickorylead import notes
 from hickorylead.admission import budget as budget_module
-from hickorylead.draining import descriptions as owed_descriptions
+from hickorylead.draining import (
+    descriptions as owed_descriptions,
+    drain as drain_module,
+    owed as owed_module,
+)
 from hickorylead.forwarding import events, model, routes as routes_module
 from hickorylead.roles import gateway as gateway_role, interface, nodes
 from hickorylead.runtime import (
     clock,
+    drainer,
+    exchanges,
     forwarding,
     listener as listener_module,
     peers as peers_module,
-    relay_client,
+    readiness,
     relay_endpoint,
     reload_signal,
+    response_writer,
     scrape,
     server as server_module,
     tasks,
@@ -37,20 +43,14 @@
     import socket
 
     from returns import result
-    from starlette import requests
 
     from hickorylead.configuration import document as document_module
-    from hickorylead.draining import owed as owed_module
     from hickorylead.forwarding import header_codec as header_codec_module
 
 # How long a balancer may still send new connections after the gateway becomes
 # not ready, in seconds. The balancer probes once a second and removes a node
 # after two failed probes.
 BALANCER_DETECTION_S = 2.6
-# Part of the time between SIGTERM and SIGKILL that is reserved for ending the
-# process, in seconds.
-SHUTDOWN_MARGIN_S = 0.5
-POLL_S = 0.05
 RELAY_TOKEN_BYTES = 16
 CLOSE_IDLE_PERIOD_S = 0.5
 
@@ -131,14 +131,11 @@
         self._header_codec = header_codec
         self._limits = listener_module.ListenerLimits()
         self._pool = upstream.Pool(settings.bind_ip)
-        self._exchanges: dict[
-            tuple[str, int], upstream.Exchange | relay_client.RelayExchange
-        ] = {}
         self._stop = asyncio.Event()
         self._configured = asyncio.Event()
         # Number of requests that wait for the first configuration.
         self.waiting_for_configuration = 0
-        self.response_writers: dict[str, forwarding.ResponseWriter] = {}
+        self.response_writers: dict[str, response_writer.ResponseWriter] = {}
         self.role = gateway_role.Gateway(
             gateway_role.Identity(
                 node=node,
@@ -171,6 +168,12 @@
             warn=log.warn,
             bind_ip=settings.bind_ip,
         )
+        self._exchanges = exchanges.Exchanges(
+            pool=self._pool,
+            relay_pool=self._relays.pool,
+            header_codec=header_codec,
+            apply=self.apply,
+        )
         self._next_tick = now
         self._limits.accept_connection = lambda: self.role.accept_connection(
             clock.read_boottime()
@@ -193,7 +196,9 @@
             listening_socket=self._listening_socket,
         )
         ready = server_module.HttpServer(
-            self._make_ready_app(), settings.listen_ip, settings.ready_port
+            readiness.make_app(self.role.is_ready),
+            settings.listen_ip,
+            settings.ready_port,
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
@@ -226,10 +231,12 @@
         await self._tasks.close()
         self._relays.close()
         self._pool.close()
-        await listener.close()
-        await ready.close()
-        if metrics_server is not None:
-            await metrics_server.close()
+        servers = [
+            listener,
+            ready,
+            *([metrics_server] if metrics_server else []),
+        ]
+        await asyncio.gather(*(server.close() for server in servers))
         await self._peers.close()
         self._log.write(notes.note("stopped"))
         self._log.flush()
@@ -241,27 +248,32 @@
         probes have found the gateway not ready. If a connection is refused
         before then, its request is lost.
         """
-        started_at = clock.read_boottime()
-        deadline = started_at + max(
-            0.5, self.settings.grace_s - SHUTDOWN_MARGIN_S
-        )
-        self._limits.close_after_response = True
-        self.apply(interface.StopRequested())
-        while clock.read_boottime() < min(
-            started_at + BALANCER_DETECTION_S, deadline
-        ):
-            await asyncio.sleep(POLL_S)
-        listener.stop_listening()
-        while (
-            self.response_writers or self._relays.server.count_active()
-        ) and clock.read_boottime() < deadline:
-            await asyncio.sleep(POLL_S)
-            listener.close_idle()
         now = clock.read_boottime()
-        for note in owed_descriptions.describe_end(
-            listener.list_owed(), started_at, now
-        ):
-            self._log.write(note)
+        drain = drain_module.Drain(
+            grace_s=self.settings.grace_s,
+            detection_s=BALANCER_DETECTION_S,
+            now=now,
+        )
+        self.apply(interface.StopRequested(drain.ends_at - now))
+        # Requests that wait for the first configuration are refused.
+        self._configured.set()
+        await drainer.Drainer(
+            listener,
+            drain,
+            end=lambda owed: self._end_owed(listener, owed),
+            count_others=self._relays.server.count_active,
+            end_others=self._relays.server.end_exchanges,
+            write_log=self._log.write,
+        ).run()
+
+    def _end_owed(
+        self, listener: listener_module.Listener, owed: owed_module.Owed
+    ) -> None:
+        """Ends a request that is left when the time of a stop is over."""
+        if owed.phase is owed_module.Phase.HEAD:
+            drainer.refuse(listener, owed, self._log.write)
+        else:
+            self.apply(events.TimeOver(owed.request_id))
 
     async def wait_for_routes(
         self, limit_s: float
@@ -303,15 +315,13 @@
             case interface.Send(node, message):
                 self._peers.send(node, message)
             case events.StartAttempt():
-                self._start_attempt(effect)
+                self._exchanges.start(effect)
             case events.ProbeServer(replica):
                 self._tasks.start(
                     f"probe of {replica.address}", self._probe(replica)
                 )
             case events.CancelAttempt(request_id, attempt):
-                exchange = self._exchanges.pop((request_id, attempt), None)
-                if exchange is not None:
-                    exchange.cancel()
+                self._exchanges.cancel(request_id, attempt)
             case interface.Stopped():
                 pass
             case _:
@@ -319,26 +329,6 @@
                 if writer is not None:
                     writer.write(effect)
 
-    def _start_attempt(self, attempt: events.StartAttempt) -> None:
-        request = attempt.request
-        receiver = forwarding.AttemptReceiver(
-            attempt, header_codec=self._header_codec, deliver=self._deliver
-        )
-        data = self._header_codec.encode_request_head(attempt) + request.body
-        exchange: upstream.Exchange | relay_client.RelayExchange
-        if attempt.relay is None:
-            exchange = self._pool.send_request(
-                attempt.replica.address,
-                data,
-                receiver,
-                fresh=attempt.is_fresh,
-            )
-        else:
-            exchange = self._relays.pool.send_request(
-                attempt.relay, attempt.replica, data, attempt.budget_s, receiver
-            )
-        self._exchanges[request.request_id, attempt.attempt] = exchange
-
     async def _probe(self, replica: model.Replica) -> None:
         failure = await self._pool.probe(replica.address)
         self.apply(events.ServerProbed(replica, failure))
@@ -350,17 +340,8 @@
             self.apply(events.ServerProbed(replica, failure))
 
     def _report_close(self, owed: owed_module.Owed, by: str, why: str) -> None:
-        self._log.write(
-            notes.Note(
-                "caller_connection_closed",
-                owed.request_id,
-                {
-                    "by": by,
-                    "why": why,
-                    **owed_descriptions.describe(owed, clock.read_boottime()),
-                },
-            )
-        )
+        now = clock.read_boottime()
+        self._log.write(owed_descriptions.describe_close(owed, by, why, now))
 
     def _close_idle(self) -> None:
         self._pool.close_idle()
@@ -368,22 +349,7 @@
 
     def set_paused(self, request_id: str, paused: bool) -> None:
         """Stops or continues reading the response to a request."""
-        for (owner, _), exchange in self._exchanges.items():
-            if owner != request_id:
-                continue
-            if paused:
-                exchange.pause_reading()
-            else:
-                exchange.resume_reading()
-
-    def _deliver(self, event: events.Event) -> None:
-        if isinstance(event, events.ResponseCompleted | events.AttemptFailed):
-            key = (event.request_id, event.attempt)
-            exchange = self._exchanges.pop(key, None)
-            if exchange is not None:
-                # Its connection may be used for the next request.
-                exchange.resume_reading()
-        self.apply(event)
+        self._exchanges.set_paused(request_id, paused)
 
     def _collect_gauges(self) -> dict[str, float]:
         document = self.role.document
@@ -426,10 +392,7 @@
     def _apply_limits(self) -> None:
         document = self.role.document
         if document is not None:
-            limits = document.limits
-            self._limits.max_header_bytes = limits.max_header_bytes
-            self._limits.header_timeout_s = limits.header_timeout_s
-            self._limits.idle_timeout_s = limits.idle_timeout_s
+            self._limits.update(document.limits)
 
     def _reload_settings(self) -> None:
         try:
@@ -442,17 +405,3 @@
         self.settings = settings
         self.role.set_seeds(settings.seeds)
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
-
-    def _make_ready_app(self) -> applications.Starlette:
-        async def get_readiness(_: requests.Request) -> responses.Response:
-            ready = self.role.is_ready()
-            return responses.Response(status_code=200 if ready else 503)
-
-        async def get_health(_: requests.Request) -> responses.Response:
-            return responses.PlainTextResponse("ok\n")
-
-        routes: list[Any] = [
-            routing.Route("/ready", get_readiness),
-            routing.Route("/healthz", get_health),
-        ]
-        return applications.Starlette(routes=routes)
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -2,23 +2,66 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 import itertools
-from typing import Any
+from typing import TYPE_CHECKING, Any, cast
 
+import attrs
 from uvicorn.protocols.http import httptools_impl
 
 from hickorylead.draining import owed as owed_module
 from hickorylead.runtime import clock
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Key of a request's connection in the extensions of its ASGI scope.
 CONNECTION_KEY = "hickorylead.connection"
 
+_FAILURE_RESPONSE = (
+    b"HTTP/1.1 500 Internal Server Error\r\n"
+    b"content-type: application/json\r\ncontent-length: 26\r\n"
+    b'connection: close\r\n\r\n{"error":"internal_error"}'
+)
+# Longest time for which a connection reads on after the response to a request
+# that was not read completely, in seconds. Closing a socket with unread bytes
+# resets the connection, and the caller may lose the response.
+LINGER_S = 1.0
+
 _numbers = itertools.count(1)
 
 
+@attrs.define
+class ConnectionFlags:
+    """State that all connections of a server share.
+
+    Attributes:
+        closes_after_response: Whether responses announce the end of their
+            connection, because the process is stopping.
+        report_failure: Called with a request whose handler failed, and why.
+    """
+
+    closes_after_response: bool = False
+    report_failure: Callable[[owed_module.Owed, BaseException], None] = (
+        lambda _owed, _error: None
+    )
+
+
+class _ResponseTransport:
+    """The part of a transport that the response to one request uses."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.write = connection.transport.write
+        self.is_closing = connection.transport.is_closing
+        self.close = connection.close_after_response
+
+
 class HttpConnection(httptools_impl.HttpToolsProtocol):
     """A connection whose state can be observed and that can be ended."""
 
+    flags: ConnectionFlags = ConnectionFlags()
+
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Makes the protocol of one connection."""
         super().__init__(*args, **kwargs)
@@ -27,19 +70,32 @@
         self.request_id = ""
         self.attempt_id = ""
         self._in_head = False
+        # Whether a part of the body of the latest request is missing.
+        self.in_body = False
+        self._ignores_input = False
         self._began_at = 0.0
         # The request that is being handled; `cycle` is the latest one whose
         # head is complete, which may be queued behind it.
         self._current: httptools_impl.RequestResponseCycle | None = None
+        self._linger_timer: asyncio.TimerHandle | None = None
+        # Why this process closed the connection within a request.
+        self.close_reason = ""
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
+        if self._linger_timer is not None:
+            self._linger_timer.cancel()
         current = self._current
         if current is not None and current is not self.cycle:
             current.disconnected = not current.response_complete
             current.message_event.set()
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Handles bytes from the caller."""
+        if not self._ignores_input:
+            super().data_received(data)
+
     def on_message_begin(self) -> None:
         """Handles the first byte of a request."""
         self._in_head = True
@@ -50,15 +106,163 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         self._in_head = False
+        self.in_body = True
         super().on_headers_complete()
 
+    def on_message_complete(self) -> None:
+        """Handles the end of a request."""
+        self.in_body = False
+        super().on_message_complete()
+
+    def on_response_complete(self) -> None:
+        """Continues with the next request, or closes the connection."""
+        if self.in_body and self.is_idle:
+            # The rest of the request would only be read to be thrown away.
+            self._linger("unread_body")
+        else:
+            super().on_response_complete()
+
+    def send_400_response(self, msg: str) -> None:
+        """Rejects a malformed request."""
+        body = msg.encode("ascii")
+        self.reject_input(
+            b"HTTP/1.1 400 Bad Request\r\n"
+            b"content-type: text/plain; charset=utf-8\r\n"
+            b"content-length: %d\r\nconnection: close\r\n\r\n%b"
+            % (len(body), body),
+            "malformed_request",
+        )
+
     def _start_asgi_task(
         self, cycle: httptools_impl.RequestResponseCycle, app: Any
     ) -> None:
         self._current = cycle
+        if self.flags.closes_after_response and not self.pipeline:
+            cycle.keep_alive = False
         self.request_id = self.attempt_id = ""
+        cycle.transport = cast("asyncio.Transport", _ResponseTransport(self))
         cycle.scope["extensions"] = {CONNECTION_KEY: {"protocol": self}}
-        super()._start_asgi_task(cycle, app)
+        super()._start_asgi_task(
+            cycle, functools.partial(self._run_handler, cycle, app)
+        )
+
+    async def _run_handler(
+        self,
+        cycle: httptools_impl.RequestResponseCycle,
+        app: Any,
+        scope: Any,
+        receive: Any,
+        send: Any,
+    ) -> None:
+        """Runs the application; the HTTP server sends nothing by itself."""
+        try:
+            await app(scope, receive, send)
+        except (Exception, asyncio.CancelledError) as error:
+            owed = self.describe_unfinished() or self.describe(
+                owed_module.Phase.FLUSHING
+            )
+            self.flags.report_failure(owed, error)
+            if isinstance(error, Exception) and not cycle.response_started:
+                self.respond_and_close(_FAILURE_RESPONSE, "handler_failed")
+        if not cycle.response_complete and not cycle.disconnected:
+            # The caller sees that the response is incomplete.
+            cycle.disconnected = True
+            self.transport.close()
+
+    # Ends.
+
+    def announce_close(self) -> None:
+        """Makes the next head of a response announce the connection's end.
+
+        A response whose head has been sent keeps the connection open, and so
+        does one that has complete requests behind it.
+        """
+        current = self._current
+        if (
+            current is not None
+            and not current.response_started
+            and not self.pipeline
+        ):
+            current.keep_alive = False
+
+    def close_when_done(self) -> None:
+        """Closes an idle connection, and a busy one after its response.
+
+        A complete request that is queued behind this response is handled
+        first, unless the head of the response has announced the end.
+        """
+        if self.is_idle:
+            if not self._in_head:
+                self.transport.close()
+        elif not self.pipeline and self._current is not None:
+            self._current.keep_alive = False
+
+    def close_after_response(self) -> None:
+        """Closes the connection once all that was written has been sent."""
+        if self.in_body:
+            self._linger("unread_body")
+        else:
+            self.transport.close()
+
+    def wake_reader(self) -> None:
+        """Makes a handler that waits for more of a body continue."""
+        if self._current is not None:
+            self._current.message_event.set()
+
+    def reject_input(self, response: bytes, reason: str) -> None:
+        """Rejects what the caller sends, after the responses that are owed."""
+        current = self._current
+        if current is None or current.response_complete:
+            self.respond_and_close(response, reason)
+            return
+        is_current = self.cycle is current
+        if self.in_body and is_current and not current.response_started:
+            self.respond_and_close(response, reason)
+            return
+        self._ignores_input = True
+        self._in_head = False
+        if self.in_body and not is_current:
+            # Its body will never be complete.
+            self.pipeline.popleft()
+        latest = self.pipeline[0][0] if self.pipeline else current
+        latest.keep_alive = False
+
+    def respond_and_close(self, response: bytes, reason: str) -> None:
+        """Sends a complete response to a request that is not read further.
+
+        Args:
+            response: Head and body, which announce the end of the connection.
+            reason: Stable code for logs.
+        """
+        if self.transport.is_closing() or self._linger_timer is not None:
+            return
+        current = self._current
+        if current is not None and not current.response_complete:
+            current.response_started = current.response_complete = True
+            current.message_event.set()
+        self.transport.write(response)
+        self._linger(reason)
+
+    def _linger(self, reason: str) -> None:
+        """Closes the connection once the caller has, or after a time."""
+        if self.transport.is_closing() or self._linger_timer is not None:
+            return
+        self.close_reason = reason
+        self._in_head = False
+        self._ignores_input = True
+        self._unset_keepalive_if_required()
+        self.transport.write_eof()
+        self.flow.resume_reading()
+        self._linger_timer = self.loop.call_later(
+            LINGER_S, self.transport.abort
+        )
+
+    def abort(self, reason: str) -> None:
+        """Closes the connection at once; no response looks complete."""
+        self.close_reason = reason
+        self.transport.abort()
+
+    # State.
 
     @property
     def is_idle(self) -> bool:
@@ -79,9 +283,9 @@
                 phase = owed_module.Phase.BODY
             else:
                 phase = owed_module.Phase.WAITING
-            return self._describe(phase)
+            return self.describe(phase)
         if self._in_head:
-            return self._describe(owed_module.Phase.HEAD)
+            return self.describe(owed_module.Phase.HEAD)
         return None
 
     def describe_owed(self) -> owed_module.Owed | None:
@@ -90,11 +294,15 @@
             unfinished = self.describe_unfinished()
             if unfinished is not None:
                 return unfinished
-        if self.transport.get_write_buffer_size():
-            return self._describe(owed_module.Phase.FLUSHING)
+        if (
+            self.transport.get_write_buffer_size()
+            or self._linger_timer is not None
+        ):
+            return self.describe(owed_module.Phase.FLUSHING)
         return None
 
-    def _describe(self, phase: owed_module.Phase) -> owed_module.Owed:
+    def describe(self, phase: owed_module.Phase) -> owed_module.Owed:
+        """Returns what the connection owes, in a given phase."""
         is_head = phase is owed_module.Phase.HEAD
         return owed_module.Owed(
             self.number,
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING, Any
 
 import attrs
-import uvicorn
 
-from hickorylead.runtime import http_connection, sockets
+from hickorylead.draining import owed as owed_module
+from hickorylead.runtime import http_connection, server, sockets
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator
+    from collections.abc import Callable
     import socket
 
-    from hickorylead.draining import owed as owed_module
+    from hickorylead.configuration import document as document_module
 
 
 @attrs.define
@@ -27,8 +26,6 @@
         header_timeout_s: Timeout for receiving the head of a request, in
             seconds.
         idle_timeout_s: Timeout of idle connections, in seconds.
-        close_after_response: Whether connections close after their present
-            response.
         accept_connection: Returns whether to serve a new connection; otherwise
             it is closed unread.
         report_close: Called when a connection ends within a request, with what
@@ -38,12 +35,17 @@
     max_header_bytes: int = 16384
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
-    close_after_response: bool = False
     accept_connection: Callable[[], bool] = lambda: True
     report_close: Callable[[owed_module.Owed, str, str], None] = (
         lambda _owed, _by, _why: None
     )
 
+    def update(self, limits: document_module.Limits) -> None:
+        """Applies the limits of a configuration."""
+        self.max_header_bytes = limits.max_header_bytes
+        self.header_timeout_s = limits.header_timeout_s
+        self.idle_timeout_s = limits.idle_timeout_s
+
 
 _HEAD_TOO_LONG_RESPONSE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -67,8 +69,6 @@
         self._head_bytes = 0
         self._is_closed_unread = False
         self._has_eof = False
-        # Why this process closed the connection, unless it aborts a response.
-        self._close_reason = ""
 
     def connection_made(self, transport: Any) -> None:
         """Records the transport and starts the idle timer."""
@@ -92,8 +92,11 @@
             elif self._has_eof:
                 self.limits.report_close(owed, "caller", "closed")
             else:
-                reason = self._close_reason or "response_aborted"
+                reason = self.close_reason or "response_aborted"
                 self.limits.report_close(owed, "gateway", reason)
+        elif self.pipeline:
+            owed = self.describe(owed_module.Phase.WAITING)
+            self.limits.report_close(owed, "gateway", "queued_dropped")
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
@@ -105,14 +108,15 @@
         """Handles bytes from the caller."""
         if self._is_closed_unread:
             return
-        if not self._in_head and self.is_idle:
-            self._head_bytes = 0
-            self._cancel_head_timer()
-            self._head_timer = self.loop.call_later(
-                self.limits.header_timeout_s, self._reject_slow_head
-            )
+        if self.is_idle and not self.in_body:
+            self._start_head_timer()
         super().data_received(data)
 
+    def on_message_begin(self) -> None:
+        """Handles the first byte of a request."""
+        self._head_bytes = 0
+        super().on_message_begin()
+
     def on_url(self, url: bytes) -> None:
         """Handles a chunk of the request target."""
         self._count_head_bytes(len(url))
@@ -123,37 +127,28 @@
         self._count_head_bytes(len(name) + len(value) + len(": \r\n"))
         super().on_header(name, value)
 
-    def send_400_response(self, msg: str) -> None:
-        """Rejects a malformed request unless it already has a response."""
-        if not self.transport.is_closing():
-            super().send_400_response(msg)
-
     def on_headers_complete(self) -> None:
         """Handles the end of the head."""
         self._cancel_head_timer()
         super().on_headers_complete()
-        if self.limits.close_after_response and self.cycle is not None:
-            self.cycle.keep_alive = False
 
     def on_response_complete(self) -> None:
         """Starts the wait for the next request, with the present limit."""
         self.timeout_keep_alive = self.limits.idle_timeout_s  # type: ignore[assignment]
         super().on_response_complete()
-
-    def close_if_idle(self) -> None:
-        """Closes the connection unless a request is in progress."""
-        if not self._in_head and self.is_idle:
-            self.transport.close()
+        if self.is_idle and self._in_head:
+            self._unset_keepalive_if_required()
+            self._start_head_timer()
 
     def timeout_keep_alive_handler(self) -> None:
         """Closes a connection that was idle for too long."""
-        self._close_reason = "idle_timeout"
+        self.close_reason = "idle_timeout"
         super().timeout_keep_alive_handler()
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self.limits.max_header_bytes:
-            self._respond_and_close(_HEAD_TOO_LONG_RESPONSE, "head_too_long")
+            self.reject_input(_HEAD_TOO_LONG_RESPONSE, "head_too_long")
             # The error stops the parser: the rest of the connection is not
             # read.
             raise ValueError("the head of a request is too long")
@@ -163,31 +158,22 @@
             self.limits.idle_timeout_s, self.timeout_keep_alive_handler
         )
 
+    def _start_head_timer(self) -> None:
+        if self._head_timer is None:
+            self._head_timer = self.loop.call_later(
+                self.limits.header_timeout_s, self._reject_slow_head
+            )
+
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
     def _reject_slow_head(self) -> None:
-        self._respond_and_close(_HEAD_TIMEOUT_RESPONSE, "head_timeout")
-
-    def _respond_and_close(self, response: bytes, reason: str) -> None:
-        self._close_reason = reason
-        self._cancel_head_timer()
-        self._in_head = False
-        if not self.transport.is_closing():
-            self.transport.write(response)
-            self.transport.close()
-
+        self.respond_and_close(_HEAD_TIMEOUT_RESPONSE, "head_timeout")
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no handlers: the process itself stops gracefully."""
-        yield
 
-
-class Listener:
+class Listener(server.HttpServer):
     """Serves one application to callers on one port."""
 
     def __init__(
@@ -208,75 +194,15 @@
             limits: Limits; changes to them apply from then on.
             listening_socket: Socket of its port, if it is already open.
         """
-        protocol = type("BoundProtocol", (CallerProtocol,), {"limits": limits})
-        config = uvicorn.Config(
+        super().__init__(
             app,
-            host=ip,
-            port=port,
-            # uvloop contains io_uring code, which is not allowed on these
-            # machines.
-            loop="asyncio",
-            http=protocol,
-            ws="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
+            ip,
+            port,
+            protocol=type(
+                "BoundProtocol", (CallerProtocol,), {"limits": limits}
+            ),
+            listening_socket=listening_socket,
             server_header=False,
             date_header=False,
             backlog=sockets.BACKLOG,
         )
-        self._limits = limits
-        self._listening_socket = listening_socket
-        self._server = _Server(config)
-        self._task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Opens the port; returns once it accepts connections."""
-        sockets_ = (
-            None if self._listening_socket is None else [self._listening_socket]
-        )
-        self._task = asyncio.create_task(self._server.serve(sockets=sockets_))
-        while not self._server.started:
-            if self._task.done():
-                self._task.result()
-                raise OSError("the HTTP server did not start")
-            await asyncio.sleep(0.005)
-
-    @property
-    def task(self) -> asyncio.Task[None]:
-        """The task that serves; it runs until the listener is closed."""
-        assert self._task is not None, "the listener was started"
-        return self._task
-
-    def get_address(self) -> tuple[str, int]:
-        """Returns the IP address and port on which it listens."""
-        address = self._server.servers[0].sockets[0].getsockname()
-        return address[0], address[1]
-
-    def stop_listening(self) -> None:
-        """Stops accepting connections and closes the idle ones."""
-        for server in self._server.servers:
-            server.close()
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Closes the connections without a request in progress."""
-        for connection in list(self._server.server_state.connections):
-            if isinstance(connection, CallerProtocol):
-                connection.close_if_idle()
-
-    def list_owed(self) -> list[owed_module.Owed]:
-        """Returns what the process owes to its callers."""
-        found = [
-            connection.describe_owed()
-            for connection in self._server.server_state.connections
-            if isinstance(connection, CallerProtocol)
-        ]
-        return [owed for owed in found if owed is not None]
-
-    async def close(self) -> None:
-        """Closes the open connections and stops the server."""
-        self._server.should_exit = True
-        self._server.force_exit = True
-        if self._task is not None:
-            await self._task
--- a/src/hickorylead/runtime/relay_server.py
+++ b/src/hickorylead/runtime/relay_server.py
@@ -206,6 +206,12 @@
         """Returns the number of exchanges in progress."""
         return sum(session.is_active for session in self.sessions)
 
+    def end_exchanges(self) -> None:
+        """Ends the exchanges in progress."""
+        for session in list(self.sessions):
+            if session.is_active:
+                session.abort()
+
     def close(self) -> None:
         """Closes the port and all connections."""
         if self._server is not None:
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -9,9 +9,13 @@
 
 import uvicorn
 
+from hickorylead.runtime import http_connection
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from hickorylead.draining import owed as owed_module
+
 
 class _Server(uvicorn.Server):
     @contextlib.contextmanager
@@ -19,42 +23,73 @@
         """Installs no handlers: the process itself stops gracefully."""
         yield
 
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """Closes all sockets; what was owed has been ended before."""
+        for server in self.servers:
+            server.close()
+        for listening_socket in sockets or []:
+            listening_socket.close()
+        for connection in list(self.server_state.connections):
+            connection.transport.abort()
+
 
 class HttpServer:
     """Serves one application on one port."""
 
-    def __init__(self, app: Any, ip: str, port: int) -> None:
+    def __init__(
+        self,
+        app: Any,
+        ip: str,
+        port: int,
+        *,
+        protocol: type[
+            http_connection.HttpConnection
+        ] = http_connection.HttpConnection,
+        listening_socket: socket.socket | None = None,
+        **options: Any,
+    ) -> None:
         """Makes a server; `start` opens its port.
 
         Args:
             app: The ASGI application.
             ip: IP address.
             port: TCP port.
+            protocol: Class of its connections.
+            listening_socket: Socket of its port, if it is already open.
+            options: Further options of the HTTP server.
         """
-        # uvloop contains io_uring code, which is not allowed on these machines.
+        self._flags = http_connection.ConnectionFlags()
         config = uvicorn.Config(
             app,
             host=ip,
             port=port,
+            # uvloop contains io_uring code, which is not allowed on these
+            # machines.
             loop="asyncio",
-            http="httptools",
+            http=type("BoundProtocol", (protocol,), {"flags": self._flags}),
             ws="none",
             lifespan="off",
             log_config=None,
             access_log=False,
-            timeout_graceful_shutdown=5,
+            **options,
         )
+        self._listening_socket = listening_socket
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Opens the port; returns once it accepts connections."""
-        self._task = asyncio.create_task(self._server.serve())
+        sockets = (
+            None if self._listening_socket is None else [self._listening_socket]
+        )
+        self._task = asyncio.create_task(self._server.serve(sockets=sockets))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
                 raise OSError("the HTTP server did not start")
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.005)
 
     @property
     def task(self) -> asyncio.Task[None]:
@@ -62,11 +97,50 @@
         assert self._task is not None, "the server was started"
         return self._task
 
+    @property
+    def connections(self) -> list[http_connection.HttpConnection]:
+        """The open connections."""
+        return [
+            connection
+            for connection in self._server.server_state.connections
+            if isinstance(connection, http_connection.HttpConnection)
+        ]
+
+    def get_address(self) -> tuple[str, int]:
+        """Returns the IP address and port on which it listens."""
+        address = self._server.servers[0].sockets[0].getsockname()
+        return address[0], address[1]
+
+    def list_owed(self) -> list[owed_module.Owed]:
+        """Returns what the process owes to its callers."""
+        found = [c.describe_owed() for c in self.connections]
+        return [owed for owed in found if owed is not None]
+
+    def find_connection(
+        self, owed: owed_module.Owed
+    ) -> http_connection.HttpConnection | None:
+        """Returns the connection on which something is owed."""
+        for connection in self.connections:
+            if connection.number == owed.connection:
+                return connection
+        return None
+
+    def announce_close(self) -> None:
+        """Makes the next head on each connection announce its end."""
+        self._flags.closes_after_response = True
+        for connection in self.connections:
+            connection.announce_close()
+
     def stop_listening(self) -> None:
         """Stops accepting connections; the open ones continue."""
         for server in self._server.servers:
             server.close()
 
+    def close_kept(self) -> None:
+        """Closes idle connections, and the others after their response."""
+        for connection in self.connections:
+            connection.close_when_done()
+
     async def close(self) -> None:
         """Closes the open connections and stops the server."""
         self._server.should_exit = True
--- a/tests/steps/caller_steps.py
+++ b/tests/steps/caller_steps.py
@@ -8,9 +8,9 @@
 
 from hickorylead.forwarding import events
 from hickorylead.runtime import (
-    forwarding,
     http_connection,
     listener,
+    response_writer,
     sockets,
 )
 
@@ -18,6 +18,8 @@
 class SlowConnection:
     """A connection that can become full, and the messages sent on it."""
 
+    in_body = False
+
     def __init__(self):
         self.sent = []
         self.writable = asyncio.Event()
@@ -48,7 +50,7 @@
                 http_connection.CONNECTION_KEY: {"protocol": connection}
             }
         }
-        writer = forwarding.ResponseWriter(scope, connection.send, print)
+        writer = response_writer.ResponseWriter(scope, connection.send, print)
         task = asyncio.ensure_future(writer.run())
         writer.write(events.StartResponse("r", 200, ()))
         writer.write(events.WriteChunk("r", context.chunks[0]))
@@ -92,7 +94,7 @@
                 http_connection.CONNECTION_KEY: {"protocol": SlowConnection()}
             }
         }
-        writer = forwarding.ResponseWriter(
+        writer = response_writer.ResponseWriter(
             scope, context.refuse, context.notes.append
         )
         task = asyncio.ensure_future(writer.run())
