Let tests that run beside each other use address blocks of their own

Cause: two runs of the scenarios used the same addresses of the soak. Change: HICKORYLEAD_TEST_SLOT sets the block. Result: none for callers.

--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import tempfile
 
@@ -10,7 +11,7 @@
 from soak import cluster as cluster_module
 
 # Separate address block, so that a soak run by hand can run during the tests.
-SLOT = 9
+SLOT = int(os.environ.get("HICKORYLEAD_TEST_SLOT", "9"))
 
 
 @then(
