A request whose body still comes no longer drops those queued before it

Cause: whether a body is missing was known of the latest request on a connection only. When the response to an earlier one ended while that body still came, the connection was closed as if its own body were unread, and the complete requests queued between them got no answer and no log line, also without a stop.

Change: it is asked of the request in hand; a connection that lingers starts none that is queued.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -71,7 +71,7 @@
         self.attempt_id = ""
         self._in_head = False
         # Whether a part of the body of the latest request is missing.
-        self.in_body = False
+        self._is_latest_open = False
         self._ignores_input = False
         self._began_at = 0.0
         # The request that is being handled; `cycle` is the latest one whose
@@ -106,17 +106,19 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         self._in_head = False
-        self.in_body = True
+        self._is_latest_open = True
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
-        self.in_body = False
+        self._is_latest_open = False
         super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Continues with the next request, or closes the connection."""
-        if self.in_body and self.is_idle:
+        if self._linger_timer is not None:
+            return
+        if self.in_body:
             # The rest of the request would only be read to be thrown away.
             self._linger("unread_body")
         else:
@@ -216,12 +218,12 @@
             self.respond_and_close(response, reason)
             return
         is_current = self.cycle is current
-        if self.in_body and is_current and not current.response_started:
+        if self.in_body and not current.response_started:
             self.respond_and_close(response, reason)
             return
         self._ignores_input = True
         self._in_head = False
-        if self.in_body and not is_current:
+        if self._is_latest_open and not is_current:
             # Its body will never be complete.
             self.pipeline.popleft()
         latest = self.pipeline[0][0] if self.pipeline else current
@@ -264,6 +266,11 @@
 
     # State.
 
+    @property
+    def in_body(self) -> bool:
+        """Whether a part of the body of the request in hand is missing."""
+        return self._is_latest_open and self._current is self.cycle
+
     @property
     def is_idle(self) -> bool:
         """Whether each complete head has its complete response."""
