A closed connection loses no response to requests sent behind it

Cause: a connection that closes after its response was closed at once although its caller had sent more: bytes that are left unread reset the connection, and a caller that had not read the response yet lost its end.

Change: where a request is queued, begun or not read on, the connection lingers, as it does behind a body that is not read.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -203,6 +203,8 @@
         """Closes the connection once all that was written has been sent."""
         if self.in_body:
             self._linger("unread_body")
+        elif self.pipeline or self._in_head or self.flow.read_paused:
+            self._linger("queued_dropped")
         else:
             self.transport.close()
 
