A request that waits for routes when a gateway stops is refused with a log line

Cause: it was refused before the reducer knew of it, so no line had its id.

Change: the reducer is told of it, and refuses it like those whose body comes.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -113,7 +113,13 @@
         routes = await self._process.wait_for_routes(limit_s)
         waited_s = clock.read_boottime() - started_at
         if routes is None and self._process.role.is_stopping:
-            return refusals.refuse_unread(request_id)
+            # The reducer refuses it, with a log line.
+            self._process.apply(
+                events.RequestOpened(
+                    request_id, metadata.attempt_id, None, metadata.budget_s
+                )
+            )
+            return writer.refusal
         if routes is None:
             retry_s = refusals.jitter_retry_after(
                 metadata.attempt_id, STARTING_RETRY_S
