A planned stop does not cut short a connection that lingers

Cause: closing kept connections also closed those that had sent their last response and read on, so that bytes in flight reset them.

Change: a lingering connection is left to its own timer.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -193,6 +193,8 @@
         A complete request that is queued behind this response is handled
         first, unless the head of the response has announced the end.
         """
+        if self._linger_timer is not None:
+            return
         if self.is_idle:
             if not self._in_head:
                 self.transport.close()
