Let a drainer refuse heads that are incomplete, with a response of its own

A process that refuses each request that begins while it stops need not await the rest of a head: refuse_head ends it once no connection is kept open. refuse takes the response, as an entry names its refusals in problem+json.

--- a/src/hickorylead/runtime/drainer.py
+++ b/src/hickorylead/runtime/drainer.py
@@ -13,15 +13,15 @@
 from hickorylead.runtime import clock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from hickorylead import notes
-    from hickorylead.runtime import server as server_module
+    from hickorylead.runtime import http_connection, server as server_module
 
 POLL_S = 0.02
 # Reason code of connections that a planned stop ends.
 STOPPING = "stopping"
-_REFUSAL = (
+REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
     b"content-type: application/json\r\ncontent-length: 20\r\n"
     b"retry-after: 0.1\r\nconnection: close\r\n\r\n"
@@ -33,12 +33,23 @@
     server: server_module.HttpServer,
     owed: owed_module.Owed,
     write_log: Callable[[notes.Note], None],
+    response: bytes = REFUSAL,
 ) -> None:
     """Refuses a request whose response has not begun."""
     connection = server.find_connection(owed)
     if connection is not None:
-        write_log(descriptions.describe_refusal(owed, clock.read_boottime()))
-        connection.respond_and_close(_REFUSAL, STOPPING)
+        refuse_connection(connection, owed, write_log, response)
+
+
+def refuse_connection(
+    connection: http_connection.HttpConnection,
+    owed: owed_module.Owed,
+    write_log: Callable[[notes.Note], None],
+    response: bytes = REFUSAL,
+) -> None:
+    """Refuses what a connection owes; its response has not begun."""
+    write_log(descriptions.describe_refusal(owed, clock.read_boottime()))
+    connection.respond_and_close(response, STOPPING)
 
 
 class Drainer:
@@ -52,6 +63,7 @@
         end: Callable[[owed_module.Owed], None] | None = None,
         count_others: Callable[[], int] = lambda: 0,
         end_others: Callable[[], None] = lambda: None,
+        refuse_head: Callable[[owed_module.Owed], None] | None = None,
         write_log: Callable[[notes.Note], None],
     ) -> None:
         """Makes a drainer.
@@ -64,6 +76,9 @@
             count_others: Returns the number of exchanges in progress for
                 other nodes.
             end_others: Ends these.
+            refuse_head: Refuses a request whose head is incomplete when no
+                connection is kept open any more; by default the rest of the
+                head is awaited.
             write_log: Called with log lines.
         """
         self._server = server
@@ -71,6 +86,7 @@
         self._end = end
         self._count_others = count_others
         self._end_others = end_others
+        self._refuse_head = refuse_head
         self._write_log = write_log
 
     async def run(self) -> None:
@@ -87,6 +103,7 @@
                     self._server.stop_listening()
                 case drain_module.CloseKept():
                     self._server.close_kept()
+                    self._refuse_heads(owed)
                 case drain_module.End(item):
                     if self._end is not None:
                         self._end(item)
@@ -107,6 +124,12 @@
                     return True
         return False
 
+    def _refuse_heads(self, owed: Sequence[owed_module.Owed]) -> None:
+        if self._refuse_head is not None:
+            for item in owed:
+                if item.phase is owed_module.Phase.HEAD:
+                    self._refuse_head(item)
+
     def _abort(self, owed: owed_module.Owed, now: float) -> None:
         connection = self._server.find_connection(owed)
         if connection is not None:
