Answer the calls that a stopping coordinator owes, and refuse later ones

A coordinator ended its ticks before its HTTP server, so a change or read that waited at SIGTERM for a lost message was never decided: 500 by the HTTP server after 5 s, and the process outlasted its grace time. A caller that did not read its metrics held the process for as long.

The voter, the peers and the ticks now work on until nothing is owed. Calls that begin after SIGTERM are refused with 503 and Retry-After; at the end undecided ones are answered as such, with a line that names the call. Each call has an id. grace_s reaches coordinators. Settings, disk, calls to servers and pending calls are modules of their own.

--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -16,6 +16,7 @@
 
 from hickorylead.configuration import document
 from hickorylead.platform import documents, servers
+from hickorylead.runtime import stop_gate
 from hickorylead.turns import work_queue
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
 
 MAX_HEARTBEAT_BYTES = 64 * 1024
 MAX_CONFIGURATION_BYTES = 4 * 1024 * 1024
+# Time after which operators may send a call again, in seconds.
+RETRY_AFTER = "0.1"
 # Pause between two steps, in seconds. It gives timers and sockets their turn.
 YIELD_S = 0.001
 
@@ -110,14 +113,19 @@
             await asyncio.sleep(YIELD_S)
         version = decoded.unwrap().version
         del body, decoded
-        if await self._process.replace_configuration(version, content):
+        call_id = request.scope[stop_gate.CALL_ID_KEY]
+        if await self._process.replace_configuration(
+            version, content, call_id=call_id
+        ):
             return _respond({})
         return _refuse(503, "not known whether it was committed: send it again")
 
     async def handle_read(
-        self, _: starlette_requests.Request
+        self, request: starlette_requests.Request
     ) -> responses.Response:
-        newest = await self._process.read_configuration()
+        newest = await self._process.read_configuration(
+            call_id=request.scope[stop_gate.CALL_ID_KEY]
+        )
         if newest is None or not newest[0]:
             return _refuse(503, "the newest configuration is not known here")
         return responses.Response(
@@ -150,6 +158,7 @@
 
 def _refuse(status: int, problem: str) -> responses.Response:
     body = orjson.dumps({"error": problem})
+    fields = {"Retry-After": RETRY_AFTER} if status == 503 else {}
     return responses.Response(
-        body, status_code=status, media_type="application/json"
+        body, status, fields, media_type="application/json"
     )
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from hickorylead.runtime import coordinator, gateway
+    from hickorylead.runtime import coordinator_settings, gateway
     from hickorylead.telemetry import decisions
 
 ROLES = ("gateway", "coordinator")
@@ -140,10 +140,10 @@
 
 def _make_coordinator_settings(
     settings: settings_module.Settings,
-) -> coordinator.Settings:
-    from hickorylead.runtime import coordinator
+) -> coordinator_settings.Settings:
+    from hickorylead.runtime import coordinator_settings
 
-    return coordinator.Settings(
+    return coordinator_settings.Settings(
         vm=settings.vm,
         zone=settings.zone,
         zones=settings.zones,
@@ -158,4 +158,5 @@
         heartbeat_s=settings.heartbeat_s,
         max_lost_disks=settings.max_lost_disks,
         catch_up_s=settings.catch_up_s,
+        grace_s=settings.grace_s,
     )
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -4,61 +4,55 @@
 
 import asyncio
 import functools
-import pathlib
 import random
 import signal
 from typing import TYPE_CHECKING, Any
 
-import attrs
-from returns import result
-
 from hickorylead import errors, notes
 from hickorylead.consensus import (
     messages as consensus_messages,
     options,
 )
-from hickorylead.crashes import messages as crash_messages
+from hickorylead.draining import drain as drain_module, owed as owed_module
 from hickorylead.fleet import (
     events,
     group_builder as group_builder_module,
     identity,
     instances,
-    messages as fleet_messages,
     orders,
-    server_codec as server_codec_module,
 )
 from hickorylead.roles import coordinator as coordinator_role, interface, nodes
 from hickorylead.runtime import (
-    calls,
     clock,
+    coordinator_disk,
+    drainer,
+    operator_calls,
     peers as peers_module,
     reload_signal,
     scrape,
     server as server_module,
+    server_calls,
+    stop_gate,
     tasks,
     ticker,
     turns,
     upstream,
 )
-from hickorylead.storage import folder as folder_module, saved_value
 from hickorylead.telemetry import decisions, turn_costs
 from hickorylead.turns import work_queue
-from hickorylead.wire import codec
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from hickorylead.configuration import document as document_module
+    from returns import result
 
-# Timeouts of calls, in seconds. Servers respond to orders and probes within a
-# few ms; an unreachable server never responds.
-ORDER_TIMEOUT_S = 0.4
-# A probe decides whether a server is dead, while the server's callers wait.
-REPORT_TIMEOUT_S = 0.25
-CLOSE_IDLE_PERIOD_S = 0.5
-# Interval of attempts to reopen the disk after a failed write, in seconds.
-DISK_RETRY_S = 0.5
+    from hickorylead.configuration import document as document_module
+    from hickorylead.fleet import server_codec as server_codec_module
+    from hickorylead.runtime import coordinator_settings
 
+# How long a stopping coordinator answers those who find its port open, in
+# seconds: clients that are refused with a response know that nothing was done.
+REFUSAL_S = 0.25
 
 _TICKS: dict[work_queue.Lane, events.UrgentTick | events.OrdinaryTick] = {
     work_queue.Lane.URGENT: events.UrgentTick(),
@@ -72,55 +66,12 @@
 }
 
 
-@attrs.frozen
-class Settings:
-    """Settings of a coordinator.
-
-    Attributes:
-        vm: Name of the VM.
-        zone: Its availability zone.
-        zones: All availability zones.
-        ip: IP address at which other nodes reach it.
-        control_port: Port for backend servers and operators.
-        peer_port: Port for the other processes of the system.
-        seeds: Peer addresses of a few coordinators.
-        metrics_port: Port of the metrics endpoint; 0 for none.
-        may_bootstrap: Whether the system starts for the first time.
-        data_folder: Data folder on disk.
-        heartbeat_s: Interval of backend servers' heartbeats, in seconds.
-        max_lost_disks: Number of disks that may be lost at the same time.
-        catch_up_s: Time after which a coordinator that has started is relied
-            upon, in seconds.
-        bind_ip: IP address to bind; empty if it is `ip`.
-    """
-
-    vm: str
-    zone: str
-    zones: tuple[str, ...]
-    ip: str
-    control_port: int
-    peer_port: int
-    seeds: tuple[str, ...]
-    metrics_port: int
-    may_bootstrap: bool
-    data_folder: str
-    heartbeat_s: float
-    max_lost_disks: int
-    catch_up_s: float
-    bind_ip: str = ""
-
-    @property
-    def listen_ip(self) -> str:
-        """The IP address on which the process listens."""
-        return self.bind_ip or self.ip
-
-
 class CoordinatorProcess:
     """One coordinator process."""
 
     def __init__(
         self,
-        settings: Settings,
+        settings: coordinator_settings.Settings,
         *,
         server_codec: server_codec_module.ServerCodec,
         decode_document: Callable[
@@ -128,7 +79,7 @@
         ],
         make_app: Callable[[CoordinatorProcess], Any],
         find_lane: Callable[[str], work_queue.Lane],
-        reload: Callable[[], Settings],
+        reload: Callable[[], coordinator_settings.Settings],
         log: decisions.DecisionLog,
     ) -> None:
         """Makes a coordinator; `run` starts it.
@@ -147,16 +98,16 @@
             settings.zone, settings.vm, nodes.COORDINATOR
         )
         self._log = log
-        self._server_codec = server_codec
         self._reload = reload
         self._make_app = make_app
         self._find_lane = find_lane
         self._rng = random.Random(f"{self._node} {clock.read_wall()}")
         self._stop = asyncio.Event()
-        self._folder = self._open_folder()
-        self._disk_failed_at: float | None = None
+        self._disk = coordinator_disk.Disk(
+            settings.data_folder, self._node, log
+        )
         self._tasks = tasks.TaskSet(log)
-        self._pending_calls: dict[str, asyncio.Future[Any]] = {}
+        self._calls = operator_calls.OperatorCalls(log)
         self._call_count = 0
         self._costs = turn_costs.TurnCosts(clock.read_monotonic())
         self._turns = turns.Turns(log, self._costs)
@@ -174,7 +125,7 @@
             identity.Identity(
                 node=self._node,
                 address=address,
-                incarnation=self._folder.incarnation,
+                incarnation=self._disk.folder.incarnation,
                 seeds=settings.seeds,
                 may_bootstrap=settings.may_bootstrap,
                 heartbeat_s=settings.heartbeat_s,
@@ -182,17 +133,20 @@
             ),
             decode_document=decode_document,
             policy=group_builder_module.StandbyPolicy(),
-            records=self._folder.records,
+            records=self._disk.folder.records,
             rng=self._rng,
             now=clock.read_boottime(),
             voter_options=self._voter_options,
             defers_work=True,
         )
-        data_folder = pathlib.Path(settings.data_folder)
-        self._saved_servers = saved_value.SavedValue(data_folder, "servers")
-        self._saved_crashes = saved_value.SavedValue(data_folder, "crashes")
-        self._saved_gateways = saved_value.SavedValue(data_folder, "gateways")
-        self._restore_saved()
+        self._disk.restore(self.role, clock.read_boottime())
+        self._server_calls = server_calls.ServerCalls(
+            pool=self._pool,
+            codec=server_codec,
+            find_start_time=self.role.registry.find_start_time,
+            deliver=self.apply,
+            log=log,
+        )
         self._peers = peers_module.Peers(
             node=self._node,
             address=address,
@@ -210,10 +164,15 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         reload_signal.handle(loop, self._reload_settings)
-        http = server_module.HttpServer(
+        gate = stop_gate.StopGate(
             turns.TurnLimitedApp(
                 self._make_app(self), self._turns, self._find_lane
             ),
+            self._make_call_id,
+            self._log.write,
+        )
+        http = server_module.HttpServer(
+            gate,
             self.settings.listen_ip,
             self.settings.control_port,
         )
@@ -235,16 +194,47 @@
             ),
         )
         await self._stop.wait()
+        await self._drain(http, gate)
         await self._tasks.close()
-        await http.close()
-        if metrics_server is not None:
-            await metrics_server.close()
+        servers = [http, *([metrics_server] if metrics_server else [])]
+        await asyncio.gather(*(server.close() for server in servers))
         await self._peers.close()
         self._pool.close()
-        self._folder.close()
+        self._disk.folder.close()
         self._log.write(notes.note("stopped"))
         self._log.flush()
 
+    async def _drain(
+        self, http: server_module.HttpServer, gate: stop_gate.StopGate
+    ) -> None:
+        """Answers the pending calls; the voter and the peers work on."""
+        gate.stop()
+        drain = drain_module.Drain(
+            grace_s=self.settings.grace_s,
+            detection_s=REFUSAL_S,
+            now=clock.read_boottime(),
+        )
+        self._log.write(notes.note("stopping", left_s=self.settings.grace_s))
+
+        def refuse(owed: owed_module.Owed) -> None:
+            drainer.refuse(http, owed, self._log.write)
+
+        def end(owed: owed_module.Owed) -> None:
+            # Pending calls are answered below, by their handlers.
+            if owed.phase is not owed_module.Phase.RESPONDING and not (
+                self._calls.is_pending(owed.request_id)
+            ):
+                refuse(owed)
+
+        await drainer.Drainer(
+            http,
+            drain,
+            end=end,
+            end_others=lambda: self._calls.end(drainer.STOPPING),
+            refuse_head=refuse,
+            write_log=self._log.write,
+        ).run()
+
     # For the API of backend servers and operators.
 
     def receive_heartbeat(self, instance: instances.Instance) -> None:
@@ -255,29 +245,37 @@
         """Records that a backend server has left for good."""
         self.apply(events.InstanceLeft(name, born))
 
-    async def replace_configuration(self, version: int, content: bytes) -> bool:
-        """Replaces the configuration; returns whether it is certain to last."""
-        token, future = self._register_call()
-        self.apply(events.ReplaceRequested(token, version, content))
-        return bool(await future)
+    async def replace_configuration(
+        self, version: int, content: bytes, *, call_id: str
+    ) -> bool:
+        """Replaces the configuration; returns whether it is certain to last.
 
-    async def read_configuration(self) -> tuple[int, bytes] | None:
-        """Returns the latest configuration; None if it is not known."""
-        token, future = self._register_call()
-        self.apply(events.ReadRequested(token))
-        return await future
+        Args:
+            version: Operators' version.
+            content: The compressed configuration.
+            call_id: Id of the call, unique in the system.
+        """
+        event = events.ReplaceRequested(call_id, version, content)
+        return bool(await self._calls.wait(call_id, lambda: self.apply(event)))
 
-    def _register_call(self) -> tuple[str, asyncio.Future[Any]]:
-        self._call_count += 1
-        token = f"{self._node}.{self._folder.incarnation}.{self._call_count}"
-        future: asyncio.Future[Any] = asyncio.Future()
-        self._pending_calls[token] = future
-        return token, future
+    async def read_configuration(
+        self, *, call_id: str
+    ) -> tuple[int, bytes] | None:
+        """Returns the latest configuration; None if it is not known.
+
+        Args:
+            call_id: Id of the call, unique in the system.
+        """
+        event = events.ReadRequested(call_id)
+        newest: tuple[int, bytes] | None = await self._calls.wait(
+            call_id, lambda: self.apply(event)
+        )
+        return newest
 
-    def _complete_call(self, token: str, outcome: Any) -> None:
-        future = self._pending_calls.pop(token, None)
-        if future is not None and not future.done():
-            future.set_result(outcome)
+    def _make_call_id(self) -> str:
+        self._call_count += 1
+        incarnation = self._disk.folder.incarnation
+        return f"{self._node}.{incarnation}.{self._call_count}"
 
     def _collect_gauges(self) -> dict[str, float]:
         now = clock.read_boottime()
@@ -313,10 +311,11 @@
                 self._costs.record(
                     _name_work(effect), clock.read_monotonic() - began
                 )
-            if self._folder.needs_compaction():
-                self._folder.rewrite(self.role.voter.export_records())
+            if self._disk.folder.needs_compaction():
+                self._disk.folder.rewrite(self.role.voter.export_records())
         except OSError as error:
-            self._handle_disk_failure(error, now)
+            self._disk.record_failure(error, now)
+            self._calls.give_up("disk_failed")
         for due in self.role.list_due_work(now):
             if due not in self._queued_work:
                 self._queued_work.add(due)
@@ -329,39 +328,41 @@
             case notes.Note():
                 self._log.write(effect)
             case interface.Send(node, message):
-                if self._disk_failed_at is not None and isinstance(
+                if self._disk.has_failed and isinstance(
                     message, consensus_messages.Message
                 ):
                     return
                 self._peers.send(node, message)
             case consensus_messages.Persist(record):
-                if self._disk_failed_at is None:
-                    self._folder.persist(record)
-            case events.SaveInstances(known):
-                update = fleet_messages.InstanceNews(self._node, known)
-                self._save(self._saved_servers, update)
-            case events.SaveCrashes(known):
-                self._save(self._saved_crashes, known)
-            case events.SaveGatewayRecord(record):
-                self._save(self._saved_gateways, record)
+                if not self._disk.has_failed:
+                    self._disk.folder.persist(record)
+            case (
+                events.SaveInstances()
+                | events.SaveCrashes()
+                | events.SaveGatewayRecord()
+            ):
+                self._disk.save(effect)
             case events.AnswerReplace(token, accepted):
-                self._complete_call(
-                    token, accepted and self._disk_failed_at is None
+                self._calls.complete(
+                    token, accepted and not self._disk.has_failed
                 )
             case events.AnswerRead(token, version, content):
-                if content is None or self._disk_failed_at is not None:
-                    self._complete_call(token, None)
+                if content is None or self._disk.has_failed:
+                    self._calls.complete(token, None)
                 else:
-                    self._complete_call(token, (version, content))
+                    self._calls.complete(token, (version, content))
             case orders.SendOrder():
-                self._tasks.start(f"order to {effect.name}", self._post(effect))
+                self._tasks.start(
+                    f"order to {effect.name}", self._server_calls.post(effect)
+                )
             case orders.RequestReport():
                 self._tasks.start(
-                    f"probe of {effect.name}", self._request_report(effect)
+                    f"probe of {effect.name}",
+                    self._server_calls.request_report(effect),
                 )
 
     def _receive(self, sender: str, message: interface.Message) -> None:
-        if self._disk_failed_at is not None and isinstance(
+        if self._disk.has_failed and isinstance(
             message, consensus_messages.Message
         ):
             return
@@ -386,175 +387,24 @@
         self, lane: work_queue.Lane, event: coordinator_role.CoordinatorEvent
     ) -> None:
         self._waiting_ticks.discard(lane)
-        if lane == work_queue.Lane.URGENT and self._disk_failed_at is not None:
+        if lane == work_queue.Lane.URGENT and self._disk.has_failed:
             self._retry_disk()
         self.apply(event)
 
+    def _retry_disk(self) -> None:
+        now = clock.read_boottime()
+        if self._disk.try_again(now):
+            self.role.restart_voter(
+                self._disk.folder.records, self._rng, now, self._voter_options
+            )
+            self._log.write(notes.note("disk_regained"))
+
     def _do_work(
         self, due: events.ConfigurationDue | events.PlanningDue
     ) -> None:
         self._queued_work.discard(due)
         self.apply(due)
 
-    # The disk.
-
-    def _restore_saved(self) -> None:
-        now = clock.read_boottime()
-        servers = self._load(self._saved_servers)
-        if isinstance(servers, fleet_messages.InstanceNews):
-            self.role.registry.restore(servers.news, now)
-        crashes = self._load(self._saved_crashes)
-        if isinstance(crashes, crash_messages.CrashNews):
-            self.role.crashes.restore(crashes, now)
-        record = self._load(self._saved_gateways)
-        if isinstance(record, fleet_messages.GatewayRecord):
-            self.role.gateways.restore(record, now)
-
-    def _load(self, source: saved_value.SavedValue) -> interface.Message | None:
-        if source.value is None:
-            return None
-        match codec.decode_envelope(source.value):
-            case result.Success(envelope):
-                return envelope.message
-            case result.Failure(problem):
-                self._log.write(notes.note("memo_unreadable", why=problem))
-        return None
-
-    def _save(
-        self, target: saved_value.SavedValue, message: interface.Message
-    ) -> None:
-        value = codec.encode_envelope(codec.Envelope(self._node, "", message))
-        try:
-            target.save(value)
-        except OSError as error:
-            # The saved value is only used after a restart; by then the state is
-            # reported anew.
-            self._log.write(notes.note("memo_not_saved", why=str(error)))
-
-    def _open_folder(self) -> folder_module.DataFolder:
-        return folder_module.DataFolder(
-            pathlib.Path(self.settings.data_folder), self._node
-        )
-
-    def _handle_disk_failure(self, error: OSError, now: float) -> None:
-        """Stops voting, since the voter's state now differs from the disk.
-
-        If the voter continued, it could acknowledge a change that a restart
-        loses. Everything else continues; once the disk accepts writes again,
-        the voter restarts from the records on it.
-        """
-        self._disk_failed_at = now
-        self._log.write(
-            notes.note("disk_failed", level="error", why=str(error))
-        )
-        for token in list(self._pending_calls):
-            self._complete_call(token, None)
-
-    def _retry_disk(self) -> None:
-        now = clock.read_boottime()
-        assert self._disk_failed_at is not None
-        if now - self._disk_failed_at < DISK_RETRY_S:
-            return
-        try:
-            self._folder.close()
-            self._folder = self._open_folder()
-            self._folder.check_writable()
-        except (OSError, errors.DataFolderError) as error:
-            self._disk_failed_at = now
-            self._log.write(notes.note("disk_still_failed", why=str(error)))
-            return
-        self._disk_failed_at = None
-        self.role.restart_voter(
-            self._folder.records, self._rng, now, self._voter_options
-        )
-        self._log.write(notes.note("disk_regained"))
-
-    # Backend servers.
-
-    async def _call(
-        self,
-        name: str,
-        address: str,
-        call: server_codec_module.HttpCall,
-        timeout_s: float,
-    ) -> tuple[calls.Response | calls.NoResponse, bool]:
-        """Calls a server; returns the response, and if it refused the call."""
-        born = self.role.registry.find_start_time(name)
-        response = await calls.make_call(self._pool, address, call, timeout_s)
-        if isinstance(response, calls.NoResponse):
-            return response, False
-        notice = self._server_codec.decode_notice(
-            response.status, response.headers
-        )
-        if notice != server_codec_module.Notice():
-            self.apply(
-                orders.NoticeArrived(
-                    name, born, notice.retry_after_s, notice.is_leaving
-                )
-            )
-        return response, notice.retry_after_s is not None
-
-    async def _post(self, effect: orders.SendOrder) -> None:
-        response, _ = await self._call(
-            effect.name,
-            effect.address,
-            self._server_codec.encode_order(effect),
-            ORDER_TIMEOUT_S,
-        )
-        status = 0
-        match response:
-            case calls.Response(status):
-                pass
-            case calls.NoResponse(reason):
-                self._log.write(
-                    notes.note(
-                        "order_unanswered", server=effect.name, why=reason
-                    )
-                )
-        self.apply(orders.OrderAnswered(effect.name, effect.order, status))
-
-    async def _request_report(self, effect: orders.RequestReport) -> None:
-        response, is_refused = await self._call(
-            effect.name,
-            effect.address,
-            self._server_codec.encode_report_request(),
-            REPORT_TIMEOUT_S,
-        )
-        report = None
-        match response:
-            case calls.Response(200, body):
-                report = self._server_codec.decode_report(body)
-                if report is None:
-                    self._log.write(
-                        notes.note("report_unreadable", server=effect.name)
-                    )
-            case calls.Response(status):
-                # Another server has this address now, or this server refuses
-                # calls.
-                self._log.write(
-                    notes.note(
-                        "report_refused", server=effect.name, status=status
-                    )
-                )
-            case calls.NoResponse(reason):
-                self._log.write(
-                    notes.note(
-                        "report_unanswered", server=effect.name, why=reason
-                    )
-                )
-        if report is None:
-            arrived = orders.ReportArrived(
-                effect.name, None, is_turned_away=is_refused
-            )
-        else:
-            arrived = orders.ReportArrived(
-                effect.name,
-                report.accepted,
-                report.born,
-                member=report.member,
-            )
-        self.apply(arrived)
-
     def _reload_settings(self) -> None:
         try:
             settings = self._reload()
--- a/tests/steps/large_configuration_steps.py
+++ b/tests/steps/large_configuration_steps.py
@@ -17,6 +17,7 @@
 )
 from hickorylead.fleet import events, messages
 from hickorylead.platform import control
+from hickorylead.runtime import stop_gate
 from hickorylead.wire import codec, frame
 
 VERSIONS = (10, 13, 14, 18, 21, 22, 26, 29)
@@ -224,6 +225,7 @@
 
     def __init__(self, body):
         self._body = body
+        self.scope = {stop_gate.CALL_ID_KEY: "call-1"}
 
     async def stream(self):
         yield self._body
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -27,19 +27,19 @@
 async def fill_disk(cluster):
     """Fills a coordinator's disk, changes the configuration, frees the disk."""
     process = cluster.coordinators[0]
-    open_folder = process._open_folder
+    open_folder = process._disk.open_folder
 
     def refuse(*_):
         raise OSError(errno.ENOSPC, "No space left on device")
 
-    process._folder.persist = refuse
-    process._open_folder = refuse
+    process._disk.folder.persist = refuse
+    process._disk.open_folder = refuse
     body = orjson.dumps(platform_cluster.make_configuration(8))
     async with asyncio.timeout(10):
         # A call that is not decided times out after 0.9 s.
         while await cluster.replace_configuration(body, 1) != 200:
             pass
-    await cluster.wait_for(lambda: process._disk_failed_at is not None)
+    await cluster.wait_for(lambda: process._disk.has_failed)
     # It still receives heartbeats, and refuses to return a configuration that
     # may not be the newest.
     server = cluster.servers[0]
@@ -60,8 +60,8 @@
         b"GET /config/read HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
     )
     assert response.startswith(b"HTTP/1.1 503"), response[:40]
-    process._open_folder = open_folder
-    await cluster.wait_for(lambda: process._disk_failed_at is None)
+    process._disk.open_folder = open_folder
+    await cluster.wait_for(lambda: not process._disk.has_failed)
     await cluster.wait_for(
         lambda: process.role.voter.configuration.outside_version == 8
     )
@@ -296,7 +296,7 @@
         # The order changes nothing: the server is not in this group.
         order = orders.Leave("no-group", 0)
         send_order = orders.SendOrder(server.name, server._address, order)
-        await process._post(send_order)
+        await process._server_calls.post(send_order)
         await cluster.wait_for(lambda: is_draining(cluster, server.name))
 
     asyncio.run(platform_cluster.run_session(order_leaving))
@@ -317,7 +317,7 @@
     )
     restarted = coordinator.CoordinatorProcess(
         process.settings,
-        server_codec=process._server_codec,
+        server_codec=process._server_calls._codec,
         decode_document=documents.DocumentDecoder().decode_compressed,
         make_app=process._make_app,
         find_lane=process._find_lane,
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -11,7 +11,12 @@
 import orjson
 
 from hickorylead.platform import control, documents, headers, servers
-from hickorylead.runtime import clock, coordinator, gateway
+from hickorylead.runtime import (
+    clock,
+    coordinator,
+    coordinator_settings,
+    gateway,
+)
 from hickorylead.telemetry import decisions
 from hickorylead_standins import platform
 
@@ -98,7 +103,7 @@
         self._tasks: list[asyncio.Task] = []
         self.coordinators = [
             coordinator.CoordinatorProcess(
-                coordinator.Settings(
+                coordinator_settings.Settings(
                     vm=f"core{number}",
                     zone=zone,
                     zones=ZONES,
@@ -112,6 +117,7 @@
                     heartbeat_s=0.2,
                     max_lost_disks=1,
                     catch_up_s=4.0,
+                    grace_s=grace_s,
                 ),
                 server_codec=servers.PlatformServerCodec(),
                 decode_document=documents.DocumentDecoder().decode_compressed,
@@ -143,7 +149,7 @@
             )
             for number in range(1, gateways + 1)
         ]
-        self.gateway = self.gateways[0]
+        self.gateway = self.gateways[0] if gateways else None
         self.metrics_addresses = [
             f"{process.settings.ip}:{METRICS_PORT}" for process in self.gateways
         ]
