End a stopping entry when nothing is owed, and decide each end

An entry counted its dispatcher's requests only: bodies that still came and operators' changes were cut or answered 500 by the HTTP server, bytes of a slow reader were lost, and what was left at the end had no decision, line or cancellation.

A Drainer now drains the entry's server, with drain_s as the grace time. Requests whose head comes after SIGTERM are refused unread (entry_stopping, 503, Retry-After); those whose body still came are run if they can end in time. At the end the reducer handles TimeOver: attempts are cancelled, requests get 503 or 504 entry_stopping, changes the answer that their outcome is unknown.

--- a/src/hickorylead/requests/dispatcher.py
+++ b/src/hickorylead/requests/dispatcher.py
@@ -17,6 +17,7 @@
     crash_history,
     request_hash,
 )
+from hickorylead.draining import admission as admission_module
 from hickorylead.requests import events, history, model, outcomes, state
 from hickorylead.routing import policy as policy_module
 
@@ -69,12 +70,46 @@
         self._duration_s: dict[str, float] = {}
         self.queues: dict[str, queue.FairQueue] = {}
         self.histories = history.HistoryStore()
-        self.draining = False
+        self._admission = admission_module.StopAdmission()
+        self._is_stopping = False
 
     def count_pending(self) -> int:
         """Returns how many requests have no final response yet."""
         return len(self._pending)
 
+    def stop(self, ends_at: float) -> None:
+        """Refuses from now on new requests, and others that cannot end in time.
+
+        Args:
+            ends_at: When the requests that are left will be ended.
+        """
+        self._is_stopping = True
+        self._admission.stop(ends_at)
+
+    def end_all(self, now: float) -> list[Effect]:
+        """Ends all pending requests, as the time of a stop is over."""
+        effects: list[Effect] = []
+        for pending in list(self._pending.values()):
+            attempt = pending.current_attempt
+            if attempt is not None:
+                effects.append(
+                    events.CancelAttempt(
+                        attempt.attempt_id,
+                        pending.request.request_id,
+                        attempt.replica,
+                        # If it were cancelled, its work could remain
+                        # incomplete.
+                        cancel_on_server=not pending.non_idempotent,
+                    )
+                )
+                self._end_attempt(pending, now)
+                pending.verdict = Verdict.MAY_HAVE_RUN
+            for service_queue in self.queues.values():
+                service_queue.remove(pending.request.request_id)
+            problem = outcomes.describe_stop(pending.verdict)
+            effects += self._refuse(pending, problem, now)
+        return effects
+
     def handle(
         self,
         event: events.Event,
@@ -85,10 +120,8 @@
         match event:
             case events.FrameArrived():
                 return self._handle_frame(event, now)
-            case events.RequestArrived(request, wall_time):
-                return self._handle_arrival(
-                    request, wall_time, configuration, now
-                )
+            case events.RequestArrived():
+                return self._handle_arrival(event, configuration, now)
             case events.AnswerArrived():
                 return self._handle_response(event, now)
             case events.AttemptFailed():
@@ -138,11 +171,11 @@
 
     def _handle_arrival(
         self,
-        request: model.Request,
-        wall_time: float,
+        event: events.RequestArrived,
         configuration: configuration_model.Configuration,
         now: float,
     ) -> list[Effect]:
+        request = event.request
         self.histories.start(
             request.request_id, request.service, request.workspace, now
         )
@@ -166,19 +199,20 @@
             ),
         )
         self._pending[request.request_id] = pending
-        problem = self._check_arrival(pending, service)
+        problem = self._check_arrival(event, service, now)
         if problem is not None:
             return self._refuse(pending, problem, now)
         if pending.non_idempotent:
-            return self._claim(pending, wall_time, now)
+            return self._claim(pending, event.wall_time, now)
         return self._enqueue(pending, now)
 
     def _check_arrival(
         self,
-        pending: state.PendingRequest,
+        event: events.RequestArrived,
         service: configuration_model.Service | None,
+        now: float,
     ) -> model.Problem | None:
-        name = pending.request.service
+        request, name = event.request, event.request.service
         if service is None:
             return model.Problem(
                 404,
@@ -186,15 +220,12 @@
                 Verdict.NOT_RUN,
                 f"there is no service {name!r}",
             )
-        if self.draining:
-            return model.Problem(
-                503,
-                "entry_stopping",
-                Verdict.NOT_RUN,
-                "this entry is stopping; send the request to another one",
-                outcomes.MIN_RETRY_AFTER_S,
-            )
-        if pending.non_idempotent and not pending.request.idempotency_key:
+        if self._is_stopping and not (
+            event.was_accepted
+            and self._admission.may_finish(name, request.deadline_s, now)
+        ):
+            return outcomes.describe_stop(Verdict.NOT_RUN)
+        if service.non_idempotent and not request.idempotency_key:
             return model.Problem(
                 400,
                 "key_required",
@@ -490,6 +521,7 @@
         request = pending.request
         attempt = pending.current_attempt
         assert attempt is not None
+        self._admission.record(request.service, now - pending.arrived_at)
         duration_s = now - attempt.started_at
         known_s = self._duration_s.get(request.service, duration_s)
         self._duration_s[request.service] = (
--- a/src/hickorylead/requests/events.py
+++ b/src/hickorylead/requests/events.py
@@ -18,10 +18,13 @@
     Attributes:
         request: The validated request.
         wall_time: Wall-clock time, in Unix seconds.
+        was_accepted: Whether its head came before the entry was asked to stop,
+            if it was.
     """
 
     request: model.Request
     wall_time: float
+    was_accepted: bool = False
 
 
 @attrs.frozen
--- a/src/hickorylead/requests/outcomes.py
+++ b/src/hickorylead/requests/outcomes.py
@@ -71,6 +71,21 @@
     )
 
 
+def describe_stop(verdict: verdict_module.Verdict) -> model.Problem:
+    """Returns the problem of a request that a stopping entry does not finish.
+
+    Args:
+        verdict: Whether it may have run.
+    """
+    return model.Problem(
+        503 if verdict is Verdict.NOT_RUN else 504,
+        "entry_stopping",
+        verdict,
+        "this entry is stopping; send the request to another one",
+        MIN_RETRY_AFTER_S,
+    )
+
+
 def describe_overload(wait_s: float) -> model.Problem:
     """Returns the problem of a request whose wait would be too long."""
     return model.Problem(
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -182,10 +182,14 @@
                 )
             case interface.BootstrapRequested(cluster):
                 return self._operations.request_bootstrap(cluster, now)
-            case interface.StopRequested():
+            case interface.StopRequested(left_s):
                 self._stopping = True
-                self._dispatcher.draining = True
+                self._dispatcher.stop(now + left_s)
                 return self._check_stopped()
+            case interface.TimeOver():
+                effects = _convert_effects(self._dispatcher.end_all(now))
+                effects += self._operations.end(now)
+                return effects + self._check_stopped()
 
     def _tick(self, now: float) -> list[interface.EntryEffect]:
         effects = _convert_effects(self._follower.collect_messages(now))
--- a/src/hickorylead/roles/interface.py
+++ b/src/hickorylead/roles/interface.py
@@ -132,6 +132,11 @@
     left_s: float = math.inf
 
 
+@attrs.frozen
+class TimeOver:
+    """Event: the time of a graceful stop is over; what is left ends now."""
+
+
 EntryEvent: TypeAlias = (
     "Tick "
     "| MessageArrived "
@@ -141,6 +146,7 @@
     "| ExplainRequested "
     "| BootstrapRequested "
     "| StopRequested "
+    "| TimeOver "
     "| request_events.Event"
 )
 ControlEvent: TypeAlias = Tick | MessageArrived
--- a/src/hickorylead/roles/operations.py
+++ b/src/hickorylead/roles/operations.py
@@ -110,6 +110,26 @@
                 effects += self._answer_bootstrap(cluster, False, detail)
         return effects
 
+    def end(self, now: float) -> list[interface.EntryEffect]:
+        """Answers all pending requests without their outcome."""
+        effects: list[interface.EntryEffect] = []
+        for change_id, pending in self._changes.items():
+            effects.append(
+                interface.AnswerChange(
+                    change_id, None, may_apply=pending.may_apply
+                )
+            )
+        self._changes.clear()
+        for token in list(self._status_queries):
+            effects += self._finish_status_query(token, now)
+        for token in list(self._pending_explanations):
+            reply = status.ExplainReply(token, found=False)
+            effects += self._answer_explanation(reply)
+        for cluster in list(self._pending_bootstraps):
+            detail = "this entry is stopping"
+            effects += self._answer_bootstrap(cluster, False, detail)
+        return effects
+
     # Changes.
 
     def submit(
--- a/src/hickorylead/runtime/backends.py
+++ b/src/hickorylead/runtime/backends.py
@@ -66,6 +66,10 @@
         await self._pooled.close()
         await self._fresh.close()
 
+    def count_cancellations(self) -> int:
+        """Returns how many cancellations no server has answered yet."""
+        return len(self._cancel_tasks)
+
     def start(self, attempt: events.StartAttempt) -> None:
         """Starts an attempt."""
         task = asyncio.create_task(self._run(attempt))
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -7,17 +7,21 @@
 from typing import TYPE_CHECKING, Any
 
 from hickorylead import notes, verdict as verdict_module
-from hickorylead.requests import events
+from hickorylead.draining import drain as drain_module, owed as owed_module
+from hickorylead.requests import events, outcomes
 from hickorylead.roles import entry as entry_role, interface, nodes
 from hickorylead.runtime import (
     admin_api,
     backends as backends_module,
     clock,
+    drainer,
     entry_api,
     peers as peers_module,
+    problems,
     process,
     response_queue as response_queue_module,
     server as server_module,
+    stop_gate,
     tasks as tasks_module,
     waiters,
 )
@@ -28,6 +32,11 @@
 
 Verdict = verdict_module.Verdict
 
+# How long a stopping entry answers those who find its port open, in seconds:
+# callers that are refused with a response know that nothing was run.
+REFUSAL_S = 0.25
+_REFUSAL = problems.render_refusal(outcomes.describe_stop(Verdict.NOT_RUN))
+
 
 class EntryProcess:
     """Runs one entry."""
@@ -70,7 +79,6 @@
         ] = {}
         self._boot = int(clock.read_wall() * 1000)
         self._request_count = 0
-        self._stopped = asyncio.Event()
         self._peers = peers_module.Peers(
             node=self.node,
             address=f"{settings['address']}:{settings['peer_port']}",
@@ -84,8 +92,14 @@
         self._backends = backends_module.Backends(
             deliver=self.apply, tracer=self.tracer
         )
-        http = server_module.HttpServer(
+        gate = stop_gate.StopGate(
             entry_api.make_app(self, admin_api.make_routes(self)),
+            self._make_request_id,
+            self._write_note,
+            _REFUSAL,
+        )
+        http = server_module.HttpServer(
+            gate,
             self.settings["address"],
             self.settings["caller_port"],
         )
@@ -107,10 +121,8 @@
         ]
         await process.wait_for_stop(stop)
         self.log.info("stopping", open=self.role.dispatcher.count_pending())
-        http.stop_listening()
-        self.apply(interface.StopRequested())
         if not tick_task.done():
-            await self._drain()
+            await self._drain(http, gate)
         await http.close()
         for task in tasks:
             task.cancel()
@@ -120,18 +132,44 @@
         if tick_task.done() and not tick_task.cancelled():
             tick_task.result()
 
-    async def _drain(self) -> None:
-        """Waits for all final responses, or until the drain time is over."""
-        try:
-            async with asyncio.timeout(self.settings["drain_s"]):
-                await self._stopped.wait()
-        except TimeoutError:
-            self.log.warn(
-                "requests aborted at the end of the drain time",
-                open=self.role.dispatcher.count_pending(),
-            )
-
-    def make_request_id(self) -> str:
+    async def _drain(
+        self, http: server_module.HttpServer, gate: stop_gate.StopGate
+    ) -> None:
+        """Finishes what is owed to callers, for at most the drain time."""
+        gate.stop()
+        now = clock.read_boottime()
+        drain = drain_module.Drain(
+            grace_s=self.settings["drain_s"], detection_s=REFUSAL_S, now=now
+        )
+        self.apply(interface.StopRequested(drain.ends_at - now))
+
+        def refuse(owed: owed_module.Owed) -> None:
+            drainer.refuse(http, owed, self._write_note, _REFUSAL)
+
+        def end(owed: owed_module.Owed) -> None:
+            # The reducer ends the others, and their handlers respond.
+            if owed.phase in (owed_module.Phase.HEAD, owed_module.Phase.BODY):
+                refuse(owed)
+
+        await drainer.Drainer(
+            http,
+            drain,
+            end=end,
+            count_others=lambda: (
+                self.role.dispatcher.count_pending()
+                + self._backends.count_cancellations()
+            ),
+            end_others=lambda: self.apply(interface.TimeOver()),
+            refuse_head=refuse,
+            write_log=self._write_note,
+        ).run()
+
+    def _write_note(self, note: notes.Note) -> None:
+        write = self.log.warn if note.level == "warning" else self.log.info
+        fields = {"request_id": note.request_id} if note.request_id else {}
+        write(note.event, **fields, **note.fields)
+
+    def _make_request_id(self) -> str:
         """Returns an id for a new request."""
         self._request_count += 1
         return nodes.make_request_id(self.node, self._boot, self._request_count)
@@ -189,8 +227,8 @@
                 self._complete_request(
                     request_id, problem.verdict, effect, reason=problem.code
                 )
-            case notes.Note(event):
-                self.log.info(event, **effect.fields)
+            case notes.Note():
+                self._write_note(effect)
             case interface.AnswerChange(change_id):
                 self.changes.resolve(change_id, effect)
             case interface.AnswerStatus(token):
@@ -200,7 +238,8 @@
             case interface.AnswerBootstrap(cluster):
                 self.bootstraps.resolve(cluster, effect)
             case interface.Stopped():
-                self._stopped.set()
+                # More than pending requests may be owed.
+                pass
 
     def _deliver_effect(self, request_id: str, effect: events.Effect) -> None:
         response_queue = self._response_queues.get(request_id)
--- a/src/hickorylead/runtime/entry_api.py
+++ b/src/hickorylead/runtime/entry_api.py
@@ -8,19 +8,24 @@
 import attrs
 import orjson
 from returns import result
-from starlette import applications, responses, routing
+from starlette import applications, requests, responses, routing
 
 from hickorylead import verdict as verdict_module
 from hickorylead.configuration import model as configuration_model
-from hickorylead.requests import events, model
+from hickorylead.requests import events, model, outcomes
 from hickorylead.roles import interface
-from hickorylead.runtime import chat, clock, headers, json_codec, problems
+from hickorylead.runtime import (
+    chat,
+    clock,
+    headers,
+    json_codec,
+    problems,
+    stop_gate,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
-    from starlette import requests
-
     from hickorylead.runtime import (
         entry,
         response_queue as response_queue_module,
@@ -57,7 +62,17 @@
             routing.Route("/readyz", views.get_readiness, methods=["GET"]),
             routing.Route("/metrics", views.get_metrics, methods=["GET"]),
             *operator_routes,
-        ]
+        ],
+        exception_handlers={requests.ClientDisconnect: _handle_disconnect},
+    )
+
+
+async def _handle_disconnect(
+    _: requests.Request, __: Exception
+) -> responses.Response:
+    """Responds to nobody: the connection ended within the request's body."""
+    return problems.make_response(
+        outcomes.describe_stop(verdict_module.Verdict.NOT_RUN)
     )
 
 
@@ -180,7 +195,7 @@
         idempotency_key = key.unwrap()
         return result.Success(
             model.Request(
-                request_id=self._process.make_request_id(),
+                request_id=request.scope[stop_gate.CALL_ID_KEY],
                 workspace=workspace,
                 service="",
                 urgency=headers.read_urgency(received.get("priority", "")),
@@ -210,7 +225,11 @@
         response_queue = self._process.open_response(
             submitted.request_id, submitted.service
         )
-        self._process.apply(events.RequestArrived(submitted, clock.read_wall()))
+        # The requests whose head comes later are refused unread.
+        arrived = events.RequestArrived(
+            submitted, clock.read_wall(), was_accepted=True
+        )
+        self._process.apply(arrived)
         return response_queue
 
     async def _stream(
--- a/src/hickorylead/runtime/problems.py
+++ b/src/hickorylead/runtime/problems.py
@@ -48,6 +48,23 @@
     )
 
 
+def render_refusal(problem: model.Problem) -> bytes:
+    """Returns a response of status 503 that ends its connection, as bytes.
+
+    Args:
+        problem: The problem, with a time after which to come back.
+    """
+    assert problem.status == 503 and problem.retry_after_s is not None
+    body = orjson.dumps(describe_problem(problem, ""))
+    head = (
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        f"content-type: {MEDIA_TYPE}\r\ncontent-length: {len(body)}\r\n"
+        f"retry-after: {math.ceil(problem.retry_after_s)}\r\n"
+        "connection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def refuse_input(status: int, code: str, detail: str) -> responses.Response:
     """Returns the response to invalid input; nothing ran."""
     return make_response(
--- a/tests/support/stopped_servers.py
+++ b/tests/support/stopped_servers.py
@@ -39,10 +39,12 @@
     Attributes:
         raw: All bytes.
         after_s: When the connection ended, in seconds after the request.
+        was_reset: Whether the connection was reset, if the test looks at that.
     """
 
     raw: bytes = b""
     after_s: float = 0.0
+    was_reset: bool = False
 
     @property
     def status(self) -> int:
