End a response to HEAD with its head, at every cut that a replica can make

A connection to a replica did not know that its request was HEAD: it waited for the body that the head declares. The exchange then ended only with the replica's connection or the time limit, as failed, though the response was whole.

A connection now reads the method from the request that it sends. A response to HEAD is complete with its final head, with or without a length; bytes behind it close the connection, which is not used again.

--- a/src/hickorylead/runtime/upstream_connection.py
+++ b/src/hickorylead/runtime/upstream_connection.py
@@ -87,6 +87,8 @@
         self._framing_bytes = 0
         self._has_length = False
         self._has_head = False
+        # Whether the response has no body, whatever its head says.
+        self._is_to_head = False
         self._keepalive_s = DEFAULT_KEEPALIVE_S
         self._must_close = False
         self.usable_until = 0.0
@@ -186,16 +188,21 @@
         self._framing_bytes = 0
         self._status = status
         self._has_head = True
-        self._has_length = is_framed(status, self._headers)
+        self._has_length = self._is_to_head or is_framed(status, self._headers)
         if not self._parser.should_keep_alive():
             self._must_close = True
         self._receiver.on_headers(status, self._headers)
+        if self._is_to_head:
+            self.on_message_complete()
 
     def on_body(self, data: bytes) -> None:
         """Passes a chunk of the body to the receiver."""
         self._framing_bytes = 0
-        if self._receiver is not None:
-            self._receiver.on_body_chunk(data)
+        if self._receiver is None:
+            # A response to HEAD that has a body.
+            self.close()
+            return
+        self._receiver.on_body_chunk(data)
 
     def on_message_complete(self) -> None:
         """Ends the exchange."""
@@ -226,6 +233,7 @@
     def send(self, data: bytes, receiver: Receiver) -> None:
         """Starts an exchange."""
         self._receiver = receiver
+        self._is_to_head = data.startswith(b"HEAD ")
         self._framing_bytes = 0
         self._has_head = self._has_length = False
         self._parser = httptools.HttpResponseParser(self)
