Fail a relayed request whose replica ends before the request is sent

A relay accepts an exchange over a connection that it has kept. If the replica closes that connection, or sends bytes unasked, the relay's report of it may arrive in the same read as its consent. The gateway had no exchange yet and dropped the report: the request was sent to nobody and waited until its time was over. Dropped bytes would also have been the beginning of a head.

The channel now notices what arrives between the consent and the request, closes itself, and the request fails as not run, so that it is sent elsewhere at once.

--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -46,6 +46,10 @@
         self._reply: asyncio.Future[str] | None = None
         self._connection: upstream_connection.Connection | None = None
         self._received_bytes = 0
+        # Whether the server's connection awaits the request, and whether it
+        # sent something or ended instead.
+        self._awaits_request = False
+        self._has_ended_early = False
         self.idle_since = 0.0
         self.is_usable = False
 
@@ -65,6 +69,7 @@
     def handle_message(self, message: messages.ConnectionMessage) -> None:
         match message:
             case messages.RelayAccepted():
+                self._awaits_request = True
                 self._set_reply("")
             case messages.RelayRefused(reason):
                 self._set_reply(reason)
@@ -77,6 +82,10 @@
                     ConnectionResetError() if is_reset else None
                 )
                 self._release(self)
+            case messages.RelayData() | messages.RelayClosed() if (
+                self._awaits_request
+            ):
+                self._has_ended_early = True
             case messages.RelayData() | messages.RelayClosed():
                 # The server sent more than its response, or closed its
                 # connection after that; the relay does not use it again.
@@ -88,7 +97,13 @@
         """Asks for a connection to a server; returns why it is refused."""
         self._reply = asyncio.get_running_loop().create_future()
         self.send(opening)
-        return await self._reply
+        reason = await self._reply
+        self._awaits_request = False
+        if self._has_ended_early:
+            # The request would get no response, or a part of another one.
+            self.abort()
+            return model.RELAY_REFUSED
+        return reason
 
     def start(
         self, data: bytes, receiver: upstream_connection.Receiver
--- a/tests/relaying/half_heads.feature
+++ b/tests/relaying/half_heads.feature
@@ -47,3 +47,15 @@
 
   Scenario: A part of a head behind a whole response is not taken for the next one
     Then a part of a head that arrives unasked ends a connection that is kept, through a relay
+
+  Scenario Outline: What a replica does before its request is sent is not lost
+    The relay reports it together with its consent. A request that waits for
+    more would wait until its time is over.
+    Then a request whose replica sent a <early> before it reached the relay fails
+
+    Examples:
+      | early                      |
+      | close                      |
+      | reset                      |
+      | part of a head             |
+      | whole response and a close |
