Write what libraries and the interpreter report as JSON lines

Cause: uvicorn, asyncio and aiohttp write through Python's logging, and uncaught exceptions go to standard error, so tracebacks stood as text among the JSON lines and named neither process nor request. Change: one handler turns records of warnings and errors into lines library_log; uncaught and unraisable exceptions and warnings of the interpreter have lines too. Each process installs it once, before it starts.

--- a/src/hickorylead/commands/roles.py
+++ b/src/hickorylead/commands/roles.py
@@ -87,7 +87,7 @@
 
 def _run_entry(settings: Mapping[str, Any]) -> None:
     from hickorylead.runtime import entry
-    from hickorylead.telemetry import logs
+    from hickorylead.telemetry import library_log, logs
 
     logs.start_logs(
         settings["log_level"],
@@ -95,12 +95,13 @@
         zone=settings["zone"],
         vm=settings["vm"],
     )
+    library_log.install(logs.Log())
     _run_loop(entry.EntryProcess, settings)
 
 
 def _run_control(settings: Mapping[str, Any]) -> None:
     from hickorylead.runtime import control
-    from hickorylead.telemetry import logs
+    from hickorylead.telemetry import library_log, logs
 
     logs.start_logs(
         settings["log_level"],
@@ -108,6 +109,7 @@
         zone=settings["zone"],
         vm=settings["vm"],
     )
+    library_log.install(logs.Log())
     _run_loop(control.ControlProcess, settings)
 
 
--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -55,13 +55,14 @@
     import asyncio
 
     from hickorylead.runtime import clock
-    from hickorylead.telemetry import decisions
+    from hickorylead.telemetry import decisions, library_log
 
     log = decisions.DecisionLog(
         common={"role": role, "zone": settings.zone, "vm": settings.vm},
         clock=clock.read_boottime,
         read_wall_time=clock.read_wall,
     )
+    library_log.install(log)
     if role == "gateway":
         asyncio.run(_run_gateway(settings, log, listening_socket))
     else:
--- a/src/hickorylead/telemetry/logs.py
+++ b/src/hickorylead/telemetry/logs.py
@@ -42,14 +42,14 @@
 
 
 class Log:
-    """Writes log lines, each with the current configuration version."""
+    """Writes log lines, each with the configuration version if it is known."""
 
-    def __init__(self, get_version: Callable[[], int]) -> None:
+    def __init__(self, get_version: Callable[[], int] | None = None) -> None:
         """Makes a log.
 
         Args:
             get_version: Returns the configuration version that this process
-                uses now.
+                uses now. By default the lines have none.
         """
         self._logger = logbook.Logger("hickorylead")
         self._get_version = get_version
@@ -67,6 +67,8 @@
         self._logger.error(message, extra=self._add_version(fields))
 
     def _add_version(self, fields: dict[str, Any]) -> dict[str, Any]:
+        if self._get_version is None:
+            return fields
         return {"version": self._get_version(), **fields}
 
 
