Write one line with the ids when the handler of a request fails

Cause: ConnectionFlags.report_failure was set by nobody, so a handler that raised, or was cancelled with the event loop, left no line; applications of views answered with a bare text 500. Change: HttpServer takes report_failure; the gateway's servers and the metrics server write handler_failed with request_id, attempt_id, phase, why and place, and answer with JSON.

--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -24,6 +24,7 @@
     drainer,
     exchanges,
     forwarding,
+    handler_failures,
     listener as listener_module,
     peers as peers_module,
     readiness,
@@ -194,11 +195,13 @@
             settings.caller_port,
             self._limits,
             listening_socket=self._listening_socket,
+            report_failure=handler_failures.make_reporter(self._log),
         )
         ready = server_module.HttpServer(
             readiness.make_app(self.role.is_ready),
             settings.listen_ip,
             settings.ready_port,
+            report_failure=handler_failures.make_reporter(self._log),
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -184,6 +184,8 @@
         limits: ListenerLimits,
         *,
         listening_socket: socket.socket | None = None,
+        report_failure: Callable[[owed_module.Owed, BaseException], None]
+        | None = None,
     ) -> None:
         """Makes a listener; `start` opens its port.
 
@@ -193,6 +195,8 @@
             port: TCP port.
             limits: Limits; changes to them apply from then on.
             listening_socket: Socket of its port, if it is already open.
+            report_failure: Called with a request whose handler failed, and
+                why.
         """
         super().__init__(
             app,
@@ -202,6 +206,7 @@
                 "BoundProtocol", (CallerProtocol,), {"limits": limits}
             ),
             listening_socket=listening_socket,
+            report_failure=report_failure,
             server_header=False,
             date_header=False,
             backlog=sockets.BACKLOG,
--- a/src/hickorylead/runtime/readiness.py
+++ b/src/hickorylead/runtime/readiness.py
@@ -6,6 +6,8 @@
 
 from starlette import applications, responses, routing
 
+from hickorylead.runtime import handler_failures
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -29,5 +31,6 @@
         routes=[
             routing.Route("/ready", get_readiness),
             routing.Route("/healthz", get_health),
-        ]
+        ],
+        exception_handlers={Exception: handler_failures.respond},
     )
--- a/src/hickorylead/runtime/scrape.py
+++ b/src/hickorylead/runtime/scrape.py
@@ -7,7 +7,7 @@
 from starlette import applications, responses, routing
 
 from hickorylead import notes
-from hickorylead.runtime import server
+from hickorylead.runtime import handler_failures, server
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,11 +43,14 @@
         return responses.Response(body, media_type="text/plain")
 
     app = applications.Starlette(
-        routes=[routing.Route("/metrics", get_metrics)]
+        routes=[routing.Route("/metrics", get_metrics)],
+        exception_handlers={Exception: handler_failures.respond},
     )
     if not server.is_port_free(ip, port):
         log.write(notes.note("metrics_port_taken", level="warning", port=port))
         return None
-    metrics_server = server.HttpServer(app, ip, port)
+    metrics_server = server.HttpServer(
+        app, ip, port, report_failure=handler_failures.make_reporter(log)
+    )
     await metrics_server.start()
     return metrics_server
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -12,7 +12,7 @@
 from hickorylead.runtime import http_connection
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from hickorylead.draining import owed as owed_module
 
@@ -48,6 +48,8 @@
             http_connection.HttpConnection
         ] = http_connection.HttpConnection,
         listening_socket: socket.socket | None = None,
+        report_failure: Callable[[owed_module.Owed, BaseException], None]
+        | None = None,
         **options: Any,
     ) -> None:
         """Makes a server; `start` opens its port.
@@ -58,9 +60,13 @@
             port: TCP port.
             protocol: Class of its connections.
             listening_socket: Socket of its port, if it is already open.
+            report_failure: Called with a request whose handler failed, and
+                why.
             options: Further options of the HTTP server.
         """
         self._flags = http_connection.ConnectionFlags()
+        if report_failure is not None:
+            self._flags.report_failure = report_failure
         config = uvicorn.Config(
             app,
             host=ip,
