Report failed handlers at entries, coordinators and control processes

Cause: their servers had no report_failure either. Change: they pass the one of handler_failures, and their applications answer with JSON.

--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -16,7 +16,7 @@
 
 from hickorylead.configuration import document
 from hickorylead.platform import documents, servers
-from hickorylead.runtime import stop_gate
+from hickorylead.runtime import handler_failures, stop_gate
 from hickorylead.turns import work_queue
 
 if TYPE_CHECKING:
@@ -51,7 +51,8 @@
             routing.Route("/config/read", views.handle_read, methods=["GET"]),
         ],
         exception_handlers={
-            starlette_requests.ClientDisconnect: _handle_disconnect
+            starlette_requests.ClientDisconnect: _handle_disconnect,
+            Exception: handler_failures.respond,
         },
     )
 
--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -17,6 +17,7 @@
 from hickorylead.roles import control as control_role, interface, nodes
 from hickorylead.runtime import (
     clock,
+    handler_failures,
     peers as peers_module,
     process,
     server as server_module,
@@ -100,6 +101,7 @@
             self._make_app(),
             self.settings["address"],
             self.settings["http_port"],
+            report_failure=handler_failures.make_reporter(self.log),
         )
         tasks.report_unhandled(self.log)
         await self._peers.start()
@@ -210,7 +212,8 @@
             routes=[
                 routing.Route("/healthz", get_health),
                 routing.Route("/metrics", get_metrics),
-            ]
+            ],
+            exception_handlers={Exception: handler_failures.respond},
         )
 
 
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -26,6 +26,7 @@
     clock,
     coordinator_disk,
     drainer,
+    handler_failures,
     operator_calls,
     peers as peers_module,
     reload_signal,
@@ -175,6 +176,7 @@
             gate,
             self.settings.listen_ip,
             self.settings.control_port,
+            report_failure=handler_failures.make_reporter(self._log),
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -16,6 +16,7 @@
     clock,
     drainer,
     entry_api,
+    handler_failures,
     peers as peers_module,
     problems,
     process,
@@ -102,6 +103,7 @@
             gate,
             self.settings["address"],
             self.settings["caller_port"],
+            report_failure=handler_failures.make_reporter(self.log),
         )
         tasks_module.report_unhandled(self.log)
         await self._peers.start()
--- a/src/hickorylead/runtime/entry_api.py
+++ b/src/hickorylead/runtime/entry_api.py
@@ -17,6 +17,7 @@
 from hickorylead.runtime import (
     chat,
     clock,
+    handler_failures,
     headers,
     json_codec,
     problems,
@@ -63,7 +64,10 @@
             routing.Route("/metrics", views.get_metrics, methods=["GET"]),
             *operator_routes,
         ],
-        exception_handlers={requests.ClientDisconnect: _handle_disconnect},
+        exception_handlers={
+            requests.ClientDisconnect: _handle_disconnect,
+            Exception: handler_failures.respond,
+        },
     )
 
 
