Count and name what a relay still owes when it stops

Cause: a relay counted exchanges only while the server's connection was open, not the last bytes and the close that waited for the gateway, and ended what was left without a line. Change: each exchange has a state (opening, waiting, responding, flushing), RelayOpen carries the id of the request, the drain waits for unsent bytes, and an exchange that the end of the process ends has one line relay_exchange_ended. The gateway sees it as lost, also where the response has no length.

--- a/src/hickorylead/relaying/messages.py
+++ b/src/hickorylead/relaying/messages.py
@@ -63,12 +63,14 @@
         server: Name of the server.
         address: `ip:port` of the server.
         limit_ms: Time after which the relay ends the exchange, in milliseconds.
+        request_id: Id of the request at the gateway that sends this, for logs.
     """
 
     token: str
     server: str
     address: str
     limit_ms: int
+    request_id: str = ""
 
 
 @attrs.frozen
--- a/src/hickorylead/runtime/exchanges.py
+++ b/src/hickorylead/runtime/exchanges.py
@@ -57,7 +57,12 @@
             )
         else:
             exchange = self._relay_pool.send_request(
-                attempt.relay, attempt.replica, data, attempt.budget_s, receiver
+                attempt.relay,
+                attempt.replica,
+                data,
+                attempt.budget_s,
+                receiver,
+                request.request_id,
             )
         self._open[request.request_id, attempt.attempt] = exchange
 
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -166,6 +166,7 @@
             self.role,
             pool=self._pool,
             report_failure=self._report_failure,
+            write_log=log.write,
             warn=log.warn,
             bind_ip=settings.bind_ip,
         )
@@ -264,7 +265,7 @@
             listener,
             drain,
             end=lambda owed: self._end_owed(listener, owed),
-            count_others=self._relays.server.count_active,
+            count_others=self._relays.server.count_owed,
             end_others=self._relays.server.end_exchanges,
             write_log=self._log.write,
         ).run()
--- a/src/hickorylead/runtime/relay_client.py
+++ b/src/hickorylead/runtime/relay_client.py
@@ -240,6 +240,7 @@
         data: bytes,
         limit_s: float,
         receiver: upstream_connection.Receiver,
+        request_id: str = "",
     ) -> RelayExchange:
         """Sends a request through a relay and returns its exchange.
 
@@ -249,11 +250,16 @@
             data: The request, head and body.
             limit_s: Time after which the relay ends the exchange, in seconds.
             receiver: Receives the response.
+            request_id: Id of the request, for the log of the relay.
         """
         self.request_count += 1
         exchange = RelayExchange(receiver)
         opening = messages.RelayOpen(
-            relay.token, replica.name, replica.address, int(limit_s * 1000)
+            relay.token,
+            replica.name,
+            replica.address,
+            int(limit_s * 1000),
+            request_id,
         )
         exchange.start(self, relay.address, opening, data)
         return exchange
--- a/src/hickorylead/runtime/relay_endpoint.py
+++ b/src/hickorylead/runtime/relay_endpoint.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hickorylead import notes
     from hickorylead.relaying import messages
     from hickorylead.roles import gateway as gateway_role
     from hickorylead.runtime import upstream
@@ -32,6 +33,7 @@
         *,
         pool: upstream.Pool,
         report_failure: Callable[[str, str], None],
+        write_log: Callable[[notes.Note], None],
         warn: Callable[..., None],
         bind_ip: str,
     ) -> None:
@@ -42,6 +44,7 @@
             pool: Connections to servers.
             report_failure: Called with a server to which no connection could
                 be opened, and why.
+            write_log: Called with log lines.
             warn: Called with a description of malformed input.
             bind_ip: Source IP address of connections; empty for any.
         """
@@ -52,6 +55,7 @@
             pool=pool,
             check=self.check,
             report_failure=report_failure,
+            write_log=write_log,
             warn=warn,
         )
 
--- a/src/hickorylead/runtime/relay_server.py
+++ b/src/hickorylead/runtime/relay_server.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING, Any
 
 from hickorylead.forwarding import model
-from hickorylead.relaying import messages
+from hickorylead.relaying import exchanges, messages
 from hickorylead.runtime import (
+    clock,
     relay_connections,
     upstream,
     upstream_connection,
@@ -16,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hickorylead import notes
+
 # Maximum number of exchanges of other gateways at a time. Each takes two of the
 # process's descriptors, most of which are for its own callers.
 MAX_EXCHANGES = 256
@@ -24,6 +27,8 @@
 LIMIT_MARGIN_S = 1.0
 # Idle connections of gateways are closed after this time, in seconds.
 IDLE_TIMEOUT_S = 15.0
+# Reason code of exchanges that the end of the process ends.
+STOPPING = "stopping"
 
 
 class _Session(relay_connections.RelayProtocol):
@@ -34,6 +39,9 @@
         self._server = server
         self._connection: upstream_connection.Connection | None = None
         self._forwarded_bytes = 0
+        # The latest exchange, and when it was opened.
+        self._opening: messages.RelayOpen | None = None
+        self._opened_at = 0.0
         self._connecting: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -80,11 +88,38 @@
         """Whether an exchange is in progress."""
         return self._connection is not None or self._connecting is not None
 
+    def describe_owed(self) -> exchanges.Exchange | None:
+        """Returns what is owed to the gateway; None if nothing is."""
+        if self._opening is None or self.transport.is_closing():
+            return None
+        pending_bytes = self.transport.get_write_buffer_size()
+        if self._connecting is not None:
+            phase = exchanges.Phase.OPENING
+        elif self._connection is None:
+            phase = exchanges.Phase.FLUSHING
+            if not pending_bytes:
+                return None
+        elif self._forwarded_bytes:
+            phase = exchanges.Phase.RESPONDING
+        else:
+            phase = exchanges.Phase.WAITING
+        return exchanges.Exchange(
+            phase,
+            self._opened_at,
+            self._opening.request_id,
+            self._opening.server,
+            self._forwarded_bytes,
+            pending_bytes,
+        )
+
     def _open(self, opening: messages.RelayOpen) -> None:
         reason = self._server.check(opening)
         if reason:
             self._refuse(reason)
             return
+        self._opening = opening
+        self._opened_at = clock.read_boottime()
+        self._forwarded_bytes = 0
         self._start_timer(opening.limit_ms / 1000.0 + LIMIT_MARGIN_S)
         connection = self._server.pool.acquire(opening.address)
         if connection is not None:
@@ -106,11 +141,11 @@
 
     def _accept(self, connection: upstream_connection.Connection) -> None:
         self._connection = connection
-        self._forwarded_bytes = 0
         connection.start_tunnel(self)
         self.send(messages.RelayAccepted())
 
     def _refuse(self, reason: str) -> None:
+        self._opening = None
         self.send(messages.RelayRefused(reason))
         self._start_timer(IDLE_TIMEOUT_S)
 
@@ -170,6 +205,7 @@
         pool: upstream.Pool,
         check: Callable[[messages.RelayOpen], str],
         report_failure: Callable[[str, str], None],
+        write_log: Callable[[notes.Note], None],
         warn: Callable[..., None],
     ) -> None:
         """Makes a server; `start` opens its port.
@@ -179,6 +215,8 @@
             check: Returns why an exchange is refused; empty if it is accepted.
             report_failure: Called with a server to which no connection could
                 be opened, and why.
+            write_log: Called with a line about each exchange that the end of
+                the process ends.
             warn: Called with a description of malformed input.
         """
         self.pool = pool
@@ -186,6 +224,7 @@
         self.warn = warn
         self.sessions: set[_Session] = set()
         self._check = check
+        self._write_log = write_log
         self._server: asyncio.Server | None = None
 
     async def start(self, ip: str, port: int) -> None:
@@ -206,15 +245,33 @@
         """Returns the number of exchanges in progress."""
         return sum(session.is_active for session in self.sessions)
 
+    def count_owed(self) -> int:
+        """Returns the number of exchanges whose last byte is not sent yet."""
+        return sum(
+            session.describe_owed() is not None for session in self.sessions
+        )
+
     def end_exchanges(self) -> None:
-        """Ends the exchanges in progress."""
+        """Ends the exchanges in progress.
+
+        Those of which only the last bytes are not sent yet continue until the
+        server is closed.
+        """
         for session in list(self.sessions):
             if session.is_active:
-                session.abort()
+                self._end(session)
 
     def close(self) -> None:
         """Closes the port and all connections."""
         if self._server is not None:
             self._server.close()
         for session in list(self.sessions):
-            session.abort()
+            self._end(session)
+
+    def _end(self, session: _Session) -> None:
+        """Closes a connection; the gateway sees its exchange as lost."""
+        owed = session.describe_owed()
+        if owed is not None:
+            now = clock.read_boottime()
+            self._write_log(exchanges.describe_end(owed, STOPPING, now))
+        session.abort()
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -619,6 +619,7 @@
   server @1 :Text;
   address @2 :Text;
   limitMs @3 :Int64;
+  requestId @4 :Text;
 }
 
 struct RelayRefused {
--- a/tests/steps/relay_process_steps.py
+++ b/tests/steps/relay_process_steps.py
@@ -156,12 +156,12 @@
     assert all(r.startswith(b"HTTP/1.1 200") for r in context.responses)
 
 
-async def start_relayed_stream(context, cluster):
+async def start_relayed_stream(context, cluster, event_count=LONG_EVENT_COUNT):
     """Starts a stream that goes through a relay; returns it and the relay."""
-    context.event_count = LONG_EVENT_COUNT
+    context.event_count = event_count
     fail_connections(cluster.gateway, "are refused")
     await call_until_relayed(cluster)
-    stream = asyncio.ensure_future(send_stream(cluster, LONG_EVENT_COUNT))
+    stream = asyncio.ensure_future(send_stream(cluster, event_count))
 
     def list_relays():
         return [
--- a/tests/support/relay_path.py
+++ b/tests/support/relay_path.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from hickorylead import notes
 from hickorylead.forwarding import model
 from hickorylead.relaying import relay_directory
 from hickorylead.runtime import relay_client, relay_server, upstream
@@ -23,11 +24,13 @@
         self.refusal = refusal
         self.warnings: list[str] = []
         self.failures: list[tuple[str, str]] = []
+        self.lines: list[notes.Note] = []
         self.server_pool = upstream.Pool()
         self.server = relay_server.RelayServer(
             pool=self.server_pool,
             check=self._check,
             report_failure=lambda *failed: self.failures.append(failed),
+            write_log=self.lines.append,
             warn=self._warn,
         )
         self.pool = relay_client.RelayPool(self._warn)
@@ -48,12 +51,17 @@
         self.relay.address = f"127.0.0.1:{listening.getsockname()[1]}"
 
     def send(
-        self, address: str, data: bytes, receiver, limit_s: float = 5.0
+        self,
+        address: str,
+        data: bytes,
+        receiver,
+        limit_s: float = 5.0,
+        request_id: str = "",
     ) -> relay_client.RelayExchange:
         """Sends a request through the relay."""
         replica = model.Replica("i-1", "plain", "", address, "z1", 6)
         return self.pool.send_request(
-            self.relay, replica, data, limit_s, receiver
+            self.relay, replica, data, limit_s, receiver, request_id
         )
 
     def close(self) -> None:
