Write a line when a request that waits for routes is refused

Cause: a request that waited for the first configuration was refused, at a stop or after its wait, without a line. Change: it has the line request_refused_unread, with reason stopping or starting.

--- a/src/hickorylead/forwarding/arrivals.py
+++ b/src/hickorylead/forwarding/arrivals.py
@@ -76,15 +76,37 @@
         event = opened.event
         del self._opened[event.request_id]
         refusal = refusals.refuse_unread(event.request_id)
-        note = notes.Note(
-            "request_refused_unread",
-            event.request_id,
-            {
-                "attempt_id": event.attempt_id,
-                "route": event.route.name if event.route else None,
-                "reason": refusal.reason,
-                "retry_after_s": refusal.retry_after_s,
-                "lasted_s": round(now - opened.opened_at, 3),
-            },
+        note = describe_refusal(
+            refusal,
+            event.attempt_id,
+            event.route.name if event.route else None,
+            now - opened.opened_at,
         )
         return [refusal, note]
+
+
+def describe_refusal(
+    refusal: events.Refuse,
+    attempt_id: str,
+    route: str | None,
+    lasted_s: float,
+) -> notes.Note:
+    """Returns the line about a request that is refused before it is read.
+
+    Args:
+        refusal: The refusal.
+        attempt_id: Id that the caller gave the request.
+        route: Name of its route; None if that is not known.
+        lasted_s: Time since its head was complete, in seconds.
+    """
+    return notes.Note(
+        "request_refused_unread",
+        refusal.request_id,
+        {
+            "attempt_id": attempt_id,
+            "route": route,
+            "reason": refusal.reason,
+            "retry_after_s": refusal.retry_after_s,
+            "lasted_s": round(lasted_s, 3),
+        },
+    )
--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -10,6 +10,7 @@
 from hickorylead import notes
 from hickorylead.configuration import document as document_module
 from hickorylead.forwarding import (
+    arrivals,
     events,
     model,
     refusals,
@@ -112,19 +113,8 @@
         started_at = clock.read_boottime()
         routes = await self._process.wait_for_routes(limit_s)
         waited_s = clock.read_boottime() - started_at
-        if routes is None and self._process.role.is_stopping:
-            # The reducer refuses it, with a log line.
-            self._process.apply(
-                events.RequestOpened(
-                    request_id, metadata.attempt_id, None, metadata.budget_s
-                )
-            )
-            return writer.refusal
         if routes is None:
-            retry_s = refusals.jitter_retry_after(
-                metadata.attempt_id, STARTING_RETRY_S
-            )
-            return events.Refuse(request_id, 503, "starting", retry_s)
+            return self._refuse_without_routes(request_id, metadata, waited_s)
         path = scope["raw_path"].decode("latin-1")
         host = _find_header(scope, b"host").decode("latin-1")
         if writer.connection is not None and writer.connection.in_body:
@@ -179,6 +169,24 @@
             waited_s=waited_s,
         )
 
+    def _refuse_without_routes(
+        self, request_id: str, metadata: model.RequestMetadata, waited_s: float
+    ) -> events.Refuse:
+        """Returns the refusal of a request that waited for routes."""
+        if self._process.role.is_stopping:
+            refusal = refusals.refuse_unread(request_id)
+        else:
+            retry_s = refusals.jitter_retry_after(
+                metadata.attempt_id, STARTING_RETRY_S
+            )
+            refusal = events.Refuse(request_id, 503, "starting", retry_s)
+        self._process.write_log(
+            arrivals.describe_refusal(
+                refusal, metadata.attempt_id, None, waited_s
+            )
+        )
+        return refusal
+
     def _reject(
         self,
         request_id: str,
