Run planned stops with real processes, and judge every request around them

Cause: the soak's streams last 0.25 s, its routes time out after 4 s, and its checker judged no request that ended without a response. The usual soak judges its planned stops by the same rules where no other fault overlaps.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,9 +10,11 @@
 import orjson
 from support import platform_cluster
 
-from soak import checker as checker_module, engines, nodes
+from soak import checker as checker_module, engines, nodes, stop_checker
 
 REQUEST_TIMEOUT_S = 4.0
+# Timeouts of the routes, in seconds.
+TIMEOUTS_S = {"stream": 4.0, "once": 1.0, "again": 1.0}
 MEAN_GAP_S = 0.03
 PATHS = {"stream": "/drafts/", "once": "/alerts/", "again": "/notices/"}
 
@@ -40,6 +42,46 @@
         self.is_complete = True
 
 
+def make_head(
+    outcome: checker_module.Outcome,
+    part: str,
+    budget_s: float,
+    *,
+    is_chunked: bool = False,
+) -> bytes:
+    """Returns the head of a request.
+
+    Args:
+        outcome: The request.
+        part: Part of its prompt that it shares; empty for one by its length.
+        budget_s: Its time limit, in seconds.
+        is_chunked: Whether a body follows, in chunks.
+    """
+    fields = {
+        "Host": "host.example",
+        "Attempt-Id": outcome.attempt,
+        "Time-Budget": str(int(budget_s * 1000)),
+        "Authorization": "Token key-1",
+    }
+    if is_chunked:
+        fields["Transfer-Encoding"] = "chunked"
+    else:
+        fields["Content-Length"] = "0"
+    path = PATHS[outcome.kind] + outcome.attempt
+    if outcome.kind == "stream":
+        subject = part or f"{len(outcome.attempt):x}"
+        own = f"{hash(outcome.attempt) & 0xFFFFFF:x}"
+        fields |= {
+            "Model": engines.MODEL,
+            "Token-Count": "50,60",
+            "Prompt-Prefix": f"1:20,{subject}:20,{own}:10",
+        }
+        if outcome.shape != checker_module.StreamShape():
+            path += outcome.shape.encode()
+    head = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+    return f"POST {path} HTTP/1.1\r\n{head}\r\n".encode()
+
+
 class Caller:
     """Sends requests one after another over a connection that it reuses."""
 
@@ -75,8 +117,13 @@
         kind = self._rng.choice(("stream", "once", "again"))
         if self.part:
             kind = "stream"
-        outcome = checker_module.Outcome(
-            f"{self._name}-{self._count}", kind, "", time.monotonic()
+        outcome = stop_checker.SentRequest(
+            f"{self._name}-{self._count}",
+            kind,
+            "",
+            time.monotonic(),
+            limit_s=min(REQUEST_TIMEOUT_S, TIMEOUTS_S[kind]),
+            end="closed",
         )
         response = _Response()
         try:
@@ -84,6 +131,7 @@
                 await self._send_request(outcome, response)
         except (OSError, TimeoutError, httptools.HttpParserError) as error:
             self._close_connection()
+            outcome.end = type(error).__name__
             if isinstance(error, httptools.HttpParserError):
                 self._checker.report_violation(
                     "valid HTTP response", f"{outcome.attempt}: {error}"
@@ -103,30 +151,14 @@
         return outcome
 
     async def _send_request(
-        self, outcome: checker_module.Outcome, response: _Response
+        self, outcome: stop_checker.SentRequest, response: _Response
     ) -> None:
         node, start_count, reader = await self._connect()
         outcome.gateway = f"{node.name}#{start_count}"
-        outcome.sent_at = time.monotonic()
-        fields = {
-            "Host": "host.example",
-            "Attempt-Id": outcome.attempt,
-            "Time-Budget": str(int(REQUEST_TIMEOUT_S * 1000)),
-            "Authorization": "Token key-1",
-            "Content-Length": "0",
-        }
-        if outcome.kind == "stream":
-            subject = self.part or f"{len(outcome.attempt):x}"
-            own = f"{hash(outcome.attempt) & 0xFFFFFF:x}"
-            fields |= {
-                "Model": engines.MODEL,
-                "Token-Count": "50,60",
-                "Prompt-Prefix": f"1:20,{subject}:20,{own}:10",
-            }
-        path = PATHS[outcome.kind] + outcome.attempt
-        head = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+        outcome.began_at = outcome.sent_at = time.monotonic()
+        outcome.is_whole = True
         assert self._writer is not None
-        self._writer.write(f"POST {path} HTTP/1.1\r\n{head}\r\n".encode())
+        self._writer.write(make_head(outcome, self.part, REQUEST_TIMEOUT_S))
         while not response.is_complete:
             data = await reader.read(65536)
             if not data:
@@ -168,8 +200,18 @@
         coordinators: list[nodes.Node],
         checker: checker_module.Checker,
         rng: random.Random,
+        timeout_ms: int | None = None,
     ) -> None:
-        """Makes an operator that has not yet changed the configuration."""
+        """Makes an operator that has not yet changed the configuration.
+
+        Args:
+            coordinators: Where changes are sent.
+            checker: Checks what is read.
+            rng: Draws the coordinators and the versions.
+            timeout_ms: Timeout of all routes, in milliseconds; None for the
+                usual ones.
+        """
+        self._timeout_ms = timeout_ms
         self._coordinators = coordinators
         self._checker = checker
         self._rng = rng
@@ -190,7 +232,9 @@
         await asyncio.gather(*(self._send(v, "a", keys) for v in versions))
 
     async def _send(self, version: int, label: str, keys: int = 0) -> None:
-        body = orjson.dumps(make_configuration(version, label, keys))
+        body = orjson.dumps(
+            make_configuration(version, label, keys, self._timeout_ms)
+        )
         deadline = time.monotonic() + 20.0
         while time.monotonic() < deadline:
             status, _ = await self._request("POST", "/config/replace", body)
@@ -248,13 +292,17 @@
         return response.status, bytes(response.body)
 
 
-def make_configuration(version: int, label: str, keys: int = 0) -> dict:
+def make_configuration(
+    version: int, label: str, keys: int = 0, timeout_ms: int | None = None
+) -> dict:
     """Returns a configuration whose workspace name holds its version.
 
     Args:
         version: The version.
         label: Tells configurations with the same version apart.
         keys: Number of random keys beside the one that callers use.
+        timeout_ms: Timeout of all routes, in milliseconds; None for the usual
+            ones.
     """
     rng = random.Random(f"{version} {label}")
     found = platform_cluster.make_configuration(version)
@@ -266,6 +314,9 @@
             "Kind": "idempotent",
         }
     )
+    if timeout_ms is not None:
+        for route in found["Routes"]:
+            route["TimeoutMs"] = timeout_ms
     more_keys = [rng.randbytes(10).hex() for _ in range(keys)]
     found["Tenants"] = [
         {"Name": f"crew-{version}-{label}", "ApiKeys": ["key-1", *more_keys]}
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import Literal
+import urllib.parse
 
 import attrs
 
@@ -23,6 +25,36 @@
 MAX_LATE_RUNS = 3
 
 
+@attrs.frozen
+class StreamShape:
+    """Events of a stream, as a caller asks for them in its request's query.
+
+    Attributes:
+        count: Number of events.
+        interval_s: Time from one of them to the next, in seconds.
+        padding: Bytes that are added to each event.
+    """
+
+    count: int = 12
+    interval_s: float = 0.02
+    padding: int = 0
+
+    def encode(self) -> str:
+        """Returns the query of a request."""
+        return "?" + urllib.parse.urlencode(attrs.asdict(self))
+
+
+def decode_shape(target: str) -> StreamShape:
+    """Returns the shape that the target of a request asks for."""
+    fields = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
+    default = StreamShape()
+    return StreamShape(
+        int(fields.get("count", default.count)),
+        float(fields.get("interval_s", default.interval_s)),
+        int(fields.get("padding", default.padding)),
+    )
+
+
 @attrs.define
 class Outcome:
     """What a caller observed of one request.
@@ -39,6 +71,7 @@
         signature: Server that signed the response; empty if unsigned.
         body: The part of the body that was received.
         ended_at: Time at which the response, or the attempt, ended.
+        shape: The stream that was asked for.
     """
 
     attempt: str
@@ -50,16 +83,28 @@
     signature: str = ""
     body: bytes = b""
     ended_at: float = 0.0
+    shape: StreamShape = StreamShape()
 
 
-@attrs.frozen
+@attrs.define
 class Run:
-    """One execution of a request by a server."""
+    """One execution of a request by a server.
+
+    Attributes:
+        attempt: The request.
+        server: The server.
+        workspace: Workspace of the request.
+        started_at: When it began.
+        ended_at: When the server stopped working on it.
+        broke_off: Whether the server ended it without a complete response.
+    """
 
     attempt: str
     server: str
     workspace: str
     started_at: float
+    ended_at: float = math.inf
+    broke_off: bool = False
 
 
 class Checker:
@@ -124,6 +169,10 @@
         self._runs[run.attempt].append(run)
         self._check_label(run.workspace)
 
+    def list_runs(self, attempt: str) -> list[Run]:
+        """Returns the runs of a request."""
+        return self._runs.get(attempt, [])
+
     def record_arrival(self, attempt: str, service: str, at: float) -> None:
         """Records that a request reached a server, which may refuse it."""
         self._arrivals[service][attempt].append(at)
@@ -163,7 +212,7 @@
             )
         if outcome.kind == "stream":
             count = self._check_events(outcome)
-            if count != EVENTS_PER_STREAM:
+            if count != outcome.shape.count:
                 self.report_violation(
                     "complete stream", f"{outcome.attempt} ends after {count}"
                 )
@@ -178,7 +227,10 @@
         self.checked["events in order"] += 1
         events = outcome.body.split(b"\n\n")[:-1]
         for number, event in enumerate(events, start=1):
-            if event + b"\n\n" != make_event(outcome.attempt, number):
+            expected = make_event(
+                outcome.attempt, number, outcome.shape.padding
+            )
+            if event + b"\n\n" != expected:
                 self.report_violation(
                     "events in order", f"{outcome.attempt}: {event!r}"
                 )
@@ -275,12 +327,10 @@
             )
 
 
-EVENTS_PER_STREAM = 12
-
-
-def make_event(attempt: str, number: int) -> bytes:
+def make_event(attempt: str, number: int, padding: int = 0) -> bytes:
     """Returns an event of a request's stream."""
-    return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+    text = f"{attempt} {number}{' ' * bool(padding)}{'.' * padding}"
+    return f"id: {number}\ndata: {text}\n\n".encode()
 
 
 def make_body(attempt: str) -> bytes:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -22,9 +22,20 @@
     links,
     nodes,
     plan,
+    stop_checker,
 )
 
 CALLER_COUNT = 12
+# Faults that must not disturb any request.
+PLANNED_WORK = (
+    plan.Terminate,
+    plan.Reload,
+    plan.Change,
+    plan.LargeChanges,
+    plan.Drain,
+)
+# Number of addresses in each lane of a block.
+LANE_WIDTH = 40
 # The cluster must serve this long after the end of the last fault, when all
 # links work and all nodes run again.
 RECOVERY_S = 12.0
@@ -45,6 +56,7 @@
         checked: Number of checks by invariant.
         outcomes: Number of requests by status; 0 is no response.
         most_repeats: Most repeats in a window, as a share of what is allowed.
+        details: Further counts and figures by name.
     """
 
     seed: int
@@ -53,13 +65,38 @@
     checked: collections.Counter[str]
     outcomes: collections.Counter[int]
     most_repeats: float = 0.0
+    details: dict[str, float] = attrs.field(factory=dict)
 
 
 class Cluster:
-    """A small cluster of real processes."""
+    """A small cluster of real processes.
+
+    Attributes:
+        node_type: Class of its nodes.
+        engine_blocks: Parts of the addresses of servers: of those at which
+            they are reached, and of those that they bind.
+        recovery_s: Time from the last fault until the system must serve again,
+            in seconds.
+        timeout_ms: Timeout of all routes, in milliseconds; None for the usual
+            ones.
+    """
 
-    def __init__(self, seed: int, folder: pathlib.Path, slot: int) -> None:
-        """Makes a cluster; `run` starts it."""
+    node_type: type[nodes.Node] = nodes.Node
+    engine_blocks = (3, 4)
+    recovery_s = RECOVERY_S
+    timeout_ms: int | None = None
+
+    def __init__(
+        self, seed: int, folder: pathlib.Path, slot: int, lane: int = 0
+    ) -> None:
+        """Makes a cluster; `run` starts it.
+
+        Args:
+            seed: Seed of its faults.
+            folder: Folder of its files.
+            slot: Its address block.
+            lane: Part of the block, from 0 to 5, if several share it.
+        """
         self.seed = seed
         burst = nodes.RETRY_BURSTS[seed % 2 == 0]
         self._retry_burst = burst
@@ -69,12 +106,18 @@
         self.links = links.Links()
         self._rng = random.Random(f"world {seed}")
         self._slot = slot
+        self._lane = lane
         self.nodes: dict[str, nodes.Node] = {}
         for number, zone in enumerate(nodes.ZONES):
             for role, first_number in (("coordinator", 1), ("gateway", 11)):
                 name = f"{zone}-{role}"
-                self.nodes[name] = nodes.Node(
-                    name, role, zone, first_number + number, slot, folder / name
+                self.nodes[name] = self.node_type(
+                    name,
+                    role,
+                    zone,
+                    first_number + number + LANE_WIDTH * lane,
+                    slot,
+                    folder / name,
                 )
         self._server_faults = engines.ServerFaults(
             random.Random(f"trouble {seed}")
@@ -92,6 +135,9 @@
         self._restarting: set[str] = set()
         self._proxied: set[tuple[str, int]] = set()
         self.faults: collections.Counter[str] = collections.Counter()
+        self.stops: list[stop_checker.Stop] = []
+        # Begin and end of each fault that is no planned work.
+        self._unplanned: list[tuple[float, float]] = []
 
     @property
     def coordinators(self) -> list[nodes.Node]:
@@ -118,6 +164,7 @@
         self.checker.finish()
         for node in self.gateways:
             self._check_abandoned(node)
+        self._judge_stops()
         self.checker.checked["relayed attempts"] += sum(
             node.count_relayed() for node in self.gateways
         )
@@ -136,7 +183,7 @@
     async def _start(self) -> callers.Operator:
         seeds = [n.ip for n in self.coordinators]
         for node in self.nodes.values():
-            for port in node.ports:
+            for port in node.ports if node.bind_ip != node.ip else ():
                 await self.links.open(node.ip, port, node.bind_ip)
             node.write_settings(
                 seeds,
@@ -146,7 +193,9 @@
             node.start()
         for place in range(len(self._places)):
             await self._add_server(place)
-        operator = callers.Operator(self.coordinators, self.checker, self._rng)
+        operator = callers.Operator(
+            self.coordinators, self.checker, self._rng, self.timeout_ms
+        )
         await operator.change()
         probe = callers.Caller("p", self.gateways, self.checker, self._rng)
         successes = 0
@@ -194,6 +243,23 @@
                 "no unexpected exit", f"{node.name}: {code}"
             )
 
+    def _judge_stops(self) -> None:
+        """Judges the planned stops that no other fault overlaps."""
+        requests = stop_checker.select_undisturbed(
+            [
+                outcome
+                for outcome in self.checker.outcomes
+                if isinstance(outcome, stop_checker.SentRequest)
+            ],
+            self.stops,
+            self._unplanned,
+        )
+        logs = {
+            node.name: (node.folder / "log.jsonl").read_bytes()
+            for node in self.gateways
+        }
+        stop_checker.judge_requests(requests, self.checker, self.stops, logs)
+
     def _check_abandoned(self, node: nodes.Node) -> None:
         """Checks that a gateway ended no response that could have gone on."""
         log = node.folder / "log.jsonl"
@@ -207,11 +273,17 @@
                     "no abandoned response", f"{node.name}: {row}"
                 )
 
+    def _get_server_ip(self, block: int, place: int) -> str:
+        number = place + 1 + LANE_WIDTH * self._lane
+        return f"127.{78 + self._slot}.{block}.{number}"
+
     async def _add_server(self, place: int) -> None:
         zone, domain = self._places[place]
         self._engine_count += 1
         name = f"s{place}-{self._engine_count}"
-        ips = [f"127.{78 + self._slot}.{block}.{place + 1}" for block in (3, 4)]
+        ips = [
+            self._get_server_ip(block, place) for block in self.engine_blocks
+        ]
         own = [n for n in self.coordinators if n.zone == zone]
         others = [n for n in self.coordinators if n.zone != zone]
         engine = engines.Engine(
@@ -225,7 +297,8 @@
             faults=self._server_faults,
             all_engines=self.engines,
         )
-        if (ips[0], engines.PORT) not in self._proxied:
+        is_proxied = ips[0] != ips[1]
+        if is_proxied and (ips[0], engines.PORT) not in self._proxied:
             self._proxied.add((ips[0], engines.PORT))
             await self.links.open(ips[0], engines.PORT, ips[1])
         self.engines[name] = engine
@@ -260,7 +333,13 @@
         self, fault: plan.Fault, operator: callers.Operator
     ) -> None:
         began_at = time.monotonic()
+        lasting = (began_at, math.inf)
+        if not isinstance(fault, PLANNED_WORK):
+            self._unplanned.append(lasting)
         await self._inject(fault, operator)
+        if not isinstance(fault, PLANNED_WORK):
+            self._unplanned.remove(lasting)
+            self._unplanned.append((began_at, time.monotonic()))
         if not isinstance(fault, plan.CrashingPart):
             self.checker.disturbances.append((began_at, time.monotonic()))
 
@@ -366,7 +445,18 @@
             # It is down already; the previous fault restarts it.
             return
         self._restarting.add(node.name)
-        await (node.stop() if planned else node.kill())
+        if planned:
+            stop = stop_checker.Stop(
+                f"{node.name}#{node.start_count}",
+                time.monotonic(),
+                nodes.GRACE_S,
+            )
+            self.stops.append(stop)
+            await node.stop()
+            stop.exited_at = time.monotonic()
+            stop.exit_code = node.process.returncode if node.process else None
+        else:
+            await node.kill()
         if torn:
             node.tear_journal()
         if wiped:
@@ -399,7 +489,7 @@
         """Cuts gateways off from all backend servers for some time."""
         gateways = frozenset(node.bind_ip for node in hit)
         servers = frozenset(
-            f"127.{78 + self._slot}.4.{place + 1}"
+            self._get_server_ip(self.engine_blocks[1], place)
             for place in range(len(self._places))
         )
         for node in hit:
@@ -440,7 +530,7 @@
 
     async def _recover(self, operator: callers.Operator) -> None:
         """Checks that the cluster serves again after the last fault."""
-        await asyncio.sleep(RECOVERY_S)
+        await asyncio.sleep(self.recovery_s)
         version = await operator.read()
         if version < max(1, self.checker.acknowledged):
             self.checker.report_violation(
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -14,7 +14,6 @@
 from hickorylead_standins import platform
 from soak import checker as checker_module
 
-EVENT_INTERVAL_S = 0.02
 MEAN_WORK_S = 0.05
 # Time from the first event of a run with a crashing part to the crash.
 CRASH_DELAY_S = 0.05
@@ -233,9 +232,11 @@
         if self.domain:
             await self._run_stream(request, attempt, writer)
             return
-        self._record_run(attempt, headers)
+        run = self._record_run(attempt, headers)
         await asyncio.sleep(self._faults.rng.uniform(0.0, 2 * MEAN_WORK_S))
+        run.ended_at = time.monotonic()
         if self._faults.should_lose_response():
+            run.broke_off = True
             writer.transport.abort()
             return
         platform.write_response(
@@ -245,12 +246,12 @@
             **{"Attempt-Id": attempt, "Server-Seal": self.name},
         )
 
-    def _record_run(self, attempt: str, headers) -> None:
-        self._checker.record_run(
-            checker_module.Run(
-                attempt, self.name, headers.get("tenant", ""), time.monotonic()
-            )
+    def _record_run(self, attempt: str, headers) -> checker_module.Run:
+        run = checker_module.Run(
+            attempt, self.name, headers.get("tenant", ""), time.monotonic()
         )
+        self._checker.record_run(run)
+        return run
 
     async def _run_stream(self, request, attempt: str, writer) -> None:
         member, members = self.model.member, self.model.members
@@ -260,7 +261,19 @@
         self._checker.check_complete_group(
             self.name, member.group, member.epoch, members
         )
-        self._record_run(attempt, request.headers)
+        run = self._record_run(attempt, request.headers)
+        try:
+            run.broke_off = not await self._send_events(
+                request, attempt, members, writer
+            )
+        finally:
+            run.ended_at = time.monotonic()
+            run.broke_off = run.broke_off or not self.alive
+
+    async def _send_events(
+        self, request, attempt: str, members: tuple[str, ...], writer
+    ) -> bool:
+        """Sends a stream; returns whether it was sent completely."""
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             b"Transfer-Encoding: chunked\r\n"
@@ -272,23 +285,25 @@
         crashing = parts & self._faults.crashing_parts
         for part in crashing:
             self._checker.record_crashing_run(part, time.monotonic())
+        shape = checker_module.decode_shape(request.target)
         first = int(request.headers.get("last-event-id", "0")) + 1
-        for number in range(first, checker_module.EVENTS_PER_STREAM + 1):
+        for number in range(first, shape.count + 1):
             if not await self._wait_for_members(members):
                 writer.transport.abort()
-                return
-            event = checker_module.make_event(attempt, number)
+                return False
+            event = checker_module.make_event(attempt, number, shape.padding)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
             if crashing:
                 await asyncio.sleep(CRASH_DELAY_S)
                 self._faults.crash_server(self.name)
-                return
+                return False
             if self._faults.should_lose_response():
                 writer.transport.abort()
-                return
-            await asyncio.sleep(EVENT_INTERVAL_S)
+                return False
+            await asyncio.sleep(shape.interval_s)
         writer.write(b"0\r\n\r\n")
+        return True
 
     async def _wait_for_members(self, members: tuple[str, ...]) -> bool:
         """Waits while a member is down.
--- a/tests/soak/overload.py
+++ b/tests/soak/overload.py
@@ -84,6 +84,22 @@
     violations: int
 
 
+def start_busy(count: int) -> list[subprocess.Popen]:
+    """Starts processes that take all processor time that they get."""
+    return [
+        subprocess.Popen([sys.executable, "-c", BUSY_PROGRAM, str(MAX_BUSY_S)])
+        for _ in range(count)
+    ]
+
+
+def end_busy(processes: list[subprocess.Popen]) -> None:
+    """Ends busy processes."""
+    for process in processes:
+        process.terminate()
+    for process in processes:
+        process.wait()
+
+
 class LoadedFleet(configuration_fleet.ConfigurationFleet):
     """A fleet that shares its machine with busy processes."""
 
@@ -99,12 +115,7 @@
 
     async def run(self) -> None:
         """Runs the fleet beside the load, which ends before or after it."""
-        for _ in range(self._options.busy):
-            self._load.append(
-                subprocess.Popen(
-                    [sys.executable, "-c", BUSY_PROGRAM, str(MAX_BUSY_S)]
-                )
-            )
+        self._load += start_busy(self._options.busy)
         ender = asyncio.ensure_future(self._end_load_early())
         try:
             await super().run()
@@ -120,9 +131,7 @@
     def _end_load(self) -> None:
         if self._load:
             self.load_ended_at = time.time()
-        for process in self._load:
-            process.terminate()
-            process.wait()
+        end_busy(self._load)
         self._load.clear()
 
     async def _read(self, timeout_s: float) -> tuple[int, str] | None:
