--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -173,6 +173,10 @@
         """Returns the runs of a request."""
         return self._runs.get(attempt, [])
 
+    def has_arrived(self, attempt: str) -> bool:
+        """Returns whether a request has reached a server."""
+        return any(attempt in found for found in self._arrivals.values())
+
     def record_arrival(self, attempt: str, service: str, at: float) -> None:
         """Records that a request reached a server, which may refuse it."""
         self._arrivals[service][attempt].append(at)
--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -104,6 +104,7 @@
     node_type = fleet.FleetNode
     engine_blocks = (3, 3)
     recovery_s = 0.5
+    probe_count = 5
     timeout_ms = int(stop_callers.LIMIT_S * 1000)
 
     def __init__(
