--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -141,6 +141,8 @@
         outcome.body = bytes(response.body)
         outcome.signature = response.headers.get("server-seal", "")
         outcome.ended_at = time.monotonic()
+        if outcome.is_answered:
+            outcome.end = "answered"
         echoed_attempt = response.headers.get("attempt-id")
         if echoed_attempt not in (None, outcome.attempt):
             self._checker.report_violation(
--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -100,7 +100,7 @@
         return self._rng.choice(others or ready or self._gateways)
 
 
-class _Responses:
+class Responses:
     """Decodes the responses on one connection."""
 
     def __init__(self) -> None:
@@ -267,7 +267,7 @@
         sent = [self._make_request() for _ in range(count)]
         for request in sent:
             request.gateway = connection.gateway
-        responses = _Responses()
+        responses = Responses()
         writing = asyncio.ensure_future(self._write(connection, sent))
         end = "closed"
         try:
@@ -322,7 +322,7 @@
         self,
         connection: Connection,
         sent: list[stop_checker.SentRequest],
-        responses: _Responses,
+        responses: Responses,
     ) -> None:
         if self._habit == "reads late":
             until = time.monotonic() + self._rng.uniform(*LATE_READ_S)
