Announce the end of a connection only when the head of a response goes out

Cause: whether a response announces the end of its connection was decided when the head of its request was complete, and again 20 ms apart while it ran. A request that the caller sent with it, or sent behind a response whose head had announced nothing, was read whole and got neither a response nor a log line.

Change: it is decided when the head of the response is sent, from what is queued by then; a request queued later keeps a connection that announced nothing open.

Result: tests/draining/pipelined.feature: both scenarios failed before (no complete response; one of two) and pass.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -77,6 +77,8 @@
         # The request that is being handled; `cycle` is the latest one whose
         # head is complete, which may be queued behind it.
         self._current: httptools_impl.RequestResponseCycle | None = None
+        # Whether the head of the present response announces the end.
+        self._has_announced_close = False
         self._linger_timer: asyncio.TimerHandle | None = None
         # Why this process closed the connection within a request.
         self.close_reason = ""
@@ -108,6 +110,15 @@
         self._in_head = False
         self._is_latest_open = True
         super().on_headers_complete()
+        current = self._current
+        if (
+            self.pipeline
+            and current is not None
+            and current.response_started
+            and not self._has_announced_close
+        ):
+            # Its caller could not know that the connection was about to end.
+            current.keep_alive = True
 
     def on_message_complete(self) -> None:
         """Handles the end of a request."""
@@ -139,8 +150,7 @@
         self, cycle: httptools_impl.RequestResponseCycle, app: Any
     ) -> None:
         self._current = cycle
-        if self.flags.closes_after_response and not self.pipeline:
-            cycle.keep_alive = False
+        self._has_announced_close = False
         self.request_id = self.attempt_id = ""
         cycle.transport = cast("asyncio.Transport", _ResponseTransport(self))
         cycle.scope["extensions"] = {CONNECTION_KEY: {"protocol": self}}
@@ -157,8 +167,14 @@
         send: Any,
     ) -> None:
         """Runs the application; the HTTP server sends nothing by itself."""
+
+        async def send_message(message: Any) -> None:
+            if message["type"] == "http.response.start":
+                self._announce_close(cycle, message)
+            await send(message)
+
         try:
-            await app(scope, receive, send)
+            await app(scope, receive, send_message)
         except (Exception, asyncio.CancelledError) as error:
             owed = self.describe_unfinished() or self.describe(
                 owed_module.Phase.FLUSHING
@@ -173,19 +189,22 @@
 
     # Ends.
 
-    def announce_close(self) -> None:
-        """Makes the next head of a response announce the connection's end.
+    def _announce_close(
+        self, cycle: httptools_impl.RequestResponseCycle, message: Any
+    ) -> None:
+        """Announces the end of the connection if nothing is queued.
 
-        A response whose head has been sent keeps the connection open, and so
-        does one that has complete requests behind it.
+        Args:
+            cycle: The request.
+            message: The head of its response, which is sent next.
         """
-        current = self._current
-        if (
-            current is not None
-            and not current.response_started
-            and not self.pipeline
-        ):
-            current.keep_alive = False
+        if self.flags.closes_after_response and not self.pipeline:
+            cycle.keep_alive = False
+        closes = any(
+            name.lower() == b"connection" and b"close" in value.lower()
+            for name, value in message.get("headers", ())
+        )
+        self._has_announced_close = closes or not cycle.keep_alive
 
     def close_when_done(self) -> None:
         """Closes an idle connection, and a busy one after its response.
@@ -198,7 +217,12 @@
         if self.is_idle:
             if not self._in_head:
                 self.transport.close()
-        elif not self.pipeline and self._current is not None:
+        elif (
+            not self.pipeline
+            and self._current is not None
+            and self._current.response_started
+        ):
+            # Other responses announce the end in their heads.
             self._current.keep_alive = False
 
     def close_after_response(self) -> None:
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -134,8 +134,6 @@
     def announce_close(self) -> None:
         """Makes the next head on each connection announce its end."""
         self._flags.closes_after_response = True
-        for connection in self.connections:
-            connection.announce_close()
 
     def stop_listening(self) -> None:
         """Stops accepting connections; the open ones continue."""
