--- a/tests/steps/planned_stop_soak_steps.py
+++ b/tests/steps/planned_stop_soak_steps.py
@@ -9,9 +9,10 @@
 
 from behave import given, then, when
 from soak import checker as checker_module, planned_stops, stop_checker
+from steps import soak_steps
 
-# Separate address block, so that a run by hand can go on during the tests.
-SLOT = 10
+# Part of the address block that the usual soak does not use.
+LANE = 1
 GATEWAY = "z1-gateway#1"
 STATUSES = {
     "without an answer": (0, False),
@@ -40,7 +41,9 @@
 @then("seed {seed:d} of the planned stops loses no request in {seconds:d} s")
 def _(_, seed, seconds):
     with tempfile.TemporaryDirectory() as folder:
-        cluster = planned_stops.PlannedStops(seed, pathlib.Path(folder), SLOT)
+        cluster = planned_stops.PlannedStops(
+            seed, pathlib.Path(folder), soak_steps.SLOT, lane=LANE
+        )
         result = asyncio.run(cluster.run(float(seconds)))
     assert not result.violations, "\n".join(result.violations)
     assert result.faults["SIGTERM"] > 0, result.faults
