Name the requests that are dropped behind another one on their connection

Cause: when a connection ends, its log line names the request in hand; those queued behind it were counted only, so the logs alone did not explain them. Change: a line queued_request_dropped for each, with the caller's id.

--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -181,6 +181,7 @@
             clock.read_boottime()
         )
         self._limits.report_close = self._report_close
+        self._limits.report_queued = self._report_queued
         self._tasks = tasks.TaskSet(log)
 
     async def run(self) -> None:
@@ -347,6 +348,17 @@
         now = clock.read_boottime()
         self._log.write(owed_descriptions.describe_close(owed, by, why, now))
 
+    def _report_queued(self, headers: list[tuple[bytes, bytes]]) -> None:
+        metadata = self._header_codec.decode_metadata(headers)
+        self._log.write(
+            notes.note(
+                "queued_request_dropped",
+                attempt_id=metadata.attempt_id
+                if isinstance(metadata, model.RequestMetadata)
+                else "",
+            )
+        )
+
     def _close_idle(self) -> None:
         self._pool.close_idle()
         self._relays.pool.close_idle()
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -308,6 +308,10 @@
         """Returns whether data can be sent now without waiting."""
         return not self.flow.write_paused
 
+    def list_queued_headers(self) -> list[list[tuple[bytes, bytes]]]:
+        """Returns the headers of the requests that are queued, in order."""
+        return [cycle.scope["headers"] for cycle, _ in reversed(self.pipeline)]
+
     def describe_unfinished(self) -> owed_module.Owed | None:
         """Returns the request that ends if the connection is lost now."""
         current = self._current
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -28,6 +28,8 @@
         idle_timeout_s: Timeout of idle connections, in seconds.
         accept_connection: Returns whether to serve a new connection; otherwise
             it is closed unread.
+        report_queued: Called with the headers of each request that was queued
+            behind another one when its connection ended.
         report_close: Called when a connection ends within a request, with what
             was owed, who closed it and why.
     """
@@ -36,6 +38,9 @@
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
     accept_connection: Callable[[], bool] = lambda: True
+    report_queued: Callable[[list[tuple[bytes, bytes]]], None] = (
+        lambda _headers: None
+    )
     report_close: Callable[[owed_module.Owed, str, str], None] = (
         lambda _owed, _by, _why: None
     )
@@ -97,6 +102,8 @@
         elif self.pipeline:
             owed = self.describe(owed_module.Phase.WAITING)
             self.limits.report_close(owed, "gateway", "queued_dropped")
+        for headers in self.list_queued_headers():
+            self.limits.report_queued(headers)
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
--- a/tests/steps/pipelined_stop_steps.py
+++ b/tests/steps/pipelined_stop_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from behave import then
+import orjson
 from soak import stop_callers
 from steps import gateway_stop_steps
 from support import platform_cluster
@@ -80,6 +81,32 @@
     return found
 
 
+async def send_behind_broken_stream(cluster):
+    for server in cluster.servers:
+        if server._domain:
+            server.manner.events = 8
+            server.manner.cut_after = 4
+    stopping = gateway_stop_steps.StoppingCluster(cluster)
+    reader, writer = await stopping.connect()
+    writer.write(make_stream("d1") + make_alert("d2"))
+    statuses = await receive(reader, 2)
+    writer.close()
+    await stopping.stop()
+    lines = cluster.log_path.read_text(encoding="utf-8").splitlines()
+    found = [orjson.loads(line) for line in lines]
+    dropped = [
+        line.get("attempt_id")
+        for line in found
+        if line["event"] == "queued_request_dropped"
+    ]
+    return [statuses, dropped]
+
+
+@then("a request queued behind a stream that its replica breaks off is logged")
+def _(_):
+    assert run(send_behind_broken_stream) == [[], ["d2"]]
+
+
 @then("both of two requests that are sent at once after SIGTERM are answered")
 def _(_):
     assert run(send_two_at_once) == [200, 200]
