--- a/tests/runtime/failures.feature
+++ b/tests/runtime/failures.feature
@@ -35,6 +35,13 @@
     When the killed processes are started again
     Then every process follows the newest version
 
+  Scenario: An entry that gets SIGTERM twice completes its stream
+    The second signal neither ends the process nor begins the stop again.
+    When an entry gets SIGTERM twice while a stream runs
+    Then the stream is complete and the process ends by itself
+    When the killed processes are started again
+    Then every process follows the newest version
+
   Scenario: No accepted change is lost when a voter's data folder is removed
     A voter is killed, its folder is deleted, and it is started again. It joins
     as a new member, and no accepted change is lost.
--- a/tests/steps/failure_steps.py
+++ b/tests/steps/failure_steps.py
@@ -195,6 +195,15 @@
 
 @when("an entry gets SIGTERM while a stream runs")
 def _(context):
+    stop_within_stream(context, signals=1)
+
+
+@when("an entry gets SIGTERM twice while a stream runs")
+def _(context):
+    stop_within_stream(context, signals=2)
+
+
+def stop_within_stream(context, signals):
     vm = context.deployment.vms[-1]
     body = {**processes.CHAT, "max_tokens": 300, "stream": True}
     found = {}
@@ -207,6 +216,9 @@
     name = f"{vm.zone}/{vm.name}/entry"
     wait_until(lambda: count_open_requests(context, vm) > 0, "the stream runs")
     context.deployment.signal(name, signal.SIGTERM)
+    for _ in range(signals - 1):
+        time.sleep(0.2)
+        context.deployment.signal(name, signal.SIGTERM)
     caller.join(timeout=30)
     context.stream = found["response"].body.decode()
     context.process = context.deployment.processes[name]
