Read on at a relay after a server that did not take its request closed

Cause: the relay stops reading from the gateway while the server does not read; when the server responded early and closed, nothing resumed it, so the kept connection was dead and, at a stop, its unread bytes reset it and could cost the gateway the end of the response. Change: the relay reads on when the server's connection ends.

--- a/src/hickorylead/runtime/relay_server.py
+++ b/src/hickorylead/runtime/relay_server.py
@@ -165,6 +165,8 @@
     def on_lost(self, exc: Exception | None) -> None:
         """Handles the end of the server's connection."""
         self._connection = None
+        # The rest of the request is read and dropped.
+        self.transport.resume_reading()
         self.send(messages.RelayClosed(exc is not None))
         self._start_timer(IDLE_TIMEOUT_S)
 
--- a/tests/relaying/stops.feature
+++ b/tests/relaying/stops.feature
@@ -63,3 +63,8 @@
     When the gateway of a relayed stream gets SIGTERM with too little time for it
     Then the caller gets an incomplete stream
     And the gateway's line names the request, and the relay has none
+
+  Scenario: A relay reads on after a server that did not take its request has closed
+    The relay had stopped reading from the gateway; at a stop the unread bytes
+    reset the connection, and the gateway would lose the end of the response.
+    Then a response that ends before its request's body leaves nothing unread
--- a/tests/steps/relay_stop_steps.py
+++ b/tests/steps/relay_stop_steps.py
@@ -335,3 +335,25 @@
     assert ended["request_id"], ended
     assert ended["outcome"] == "broken_stopping", ended
     assert not select_lines(context, "relay_exchange_ended")
+
+
+@then("a response that ends before its request's body leaves nothing unread")
+def _(_):
+    async def scenario(path, replica, address):
+        body = bytes(relay_connection_steps.LARGE_BYTES)
+        head = b"POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % len(body)
+        recorder = platform_steps.ResultRecorder()
+        path.send(address, head + body, recorder, limit_s=60.0)
+        reader, writer = await replica.connections.get()
+        await reader.readuntil(b"\r\n\r\n")
+        (session,) = path.server.sessions
+        await relay_path.wait_for(
+            lambda: not session.transport.is_reading(), 30.0
+        )
+        writer.write(UNFRAMED_HEAD + b"early")
+        await writer.drain()
+        writer.close()
+        assert await recorder.done in ("complete", "may_have_run")
+        await relay_path.wait_for(session.transport.is_reading)
+
+    relay_connection_steps.run_with_path(scenario)
