Answer with a problem when the handler of an entry fails

Cause: entries promise one shape for every error, and a failed handler had another. Result: a scenario in tests/runtime/handler_failures.feature.

--- a/src/hickorylead/runtime/entry_api.py
+++ b/src/hickorylead/runtime/entry_api.py
@@ -66,7 +66,7 @@
         ],
         exception_handlers={
             requests.ClientDisconnect: _handle_disconnect,
-            Exception: handler_failures.respond,
+            Exception: handler_failures.respond_with_problem,
         },
     )
 
--- a/src/hickorylead/runtime/handler_failures.py
+++ b/src/hickorylead/runtime/handler_failures.py
@@ -7,6 +7,9 @@
 
 from starlette import requests as starlette_requests, responses
 
+from hickorylead import verdict as verdict_module
+from hickorylead.requests import model
+from hickorylead.runtime import problems
 from hickorylead.telemetry import library_log
 
 if TYPE_CHECKING:
@@ -51,3 +54,20 @@
     return responses.JSONResponse(
         {"error": "internal_error"}, 500, {"Connection": "close"}
     )
+
+
+async def respond_with_problem(
+    request: starlette_requests.Request, error: Exception
+) -> responses.Response:
+    """Returns the same as a problem, as entries respond."""
+    del request, error
+    response = problems.make_response(
+        model.Problem(
+            500,
+            "internal_error",
+            verdict_module.Verdict.MAY_HAVE_RUN,
+            "the entry failed while it handled the request",
+        )
+    )
+    response.headers["Connection"] = "close"
+    return response
--- a/tests/runtime/handler_failures.feature
+++ b/tests/runtime/handler_failures.feature
@@ -17,6 +17,10 @@
       | an application of views | raises within its response      | an incomplete response | why ValueError |
       | an application of views | is cancelled within its response | an incomplete response | why cancelled  |
 
+  Scenario: An entry whose handler fails answers with a problem
+    When the handler of a request raises at an entry
+    Then its caller gets a problem that says that the request may have run
+
   Scenario: A caller that leaves within its request is no failure of a handler
     When the caller of an application of views leaves within its body
     Then the log has no line and no text
--- a/tests/steps/handler_failure_steps.py
+++ b/tests/steps/handler_failure_steps.py
@@ -90,7 +90,7 @@
     return app
 
 
-def make_app_of_views(failing):
+def make_app_of_views(failing, respond=handler_failures.respond):
     """Returns an application of views."""
 
     async def stream():
@@ -109,7 +109,7 @@
 
     return applications.Starlette(
         routes=[routing.Route("/x", view, methods=["POST"])],
-        exception_handlers={Exception: handler_failures.respond},
+        exception_handlers={Exception: respond},
     )
 
 
@@ -186,6 +186,27 @@
         assert line["phase"] == "responding", line
 
 
+@when("the handler of a request raises at an entry")
+def _(context):
+    failing = Failing("raises before its response")
+    app = make_app_of_views(failing, handler_failures.respond_with_problem)
+    with keep_lines() as log:
+        context.received = asyncio.run(call(app, log, failing))
+    context.lines = log.lines
+
+
+@then("its caller gets a problem that says that the request may have run")
+def _(context):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 500 "), head
+    assert b"application/problem+json" in head, head
+    problem = orjson.loads(body)
+    assert problem["code"] == "internal_error", problem
+    assert problem["verdict"] == "may_have_run", problem
+    (line,) = context.lines
+    assert line["event"] == "handler_failed", line
+
+
 @when("the caller of an application of views leaves within its body")
 def _(context):
     async def leave(log):
