--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from hickorylead.runtime import coordinator_settings, gateway
+    from hickorylead.runtime import coordinator_settings, gateway_settings
     from hickorylead.telemetry import decisions
 
 ROLES = ("gateway", "coordinator")
@@ -120,10 +120,10 @@
 
 def _make_gateway_settings(
     settings: settings_module.Settings,
-) -> gateway.Settings:
-    from hickorylead.runtime import gateway
+) -> gateway_settings.Settings:
+    from hickorylead.runtime import gateway_settings
 
-    return gateway.Settings(
+    return gateway_settings.Settings(
         vm=settings.vm,
         zone=settings.zone,
         ip=settings.ip,
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -8,10 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-import attrs
-
 from hickorylead import notes
-from hickorylead.admission import budget as budget_module
 from hickorylead.draining import (
     descriptions as owed_descriptions,
     drain as drain_module,
@@ -47,6 +44,7 @@
 
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import header_codec as header_codec_module
+    from hickorylead.runtime import gateway_settings
 
 # How long a balancer may still send new connections after the gateway becomes
 # not ready, in seconds. The balancer probes once a second and removes a node
@@ -56,57 +54,18 @@
 CLOSE_IDLE_PERIOD_S = 0.5
 
 
-@attrs.frozen
-class Settings:
-    """Settings of a gateway.
-
-    Attributes:
-        vm: Name of the VM.
-        zone: Its availability zone.
-        ip: IP address at which other nodes reach it.
-        caller_port: Port for callers.
-        ready_port: Port of the readiness check.
-        peer_port: Port for the other processes of the system.
-        seeds: Peer addresses of a few coordinators.
-        metrics_port: Port of the metrics endpoint; 0 for none.
-        grace_s: Time between SIGTERM and SIGKILL, in seconds.
-        retry_limits: Retries that all gateways may make together.
-        bind_ip: IP address to bind; empty if it is `ip`.
-        relay_port: Port for requests that other gateways relay through this
-            one; 0 to relay none.
-    """
-
-    vm: str
-    zone: str
-    ip: str
-    caller_port: int
-    ready_port: int
-    peer_port: int
-    seeds: tuple[str, ...]
-    metrics_port: int
-    grace_s: float
-    retry_limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS
-    bind_ip: str = ""
-    relay_port: int = 0
-
-    @property
-    def listen_ip(self) -> str:
-        """The IP address on which the process listens."""
-        return self.bind_ip or self.ip
-
-
 class GatewayProcess:
     """One gateway process."""
 
     def __init__(
         self,
-        settings: Settings,
+        settings: gateway_settings.Settings,
         *,
         header_codec: header_codec_module.HeaderCodec,
         decode_document: Callable[
             [bytes], result.Result[document_module.Document, str]
         ],
-        reload: Callable[[], Settings],
+        reload: Callable[[], gateway_settings.Settings],
         log: decisions.DecisionLog,
         listening_socket: socket.socket | None = None,
     ) -> None:
--- a/tests/support/platform_cluster.py
+++ b/tests/support/platform_cluster.py
@@ -16,6 +16,7 @@
     coordinator,
     coordinator_settings,
     gateway,
+    gateway_settings,
 )
 from hickorylead.telemetry import decisions
 from hickorylead_standins import platform
@@ -130,7 +131,7 @@
         ]
         self.gateways = [
             gateway.GatewayProcess(
-                gateway.Settings(
+                gateway_settings.Settings(
                     vm=f"front{number}",
                     zone="z1",
                     ip=f"{NET}.{8 + number}",
--- a/tests/support/stop_schedules.py
+++ b/tests/support/stop_schedules.py
@@ -29,6 +29,7 @@
 from hickorylead.runtime import (
     forwarding,
     gateway,
+    gateway_settings,
     relay_client,
     relay_server,
     upstream,
@@ -282,7 +283,7 @@
         return relay
 
     def _make_process(self) -> gateway.GatewayProcess:
-        settings = gateway.Settings(
+        settings = gateway_settings.Settings(
             "front1",
             "z1",
             GATEWAY_IP,
