A connection that lingers sends all of its response

Cause: the end of the time for which a connection reads on closed it at once, with the last bytes of its response in the buffer if its caller was slow.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -283,9 +283,16 @@
         self._unset_keepalive_if_required()
         self.transport.write_eof()
         self.flow.resume_reading()
-        self._linger_timer = self.loop.call_later(
-            LINGER_S, self.transport.abort
-        )
+        self._linger_timer = self.loop.call_later(LINGER_S, self._end_linger)
+
+    def _end_linger(self) -> None:
+        """Closes the connection, unless its caller has bytes to take."""
+        if self.transport.get_write_buffer_size():
+            self._linger_timer = self.loop.call_later(
+                LINGER_S, self._end_linger
+            )
+        else:
+            self.transport.abort()
 
     def abort(self, reason: str) -> None:
         """Closes the connection at once; no response looks complete."""
