Complete no response of the entry's client whose connection was reset

The HTTP client of an entry ends a response without a length in the same way whether its connection was closed or reset. A call whose replica was reset after its head, or in its body, was answered with status 200 and an empty or short body, framed as whole.

The entry's connections now fail such a response; its attempt may have run. A clean close still completes it.

--- a/src/hickorylead/runtime/backends.py
+++ b/src/hickorylead/runtime/backends.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+import functools
+from typing import TYPE_CHECKING, Any, cast
 
 import aiohttp
+from aiohttp import client_proto
 import orjson
 
 from hickorylead import verdict as verdict_module
@@ -23,6 +25,34 @@
 MAX_LINE_BYTES = 1024 * 1024
 
 
+class _Connection(client_proto.ResponseHandler):
+    """A connection whose reset completes no response.
+
+    The HTTP client itself ends a response without a length in the same way
+    whether its connection was closed or reset; bytes may then be missing.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Handles the end of the connection, clean or not."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError("the connection was reset"), exc
+            )
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Opens connections whose reset completes no response."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(limit=0, **options)
+        self._factory = cast(
+            "functools.partial[client_proto.ResponseHandler]",
+            functools.partial(_Connection, loop=asyncio.get_running_loop()),
+        )
+
+
 class Backends:
     """All attempts of one entry that are in flight."""
 
@@ -44,7 +74,7 @@
         )
         self._pooled = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=_Connector(keepalive_timeout=30),
             read_bufsize=MAX_LINE_BYTES,
         )
         # In the meantime, the server may have closed a pooled connection, or a
@@ -53,7 +83,7 @@
         # again, use a new connection.
         self._fresh = aiohttp.ClientSession(
             timeout=timeout,
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=_Connector(force_close=True),
             read_bufsize=MAX_LINE_BYTES,
         )
 
--- a/tests/forwarding/half_heads.feature
+++ b/tests/forwarding/half_heads.feature
@@ -47,3 +47,73 @@
 
   Scenario: A part of a head behind a whole response is not taken for the next one
     Then a part of a head that arrives unasked ends a connection that is kept, directly
+
+  Scenario Outline: An entry takes no response to a call that was cut off as complete
+    The usual HTTP client ends a response without a length at a reset, too.
+    Then an entry takes a call's response with <response> that is cut off at each byte by a <end> as complete only if it is whole
+
+    Examples:
+      | response                  | end   |
+      | a length                  | close |
+      | a length                  | reset |
+      | chunks and a trailer      | close |
+      | chunks and a trailer      | reset |
+      | 100 before the final head | close |
+      | 100 before the final head | reset |
+      | 103 before the final head | close |
+      | 103 before the final head | reset |
+      | HTTP/1.0 and a length     | close |
+      | HTTP/1.0 and a length     | reset |
+      | HTTP/1.0 and no length    | close |
+      | HTTP/1.0 and no length    | reset |
+      | no length                 | close |
+      | no length                 | reset |
+      | status 204                | close |
+      | status 204                | reset |
+      | status 304 and a length   | close |
+      | status 304 and a length   | reset |
+
+  Scenario Outline: An entry takes no stream that was cut off as complete
+    Then an entry takes a stream with <response> that is cut off at each byte by a <end> as complete only with its last frame
+
+    Examples:
+      | response                  | end   |
+      | a length                  | close |
+      | a length                  | reset |
+      | chunks                    | close |
+      | chunks                    | reset |
+      | no length                 | close |
+      | no length                 | reset |
+
+  Scenario Outline: A coordinator takes no response to an order or report that was cut off
+    Then an order or report whose response with <response> is cut off at each byte by a <end> has a response only if it is whole
+
+    Examples:
+      | response                  | end   |
+      | a length                  | close |
+      | a length                  | reset |
+      | chunks and a trailer      | close |
+      | chunks and a trailer      | reset |
+      | 100 before the final head | close |
+      | 100 before the final head | reset |
+      | 103 before the final head | close |
+      | 103 before the final head | reset |
+      | HTTP/1.0 and a length     | close |
+      | HTTP/1.0 and a length     | reset |
+      | HTTP/1.0 and no length    | close |
+      | HTTP/1.0 and no length    | reset |
+      | no length                 | close |
+      | no length                 | reset |
+      | status 204                | close |
+      | status 204                | reset |
+      | status 304 and a length   | close |
+      | status 304 and a length   | reset |
+
+  Scenario Outline: A caller gets no response that was cut off as complete
+    Through a real gateway, whose replicas all cut off at the same byte.
+    Then callers of a gateway get a <kind> that its replicas cut off at each byte as complete only if it is whole, directly
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
--- a/tests/relaying/half_heads.feature
+++ b/tests/relaying/half_heads.feature
@@ -59,3 +59,12 @@
       | reset                      |
       | part of a head             |
       | whole response and a close |
+
+  Scenario Outline: A caller gets no response that was cut off as complete
+    Through real gateways, while all replicas cut off at the same byte.
+    Then callers of a gateway get a <kind> that its replicas cut off at each byte as complete only if it is whole, through a relay
+
+    Examples:
+      | kind   |
+      | call   |
+      | stream |
--- a/tests/support/cut_responses.py
+++ b/tests/support/cut_responses.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 
@@ -46,6 +47,11 @@
     request: bytes = GET
     never: bool = False
 
+    @property
+    def ends_at(self) -> float:
+        """Number of bytes after which it ends without a close."""
+        return math.inf if self.ends_with_close else self.complete_at
+
 
 def _frame(data: bytes, body: bytes, **extra) -> Answer:
     return Answer(data, body, len(data), **extra)
@@ -270,8 +276,7 @@
     address = await replica.start()
     first, second = Recorder(), Recorder()
     path.send(address, answer.request, first)
-    is_whole = not answer.ends_with_close and cut >= answer.complete_at
-    if not is_whole or answer.never:
+    if cut < answer.ends_at or answer.never:
         replica.may_end.set()
     await first.wait()
     replica.may_end.set()
