Read on after a response behind which malformed input was rejected

A malformed or too long head behind a running request is not read, and the connection closes with the response. If the caller went on sending, the socket was closed with unread bytes, which resets the connection: the part of the response that was on its way was lost.

The connection now reads on for a time, as after a body that is not read.

Tests with a real listener cover what follows a request while its response runs, responses before the end of a body, requests in the queue, the idle time and the time for heads, and a stop between head and body.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -231,6 +231,8 @@
             self._linger("unread_body")
         elif self.pipeline or self._in_head or self.flow.read_paused:
             self._linger("queued_dropped")
+        elif self._ignores_input:
+            self._linger("rejected_input")
         else:
             self.transport.close()
 
--- a/tests/runtime/callers.feature
+++ b/tests/runtime/callers.feature
@@ -24,3 +24,41 @@
     Given a port that was opened before anything else
     When a request is sent before the listener starts
     Then the response has status 200
+
+  Scenario Outline: A response that is stopped between its head and its body is not whole
+    A status of 200 with an empty body would look like a success.
+    Then a response with <framing> that is stopped behind its head is not whole
+
+    Examples:
+      | framing |
+      | length  |
+      | chunks  |
+
+  Scenario Outline: What follows a request does not get into its response
+    A rejection that is written at once would be a part of the body.
+    Then a head that is <problem> behind a request leaves its response whole
+
+    Examples:
+      | problem   |
+      | malformed |
+      | too long  |
+
+  Scenario Outline: A caller that sends more than is read receives its response
+    Closing a socket with unread bytes resets it, and what is on its way is lost.
+    Then a caller that keeps sending <what> receives its whole response
+
+    Examples:
+      | what                     |
+      | a body                   |
+      | a head that is malformed |
+      | a head that is too long  |
+
+  Scenario: A queued request does not cut off the response that closes its connection
+    Then a caller with requests in the queue receives the response that closes
+
+  Scenario: The idle time does not end a connection on which a head arrives
+    Then a request whose head takes longer than the idle time is served
+
+  Scenario: The time for a head does not run while another response is sent
+    Then a part of a head behind a response that takes long does not end it
+    And a head that does not end behind a whole response gets status 408 alone
