--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -13,7 +13,6 @@
     messages as consensus_messages,
     options,
 )
-from hickorylead.draining import drain as drain_module, owed as owed_module
 from hickorylead.fleet import (
     events,
     group_builder as group_builder_module,
@@ -25,7 +24,8 @@
 from hickorylead.runtime import (
     clock,
     coordinator_disk,
-    drainer,
+    coordinator_gauges,
+    coordinator_stop,
     handler_failures,
     operator_calls,
     peers as peers_module,
@@ -51,9 +51,6 @@
     from hickorylead.fleet import server_codec as server_codec_module
     from hickorylead.runtime import coordinator_settings
 
-# How long a stopping coordinator answers those who find its port open, in
-# seconds: clients that are refused with a response know that nothing was done.
-REFUSAL_S = 0.25
 
 _TICKS: dict[work_queue.Lane, events.UrgentTick | events.OrdinaryTick] = {
     work_queue.Lane.URGENT: events.UrgentTick(),
@@ -196,7 +193,10 @@
             ),
         )
         await self._stop.wait()
-        await self._drain(http, gate)
+        gate.stop()
+        await coordinator_stop.drain(
+            http, self._calls, grace_s=self.settings.grace_s, log=self._log
+        )
         await self._tasks.close()
         servers = [http, *([metrics_server] if metrics_server else [])]
         await asyncio.gather(*(server.close() for server in servers))
@@ -206,37 +206,6 @@
         self._log.write(notes.note("stopped"))
         self._log.flush()
 
-    async def _drain(
-        self, http: server_module.HttpServer, gate: stop_gate.StopGate
-    ) -> None:
-        """Answers the pending calls; the voter and the peers work on."""
-        gate.stop()
-        drain = drain_module.Drain(
-            grace_s=self.settings.grace_s,
-            detection_s=REFUSAL_S,
-            now=clock.read_boottime(),
-        )
-        self._log.write(notes.note("stopping", left_s=self.settings.grace_s))
-
-        def refuse(owed: owed_module.Owed) -> None:
-            drainer.refuse(http, owed, self._log.write)
-
-        def end(owed: owed_module.Owed) -> None:
-            # Pending calls are answered below, by their handlers.
-            if owed.phase is not owed_module.Phase.RESPONDING and not (
-                self._calls.is_pending(owed.request_id)
-            ):
-                refuse(owed)
-
-        await drainer.Drainer(
-            http,
-            drain,
-            end=end,
-            end_others=lambda: self._calls.end(drainer.STOPPING),
-            refuse_head=refuse,
-            write_log=self._log.write,
-        ).run()
-
     # For the API of backend servers and operators.
 
     def receive_heartbeat(self, instance: instances.Instance) -> None:
@@ -280,23 +249,7 @@
         return f"{self._node}.{incarnation}.{self._call_count}"
 
     def _collect_gauges(self) -> dict[str, float]:
-        now = clock.read_boottime()
-        present = self.role.registry.list_present()
-        serving = [i for i in present if i.member.state == instances.GROUP_OPEN]
-        free = [i for i in present if i.domain and not i.has_group]
-        return {
-            "configuration_version": self.role.version,
-            "log_leader": float(self.role.voter.is_ready_leader(now)),
-            "voters": len(self.role.voter.voters),
-            "seconds_without_leader": (
-                self.role.voter_monitor.measure_leaderless(now)
-            ),
-            "instances": len(present),
-            "instances_silent": sum(i.silent for i in present),
-            "groups_open": len(serving),
-            "blocked_contents": self.role.crashes.count_blocked(),
-            "standbys": len(free),
-        }
+        return coordinator_gauges.collect(self.role, clock.read_boottime())
 
     # Events and effects.
 
