--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -15,7 +15,12 @@
     owed as owed_module,
 )
 from hickorylead.forwarding import events, model, routes as routes_module
-from hickorylead.roles import gateway as gateway_role, interface, nodes
+from hickorylead.roles import (
+    gateway as gateway_role,
+    gateway_parts,
+    interface,
+    nodes,
+)
 from hickorylead.runtime import (
     clock,
     drainer,
@@ -97,7 +102,7 @@
         self.waiting_for_configuration = 0
         self.response_writers: dict[str, response_writer.ResponseWriter] = {}
         self.role = gateway_role.Gateway(
-            gateway_role.Identity(
+            gateway_parts.Identity(
                 node=node,
                 boot=self._rng.getrandbits(40),
                 seeds=settings.seeds,
--- a/tests/steps/configuration_update_steps.py
+++ b/tests/steps/configuration_update_steps.py
@@ -9,7 +9,11 @@
 
 from hickorylead import notes
 from hickorylead.fleet import messages
-from hickorylead.roles import gateway as gateway_role, interface
+from hickorylead.roles import (
+    gateway as gateway_role,
+    gateway_parts,
+    interface,
+)
 
 SENDER = "z1/core/coordinator"
 
@@ -22,7 +26,7 @@
         self.decoded = 0
         self.written: list[notes.Note] = []
         self.role = gateway_role.Gateway(
-            gateway_role.Identity("z1/front/gateway", 1, ("seed:1",)),
+            gateway_parts.Identity("z1/front/gateway", 1, ("seed:1",)),
             decode_document=self._decode,
             rng=random.Random(1),
             now=self.now,
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -1041,7 +1041,7 @@
     # The gateway starts without a known leader, so it sends hellos to all
     # coordinators.
     gateway = simulation.gateways[context.node]
-    gateway._next_other_hello = simulation.now
+    gateway._reports._next_other_hello = simulation.now
     simulation.run_until(
         lambda: len(gateway._coordinators.list_heard()) == 6, limit
     )
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -80,7 +80,7 @@
     call itself may take that long.
     """
     routes, process.role.routes = process.role.routes, None
-    process.role._apply_document = lambda _: []
+    process.role._news.apply_document = lambda _: []
     process._configured.clear()
     return routes
 
--- a/tests/steps/relay_process_steps.py
+++ b/tests/steps/relay_process_steps.py
@@ -292,7 +292,10 @@
     """Returns the opening of an exchange with a server."""
     server = cluster.find_server("p0")
     return messages.RelayOpen(
-        relay.role._identity.relay_token, server.name, server._address, 1000
+        relay.role._parts.identity.relay_token,
+        server.name,
+        server._address,
+        1000,
     )
 
 
@@ -318,7 +321,7 @@
             case "an unknown server":
                 changed = attrs.evolve(valid, server="elsewhere")
             case "the address of a gateway":
-                address = cluster.gateway.role._identity.relay_address
+                address = cluster.gateway.role._parts.identity.relay_address
                 changed = attrs.evolve(valid, address=address)
             case _:
                 changed = valid
@@ -349,7 +352,7 @@
         cluster.gateway._relays.pool.send_request(
             relay_directory.Relay(
                 "z1/front2/gateway",
-                relay.role._identity.relay_address,
+                relay.role._parts.identity.relay_address,
                 "0" * 32,
                 frozenset(),
                 0.0,
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -30,7 +30,13 @@
     messages as fleet_messages,
     orders,
 )
-from hickorylead.roles import coordinator, gateway, interface, nodes
+from hickorylead.roles import (
+    coordinator,
+    gateway,
+    gateway_parts,
+    interface,
+    nodes,
+)
 from support import simulated_servers
 
 if TYPE_CHECKING:
@@ -244,7 +250,7 @@
         self.starts.append((self.now, node))
         self.known_senders.pop(node, None)
         self.gateways[node] = gateway.Gateway(
-            gateway.Identity(
+            gateway_parts.Identity(
                 node,
                 self._start_count,
                 self.seeds,
