--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -17,7 +17,7 @@
     attempts as attempts_module,
     choice as choice_module,
     connection_monitor,
-    descriptions,
+    endings as endings_module,
     events,
     model,
     ranks,
@@ -112,6 +112,13 @@
             retries=limits.retries,
             run_guard=self._run_guard,
         )
+        self._endings = endings_module.Endings(
+            self._pending,
+            attempts=self._attempts,
+            admission=self._admission,
+            arrivals=self._arrivals,
+            selector=self._selector,
+        )
         self._responses = response_handler.ResponseHandler(
             attempts=self._attempts,
             heads=self._heads,
@@ -119,7 +126,7 @@
             relays=relays,
             run_guard=self._run_guard,
             fail_attempt=self._fail_attempt,
-            finish=self._finish,
+            finish=self._endings.finish,
         )
         self._stall_monitor = stall_monitor.StallMonitor(
             self._pending,
@@ -164,7 +171,7 @@
             case events.RequestArrived(request):
                 return self._handle_arrival(request, now)
             case events.TimeOver(request_id):
-                return self._end_stopped(request_id, now)
+                return self._endings.stop(request_id, now)
             case events.AttemptConnected(request_id, attempt):
                 found = self._attempts.find(request_id, attempt)
                 if found is None:
@@ -180,7 +187,7 @@
                     return []
                 return self._fail_attempt(*found, verdict, reason, now)
             case events.CallerDisconnected(request_id):
-                return self._handle_disconnect(request_id, now)
+                return self._endings.handle_disconnect(request_id, now)
             case events.ServerProbed():
                 effects = self._connections.handle_probe(event, now)
                 return [*effects, *self.dispatch_waiting(now)]
@@ -202,7 +209,7 @@
             effects += self._arrivals.check(now)
         for pending in list(self._pending.values()):
             if now >= pending.ends_at:
-                effects += self._expire(pending, now)
+                effects += self._endings.expire(pending, now)
             elif stalls.is_overdue(pending, now - late_s):
                 effects += self.mover.handle_overdue(pending, now)
             elif pending.needs_successor:
@@ -257,22 +264,26 @@
     ) -> list[events.Effect]:
         request = pending.request
         if pending.ends_at - now < state.MIN_TIME_LEFT_S:
-            return self._expire(pending, now)
+            return self._endings.expire(pending, now)
         # Arrivals, retries and waiting requests all pass through this method.
         if not self._may_finish(pending, now):
-            return self._refuse(pending, refusals.refuse_stopping(pending), now)
+            return self._endings.refuse(
+                pending, refusals.refuse_stopping(pending), now
+            )
         blocked_s = self._run_guard.find_block_remaining_s(pending, now)
         if blocked_s is not None:
-            return self._refuse_blocked(pending, blocked_s, now)
+            return self._endings.refuse_blocked(pending, blocked_s, now)
         if self._run_guard.must_defer(pending, now):
             if refusals.may_wait(pending, now) and not pending.runs:
                 pending.phase = "waiting"
                 return []
-            return self._refuse_blocked(pending, SUSPECTED_RETRY_AFTER_S, now)
+            return self._endings.refuse_blocked(
+                pending, SUSPECTED_RETRY_AFTER_S, now
+            )
         if pending.was_received and not self._may_repeat(pending, now):
             if pending.started and pending.phase == "waiting":
                 return []
-            return self._end_failed(pending, "retry_budget_spent", now)
+            return self._endings.fail(pending, "retry_budget_spent", now)
         balance = self._retries.get_balance(request.service, now)
         chosen = self._selector.choose(
             pending,
@@ -297,7 +308,7 @@
                 if self._may_wait(pending, chosen, now + wait_s):
                     pending.phase = "waiting"
                     return []
-                return self._refuse(
+                return self._endings.refuse(
                     pending,
                     refusals.refuse_without_choice(pending, chosen),
                     now,
@@ -353,79 +364,5 @@
         self, pending: state.PendingRequest, reason: str, now: float
     ) -> list[events.Effect]:
         if not (pending.may_send_again(now)):
-            return self._end_failed(pending, reason, now)
+            return self._endings.fail(pending, reason, now)
         return self._try_send(pending, now)
-
-    def _end_failed(
-        self, pending: state.PendingRequest, reason: str, now: float
-    ) -> list[events.Effect]:
-        if pending.started:
-            abort = events.AbortResponse(pending.request.request_id)
-            return [abort, *self._finish(pending, f"broken_{reason}", now)]
-        return self._refuse(
-            pending, refusals.refuse_after_failure(pending, reason), now
-        )
-
-    # Ends of requests.
-
-    def _expire(
-        self, pending: state.PendingRequest, now: float
-    ) -> list[events.Effect]:
-        effects = self._attempts.cancel_all(pending, now)
-        return effects + self._end_failed(pending, "deadline", now)
-
-    def _end_stopped(self, request_id: str, now: float) -> list[events.Effect]:
-        """Ends a request at the end of a planned stop."""
-        pending = self._pending.get(request_id)
-        if pending is None:
-            return self._arrivals.end(request_id, now)
-        effects = self._attempts.cancel_all(pending, now)
-        if pending.started:
-            return effects + self._end_failed(
-                pending, refusals.STOPPING_REASON, now
-            )
-        refusal = refusals.refuse_stopping(pending)
-        return effects + self._refuse(pending, refusal, now)
-
-    def _refuse_blocked(
-        self, pending: state.PendingRequest, blocked_s: float, now: float
-    ) -> list[events.Effect]:
-        if pending.started:
-            return self._end_failed(pending, refusals.BLOCKED_REASON, now)
-        refusal = refusals.refuse_blocked(pending, blocked_s)
-        return self._refuse(pending, refusal, now)
-
-    def _handle_disconnect(
-        self, request_id: str, now: float
-    ) -> list[events.Effect]:
-        pending = self._pending.get(request_id)
-        if pending is None:
-            return []
-        effects = self._attempts.cancel_all(pending, now)
-        return effects + self._finish(pending, "caller_left", now)
-
-    def _refuse(
-        self, pending: state.PendingRequest, refusal: events.Refuse, now: float
-    ) -> list[events.Effect]:
-        return [
-            refusal,
-            *self._finish(pending, f"refused_{refusal.reason}", now),
-        ]
-
-    def _finish(
-        self, pending: state.PendingRequest, outcome: str, now: float
-    ) -> list[events.Effect]:
-        for attempt in pending.live_attempts:
-            self._attempts.release(pending, attempt)
-        request = pending.request
-        del self._pending[request.request_id]
-        if outcome == descriptions.ANSWERED:
-            self._admission.record(request.route.name, now - pending.arrived_at)
-        return [
-            descriptions.describe_end(
-                pending,
-                outcome,
-                version=self.document.version if self.document else 0,
-                now=now,
-            )
-        ]
