Hold SIGHUP until a stopped process has ended

Cause: the event loop restores the default of SIGHUP when it is closed, so a reload that comes after stopped kills the process (exit code -1). Change: the signal is blocked once the role has ended. Result: two scenarios in tests/draining/signals.feature, both failing (-1) without the change.

--- a/src/hickorylead/platform/program.py
+++ b/src/hickorylead/platform/program.py
@@ -89,6 +89,7 @@
         listening_socket=listening_socket,
     )
     await process.run()
+    reload_signal.release()
 
 
 async def _run_coordinator(
@@ -110,6 +111,7 @@
         log=log,
     )
     await process.run()
+    reload_signal.release()
 
 
 def _freeze_imports() -> None:
--- a/src/hickorylead/runtime/reload_signal.py
+++ b/src/hickorylead/runtime/reload_signal.py
@@ -1,4 +1,4 @@
-"""SIGHUP while a process starts: by default it would end the process."""
+"""SIGHUP while a process starts or ends: by default it would kill it."""
 
 from __future__ import annotations
 
@@ -31,3 +31,11 @@
     if _Pending.is_set:
         _Pending.is_set = False
         reload()
+
+
+def release() -> None:
+    """Holds the signal until the process has ended.
+
+    The event loop restores the default when it is closed.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
