--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -81,7 +81,7 @@
         metadata = self._header_codec.decode_metadata(scope["headers"])
         if isinstance(metadata, str):
             refusal = events.Refuse(request_id, 400, "bad_header")
-            await self._send_refusal(writer, send, refusal, "")
+            await self._send_refusal(send, refusal, "")
             return
         if writer.connection is not None:
             writer.connection.request_id = request_id
@@ -94,9 +94,7 @@
                 self._process.apply(events.RequestDropped(request_id))
             case events.Refuse():
                 self._process.apply(events.RequestDropped(request_id))
-                await self._send_refusal(
-                    writer, send, decoded, metadata.attempt_id
-                )
+                await self._send_refusal(send, decoded, metadata.attempt_id)
             case _:
                 await self._forward(decoded, writer, receive, send)
 
@@ -230,7 +228,7 @@
             refusal = await writer.run()
             if refusal is not None:
                 await self._send_refusal(
-                    writer, send, refusal, request.metadata.attempt_id
+                    send, refusal, request.metadata.attempt_id
                 )
         finally:
             watch_task.cancel()
@@ -253,15 +251,8 @@
             writer.write(events.AbortResponse(request.request_id))
 
     async def _send_refusal(
-        self,
-        writer: response_writer.ResponseWriter,
-        send: Any,
-        refusal: events.Refuse,
-        attempt_id: str,
+        self, send: Any, refusal: events.Refuse, attempt_id: str
     ) -> None:
-        if writer.connection is not None and writer.connection.in_body:
-            # The connection is closed, as the rest of the body is not read.
-            writer.connection.announce_close()
         headers, body = self._header_codec.encode_refusal(refusal, attempt_id)
         fields = [*headers, (b"content-length", b"%d" % len(body))]
         await send(
--- /dev/null
+++ b/src/hickorylead/runtime/gateway_settings.py
@@ -0,0 +1,46 @@
+"""Settings of a gateway process."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickorylead.admission import budget as budget_module
+
+
+@attrs.frozen
+class Settings:
+    """Settings of a gateway.
+
+    Attributes:
+        vm: Name of the VM.
+        zone: Its availability zone.
+        ip: IP address at which other nodes reach it.
+        caller_port: Port for callers.
+        ready_port: Port of the readiness check.
+        peer_port: Port for the other processes of the system.
+        seeds: Peer addresses of a few coordinators.
+        metrics_port: Port of the metrics endpoint; 0 for none.
+        grace_s: Time between SIGTERM and SIGKILL, in seconds.
+        retry_limits: Retries that all gateways may make together.
+        bind_ip: IP address to bind; empty if it is `ip`.
+        relay_port: Port for requests that other gateways relay through this
+            one; 0 to relay none.
+    """
+
+    vm: str
+    zone: str
+    ip: str
+    caller_port: int
+    ready_port: int
+    peer_port: int
+    seeds: tuple[str, ...]
+    metrics_port: int
+    grace_s: float
+    retry_limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS
+    bind_ip: str = ""
+    relay_port: int = 0
+
+    @property
+    def listen_ip(self) -> str:
+        """The IP address on which the process listens."""
+        return self.bind_ip or self.ip
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -192,13 +192,18 @@
     def _announce_close(
         self, cycle: httptools_impl.RequestResponseCycle, message: Any
     ) -> None:
-        """Announces the end of the connection if nothing is queued.
+        """Announces the end of the connection, where it is known.
+
+        A connection is not kept behind a body that is not read, nor by a
+        process that is stopping, unless requests are queued.
 
         Args:
             cycle: The request.
             message: The head of its response, which is sent next.
         """
-        if self.flags.closes_after_response and not self.pipeline:
+        if self.in_body or (
+            self.flags.closes_after_response and not self.pipeline
+        ):
             cycle.keep_alive = False
         closes = any(
             name.lower() == b"connection" and b"close" in value.lower()
