Let the random planned stops run again

Cause: the relay of these schedules was made without the argument for its log lines, and the identity of a gateway was read where it no longer is, so each run ended with an error before its first stop. Change: both follow the present interfaces.

--- a/tests/support/stop_schedules.py
+++ b/tests/support/stop_schedules.py
@@ -248,7 +248,7 @@
         """Sends a request through the gateway as another gateway does."""
         receiver = stop_replicas.Relayed(plan)
         self.relayed.append(receiver)
-        identity = self._process.role._identity
+        identity = self._process.role._parts.identity
         pool.send_request(
             relay_directory.Relay(
                 identity.node,
@@ -277,6 +277,7 @@
             pool=upstream.Pool(),
             check=lambda _: "",
             report_failure=lambda *_: None,
+            write_log=lambda _: None,
             warn=lambda *_, **__: None,
         )
         await relay.start(RELAY_IP, RELAY_PORT)
@@ -333,7 +334,7 @@
         self._offer()
 
     def _offer(self) -> None:
-        node = self._process.role._identity.node
+        node = self._process.role._parts.identity.node
         self._process._receive(
             COORDINATOR,
             relay_messages.RelayOffer(
