Go on with a stop when a refused caller has just left

Cause: the refusal of a half head is followed by a shutdown of the socket. If its caller has closed, the refusal is answered by a reset, and the shutdown raises ENOTCONN out of the drain: the process ends at once with a traceback, and all that it owes is cut. Change: such a connection is closed. Result: the scenario fails before (OSError 107), passes after.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -288,7 +288,12 @@
         self._in_head = False
         self._ignores_input = True
         self._unset_keepalive_if_required()
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection.
+            self.transport.abort()
+            return
         self.flow.resume_reading()
         self._linger_timer = self.loop.call_later(LINGER_S, self._end_linger)
 
