Read connections accepted last before a stop ends

Cause: a connection is in no account for three turns of the event loop after it was accepted. If the last step of a stop fell there, the process counted nothing, then read the request, passed it on and closed the connection. Change: a stop ends two steps after it has stopped listening, at the earliest.

--- a/src/hickorylead/draining/drain.py
+++ b/src/hickorylead/draining/drain.py
@@ -16,6 +16,9 @@
 END_SHARE = 1 / 8
 # Part of this share in which callers may still receive what was sent.
 FLUSH_SHARE = 1 / 2
+# Steps after the last connection was accepted until it has been read, also in
+# an event loop that is late: until then it owes nothing.
+SETTLING_STEPS = 2
 
 
 @attrs.frozen
@@ -83,6 +86,7 @@
         self.aborts_at = now + grace_s * (1 - END_SHARE * FLUSH_SHARE)
         self.closes_at = min(now + detection_s, self.ends_at)
         self._is_listening = True
+        self._settling_steps = SETTLING_STEPS
         self._has_ended = False
 
     def decide(
@@ -104,8 +108,11 @@
         if self._is_listening:
             self._is_listening = False
             decisions.append(StopListening())
+        is_settled = not self._settling_steps
+        self._settling_steps = max(0, self._settling_steps - 1)
         if not owed and not others:
-            return [*decisions, CloseKept(), Finished()]
+            decisions.append(CloseKept())
+            return [*decisions, Finished()] if is_settled else decisions
         if now >= self.aborts_at:
             decisions += [Abort(item) for item in owed]
             return [*decisions, EndOthers(), Finished()]
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -3,3 +3,7 @@
   Scenario: A caller that leaves just before its half head is refused ends no process
     The shutdown of a socket whose peer has reset it raises an error.
     Then a stop refuses a half head whose caller has just closed its connection
+
+  Scenario: A connection that is accepted in the last step of a stop is not cut
+    Between the kernel's accept and the first callback a connection is in no list.
+    Then a request that is sent 0 to 8 turns before the last step is not cut
