Reject a malformed target after the response before it

Cause: a request counted as open before its target was parsed. When that failed, the request being handled seemed to have an open body, so the 400 took the place of its response, and its run went on unseen. Change: a request is open once its head is accepted. Result: the first of two requests got 400 before, gets its 200 now.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -108,8 +108,9 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         self._in_head = False
-        self._is_latest_open = True
+        # This raises an error if the target is malformed.
         super().on_headers_complete()
+        self._is_latest_open = True
         current = self._current
         if (
             self.pipeline
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -7,3 +7,7 @@
   Scenario: A connection that is accepted in the last step of a stop is not cut
     Between the kernel's accept and the first callback a connection is in no list.
     Then a request that is sent 0 to 8 turns before the last step is not cut
+
+  Scenario: A malformed request does not get the place of the response before it
+    The parser rejects the target after the head has been read.
+    Then a request with a malformed target behind another one is rejected second
