Drop a request with too long trailers once

Cause: a callback that fails is reported twice, and the second report removed another request of the connection, or failed and cut the response in progress. Change: what was removed is no longer open. Result: a response with such a request behind it was cut before, is complete now.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -262,6 +262,7 @@
         if self._is_latest_open and not is_current:
             # Its body will never be complete.
             self.pipeline.popleft()
+            self._is_latest_open = False
         latest = self.pipeline[0][0] if self.pipeline else current
         latest.keep_alive = False
 
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -11,3 +11,6 @@
   Scenario: A malformed request does not get the place of the response before it
     The parser rejects the target after the head has been read.
     Then a request with a malformed target behind another one is rejected second
+
+  Scenario: Trailers that are too long cut no response before them
+    Then too long trailers behind another request leave its response complete
