Go on with a stop when one of its steps fails

Cause: an error while one request was ended left the drain: the process ended with a traceback, and all others were cut. Change: each decision is carried out by itself; a failure is a line with the id, and the rest of the stop goes on. Result: of two half heads one of which cannot be ended, the other got no response before, and gets its 503 now.

--- a/src/hickorylead/draining/descriptions.py
+++ b/src/hickorylead/draining/descriptions.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from hickorylead import notes
+from hickorylead.draining import drain as drain_module
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -56,6 +57,23 @@
     )
 
 
+def describe_failure(
+    decision: drain_module.Decision, error: Exception, now: float
+) -> notes.Note:
+    """Returns the line about a step of a planned stop that failed."""
+    match decision:
+        case drain_module.End(owed) | drain_module.Abort(owed):
+            request_id, fields = owed.request_id, describe(owed, now)
+        case _:
+            request_id, fields = "", {}
+    return notes.Note(
+        "stop_step_failed",
+        request_id,
+        {"step": type(decision).__name__, "why": repr(error), **fields},
+        "error",
+    )
+
+
 def describe_drained(
     owed: Sequence[owed_module.Owed], stopped_at: float, now: float
 ) -> notes.Note:
--- a/src/hickorylead/runtime/drainer.py
+++ b/src/hickorylead/runtime/drainer.py
@@ -97,32 +97,46 @@
 
     def _step(self, now: float) -> bool:
         owed = self._server.list_owed()
+        is_finished = False
         for decision in self._drain.decide(owed, self._count_others(), now):
-            match decision:
-                case drain_module.StopListening():
-                    self._server.stop_listening()
-                case drain_module.CloseKept():
-                    self._server.close_kept()
-                    self._refuse_heads(owed)
-                case drain_module.End(item):
-                    if self._end is not None:
-                        self._end(item)
-                    elif item.phase is owed_module.Phase.RESPONDING:
-                        self._abort(item, now)
-                    else:
-                        refuse(self._server, item, self._write_log)
-                case drain_module.Abort(item):
+            is_finished |= isinstance(decision, drain_module.Finished)
+            try:
+                self._carry_out(decision, owed, now)
+            except Exception as error:  # noqa: BLE001 - logged; concerns one
+                self._write_log(
+                    descriptions.describe_failure(decision, error, now)
+                )
+        return is_finished
+
+    def _carry_out(
+        self,
+        decision: drain_module.Decision,
+        owed: Sequence[owed_module.Owed],
+        now: float,
+    ) -> None:
+        match decision:
+            case drain_module.StopListening():
+                self._server.stop_listening()
+            case drain_module.CloseKept():
+                self._server.close_kept()
+                self._refuse_heads(owed)
+            case drain_module.End(item):
+                if self._end is not None:
+                    self._end(item)
+                elif item.phase is owed_module.Phase.RESPONDING:
                     self._abort(item, now)
-                case drain_module.EndOthers():
-                    self._end_others()
-                case drain_module.Finished():
-                    self._write_log(
-                        descriptions.describe_drained(
-                            owed, self._drain.stopped_at, now
-                        )
+                else:
+                    refuse(self._server, item, self._write_log)
+            case drain_module.Abort(item):
+                self._abort(item, now)
+            case drain_module.EndOthers():
+                self._end_others()
+            case drain_module.Finished():
+                self._write_log(
+                    descriptions.describe_drained(
+                        owed, self._drain.stopped_at, now
                     )
-                    return True
-        return False
+                )
 
     def _refuse_heads(self, owed: Sequence[owed_module.Owed]) -> None:
         if self._refuse_head is not None:
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -14,3 +14,6 @@
 
   Scenario: Trailers that are too long cut no response before them
     Then too long trailers behind another request leave its response complete
+
+  Scenario: A failure while one request is ended leaves the others their end
+    Then a stop that fails to end one of two requests refuses the other one
--- a/tests/steps/closing_steps.py
+++ b/tests/steps/closing_steps.py
@@ -97,6 +97,35 @@
     await opened.close()
 
 
+async def run_failing_end():
+    """Returns the lines of a stop, and the statuses that callers received."""
+    opened = await start(App())
+    failing, other = connect(opened), connect(opened)
+    failing.sendall(b"GET /first HT")
+    await asyncio.sleep(0.05)
+    failing_number = opened.list_owed()[0].connection
+    other.sendall(b"GET /first HT")
+    await asyncio.sleep(0.05)
+    lines = []
+
+    def end(owed):
+        if owed.connection == failing_number:
+            raise ValueError("failed")
+        drainer.refuse(opened, owed, lines.append)
+
+    receiving = [
+        asyncio.ensure_future(receive_all(caller))
+        for caller in (failing, other)
+    ]
+    now = clock.read_boottime()
+    drain = drain_module.Drain(
+        grace_s=GRACE_S, detection_s=0.0, now=now - 0.9 * GRACE_S
+    )
+    await drainer.Drainer(opened, drain, end=end, write_log=lines.append).run()
+    await opened.close()
+    return lines, await asyncio.gather(*receiving)
+
+
 async def run_late_connection(turns: int):
     """Returns how many requests were handled and which were answered."""
     app = App()
@@ -151,3 +180,11 @@
     limits = listener.ListenerLimits(max_header_bytes=200)
     found = asyncio.run(run_malformed(data, limits))
     assert found == [200], found
+
+
+@then("a stop that fails to end one of two requests refuses the other one")
+def _(_):
+    lines, statuses = asyncio.run(run_failing_end())
+    assert statuses == [[], [503]], statuses
+    failed = [line for line in lines if line.event == "stop_step_failed"]
+    assert [line.fields["step"] for line in failed] == ["End"], lines
