Drop trailers of requests

Cause: the HTTP server appends trailers to the headers. If they came in the same read as the head, they were taken for the model, key or budget of the request; if later, they were forwarded as headers. Change: header fields after the head are dropped, as the head says nothing of their meaning. Result: a request whose trailer names a model had that header before, has not now.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -105,6 +105,11 @@
             self._began_at = clock.read_boottime()
         super().on_message_begin()
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Handles a header; trailers, which follow the body, are dropped."""
+        if not self._is_latest_open:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         self._in_head = False
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -17,3 +17,7 @@
 
   Scenario: A failure while one request is ended leaves the others their end
     Then a stop that fails to end one of two requests refuses the other one
+
+  Scenario: Trailers are not taken for headers of their request
+    Whether they are there when the request is handled depends on the reads.
+    Then a request that arrives at once with its trailers has the headers of its head
--- a/tests/steps/closing_steps.py
+++ b/tests/steps/closing_steps.py
@@ -22,10 +22,12 @@
 
     def __init__(self) -> None:
         self.count = 0
+        self.headers = []
 
     async def __call__(self, scope, receive, send) -> None:
         """Handles one request."""
         self.count += 1
+        self.headers = scope["headers"]
         await asyncio.sleep(RESPONSE_S)
         await send(
             {
@@ -188,3 +190,27 @@
     assert statuses == [[], [503]], statuses
     failed = [line for line in lines if line.event == "stop_step_failed"]
     assert [line.fields["step"] for line in failed] == ["End"], lines
+
+
+async def run_trailers():
+    """Returns the names of a request's headers, and its response."""
+    app = App()
+    opened = await start(app)
+    found = await receive(
+        opened,
+        b"POST /first HTTP/1.1\r\nHost: a.example\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n"
+        b"Model: other\r\n\r\n",
+    )
+    await opened.close()
+    return [name for name, _ in app.headers], found
+
+
+@then(
+    "a request that arrives at once with its trailers has the headers of its"
+    " head"
+)
+def _(_):
+    names, found = asyncio.run(run_trailers())
+    assert names == [b"host", b"transfer-encoding"], names
+    assert found == [200], found
