--- /dev/null
+++ b/tests/draining/ports.feature
@@ -0,0 +1,11 @@
+Feature: Ports for probes and metrics beside a planned stop
+
+  Scenario Outline: A connection to the <port> port of a gateway delays no end
+    The caller does not read what it has asked for, and keeps the connection.
+    When a gateway stops while a caller of its <port> port does not read
+    Then the gateway has ended within 1 s
+
+    Examples:
+      | port      |
+      | readiness |
+      | metrics   |
