--- a/tests/draining/lines.feature
+++ b/tests/draining/lines.feature
@@ -12,6 +12,7 @@
       | a stream sent while stopping      | request_ended            | outcome | refused_stopping |
     And an unfinished head has a line "connection_refused" with its connection
     And the lines of the process are stopping, drained and stopped
+    And each line of the processes has a row in docs/OPERATIONS.md
 
   Scenario: A request that waits for the first configuration is refused with a line
     When a gateway without a configuration is stopped while a request waits
--- a/tests/steps/stop_line_steps.py
+++ b/tests/steps/stop_line_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 from unittest import mock
 
 from behave import then, when
@@ -13,6 +14,7 @@
 
 from hickorylead.runtime import gateway
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 GRACE_S = 1.6
 DETECTION_S = 0.3
 EVENT_COUNT = 600
@@ -148,3 +150,14 @@
     events = [line["event"] for line in context.lines]
     positions = [events.index(e) for e in ("stopping", "drained", "stopped")]
     assert positions == sorted(positions), positions
+
+
+@then("each line of the processes has a row in docs/OPERATIONS.md")
+def _(context):
+    page = (ROOT / "docs/OPERATIONS.md").read_text()
+    rows = "".join(
+        row.split("|")[1] for row in page.splitlines() if row.startswith("| `")
+    )
+    events = {line["event"] for line in context.lines}
+    missing = [event for event in events if f"`{event}`" not in rows]
+    assert not missing, missing
