Hold SIGHUP from the first line of the program

Change: the signal is blocked before the imports and handled after them; the soak's launcher does the same.

--- a/src/hickorylead/runtime/reload_signal.py
+++ b/src/hickorylead/runtime/reload_signal.py
@@ -23,6 +23,8 @@
         _Pending.is_set = True
 
     signal.signal(signal.SIGHUP, record)
+    # It is blocked while the program is imported.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
 
 def handle(loop: asyncio.AbstractEventLoop, reload: Callable[[], None]) -> None:
--- a/tests/draining/signals.feature
+++ b/tests/draining/signals.feature
@@ -10,3 +10,9 @@
       | role        |
       | gateway     |
       | coordinator |
+
+  Scenario: A reload while a process starts does not kill it
+    The imports of a role take a second on a small VM, and SIGHUP killed the
+    process until they were done.
+    When the program gets SIGHUP while it imports its modules
+    Then it ends with the exit code of missing arguments
--- a/tests/soak/firewall.py
+++ b/tests/soak/firewall.py
@@ -10,9 +10,14 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
-from hickorylead.platform import program
+if __name__ == "__main__":
+    # As the program itself does before its imports.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+from hickorylead.platform import program  # noqa: E402
 
 FILE_VARIABLE = "SOAK_FIREWALL"
 PREFIX_VARIABLE = "SOAK_SERVER_PREFIX"
--- a/tests/steps/stop_signal_steps.py
+++ b/tests/steps/stop_signal_steps.py
@@ -10,6 +10,7 @@
 from behave import then, when
 
 import hickorylead
+from hickorylead import errors
 
 SOURCE = pathlib.Path(hickorylead.__file__).parents[1]
 # The role runs with a process that ends at once; the signal comes after its
@@ -44,11 +45,27 @@
 sys.exit(code)
 """
 
+IMPORTING = """
+import os
+import runpy
+import signal
+import sys
 
-@when("a {role} that has stopped gets SIGHUP before it has ended")
-def _(context, role):
-    context.ended = subprocess.run(
-        [sys.executable, "-c", PROGRAM, role],
+class Finder:
+    def find_spec(self, name, *_):
+        if name == "hickorylead.platform.program":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.argv = ["hickorylead"]
+sys.meta_path.insert(0, Finder())
+runpy.run_module("hickorylead.platform", run_name="__main__")
+"""
+
+
+def run(*arguments):
+    """Runs Python with the sources; returns how it ended."""
+    return subprocess.run(
+        [sys.executable, "-c", *arguments],
         capture_output=True,
         env={**os.environ, "PYTHONPATH": str(SOURCE)},
         timeout=60,
@@ -56,6 +73,22 @@
     )
 
 
+@when("a {role} that has stopped gets SIGHUP before it has ended")
+def _(context, role):
+    context.ended = run(PROGRAM, role)
+
+
+@when("the program gets SIGHUP while it imports its modules")
+def _(context):
+    context.ended = run(IMPORTING)
+
+
 @then("it ends with exit code 0")
 def _(context):
     assert context.ended.returncode == 0, context.ended
+
+
+@then("it ends with the exit code of missing arguments")
+def _(context):
+    expected = errors.SettingsError.exit_code
+    assert context.ended.returncode == expected, context.ended
