Read on until a slow caller has taken the response that closes its connection

A connection whose request was not read completely was closed a second after its response was complete for the process, also while the caller still took it: a caller that reads 8 MiB in 2.5 s got status 200 and a response that was cut off.

The time begins again as long as the caller takes more. A caller that takes nothing for a second is cut off as before, and a stopping process still closes what is left at the end of its time.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -24,9 +24,10 @@
     b"content-type: application/json\r\ncontent-length: 26\r\n"
     b'connection: close\r\n\r\n{"error":"internal_error"}'
 )
-# Longest time for which a connection reads on after the response to a request
-# that was not read completely, in seconds. Closing a socket with unread bytes
-# resets the connection, and the caller may lose the response.
+# Time for which a connection reads on after the response to a request that was
+# not read completely, in seconds; it begins when the response has been sent.
+# Closing a socket with unread bytes resets the connection, and the caller may
+# lose the response.
 LINGER_S = 1.0
 
 _numbers = itertools.count(1)
@@ -302,14 +303,22 @@
             self.transport.abort()
             return
         self.flow.resume_reading()
-        self._linger_timer = self.loop.call_later(LINGER_S, self._end_linger)
+        self._start_linger_timer()
 
-    def _end_linger(self) -> None:
-        """Closes the connection, unless its caller has bytes to take."""
-        if self.transport.get_write_buffer_size():
-            self._linger_timer = self.loop.call_later(
-                LINGER_S, self._end_linger
-            )
+    def _start_linger_timer(self) -> None:
+        unsent = self.transport.get_write_buffer_size()
+        self._linger_timer = self.loop.call_later(
+            LINGER_S, self._end_linger, unsent
+        )
+
+    def _end_linger(self, unsent: int) -> None:
+        """Closes the connection, unless its caller has bytes to take.
+
+        Args:
+            unsent: Bytes that waited when the time began.
+        """
+        if unsent or self.transport.get_write_buffer_size():
+            self._start_linger_timer()
         else:
             self.transport.abort()
 
--- a/tests/runtime/callers.feature
+++ b/tests/runtime/callers.feature
@@ -56,6 +56,15 @@
   Scenario: A queued request does not cut off the response that closes its connection
     Then a caller with requests in the queue receives the response that closes
 
+  Scenario Outline: A caller that reads slowly receives the response that closes its connection
+    Reading on ends after a time, also if the response is not sent yet.
+    Then a caller that reads slowly receives its whole response behind <what>
+
+    Examples:
+      | what                    |
+      | a body that is not read |
+      | a queued request        |
+
   Scenario: The idle time does not end a connection on which a head arrives
     Then a request whose head takes longer than the idle time is served
 
--- a/tests/steps/caller_connection_steps.py
+++ b/tests/steps/caller_connection_steps.py
@@ -10,7 +10,7 @@
 from soak import callers as soak_callers
 
 from hickorylead.draining import drain as drain_module
-from hickorylead.runtime import clock, drainer, listener
+from hickorylead.runtime import clock, drainer, http_connection, listener
 
 HEAD_TIMEOUT_S = 0.4
 IDLE_TIMEOUT_S = 0.4
@@ -216,6 +216,37 @@
     run(scenario)
 
 
+async def read_slowly(reader) -> soak_callers._Response:
+    """Receives a response over more than the time to read on."""
+    response = soak_callers._Response()
+    with contextlib.suppress(ConnectionResetError):
+        while piece := await reader.read(65536):
+            response.parser.feed_data(piece)
+            await asyncio.sleep(2.5 * http_connection.LINGER_S / 128)
+    return response
+
+
+@then("a caller that reads slowly receives its whole response behind {what}")
+def _(_, what):
+    async def scenario(server):
+        reader, writer = await server.connect(receive_bytes=65536)
+        if what == "a body that is not read":
+            writer.write(
+                b"POST /large HTTP/1.1\r\nHost: x\r\n"
+                b"Content-Length: 100000000\r\n\r\n"
+            )
+        else:
+            server.listener.announce_close()
+            writer.write(GET % b"large")
+            await server.wait_for_path("large")
+            writer.write(GET % b"next")
+        response = await read_slowly(reader)
+        assert response.is_complete, len(response.body)
+        assert bytes(response.body) == 2 * LARGE
+
+    run(scenario)
+
+
 @then("a request whose head takes longer than the idle time is served")
 def _(_):
     async def scenario(server):
