--- a/src/hickorylead/runtime/admin_api.py
+++ b/src/hickorylead/runtime/admin_api.py
@@ -12,7 +12,7 @@
 from hickorylead import verdict as verdict_module
 from hickorylead.requests import model
 from hickorylead.roles import interface
-from hickorylead.runtime import entry_api, headers, json_codec, problems
+from hickorylead.runtime import headers, json_codec, problems, request_bodies
 
 if TYPE_CHECKING:
     from starlette import requests
@@ -55,7 +55,7 @@
         """Handles POST /admin/changes."""
         if not self._is_operator(request):
             return _refuse_token()
-        match await entry_api.read_body(request, MAX_CHANGE_BYTES):
+        match await request_bodies.read_body(request, MAX_CHANGE_BYTES):
             case result.Failure(response):
                 return response
             case result.Success(body):
--- a/src/hickorylead/runtime/entry_api.py
+++ b/src/hickorylead/runtime/entry_api.py
@@ -12,7 +12,7 @@
 
 from hickorylead import verdict as verdict_module
 from hickorylead.configuration import model as configuration_model
-from hickorylead.requests import events, model, outcomes
+from hickorylead.requests import events, model
 from hickorylead.roles import interface
 from hickorylead.runtime import (
     chat,
@@ -21,6 +21,7 @@
     headers,
     json_codec,
     problems,
+    request_bodies,
     stop_gate,
 )
 
@@ -65,40 +66,12 @@
             *operator_routes,
         ],
         exception_handlers={
-            requests.ClientDisconnect: _handle_disconnect,
+            requests.ClientDisconnect: request_bodies.handle_disconnect,
             Exception: handler_failures.respond_with_problem,
         },
     )
 
 
-async def _handle_disconnect(
-    _: requests.Request, __: Exception
-) -> responses.Response:
-    """Responds to nobody: the connection ended within the request's body."""
-    return problems.make_response(
-        outcomes.describe_stop(verdict_module.Verdict.NOT_RUN)
-    )
-
-
-async def read_body(
-    request: requests.Request, limit: int
-) -> result.Result[bytes, responses.Response]:
-    """Returns a request body, or a refusal if it is larger than the limit."""
-    body = bytearray()
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > limit:
-            # The rest of the body is not read, since it could be endless.
-            return result.Failure(
-                problems.refuse_input(
-                    413,
-                    "body_too_large",
-                    f"the body is larger than {limit} bytes",
-                )
-            )
-    return result.Success(bytes(body))
-
-
 class _Views:
     """The handlers, bound to one entry."""
 
@@ -191,7 +164,9 @@
                     return result.Failure(
                         problems.refuse_input(400, "bad_header", problem)
                     )
-        match await read_body(request, self._settings["max_body_bytes"]):
+        match await request_bodies.read_body(
+            request, self._settings["max_body_bytes"]
+        ):
             case result.Failure(response):
                 return result.Failure(response)
             case result.Success(body):
@@ -352,7 +327,9 @@
             authorization = request.headers.get("authorization", "")
             if not headers.find_workspace(authorization, {expected: "-"}):
                 return _refuse_token()
-        match await read_body(request, self._settings["max_body_bytes"]):
+        match await request_bodies.read_body(
+            request, self._settings["max_body_bytes"]
+        ):
             case result.Failure(response):
                 return response
             case result.Success(body):
