--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -147,9 +147,15 @@
 
     async def close(self) -> None:
         """Closes the open connections and stops the server."""
-        self._server.should_exit = True
-        if self._task is not None:
-            await self._task
+        if self._task is None:
+            return
+        if not self._task.done():
+            # The server itself would look for its end every 0.1 s.
+            await self._server.shutdown()
+            self._task.cancel()
+        await asyncio.wait([self._task])
+        if not self._task.cancelled():
+            self._task.result()
 
 
 def is_port_free(ip: str, port: int) -> bool:
