Send the outcome of an operator's call that has just come

Cause: a call left the account when its outcome came, a turn of the event loop before its handler could send it. If the time of a stop was over in that turn, the change was refused as not done although it was committed. Change: a call is pending until its handler has the outcome. A handler that is cancelled leaves nothing behind. Result: the scenario fails before, passes after.

--- a/src/hickorylead/runtime/operator_calls.py
+++ b/src/hickorylead/runtime/operator_calls.py
@@ -38,16 +38,19 @@
             return None
         future: asyncio.Future[Any] = asyncio.Future()
         self._pending[call_id] = future
-        begin()
-        return await future
+        try:
+            begin()
+            return await future
+        finally:
+            del self._pending[call_id]
 
     def is_pending(self, call_id: str) -> bool:
-        """Returns whether a call has no outcome yet."""
+        """Returns whether a call's handler does not have its outcome yet."""
         return call_id in self._pending
 
     def complete(self, call_id: str, outcome: Any) -> None:
         """Completes a call."""
-        future = self._pending.pop(call_id, None)
+        future = self._pending.get(call_id)
         if future is not None and not future.done():
             future.set_result(outcome)
 
@@ -57,7 +60,9 @@
         Args:
             why: Reason code for the log.
         """
-        for call_id in list(self._pending):
+        for call_id, future in self._pending.items():
+            if future.done():
+                continue
             self._log.write(
                 notes.Note(
                     "operator_call_undecided", call_id, {"why": why}, "warning"
--- a/tests/draining/closings.feature
+++ b/tests/draining/closings.feature
@@ -21,3 +21,7 @@
   Scenario: Trailers are not taken for headers of their request
     Whether they are there when the request is handled depends on the reads.
     Then a request that arrives at once with its trailers has the headers of its head
+
+  Scenario: An operator's call that has its outcome is not refused at the end
+    Between the outcome and its response lies a turn of the event loop.
+    Then a call is pending until its handler has its outcome
--- a/tests/steps/closing_steps.py
+++ b/tests/steps/closing_steps.py
@@ -10,7 +10,7 @@
 from support import platform_cluster
 
 from hickorylead.draining import drain as drain_module
-from hickorylead.runtime import clock, drainer, listener, server
+from hickorylead.runtime import clock, drainer, listener, operator_calls, server
 
 RESPONSE_S = 0.2
 GRACE_S = 4.0
@@ -214,3 +214,32 @@
     names, found = asyncio.run(run_trailers())
     assert names == [b"host", b"transfer-encoding"], names
     assert found == [200], found
+
+
+class Log:
+    """A log that keeps its lines."""
+
+    def __init__(self) -> None:
+        self.lines = []
+
+    def write(self, line) -> None:
+        """Writes a line."""
+        self.lines.append(line)
+
+
+async def run_call(log):
+    """Returns a call's outcome, and if it was pending before and after it."""
+    calls = operator_calls.OperatorCalls(log)
+    handler = asyncio.ensure_future(calls.wait("call-1", lambda: None))
+    await asyncio.sleep(0)
+    calls.complete("call-1", True)
+    before = calls.is_pending("call-1")
+    calls.end(drainer.STOPPING)
+    return before, await handler, calls.is_pending("call-1")
+
+
+@then("a call is pending until its handler has its outcome")
+def _(_):
+    log = Log()
+    assert asyncio.run(run_call(log)) == (True, True, False)
+    assert not log.lines, log.lines
