Declare no length for responses that have no body

A response to HEAD, or with status 304, was sent to callers with a length of 0, which says that the body that it leaves out is empty; one with status 204 must not have a length. The gateway takes no length over from a replica and counted the bytes of the body instead.

These responses now have no length. They end with their heads, as before.

A scenario with a real gateway checks responses to HEAD with and without a length, 204 and 304: the first failed before, with content-length 0.

--- a/src/hickorylead/forwarding/responses.py
+++ b/src/hickorylead/forwarding/responses.py
@@ -43,7 +43,12 @@
     pending: state.PendingRequest, attempt: state.Attempt
 ) -> list[events.Effect]:
     """Sends a response that was buffered until it was complete."""
-    effects = _start(pending, attempt, len(attempt.body))
+    head = attempt.head
+    is_bodiless = pending.request.method == "HEAD" or (
+        head is not None and head.status in (204, 304)
+    )
+    length = None if is_bodiless else len(attempt.body)
+    effects = _start(pending, attempt, length)
     if attempt.body:
         effects.append(
             events.WriteChunk(pending.request.request_id, bytes(attempt.body))
--- a/tests/forwarding/half_heads.feature
+++ b/tests/forwarding/half_heads.feature
@@ -117,3 +117,7 @@
       | kind   |
       | call   |
       | stream |
+
+  Scenario: A response that has no body declares none
+    A length of 0 would say that the body that HEAD or status 304 leaves out is empty.
+    Then callers of a gateway get responses without a body, and no length
--- a/tests/steps/half_head_steps.py
+++ b/tests/steps/half_head_steps.py
@@ -320,3 +320,16 @@
         streamed=kind == "stream", relayed=path == "through a relay"
     )
     assert not problems, problems
+
+
+@then("callers of a gateway get responses without a body, and no length")
+def _(_):
+    found = cut_gateway.run_bodiless()
+    for name, response in found.items():
+        head, _, body = response.partition(b"\r\n\r\n")
+        _, status, _ = cut_gateway.BODILESS[name]
+        assert head.startswith(f"HTTP/1.1 {status}".encode()), (name, response)
+        assert b"server-seal: seal.x" in head.lower(), (name, head)
+        assert body == b"", (name, body)
+        assert b"content-length" not in head.lower(), (name, head)
+        assert b"transfer-encoding" not in head.lower(), (name, head)
--- a/tests/support/cut_gateway.py
+++ b/tests/support/cut_gateway.py
@@ -12,6 +12,7 @@
 from steps import platform_steps, relay_process_steps
 
 from hickorylead.runtime import relay_endpoint
+from hickorylead_standins import platform
 from support import cut_responses, platform_cluster
 
 SIGNED = "Attempt-Id: {attempt}\r\nServer-Seal: seal.x\r\n"
@@ -228,3 +229,48 @@
             platform_cluster.run_session(session, gateways=2 if relayed else 1)
         )
     return found[0]
+
+
+BODILESS = {
+    "a length, to HEAD": ("HEAD", "200 OK", "Content-Length: 4\r\n"),
+    "no length, to HEAD": ("HEAD", "200 OK", ""),
+    "status 204": ("POST", "204 No Content", ""),
+    "status 304 and a length": (
+        "POST",
+        "304 Not Modified",
+        "Content-Length: 4\r\n",
+    ),
+}
+
+
+async def call_bodiless(cluster, name: str) -> bytes:
+    """Calls the gateway for a response without a body; returns its bytes."""
+    method, status, length = BODILESS[name]
+
+    async def respond(request, writer):
+        attempt = request.headers.get("attempt-id", "")
+        head = f"HTTP/1.1 {status}\r\n{length}{SIGNED}Keep-Alive: timeout=5\r\n"
+        writer.write((head + "\r\n").format(attempt=attempt).encode())
+
+    for server in cluster.servers:
+        if server.name.startswith("p"):
+            server._respond = respond
+    request = (
+        f"{method} /alerts/{method} HTTP/1.1\r\nHost: host.example\r\n"
+        "Attempt-Id: bodiless\r\nTime-Budget: 1000\r\n"
+        "Authorization: Token key-1\r\nConnection: close\r\n\r\n"
+    )
+    return await platform.send_raw(cluster.caller_address, request.encode())
+
+
+def run_bodiless() -> dict[str, bytes]:
+    """Runs a cluster; returns the responses without a body, by their kind."""
+    found: dict[str, bytes] = {}
+
+    async def session(cluster):
+        for name in BODILESS:
+            found[name] = await call_bodiless(cluster, name)
+
+    with platform_steps.allow_slow_connections():
+        asyncio.run(platform_cluster.run_session(session))
+    return found
