Find the health of replicas where a gateway keeps it now

The parts of a gateway have a module of their own; the scenarios with cut-off responses of real gateways did not find its health. Both relayed ones pass.

--- a/tests/support/cut_gateway.py
+++ b/tests/support/cut_gateway.py
@@ -154,7 +154,7 @@
     received: list[Received] = []
     for start in range(0, len(cuts), BATCH_SIZE):
         # The failures are the test's own; each request is to be sent.
-        cluster.gateway.role._health.stats.clear()
+        cluster.gateway.role._parts.health.stats.clear()
         received += await asyncio.gather(
             *(
                 call_cut(cluster, path, cut, **extra)
