--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -160,6 +160,7 @@
             tasks = self._start_callers(operator)
             await self._inject_faults(seconds, operator)
             await self._recover(operator)
+            await self._stop_after_recovery()
         finally:
             for task in tasks:
                 task.cancel()
@@ -529,6 +530,12 @@
         await asyncio.sleep(0.5)
         await self._add_server(place)
 
+    async def _stop_after_recovery(self) -> None:
+        """Stops a gateway as planned while no other fault is near."""
+        self.faults["planned stop after recovery"] += 1
+        gateway = self.gateways[self.seed % len(self.gateways)]
+        await self._restart(gateway, 0.3, planned=True)
+
     # Recovery.
 
     async def _recover(self, operator: callers.Operator) -> None:
--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -269,6 +269,9 @@
         await asyncio.sleep(planned.down_s)
         node.start()
 
+    async def _stop_after_recovery(self) -> None:
+        """Does nothing: the callers have ended."""
+
     # Results.
 
     def _judge_stops(self) -> None:
