Allow the end of a planned stop to end what its rule excuses

Cause: 'no abandoned response' reported each response that a gateway ended while its server worked, also at the end of its grace time. Change: a line with the outcome broken_stopping is allowed for exactly the requests that this rule has judged and excused; all others are reported as before, also where a stop overlaps another fault.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -34,6 +34,8 @@
     plan.LargeChanges,
     plan.Drain,
 )
+# Outcome of a response that ended at the end of a planned stop.
+STOPPED = "broken_stopping"
 # Number of addresses in each lane of a block.
 LANE_WIDTH = 40
 # The cluster must serve this long after the end of the last fault, when all
@@ -166,9 +168,9 @@
                 task.cancel()
             await self._stop()
         self.checker.finish()
+        excused = self._judge_stops()
         for node in self.gateways:
-            self._check_abandoned(node)
-        self._judge_stops()
+            self._check_abandoned(node, excused)
         self.checker.checked["relayed attempts"] += sum(
             node.count_relayed() for node in self.gateways
         )
@@ -247,8 +249,12 @@
                 "no unexpected exit", f"{node.name}: {code}"
             )
 
-    def _judge_stops(self) -> None:
-        """Judges the planned stops that no other fault overlaps."""
+    def _judge_stops(self) -> set[str]:
+        """Judges the planned stops that no other fault overlaps.
+
+        Returns:
+            The requests that they cut and were allowed to cut.
+        """
         requests = stop_checker.select_undisturbed(
             [
                 outcome
@@ -262,17 +268,28 @@
             node.name: (node.folder / "log.jsonl").read_bytes()
             for node in self.gateways
         }
-        stop_checker.judge_requests(requests, self.checker, self.stops, logs)
+        return stop_checker.judge_requests(
+            requests, self.checker, self.stops, logs
+        )
+
+    def _check_abandoned(self, node: nodes.Node, excused: set[str]) -> None:
+        """Checks that a gateway ended no response that could have gone on.
 
-    def _check_abandoned(self, node: nodes.Node) -> None:
-        """Checks that a gateway ended no response that could have gone on."""
+        Args:
+            node: The gateway.
+            excused: Requests that a planned stop was allowed to end.
+        """
         log = node.folder / "log.jsonl"
         for row in log.read_text(errors="replace").splitlines():
             line = timelines.parse_line(row)
             if line is None or line.event != "request_ended":
                 continue
             self.checker.checked["no abandoned response"] += 1
-            if losses.was_abandoned(line.fields):
+            is_excused = (
+                line.fields.get("outcome") == STOPPED
+                and line.fields.get("attempt_id") in excused
+            )
+            if losses.was_abandoned(line.fields) and not is_excused:
                 self.checker.report_violation(
                     "no abandoned response", f"{node.name}: {row}"
                 )
--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -274,7 +274,7 @@
 
     # Results.
 
-    def _judge_stops(self) -> None:
+    def _judge_stops(self) -> set[str]:
         report = self.checker.report_violation
         logs = {
             node.name: (node.folder / "log.jsonl").read_bytes()
@@ -302,7 +302,9 @@
                     ),
                     default=0.0,
                 )
-        stop_checker.judge_requests(requests, self.checker, self.stops, logs)
+        excused = stop_checker.judge_requests(
+            requests, self.checker, self.stops, logs
+        )
         with (self._folder / "requests.jsonl").open("wb") as file:
             for stop in self.stops:
                 file.write(orjson.dumps(attrs.asdict(stop)) + b"\n")
@@ -315,6 +317,7 @@
                     ],
                 }
                 file.write(orjson.dumps(row) + b"\n")
+        return excused
 
     def _list_requests(self) -> list[stop_checker.SentRequest]:
         return [
--- a/tests/soak/stop_checker.py
+++ b/tests/soak/stop_checker.py
@@ -195,7 +195,7 @@
     checker: checker_module.Checker,
     stops: Sequence[Stop],
     logs: Mapping[str, bytes],
-) -> None:
+) -> set[str]:
     """Reports what planned stops did to requests against the promises.
 
     Args:
@@ -203,6 +203,9 @@
         checker: Knows their runs, and takes the violations.
         stops: All planned stops.
         logs: Logs of gateways by name.
+
+    Returns:
+        The requests whose responses were cut and not lost.
     """
     # Responses that were cut and not lost: none can follow on the connection.
     excused: set[str] = set()
@@ -229,6 +232,7 @@
             checker.report_violation(
                 "cut request is logged", f"{sent.attempt} at {name}"
             )
+    return excused
 
 
 def list_bad_lines(log: pathlib.Path) -> list[str]:
