End a request whose handler has failed at a gateway

What callers saw: a 500, while the replica ran on until the request's deadline; a request whose body still came stayed in the account of arrivals for good. Cause: only the response was ended, the reducer did not know of it. Change: it is told, and cancels what runs. Result: one scenario with two steps, the first fails without the change (the request is pending, the replica sends on), both pass with it.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -67,6 +67,11 @@
         self._process.response_writers[request_id] = writer
         try:
             await self._serve(request_id, writer, scope, receive, send)
+        except BaseException:
+            # Nothing of the request may go on: no handler awaits it any more.
+            self._process.apply(events.RequestDropped(request_id))
+            self._process.apply(events.CallerDisconnected(request_id))
+            raise
         finally:
             self._process.response_writers.pop(request_id, None)
 
--- a/tests/runtime/handler_failures.feature
+++ b/tests/runtime/handler_failures.feature
@@ -25,5 +25,9 @@
     When the caller of an application of views leaves within its body
     Then the log has no line and no text
 
+  Scenario: A gateway whose handler fails goes on with none of its request
+    Then a replica's run ends once the handler of its request has failed
+    And a body is forgotten once the handler of its request has failed
+
   Scenario: The gateway's servers report handlers that fail
     Then a handler that fails at a gateway's port for callers, readiness or metrics has a line
--- a/tests/steps/handler_failure_steps.py
+++ b/tests/steps/handler_failure_steps.py
@@ -17,6 +17,7 @@
     forwarding,
     handler_failures,
     http_connection,
+    response_writer,
     server as server_module,
 )
 from hickorylead.telemetry import library_log
@@ -287,3 +288,50 @@
         lines = [orjson.loads(line) for line in written.splitlines()]
         named = [line for line in lines if line["event"] == "handler_failed"]
         assert len(named) == 1, (name, lines)
+
+
+@then("a replica's run ends once the handler of its request has failed")
+def _(_):
+    async def session(cluster):
+        servers = cluster.servers
+        before = cluster.count_received()
+
+        async def fail(_):
+            await cluster.wait_for(lambda: cluster.count_received() != before)
+            raise ValueError("broken")
+
+        for server in servers:
+            server.manner.endless = b"x" * 1000
+        with mock.patch.object(response_writer.ResponseWriter, "run", fail):
+            await cluster.send_request(
+                "/drafts/x",
+                Model=platform_cluster.MODEL,
+                Token_Count="5,9",
+            )
+        assert cluster.gateway.role.count_pending() == 0
+        await cluster.wait_for(
+            lambda: not any(server.endless_count for server in servers)
+        )
+
+    asyncio.run(platform_cluster.run_session(session))
+
+
+@then("a body is forgotten once the handler of its request has failed")
+def _(_):
+    async def fail(*_):
+        raise ValueError("broken")
+
+    async def session(cluster):
+        with mock.patch.object(forwarding, "_read_body", fail):
+            reader, writer = await asyncio.open_connection(
+                *cluster.caller_address.split(":")
+            )
+            writer.write(
+                b"POST /alerts/x HTTP/1.1\r\nHost: host.example\r\n"
+                b"Authorization: Token key-1\r\nContent-Length: 9\r\n\r\nhalf"
+            )
+            assert (await reader.readline()).startswith(b"HTTP/1.1 500 ")
+            writer.close()
+        assert not len(cluster.gateway.role._forwarder._arrivals)
+
+    asyncio.run(platform_cluster.run_session(session))
