Cancel the exchange of a call that is cancelled

Cause: a call that was cancelled while its connection was being opened was sent once it was open, so an order could leave a coordinator after its tasks had been cancelled at its stop. Change: its exchange is cancelled too. Result: the scenario's server received the whole call before, and receives nothing now.

--- a/src/hickorylead/runtime/calls.py
+++ b/src/hickorylead/runtime/calls.py
@@ -102,6 +102,9 @@
             response = await collector.done
     except TimeoutError:
         response = NoResponse("timeout")
+    except asyncio.CancelledError:
+        exchange.cancel()
+        raise
     if isinstance(response, NoResponse):
         exchange.cancel()
     return response
--- a/tests/runtime/timeouts.feature
+++ b/tests/runtime/timeouts.feature
@@ -29,6 +29,10 @@
     When every turn of the process takes 0.01 seconds
     Then a wait with a timeout of 0.25 seconds ends after 0.25 to 0.28 seconds
 
+  Scenario: A call that is cancelled while it connects is not sent later
+    When a call is cancelled before its server is connected
+    Then the server receives nothing
+
   Scenario: A limit that begins after a late turn is not extended by it
     When a limit is in force while a turn takes 2 seconds
     Then a later wait with a timeout of 0.25 seconds ends after 0.25 to 0.28 seconds
--- a/tests/steps/timeout_steps.py
+++ b/tests/steps/timeout_steps.py
@@ -225,3 +225,55 @@
     with run_slow_loop(0.01) as loop:
         _, found = loop.run_until_complete(wait_after_late_turn())
     assert least - 0.001 <= found <= most + 0.001, found
+
+
+@when("a call is cancelled before its server is connected")
+def _(context):
+    async def run_call():
+        received = []
+
+        async def serve(reader, writer):
+            received.append(await reader.read(100))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        pool = upstream.Pool()
+        connect, connecting = pool.try_connect, asyncio.Event()
+        cancelled, connected = asyncio.Event(), asyncio.Event()
+
+        async def connect_late(address):
+            connecting.set()
+            try:
+                await cancelled.wait()
+                return await connect(address)
+            finally:
+                connected.set()
+
+        pool.try_connect = connect_late
+        task = asyncio.ensure_future(
+            calls.make_call(
+                pool, f"{ip}:{port}", server_codec.HttpCall("POST", "/"), 5.0
+            )
+        )
+        await connecting.wait()
+        task.cancel()
+        await asyncio.wait([task])
+        cancelled.set()
+        async with asyncio.timeout(5):
+            await connected.wait()
+        # A connection that was opened after all delivers before this one.
+        _, writer = await asyncio.open_connection(ip, port)
+        writer.write(b"last")
+        while b"last" not in received:
+            await asyncio.sleep(0.005)
+        writer.close()
+        server.close()
+        return received
+
+    context.received = asyncio.run(run_call())
+
+
+@then("the server receives nothing")
+def _(context):
+    assert context.received == [b"last"], context.received
