Bound the input of each connection before the parser, on every port

Callers saw: four connections with a value that does not end, or with short requests sent ahead, took 260 to 475 MB of a gateway's memory (bound 128) and kept its event loop busy; the ports for readiness and metrics, a coordinator's and an entry's were the same. Cause: the parser keeps a value until it is complete, the HTTP server makes an object for each complete head in what it has read, up to 256 KiB, and only the port for callers limited heads and their time at all. Change: input is passed to the parser up to the end of one request and counted before; a queued request stops the parser, and 16 KiB behind it stop the reading, so that the end of a connection is still noticed. Within a head or chunks 4 KiB are read in a turn. All ports use the same connection, with limits of heads and idle time. Requests without a version, which end without an empty line, are malformed.

--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -8,14 +8,15 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import attrs
-from uvicorn.protocols.http import httptools_impl
 
 from hickorylead.draining import owed as owed_module
-from hickorylead.runtime import clock
+from hickorylead.runtime import clock, http_input
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from uvicorn.protocols.http import httptools_impl
+
 # Key of a request's connection in the extensions of its ASGI scope.
 CONNECTION_KEY = "hickorylead.connection"
 
@@ -24,6 +25,10 @@
     b"content-type: application/json\r\ncontent-length: 26\r\n"
     b'connection: close\r\n\r\n{"error":"internal_error"}'
 )
+_HEAD_TOO_LONG_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 # Time for which a connection reads on after the response to a request that was
 # not read completely, in seconds; it begins when the response has been sent.
 # Closing a socket with unread bytes resets the connection, and the caller may
@@ -58,7 +63,7 @@
         self.close = connection.close_after_response
 
 
-class HttpConnection(httptools_impl.HttpToolsProtocol):
+class HttpConnection(http_input.HttpInput):
     """A connection whose state can be observed and that can be ended."""
 
     flags: ConnectionFlags = ConnectionFlags()
@@ -71,9 +76,6 @@
         self.request_id = ""
         self.attempt_id = ""
         self._in_head = False
-        # Whether a part of the body of the latest request is missing.
-        self._is_latest_open = False
-        self._ignores_input = False
         self._began_at = 0.0
         # The request that is being handled; `cycle` is the latest one whose
         # head is complete, which may be queued behind it.
@@ -94,11 +96,6 @@
             current.message_event.set()
         super().connection_lost(exc)
 
-    def data_received(self, data: bytes) -> None:
-        """Handles bytes from the caller."""
-        if not self._ignores_input:
-            super().data_received(data)
-
     def on_message_begin(self) -> None:
         """Handles the first byte of a request."""
         self._in_head = True
@@ -114,9 +111,7 @@
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
         self._in_head = False
-        # This raises an error if the target is malformed.
         super().on_headers_complete()
-        self._is_latest_open = True
         current = self._current
         if (
             self.pipeline
@@ -127,11 +122,6 @@
             # Its caller could not know that the connection was about to end.
             current.keep_alive = True
 
-    def on_message_complete(self) -> None:
-        """Handles the end of a request."""
-        self._is_latest_open = False
-        super().on_message_complete()
-
     def on_response_complete(self) -> None:
         """Continues with the next request, or closes the connection."""
         if self._linger_timer is not None:
@@ -241,7 +231,12 @@
         """Closes the connection once all that was written has been sent."""
         if self.in_body:
             self._linger("unread_body")
-        elif self.pipeline or self._in_head or self.flow.read_paused:
+        elif (
+            self.pipeline
+            or self._in_head
+            or self._ahead
+            or self.flow.read_paused
+        ):
             self._linger("queued_dropped")
         elif self._ignores_input:
             self._linger("rejected_input")
@@ -253,6 +248,10 @@
         if self._current is not None:
             self._current.message_event.set()
 
+    def reject_long_head(self) -> None:
+        """Rejects a head, or the framing of a body, that is too long."""
+        self.reject_input(_HEAD_TOO_LONG_RESPONSE, "head_too_long")
+
     def reject_input(self, response: bytes, reason: str) -> None:
         """Rejects what the caller sends, after the responses that are owed."""
         current = self._current
@@ -263,7 +262,7 @@
         if self.in_body and not current.response_started:
             self.respond_and_close(response, reason)
             return
-        self._ignores_input = True
+        self.drop_input()
         self._in_head = False
         if self._is_latest_open and not is_current:
             # Its body will never be complete.
@@ -294,15 +293,14 @@
             return
         self.close_reason = reason
         self._in_head = False
-        self._ignores_input = True
         self._unset_keepalive_if_required()
+        self.drop_input()
         try:
             self.transport.write_eof()
         except OSError:
             # The caller has reset the connection.
             self.transport.abort()
             return
-        self.flow.resume_reading()
         self._start_linger_timer()
 
     def _start_linger_timer(self) -> None:
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -9,7 +9,7 @@
 
 import uvicorn
 
-from hickorylead.runtime import http_connection
+from hickorylead.runtime import http_connection, limited_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -46,7 +46,7 @@
         *,
         protocol: type[
             http_connection.HttpConnection
-        ] = http_connection.HttpConnection,
+        ] = limited_connection.LimitedConnection,
         listening_socket: socket.socket | None = None,
         report_failure: Callable[[owed_module.Owed, BaseException], None]
         | None = None,
