Decide at the head what the head decides

Callers saw: a request without a route, with an unknown key, without an id or with a length over the limit was refused only once its body was complete, so 40 such bodies that stopped short of their end took 205 to 229 MB. Cause: the body was read before route, key and length were looked at. Change: they are looked at first, and again only if the configuration has changed while the body came. A request without an id is refused, as servers do; the scenario about a failing handler sends one. The body is gathered in one block.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -84,8 +84,9 @@
         send: Any,
     ) -> None:
         metadata = self._header_codec.decode_metadata(scope["headers"])
-        if isinstance(metadata, str):
-            refusal = events.Refuse(request_id, 400, "bad_header")
+        if isinstance(metadata, str) or not metadata.attempt_id:
+            code = "bad_header" if isinstance(metadata, str) else "no_id"
+            refusal = events.Refuse(request_id, 400, code)
             await self._send_refusal(send, refusal, "")
             return
         if writer.connection is not None:
@@ -120,41 +121,33 @@
         waited_s = clock.read_boottime() - started_at
         if routes is None:
             return self._refuse_without_routes(request_id, metadata, waited_s)
-        path = scope["raw_path"].decode("latin-1")
-        host = _find_header(scope, b"host").decode("latin-1")
+        found = self._find_route(routes, request_id, metadata, scope)
+        if isinstance(found, events.Refuse):
+            return found
+        limit = routes.document.limits.max_body_bytes
+        if _find_length(scope) > limit:
+            return events.Refuse(request_id, 413, "body_too_large")
         if writer.connection is not None and writer.connection.in_body:
-            found = routes.find(host, path, metadata.key)
             self._process.apply(
                 events.RequestOpened(
                     request_id,
                     metadata.attempt_id,
-                    found.route
-                    if isinstance(found, routes_module.RouteMatch)
-                    else None,
+                    found.route,
                     metadata.budget_s,
                 )
             )
-        body = await _read_body(
-            receive, writer, routes.document.limits.max_body_bytes
-        )
+        body = await _read_body(receive, writer, limit)
         if body is None:
             return None
         if isinstance(body, events.Refuse):
             return body
-        # The routes may have changed while the body was received; the current
-        # routes apply.
-        routes = self._process.role.routes or routes
-        match routes.find(host, path, metadata.key):
-            case routes_module.NoRoute():
-                return self._reject(
-                    request_id, 404, "no_route", metadata, host, path
-                )
-            case routes_module.InvalidKey():
-                return self._reject(
-                    request_id, 401, "unknown_key", metadata, host, path
-                )
-            case routes_module.RouteMatch(route, workspace):
-                pass
+        current = self._process.role.routes
+        if current is not None and current is not routes:
+            # The routes have changed while the body was received.
+            found = self._find_route(current, request_id, metadata, scope)
+            if isinstance(found, events.Refuse):
+                return found
+        route, workspace = found.route, found.workspace
         query = scope["query_string"]
         target = scope["raw_path"] + (b"?" + query if query else b"")
         name = workspace.name if workspace else ""
@@ -192,6 +185,26 @@
         )
         return refusal
 
+    def _find_route(
+        self,
+        routes: routes_module.RouteTable,
+        request_id: str,
+        metadata: model.RequestMetadata,
+        scope: Any,
+    ) -> routes_module.RouteMatch | events.Refuse:
+        """Returns the route of a request, or its refusal if it has none."""
+        path = scope["raw_path"].decode("latin-1")
+        host = _find_header(scope, b"host").decode("latin-1")
+        found = routes.find(host, path, metadata.key)
+        match found:
+            case routes_module.NoRoute():
+                status, code = 404, "no_route"
+            case routes_module.InvalidKey():
+                status, code = 401, "unknown_key"
+            case routes_module.RouteMatch():
+                return found
+        return self._reject(request_id, status, code, metadata, host, path)
+
     def _reject(
         self,
         request_id: str,
@@ -274,22 +287,19 @@
     receive: Any, writer: response_writer.ResponseWriter, limit: int
 ) -> bytes | events.Refuse | None:
     """Returns the body, a refusal, or None after a disconnect."""
-    chunks: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             return None
         if writer.refusal is not None:
             return writer.refusal
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > limit:
+        body += message.get("body", b"")
+        if len(body) > limit:
             # The rest of the body is not read, since it could be endless.
             return events.Refuse("", 413, "body_too_large")
-        chunks.append(chunk)
         if not message.get("more_body"):
-            return b"".join(chunks)
+            return bytes(body)
 
 
 def _find_header(scope: Any, wanted: bytes) -> bytes:
@@ -299,6 +309,11 @@
     return b""
 
 
+def _find_length(scope: Any) -> int:
+    """Returns the length of a body, in bytes; 0 if it is not known."""
+    return int(_find_header(scope, b"content-length") or 0)
+
+
 def _strip_model(
     metadata: model.RequestMetadata, route: document_module.Route
 ) -> model.RequestMetadata:
--- a/tests/steps/handler_failure_steps.py
+++ b/tests/steps/handler_failure_steps.py
@@ -328,7 +328,8 @@
             )
             writer.write(
                 b"POST /alerts/x HTTP/1.1\r\nHost: host.example\r\n"
-                b"Authorization: Token key-1\r\nContent-Length: 9\r\n\r\nhalf"
+                b"Authorization: Token key-1\r\nAttempt-Id: a-1\r\n"
+                b"Content-Length: 9\r\n\r\nhalf"
             )
             assert (await reader.readline()).startswith(b"HTTP/1.1 500 ")
             writer.close()
