Account for what clients make a process hold

Callers saw: 40 bodies that stop one byte short of their end took 205 MB of a gateway, 223 of a coordinator, 239 of an entry (bound 128); heads of many fields 148 to 183; nothing came back while they stayed. Cause: each limit is one request's; their number had none, and the settings of the machine (MemoryMb, MaxFds) were not read. Change: each connection tells one account of its process what it holds: fields, body, what was read ahead, what waits to be written. The account's bound is half of the machine's memory beyond 64 MB. Full, it ends what stands still, judged by bytes a second, lets those wait that move, first come first, and ends the last one when that lasts a second: with 503, as its body is incomplete. A quarter is for requests that hold little. A complete request is not ended. The connections of each port have a share of the descriptors; a new one takes the place of one that stands still, or is closed unread. A body without any byte for the idle time gets 408. The account's own scenarios and 300 random schedules pass.

--- a/src/hickorylead/platform/settings.py
+++ b/src/hickorylead/platform/settings.py
@@ -10,6 +10,7 @@
 
 from hickorylead import errors
 from hickorylead.admission import budget
+from hickorylead.intake import limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -48,6 +49,8 @@
         bind_ip: IP address that the process binds; empty if it is `ip`.
         relay_port: Port for relayed requests of other gateways; 0 if there is
             no free port.
+        memory_mb: Memory that the process may use, in MiB.
+        max_descriptors: Descriptors that it may have open.
     """
 
     vm: str
@@ -68,6 +71,8 @@
     retry_limits: budget.RetryLimits
     bind_ip: str = ""
     relay_port: int = 0
+    memory_mb: int = limits.DEFAULT_MEMORY_MB
+    max_descriptors: int = limits.DEFAULT_MAX_DESCRIPTORS
 
     @property
     def listen_ip(self) -> str:
@@ -151,6 +156,18 @@
                 "Bounds.BudgetExtra", float, 100.0, optional=True
             ),
         ),
+        memory_mb=reader.read(
+            "Limits.MemoryMb",
+            _read_amount,
+            limits.DEFAULT_MEMORY_MB,
+            optional=True,
+        ),
+        max_descriptors=reader.read(
+            "Limits.MaxFds",
+            _read_amount,
+            limits.DEFAULT_MAX_DESCRIPTORS,
+            optional=True,
+        ),
     )
     if reader.problems:
         raise errors.SettingsError("; ".join(reader.problems))
@@ -208,6 +225,13 @@
     return port
 
 
+def _read_amount(value: str) -> int:
+    amount = int(float(value))
+    if amount <= 0:
+        raise ValueError("not above 0")
+    return amount
+
+
 def _read_ports(value: str) -> tuple[int, int]:
     first, _, last = value.partition(",")
     return _read_port(first), _read_port(last)
--- a/src/hickorylead/requests/outcomes.py
+++ b/src/hickorylead/requests/outcomes.py
@@ -71,6 +71,17 @@
     )
 
 
+def describe_no_room() -> model.Problem:
+    """Returns the problem of a request that there is no memory to receive."""
+    return model.Problem(
+        503,
+        "no_room",
+        Verdict.NOT_RUN,
+        "the entry has no room for this request; it was not run",
+        MIN_RETRY_AFTER_S,
+    )
+
+
 def describe_stop(verdict: verdict_module.Verdict) -> model.Problem:
     """Returns the problem of a request that a stopping entry does not finish.
 
--- a/src/hickorylead/runtime/control.py
+++ b/src/hickorylead/runtime/control.py
@@ -18,6 +18,7 @@
 from hickorylead.runtime import (
     clock,
     handler_failures,
+    intake as intake_module,
     peers as peers_module,
     process,
     server as server_module,
@@ -102,6 +103,11 @@
             self.settings["address"],
             self.settings["http_port"],
             report_failure=handler_failures.make_reporter(self.log),
+            intake=intake_module.Intake(
+                self.settings["memory_mb"],
+                self.settings["max_descriptors"],
+                self.log.write,
+            ),
         )
         tasks.report_unhandled(self.log)
         await self._peers.start()
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -27,6 +27,7 @@
     coordinator_gauges,
     coordinator_stop,
     handler_failures,
+    intake as intake_module,
     operator_calls,
     peers as peers_module,
     reload_signal,
@@ -169,11 +170,17 @@
             self._make_call_id,
             self._log.write,
         )
+        intake = intake_module.Intake(
+            self.settings.memory_mb,
+            self.settings.max_descriptors,
+            self._log.write,
+        )
         http = server_module.HttpServer(
             gate,
             self.settings.listen_ip,
             self.settings.control_port,
             report_failure=handler_failures.make_reporter(self._log),
+            intake=intake,
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
@@ -184,6 +191,7 @@
             self.settings.listen_ip,
             self.settings.metrics_port,
             self._collect_gauges,
+            intake,
         )
         self._log.write(notes.note("started", node=self._node))
         self._tasks.keep_running(
--- a/src/hickorylead/runtime/coordinator_settings.py
+++ b/src/hickorylead/runtime/coordinator_settings.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from hickorylead.intake import limits
+
 
 @attrs.frozen
 class Settings:
@@ -26,6 +28,8 @@
             upon, in seconds.
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         bind_ip: IP address to bind; empty if it is `ip`.
+        memory_mb: Memory that the process may use, in MiB.
+        max_descriptors: Descriptors that it may have open.
     """
 
     vm: str
@@ -43,6 +47,8 @@
     catch_up_s: float
     grace_s: float = 8.0
     bind_ip: str = ""
+    memory_mb: int = limits.DEFAULT_MEMORY_MB
+    max_descriptors: int = limits.DEFAULT_MAX_DESCRIPTORS
 
     @property
     def listen_ip(self) -> str:
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -17,6 +17,7 @@
     drainer,
     entry_api,
     handler_failures,
+    intake as intake_module,
     peers as peers_module,
     problems,
     process,
@@ -36,6 +37,7 @@
 # How long a stopping entry answers those who find its port open, in seconds:
 # callers that are refused with a response know that nothing was run.
 REFUSAL_S = 0.25
+_NO_ROOM = problems.render_refusal(outcomes.describe_no_room())
 _REFUSAL = problems.render_refusal(outcomes.describe_stop(Verdict.NOT_RUN))
 
 
@@ -59,6 +61,11 @@
         )
         self.log = logs.Log(lambda: self.role.configuration.version)
         self.metrics = metrics_module.EntryMetrics()
+        self.intake = intake_module.Intake(
+            settings["memory_mb"],
+            settings["max_descriptors"],
+            self.log.write,
+        )
         self.tracer = traces.make_tracer(
             settings["trace_endpoint"],
             {"zone": settings["zone"], "vm": settings["vm"]},
@@ -96,7 +103,7 @@
         gate = stop_gate.StopGate(
             entry_api.make_app(self, admin_api.make_routes(self)),
             self._make_request_id,
-            self._write_note,
+            self.log.write,
             _REFUSAL,
         )
         http = server_module.HttpServer(
@@ -104,6 +111,8 @@
             self.settings["address"],
             self.settings["caller_port"],
             report_failure=handler_failures.make_reporter(self.log),
+            intake=self.intake,
+            no_room_response=_NO_ROOM,
         )
         tasks_module.report_unhandled(self.log)
         await self._peers.start()
@@ -146,7 +155,7 @@
         self.apply(interface.StopRequested(drain.ends_at - now))
 
         def refuse(owed: owed_module.Owed) -> None:
-            drainer.refuse(http, owed, self._write_note, _REFUSAL)
+            drainer.refuse(http, owed, self.log.write, _REFUSAL)
 
         def end(owed: owed_module.Owed) -> None:
             # The reducer ends the others, and their handlers respond.
@@ -163,14 +172,9 @@
             ),
             end_others=lambda: self.apply(interface.TimeOver()),
             refuse_head=refuse,
-            write_log=self._write_note,
+            write_log=self.log.write,
         ).run()
 
-    def _write_note(self, note: notes.Note) -> None:
-        write = self.log.warn if note.level == "warning" else self.log.info
-        fields = {"request_id": note.request_id} if note.request_id else {}
-        write(note.event, **fields, **note.fields)
-
     def _make_request_id(self) -> str:
         """Returns an id for a new request."""
         self._request_count += 1
@@ -230,7 +234,7 @@
                     request_id, problem.verdict, effect, reason=problem.code
                 )
             case notes.Note():
-                self._write_note(effect)
+                self.log.write(effect)
             case interface.AnswerChange(change_id):
                 self.changes.resolve(change_id, effect)
             case interface.AnswerStatus(token):
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -27,6 +27,7 @@
     exchanges,
     forwarding,
     handler_failures,
+    intake as intake_module,
     listener as listener_module,
     peers as peers_module,
     readiness,
@@ -95,6 +96,9 @@
         self._log = log
         self._header_codec = header_codec
         self._limits = listener_module.ListenerLimits()
+        self._intake = intake_module.Intake(
+            settings.memory_mb, settings.max_descriptors, log.write
+        )
         self._pool = upstream.Pool(settings.bind_ip)
         self._stop = asyncio.Event()
         self._configured = asyncio.Event()
@@ -162,12 +166,15 @@
             self._limits,
             listening_socket=self._listening_socket,
             report_failure=handler_failures.make_reporter(self._log),
+            intake=self._intake,
         )
         ready = server_module.HttpServer(
             readiness.make_app(self.role.is_ready),
             settings.listen_ip,
             settings.ready_port,
             report_failure=handler_failures.make_reporter(self._log),
+            intake=self._intake,
+            port_name=intake_module.READINESS,
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
@@ -181,6 +188,7 @@
             self.settings.listen_ip,
             self.settings.metrics_port,
             self._collect_gauges,
+            self._intake,
         )
         self._log.write(notes.note("started", node=self.name))
         self._tasks.keep_running(
--- a/src/hickorylead/runtime/gateway_settings.py
+++ b/src/hickorylead/runtime/gateway_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hickorylead.admission import budget as budget_module
+from hickorylead.intake import limits
 
 
 @attrs.frozen
@@ -23,6 +24,8 @@
         grace_s: Time between SIGTERM and SIGKILL, in seconds.
         retry_limits: Retries that all gateways may make together.
         bind_ip: IP address to bind; empty if it is `ip`.
+        memory_mb: Memory that the process may use, in MiB.
+        max_descriptors: Descriptors that it may have open.
         relay_port: Port for requests that other gateways relay through this
             one; 0 to relay none.
     """
@@ -38,6 +41,8 @@
     grace_s: float
     retry_limits: budget_module.RetryLimits = budget_module.DEFAULT_RETRY_LIMITS
     bind_ip: str = ""
+    memory_mb: int = limits.DEFAULT_MEMORY_MB
+    max_descriptors: int = limits.DEFAULT_MAX_DESCRIPTORS
     relay_port: int = 0
 
     @property
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -7,28 +7,20 @@
 import itertools
 from typing import TYPE_CHECKING, Any, cast
 
-import attrs
-
 from hickorylead.draining import owed as owed_module
-from hickorylead.runtime import clock, http_input
+from hickorylead.runtime import (
+    clock,
+    connection_flags,
+    fixed_responses,
+    http_input,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from uvicorn.protocols.http import httptools_impl
 
 # Key of a request's connection in the extensions of its ASGI scope.
 CONNECTION_KEY = "hickorylead.connection"
 
-_FAILURE_RESPONSE = (
-    b"HTTP/1.1 500 Internal Server Error\r\n"
-    b"content-type: application/json\r\ncontent-length: 26\r\n"
-    b'connection: close\r\n\r\n{"error":"internal_error"}'
-)
-_HEAD_TOO_LONG_RESPONSE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
 # Time for which a connection reads on after the response to a request that was
 # not read completely, in seconds; it begins when the response has been sent.
 # Closing a socket with unread bytes resets the connection, and the caller may
@@ -38,22 +30,6 @@
 _numbers = itertools.count(1)
 
 
-@attrs.define
-class ConnectionFlags:
-    """State that all connections of a server share.
-
-    Attributes:
-        closes_after_response: Whether responses announce the end of their
-            connection, because the process is stopping.
-        report_failure: Called with a request whose handler failed, and why.
-    """
-
-    closes_after_response: bool = False
-    report_failure: Callable[[owed_module.Owed, BaseException], None] = (
-        lambda _owed, _error: None
-    )
-
-
 class _ResponseTransport:
     """The part of a transport that the response to one request uses."""
 
@@ -66,7 +42,7 @@
 class HttpConnection(http_input.HttpInput):
     """A connection whose state can be observed and that can be ended."""
 
-    flags: ConnectionFlags = ConnectionFlags()
+    flags: connection_flags.ConnectionFlags = connection_flags.ConnectionFlags()
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Makes the protocol of one connection."""
@@ -178,7 +154,9 @@
             )
             self.flags.report_failure(owed, error)
             if isinstance(error, Exception) and not cycle.response_started:
-                self.respond_and_close(_FAILURE_RESPONSE, "handler_failed")
+                self.respond_and_close(
+                    fixed_responses.INTERNAL_ERROR, "handler_failed"
+                )
         if not cycle.response_complete and not cycle.disconnected:
             # The caller sees that the response is incomplete.
             cycle.disconnected = True
@@ -250,7 +228,7 @@
 
     def reject_long_head(self) -> None:
         """Rejects a head, or the framing of a body, that is too long."""
-        self.reject_input(_HEAD_TOO_LONG_RESPONSE, "head_too_long")
+        self.reject_input(fixed_responses.HEAD_TOO_LONG, "head_too_long")
 
     def reject_input(self, response: bytes, reason: str) -> None:
         """Rejects what the caller sends, after the responses that are owed."""
@@ -337,6 +315,18 @@
         """Whether each complete head has its complete response."""
         return self._current is None or self._current.response_complete
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the response to the request in hand has not begun."""
+        return self._current is not None and not self._current.response_started
+
+    def has_room(self) -> bool:
+        """Returns whether much more may wait to be written."""
+        return True
+
+    def record_response(self, waiting_bytes: int) -> None:
+        """Records what waits to be written, in bytes."""
+
     def can_write(self) -> bool:
         """Returns whether data can be sent now without waiting."""
         return not self.flow.write_paused
--- a/src/hickorylead/runtime/http_input.py
+++ b/src/hickorylead/runtime/http_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from typing import Any
 
 import attrs
@@ -37,8 +38,17 @@
     """
 
     max_header_bytes: int = 16384
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    header_timeout_s: float = 5.0
+    idle_timeout_s: float = 5.0
+
+
+class Hold(enum.Flag):
+    """Why a connection pauses reading."""
+
+    # Enough has been read behind a queued request.
+    AHEAD = enum.auto()
+    # The process has no room.
+    ROOM = enum.auto()
 
 
 class _Flow(flow_control.FlowControl):
@@ -46,22 +56,22 @@
 
     def __init__(self, transport: asyncio.Transport) -> None:
         super().__init__(transport)
-        self._is_held = False
+        self._holds = Hold(0)
 
-    def hold(self) -> None:
+    def hold(self, why: Hold) -> None:
         """Pauses reading until it is released, whatever the handler wants."""
-        self._is_held = True
+        self._holds |= why
         self.pause_reading()
 
-    def release(self) -> None:
-        """Reads again if it was paused."""
-        if self._is_held:
-            self._is_held = False
+    def release(self, why: Hold) -> None:
+        """Reads again, if it was paused for this alone."""
+        if self._holds & why:
+            self._holds &= ~why
             self.resume_reading()
 
     def resume_reading(self) -> None:
         """Reads again unless the connection has paused reading."""
-        if not self._is_held:
+        if not self._holds:
             super().resume_reading()
 
 
@@ -128,7 +138,7 @@
         """Reads on, and ignores what is read."""
         self._ignores_input = True
         self._ahead = b""
-        self.flow.release()
+        self.flow.release(Hold.AHEAD | Hold.ROOM)
         self.flow.resume_reading()
 
     def _parse(self, data: bytes) -> None:
@@ -140,9 +150,9 @@
             start = end
         self._ahead = data[start:]
         if len(self._ahead) > MAX_AHEAD_BYTES:
-            self.flow.hold()
+            self.flow.hold(Hold.AHEAD)
         else:
-            self.flow.release()
+            self.flow.release(Hold.AHEAD)
 
     def _find_end(self, data: bytes, start: int) -> int:
         """Returns the end of what can be parsed without another request."""
--- a/src/hickorylead/runtime/limited_connection.py
+++ b/src/hickorylead/runtime/limited_connection.py
@@ -5,12 +5,7 @@
 import asyncio
 from typing import Any
 
-from hickorylead.runtime import http_connection
-
-_HEAD_TIMEOUT_RESPONSE = (
-    b"HTTP/1.1 408 Request Timeout\r\n"
-    b"content-length: 0\r\nconnection: close\r\n\r\n"
-)
+from hickorylead.runtime import fixed_responses, http_connection
 
 
 class LimitedConnection(http_connection.HttpConnection):
@@ -97,4 +92,4 @@
             self._head_timer = None
 
     def _reject_slow_head(self) -> None:
-        self.respond_and_close(_HEAD_TIMEOUT_RESPONSE, "head_timeout")
+        self.respond_and_close(fixed_responses.TIMEOUT, "head_timeout")
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -8,8 +8,8 @@
 
 from hickorylead.draining import owed as owed_module
 from hickorylead.runtime import (
+    client_connection,
     http_input,
-    limited_connection,
     server,
     sockets,
 )
@@ -19,6 +19,7 @@
     import socket
 
     from hickorylead.configuration import document as document_module
+    from hickorylead.runtime import intake as intake_module
 
 
 @attrs.define
@@ -34,6 +35,8 @@
             was owed, who closed it and why.
     """
 
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
     accept_connection: Callable[[], bool] = lambda: True
     report_queued: Callable[[list[tuple[bytes, bytes]]], None] = (
         lambda _headers: None
@@ -49,7 +52,7 @@
         self.idle_timeout_s = limits.idle_timeout_s
 
 
-class CallerProtocol(limited_connection.LimitedConnection):
+class CallerProtocol(client_connection.ClientConnection):
     """A caller's connection, whose end within a request is reported."""
 
     limits: ListenerLimits
@@ -112,6 +115,7 @@
         listening_socket: socket.socket | None = None,
         report_failure: Callable[[owed_module.Owed, BaseException], None]
         | None = None,
+        intake: intake_module.Intake | None = None,
     ) -> None:
         """Makes a listener; `start` opens its port.
 
@@ -123,6 +127,7 @@
             listening_socket: Socket of its port, if it is already open.
             report_failure: Called with a request whose handler failed, and
                 why.
+            intake: What the clients of the process make it hold.
         """
         super().__init__(
             app,
@@ -133,6 +138,7 @@
             ),
             listening_socket=listening_socket,
             report_failure=report_failure,
+            intake=intake,
             server_header=False,
             date_header=False,
             backlog=sockets.BACKLOG,
--- a/src/hickorylead/runtime/response_writer.py
+++ b/src/hickorylead/runtime/response_writer.py
@@ -13,8 +13,10 @@
     from collections.abc import Callable
 
 # Size of the response waiting for a slow caller above which nothing more is
-# read from its replica, in bytes; reading goes on at half of it.
+# read from its replica, in bytes; reading goes on at half of it. The second one
+# applies while callers make the process hold much.
 MAX_WAITING_BYTES = 1024 * 1024
+MAX_WAITING_BYTES_WITHOUT_ROOM = 64 * 1024
 
 
 class ResponseWriter:
@@ -69,8 +71,8 @@
             if self.connection is not None and self.connection.in_body:
                 self.connection.wake_reader()
         if isinstance(effect, events.WriteChunk):
-            self._waiting_bytes += len(effect.data)
-            if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._record_waiting(len(effect.data))
+            if self._waiting_bytes > self._find_limit():
                 # Also for a new attempt that goes on with the response.
                 self._is_paused = True
                 self._set_paused(True)
@@ -132,11 +134,22 @@
             self._is_sending = False
 
     def _record_sent(self, size: int) -> None:
-        self._waiting_bytes -= size
-        if self._is_paused and self._waiting_bytes <= MAX_WAITING_BYTES / 2:
+        self._record_waiting(-size)
+        if self._is_paused and self._waiting_bytes <= self._find_limit() / 2:
             self._is_paused = False
             self._set_paused(False)
 
+    def _record_waiting(self, change: int) -> None:
+        self._waiting_bytes += change
+        if self.connection is not None:
+            self.connection.record_response(self._waiting_bytes)
+
+    def _find_limit(self) -> int:
+        """Returns how much may wait for the caller, in bytes."""
+        if self.connection is None or self.connection.has_room():
+            return MAX_WAITING_BYTES
+        return MAX_WAITING_BYTES_WITHOUT_ROOM
+
     def _can_write_now(self) -> bool:
         return (
             self.connection is not None
--- a/src/hickorylead/runtime/scrape.py
+++ b/src/hickorylead/runtime/scrape.py
@@ -7,7 +7,11 @@
 from starlette import applications, responses, routing
 
 from hickorylead import notes
-from hickorylead.runtime import handler_failures, server
+from hickorylead.runtime import (
+    handler_failures,
+    intake as intake_module,
+    server,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +26,7 @@
     ip: str,
     port: int,
     collect_gauges: Callable[[], dict[str, float]],
+    intake: intake_module.Intake,
 ) -> server.HttpServer | None:
     """Opens the metrics port; returns None if it is not opened.
 
@@ -34,12 +39,14 @@
         ip: IP address.
         port: TCP port; 0 for none.
         collect_gauges: Returns the present values by name.
+        intake: What the clients of the process make it hold.
     """
     if not port:
         return None
 
     async def get_metrics(_: requests.Request) -> responses.Response:
-        body = log.metrics.render(collect_gauges())
+        gauges = collect_gauges() | intake.collect_gauges()
+        body = log.metrics.render(gauges)
         return responses.Response(body, media_type="text/plain")
 
     app = applications.Starlette(
@@ -50,7 +57,12 @@
         log.write(notes.note("metrics_port_taken", level="warning", port=port))
         return None
     metrics_server = server.HttpServer(
-        app, ip, port, report_failure=handler_failures.make_reporter(log)
+        app,
+        ip,
+        port,
+        report_failure=handler_failures.make_reporter(log),
+        intake=intake,
+        port_name=intake_module.METRICS,
     )
     await metrics_server.start()
     return metrics_server
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -9,7 +9,13 @@
 
 import uvicorn
 
-from hickorylead.runtime import http_connection, limited_connection
+from hickorylead.runtime import (
+    client_connection,
+    connection_flags,
+    fixed_responses,
+    http_connection,
+    intake as intake_module,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -46,10 +52,13 @@
         *,
         protocol: type[
             http_connection.HttpConnection
-        ] = limited_connection.LimitedConnection,
+        ] = client_connection.ClientConnection,
         listening_socket: socket.socket | None = None,
         report_failure: Callable[[owed_module.Owed, BaseException], None]
         | None = None,
+        intake: intake_module.Intake | None = None,
+        port_name: str = intake_module.CLIENTS,
+        no_room_response: bytes = fixed_responses.NO_ROOM,
         **options: Any,
     ) -> None:
         """Makes a server; `start` opens its port.
@@ -62,9 +71,18 @@
             listening_socket: Socket of its port, if it is already open.
             report_failure: Called with a request whose handler failed, and
                 why.
+            intake: What the clients of the process make it hold; by default
+                this server has a limit of its own.
+            port_name: Name of its port there.
+            no_room_response: Complete response to a request for which there is
+                no room, which announces the end of the connection.
             options: Further options of the HTTP server.
         """
-        self._flags = http_connection.ConnectionFlags()
+        self._flags = connection_flags.ConnectionFlags(
+            port=port_name, no_room_response=no_room_response
+        )
+        if intake is not None:
+            self._flags.intake = intake
         if report_failure is not None:
             self._flags.report_failure = report_failure
         config = uvicorn.Config(
--- a/src/hickorylead/settings/roles.py
+++ b/src/hickorylead/settings/roles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hickorylead.intake import limits
 from hickorylead.settings import options
 
 _COMMON = (
@@ -34,6 +35,23 @@
         "OTLP/HTTP endpoint for traces, as a URL with an IP number.",
         default="",
     ),
+    options.Option(
+        "memory_mb",
+        "int",
+        "Memory that the process may use.",
+        default=str(limits.DEFAULT_MEMORY_MB),
+        unit="MiB",
+        low=64,
+    ),
+    options.Option(
+        "max_descriptors",
+        "int",
+        "Descriptors that the process may have open; also limited by the"
+        " operating system.",
+        default=str(limits.DEFAULT_MAX_DESCRIPTORS),
+        unit="descriptors",
+        low=64,
+    ),
 )
 
 ENTRY_OPTIONS = (
--- a/src/hickorylead/telemetry/logs.py
+++ b/src/hickorylead/telemetry/logs.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hickorylead import notes
+
 LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -66,6 +68,12 @@
         """Writes a line about an error."""
         self._logger.error(message, extra=self._add_version(fields))
 
+    def write(self, note: notes.Note) -> None:
+        """Writes a note as a line."""
+        write = self.warn if note.level == "warning" else self.info
+        fields = {"request_id": note.request_id} if note.request_id else {}
+        write(note.event, **fields, **note.fields)
+
     def _add_version(self, fields: dict[str, Any]) -> dict[str, Any]:
         if self._get_version is None:
             return fields
--- /dev/null
+++ b/tests/intake/account.feature
@@ -0,0 +1,91 @@
+Feature: Connections give way when a process is full
+
+  Background:
+    Given clients may make the process hold 8 MiB, 6 of them in large requests
+    And a port that takes 8 connections
+
+  Scenario: A body that stands still gives way to one that moves
+    Given 2 bodies of 4 MiB of which 2.5 MiB have arrived
+    And nothing of them has arrived for 2 s
+    When a body of 4 MiB arrives with 2 MiB
+    Then connection 1 ends with memory_full
+    And nothing waits
+
+  Scenario: A body that comes too slowly stands still
+    Given 2 bodies of 4 MiB of which 2.5 MiB have arrived
+    And 1 KiB of each of them arrives in each of 3 s
+    When a body of 4 MiB arrives with 2 MiB
+    Then connection 1 ends with memory_full
+
+  Scenario: A body that moves does not give way to one that comes later
+    Given 2 bodies of 4 MiB of which 2.5 MiB have arrived
+    And 128 KiB of each of them arrives in each of 2 s
+    When a body of 4 MiB arrives with 2 MiB
+    Then no connection ends
+    And connection 3 waits
+
+  Scenario: If all bodies wait for too long, the first one goes on
+    Given 4 bodies of 4 MiB that arrive together until all of them wait
+    When nothing happens for 1.5 s
+    Then connections 2 to 4 end with memory_full
+    And connection 1 goes on
+
+  Scenario: Bodies that wait go on in the order of their connections
+    Given 4 bodies of 4 MiB that arrive together until all of them wait
+    When connection 2 closes
+    And connection 4 closes
+    Then connection 1 goes on
+    And connection 3 waits
+
+  Scenario: A small request has room when large ones have taken all of theirs
+    Given 3 bodies of 4 MiB of which 2.5 MiB arrive at once
+    When a body of 0.03 MiB arrives with 0.02 MiB
+    Then connection 4 does not wait
+
+  Scenario: A complete request does not give way
+    Given 2 bodies of 2.5 MiB of which 2.5 MiB have arrived
+    And nothing of them has arrived for 20 s
+    When a body of 4 MiB arrives with 2 MiB
+    Then no connection ends
+    And connection 3 waits
+
+  Scenario: A response that nobody reads gives way
+    Given 2 responses of which 2.5 MiB wait for their clients
+    And nothing of them has arrived for 2 s
+    When a body of 4 MiB arrives with 2 MiB
+    Then connection 1 ends with memory_full
+
+  Scenario: A body of which nothing arrives any more ends
+    Given 1 bodies of 4 MiB of which 2 MiB have arrived
+    When nothing happens for 16 s
+    Then connection 1 ends with body_stalled
+
+  Scenario: A new connection takes the place of an idle one
+    Given 8 connections that send nothing for 2 s
+    When a connection is opened
+    Then connection 1 ends with connections_full
+
+  Scenario: A new connection is refused if no other one stands still
+    Given 8 connections with complete requests
+    When a connection is opened
+    Then connection 9 ends with connections_full
+
+  Scenario: A new connection waits for the others to have the chance to send
+    Given 8 connections that send nothing for 0.1 s
+    When a connection is opened
+    Then connection 9 ends with connections_full
+
+  Scenario: Random clients leave no connection waiting and no byte uncounted
+    Then 300 random schedules of clients violate no invariant
+
+  Scenario Outline: The limits follow from what the machine has
+    Then a process with <memory> MB and <descriptors> descriptors may hold <held> MiB for <connections> clients
+
+    Examples:
+      | memory | descriptors | held | connections |
+      | 300    | 4100        | 118  | 1950        |
+      | 296    | 4096        | 116  | 1948        |
+      | 200    | 4100        | 68   | 1950        |
+      | 160    | 4100        | 48   | 1950        |
+      | 128    | 400         | 32   | 100         |
+      | 64     | 200         | 8    | 16          |
--- a/tests/steps/caller_steps.py
+++ b/tests/steps/caller_steps.py
@@ -29,6 +29,13 @@
         """Returns whether the connection is writable."""
         return self.writable.is_set()
 
+    def has_room(self):
+        """Returns that more may wait."""
+        return True
+
+    def record_response(self, waiting_bytes):
+        """Records nothing."""
+
     async def send(self, message):
         """Records a message once the connection is writable."""
         if not self.writable.is_set():
--- a/tests/support/crowd_processes.py
+++ b/tests/support/crowd_processes.py
@@ -32,6 +32,7 @@
 REQUEST_LIMIT_S = 30.0
 CALL_TIMEOUT_S = 5.0
 POLL_S = 0.02
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 FIELDS = (
     "Host: host.example",
@@ -142,6 +143,12 @@
         )
         self.usage.descriptors = max(self.usage.descriptors, descriptors)
 
+    def read_processor_s(self) -> float:
+        """Returns the processor time of the process, in seconds."""
+        text = (self._folder / "stat").read_text(encoding="ascii")
+        user, system = text.rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / TICKS_PER_S
+
     def _count_unread(self) -> int:
         lines = pathlib.Path("/proc/net/tcp").read_text(encoding="ascii")
         return sum(
@@ -154,18 +161,37 @@
 class Processes:
     """One coordinator and one gateway with servers, and an entry alone."""
 
-    def __init__(self, folder: pathlib.Path, slot: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        slot: int,
+        *,
+        memory_mb: int = MEMORY_MB,
+        max_descriptors: int = MAX_DESCRIPTORS,
+        sources: pathlib.Path | None = None,
+    ) -> None:
         """Makes the processes; they are started one by one.
 
         Args:
             folder: Folder of their files.
             slot: Their address block.
+            memory_mb: Memory of their machines, in MiB.
+            max_descriptors: Descriptors that each may have open.
+            sources: Folder of the program under test; None for this build.
         """
         self._folder = folder
+        self._memory_mb = memory_mb
+        self._max_descriptors = max_descriptors
         self._version = 0
         self._coordinator, self._gateway = (
             fleet.FleetNode(
-                f"z1-{role}", role, "z1", number, slot, folder / role
+                f"z1-{role}",
+                role,
+                "z1",
+                number,
+                slot,
+                folder / role,
+                sources=sources,
             )
             for number, role in enumerate(
                 ("coordinator", "gateway"), start=FIRST_NUMBER
@@ -232,8 +258,8 @@
             "HICKORYLEAD_TOKENS": f"{ENTRY_TOKEN}=crew",
             "HICKORYLEAD_OPERATOR_TOKEN": "operator-token-1",
             "HICKORYLEAD_MAX_BODY_BYTES": str(crowds.MAX_BODY_BYTES),
-            "HICKORYLEAD_MEMORY_MB": str(MEMORY_MB),
-            "HICKORYLEAD_MAX_DESCRIPTORS": str(MAX_DESCRIPTORS),
+            "HICKORYLEAD_MEMORY_MB": str(self._memory_mb),
+            "HICKORYLEAD_MAX_DESCRIPTORS": str(self._max_descriptors),
         }
         with (self._folder / "entry.log").open("ab") as log:
             process = subprocess.Popen(
@@ -304,7 +330,10 @@
             is_bootstrap=node.role == "coordinator" and is_first,
             retry_burst=nodes.RETRY_BURSTS[0],
             max_lost=0,
-            limits={"MemoryMb": MEMORY_MB, "MaxFds": MAX_DESCRIPTORS},
+            limits={
+                "MemoryMb": self._memory_mb,
+                "MaxFds": self._max_descriptors,
+            },
         )
         node.start()
         assert node.process is not None
@@ -312,7 +341,7 @@
         return node.process
 
     def _limit_descriptors(self, process: subprocess.Popen) -> None:
-        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        limits = (self._max_descriptors, self._max_descriptors)
         resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
 
     async def _wait(self, check, what: str) -> None:
