Accept no more connections at once than may be open

Callers saw: 300 connections that send nothing took 278 to 318 of 400 descriptors (bound 200); three crowds of bodies took 130 MB (bound 128). Cause: the event loop accepts as many connections in a turn as wait, 512, and closes those without a place afterwards; how much the kernel keeps unread for a connection that waits was left to it. Change: 16 are accepted in a turn, on every port, while 512 may still wait; a connection may have 64 KiB unread, which is what the account counts for one that waits.

--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -11,7 +11,6 @@
     client_connection,
     http_input,
     server,
-    sockets,
 )
 
 if TYPE_CHECKING:
@@ -141,5 +140,4 @@
             intake=intake,
             server_header=False,
             date_header=False,
-            backlog=sockets.BACKLOG,
         )
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -15,6 +15,7 @@
     fixed_responses,
     http_connection,
     intake as intake_module,
+    sockets as sockets_module,
 )
 
 if TYPE_CHECKING:
@@ -97,6 +98,8 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            # The event loop accepts as many connections in one turn.
+            backlog=sockets_module.ACCEPT_COUNT,
             **options,
         )
         self._listening_socket = listening_socket
@@ -114,6 +117,9 @@
                 self._task.result()
                 raise OSError("the HTTP server did not start")
             await asyncio.sleep(0.005)
+        for server in self._server.servers:
+            for listening_socket in server.sockets:
+                sockets_module.prepare(listening_socket)
 
     @property
     def task(self) -> asyncio.Task[None]:
--- a/tests/support/simulated_network.py
+++ b/tests/support/simulated_network.py
@@ -34,6 +34,19 @@
         """Returns the address."""
         return self._address
 
+    def dup(self) -> Socket:
+        """Returns itself: nothing has to be closed."""
+        return self
+
+    def setsockopt(self, *_: int) -> None:
+        """Sets nothing."""
+
+    def listen(self, _: int) -> None:
+        """Listens already."""
+
+    def close(self) -> None:
+        """Closes nothing."""
+
 
 class Server:
     """A listening port."""
