Refuse a request whose body is late for its caller

Callers saw: a half body with a Time-Budget was kept for ever; the budget only counted once the body was complete. Cause: only a planned stop looked at requests whose bodies still come. Change: each tick refuses those whose caller waits no more, with 408, as they have not run. The timeout of the route stays with the response: a scenario of planned stops has bodies that take longer than that and are served.

--- a/src/hickorylead/forwarding/arrivals.py
+++ b/src/hickorylead/forwarding/arrivals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,12 @@
     event: events.RequestOpened
     opened_at: float
 
+    @property
+    def ends_at(self) -> float:
+        """When its caller waits no more."""
+        budget_s = self.event.budget_s
+        return math.inf if budget_s is None else self.opened_at + budget_s
+
 
 class Arrivals:
     """The requests of one gateway that have not arrived completely."""
@@ -52,30 +59,42 @@
         """Refuses the requests that can no longer be finished."""
         effects: list[events.Effect] = []
         for opened in list(self._opened.values()):
-            if not self._may_finish(opened, now):
-                effects += self._refuse(opened, now)
+            if now > opened.ends_at:
+                refusal = refusals.refuse_late_body(opened.event.request_id)
+                effects += self._refuse(opened, refusal, now)
+            elif not self._may_finish(opened, now):
+                effects += self._refuse_unread(opened, now)
         return effects
 
     def end(self, request_id: str, now: float) -> list[events.Effect]:
         """Refuses a request because the time of a planned stop is over."""
         opened = self._opened.get(request_id)
-        return [] if opened is None else self._refuse(opened, now)
+        return [] if opened is None else self._refuse_unread(opened, now)
 
     def _may_finish(self, opened: _Opened, now: float) -> bool:
+        if not self._admission.is_stopping:
+            return True
         route = opened.event.route
         if route is None:
             # A request that waits for the first configuration.
-            return not self._admission.is_stopping
+            return False
         limit_s = route.timeout_s
         if opened.event.budget_s is not None:
             left_s = opened.opened_at + opened.event.budget_s - now
             limit_s = min(limit_s, left_s)
         return self._admission.may_finish(route.name, limit_s, now)
 
-    def _refuse(self, opened: _Opened, now: float) -> list[events.Effect]:
+    def _refuse_unread(
+        self, opened: _Opened, now: float
+    ) -> list[events.Effect]:
+        refusal = refusals.refuse_unread(opened.event.request_id)
+        return self._refuse(opened, refusal, now)
+
+    def _refuse(
+        self, opened: _Opened, refusal: events.Refuse, now: float
+    ) -> list[events.Effect]:
         event = opened.event
         del self._opened[event.request_id]
-        refusal = refusals.refuse_unread(event.request_id)
         note = describe_refusal(
             refusal,
             event.attempt_id,
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -204,9 +204,7 @@
             late_s: How much later than planned this is called, in seconds. All
                 input of the process up to the planned time has been handled.
         """
-        effects = self._connections.tick(now)
-        if self._admission.is_stopping:
-            effects += self._arrivals.check(now)
+        effects = [*self._connections.tick(now), *self._arrivals.check(now)]
         for pending in list(self._pending.values()):
             if now >= pending.ends_at:
                 effects += self._endings.expire(pending, now)
--- a/src/hickorylead/forwarding/refusals.py
+++ b/src/hickorylead/forwarding/refusals.py
@@ -97,6 +97,11 @@
     return events.Refuse(request_id, 503, STOPPING_REASON, retry_s)
 
 
+def refuse_late_body(request_id: str) -> events.Refuse:
+    """Returns the refusal of a request whose body is late; it has not run."""
+    return events.Refuse(request_id, 408, "body_timeout")
+
+
 def jitter_retry_after(request_id: str, retry_s: float) -> float:
     """Returns the retry time for one caller, in seconds.
 
