Count bytes of a body as its framing only until they are parsed

Cause: what was read ahead, up to 20 KiB, was counted as framing as a whole before the parser had told which of it is body.

--- a/src/hickorylead/runtime/http_input.py
+++ b/src/hickorylead/runtime/http_input.py
@@ -158,13 +158,15 @@
         """Returns the end of what can be parsed without another request."""
         if self._is_latest_open and self._missing_bytes:
             return min(len(data), start + self._missing_bytes)
+        # Bytes of a body count as framing until the parser has seen them.
+        limit = min(len(data), start + SMALL_READ_BYTES)
         overlap = len(self._last_bytes)
         joined = self._last_bytes + data[start : start + len(_HEAD_END) - 1]
         found = joined.find(_HEAD_END)
         if found >= 0:
             return start + found + len(_HEAD_END) - overlap
-        found = data.find(_HEAD_END, start)
-        return found + len(_HEAD_END) if found >= 0 else len(data)
+        found = data.find(_HEAD_END, start, limit)
+        return found + len(_HEAD_END) if found >= 0 else limit
 
     def _feed(self, data: bytes) -> bool:
         """Passes bytes to the parser; returns whether it can go on."""
--- a/tests/steps/caller_connection_steps.py
+++ b/tests/steps/caller_connection_steps.py
@@ -164,11 +164,11 @@
     run(scenario)
 
 
-async def send_until_closed(writer) -> None:
-    """Sends bytes until the connection ends."""
+async def send_until_closed(writer, data: bytes = b"z" * 1000) -> None:
+    """Sends the same bytes until the connection ends."""
     with contextlib.suppress(OSError):
         while not writer.is_closing():
-            writer.write(b"z" * 1000)
+            writer.write(data)
             await writer.drain()
             await asyncio.sleep(0.001)
 
