Look a path up no further than the longest prefix

Callers saw: a path of 8,000 slashes was looked up 8,000 times, each time with a copy of its beginning, before its request could be refused. Cause: each slash of a path may end a prefix, however long the prefixes are. Change: the look-up begins at the length of the longest prefix. Result: 8,000 look-ups before, 5 at most now, by a scenario that counts them.

--- a/src/hickorylead/forwarding/routes.py
+++ b/src/hickorylead/forwarding/routes.py
@@ -49,6 +49,9 @@
         for route in document.routes:
             routes = self._by_host.setdefault(route.host.lower(), {})
             routes[route.prefix] = route
+        self._longest_prefix = max(
+            (len(route.prefix) for route in document.routes), default=0
+        )
         self._by_key = {
             key: workspace
             for workspace in document.workspaces
@@ -83,8 +86,8 @@
             return None
         # Every prefix ends with a slash, so only the parts of the path up to a
         # slash can match. The cost of a look-up does not grow with the number
-        # of routes.
-        end = len(path)
+        # of routes, nor with the length of the path.
+        end = min(len(path), self._longest_prefix)
         while (end := path.rfind("/", 0, end)) >= 0:
             route = routes.get(path[: end + 1])
             if route is not None:
--- a/tests/forwarding/routes.feature
+++ b/tests/forwarding/routes.feature
@@ -15,6 +15,10 @@
       | three | /a/      | none    |
       | one   | /a/../x/ | one/a   |
 
+  Scenario: A path of slashes is looked up no more often than prefixes are long
+    Given routes for "/", "/a/" and "/a/b/" of host "one", "/a/" of host "two"
+    Then a path of 8000 slashes of host "one" is looked up 5 times at most
+
   Scenario: Only a known key is accepted
     Given a route that needs a key of workspace "crew"
     Then key "right" is accepted as workspace "crew"
--- a/tests/steps/forwarding_steps.py
+++ b/tests/steps/forwarding_steps.py
@@ -547,6 +547,29 @@
             assert route == "none"
 
 
+class CountingRoutes(dict):
+    """The routes of a host, which count how often one is looked up."""
+
+    count = 0
+
+    def get(self, key, default=None):
+        """Returns a route."""
+        self.count += 1
+        return super().get(key, default)
+
+
+@then(
+    'a path of {size:d} slashes of host "{host}" is looked up {count:d} times'
+    " at most"
+)
+def _(context, size, host, count):
+    counting = CountingRoutes(context.route_table._by_host[host])
+    del counting["/"]
+    context.route_table._by_host[host] = counting
+    context.route_table.find(host, "/" * size, "")
+    assert 0 < counting.count <= count, counting.count
+
+
 @given('a route that needs a key of workspace "crew"')
 def _(context):
     context.route_table = make_route_table(
