Bound the lines about handled failures like all others

Operators saw: 20,001 lines for 20,001 warnings in a second, all of them kept in memory while nobody reads the output. Cause: only notes had a budget; warnings, which clients can cause, had none. Change: warnings share the budget of their level, and are counted beyond it. Result: 20,001 lines before; now less than 100 KB, and the count of the others, by the new scenario.

--- a/src/hickorylead/telemetry/decisions.py
+++ b/src/hickorylead/telemetry/decisions.py
@@ -69,20 +69,14 @@
         self.metrics.record(note)
         if list(_SHARES).index(note.level) < self._min_level:
             return
-        now = self._clock()
-        if now - self._window_started_at >= 1.0:
-            self._start_window(now)
-        if self._written_bytes > BYTES_PER_S * _SHARES[note.level] or (
-            len(self._buffer) >= MAX_BUFFERED_LINES
-        ):
-            self._dropped_lines += 1
-            return
-        self._enqueue(self._format(note))
+        if self._has_room(note.level):
+            self._enqueue(self._format(note))
 
     def warn(self, message: str, **fields: Any) -> None:
-        """Writes a line about a handled failure between processes."""
-        line = {"event": message.replace(" ", "_"), **fields}
-        self._enqueue(self._encode({"level": "warning", **line}))
+        """Writes a line about a handled failure, or drops and counts it."""
+        if self._has_room("warning"):
+            line = {"event": message.replace(" ", "_"), **fields}
+            self._enqueue(self._encode({"level": "warning", **line}))
 
     def flush(self) -> None:
         """Writes the buffered lines until the descriptor would block."""
@@ -102,6 +96,18 @@
                 return
             self._buffer.popleft()
 
+    def _has_room(self, level: str) -> bool:
+        """Returns whether a line may be written; otherwise it is counted."""
+        now = self._clock()
+        if now - self._window_started_at >= 1.0:
+            self._start_window(now)
+        if self._written_bytes > BYTES_PER_S * _SHARES[level] or (
+            len(self._buffer) >= MAX_BUFFERED_LINES
+        ):
+            self._dropped_lines += 1
+            return False
+        return True
+
     def _start_window(self, now: float) -> None:
         dropped, self._dropped_lines = self._dropped_lines, 0
         self._window_started_at, self._written_bytes = now, 0
--- a/tests/steps/library_log_steps.py
+++ b/tests/steps/library_log_steps.py
@@ -8,10 +8,11 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 
 from behave import then, when
 
-from hickorylead.telemetry import library_log
+from hickorylead.telemetry import decisions, library_log
 
 SOURCE = pathlib.Path(library_log.__file__).parents[2]
 STARTS = {
@@ -140,3 +141,28 @@
     ]
     (line,) = named
     assert text in json.dumps(line), line
+
+
+@then(
+    "{count:d} warnings in a second take less than {size:d} KB, and the next"
+    " line counts the others"
+)
+def _(_, count, size):
+    now = [100.0]
+    with tempfile.TemporaryFile() as output:
+        log = decisions.DecisionLog(
+            common={},
+            clock=lambda: now[0],
+            read_wall_time=lambda: now[0],
+            descriptor=output.fileno(),
+        )
+        for number in range(count):
+            log.warn("input_malformed", number=number)
+        now[0] += 1.0
+        log.warn("input_malformed", number=count)
+        output.seek(0)
+        lines = output.read().splitlines()
+    assert sum(map(len, lines)) < 1000 * size, len(lines)
+    dropped = json.loads(lines[-2])
+    assert dropped["event"] == "lines_dropped", dropped
+    assert dropped["count"] + len(lines) - 2 == count, (dropped, len(lines))
--- a/tests/telemetry/library_log.feature
+++ b/tests/telemetry/library_log.feature
@@ -21,3 +21,7 @@
       | platform | has a library log an exception        | library_log          | ValueError  |
       | other    | raises an exception                   | exception_uncaught   | ValueError  |
       | other    | has a library log an exception        | library_log          | ValueError  |
+
+  Scenario: A flood of warnings is counted, not written
+    A reader that is slow, or does not read, must not make the process hold them.
+    Then 20000 warnings in a second take less than 100 KB, and the next line counts the others
