Write a line about each client whose input is rejected

Operators saw: nothing about heads that are too long or late, bodies over the limit and requests without an id; a malformed request had a line of a library without its connection. Change: all have a line and a counter, at most ten lines a second, and the others are counted; hosts and paths in lines are cut at 200 characters.

--- a/src/hickorylead/runtime/forwarding.py
+++ b/src/hickorylead/runtime/forwarding.py
@@ -32,6 +32,10 @@
 # Retry-After of a request that is refused after this wait, in seconds, with a
 # jitter of 0.3 of it.
 STARTING_RETRY_S = 1.0
+# Reason code of bodies over the limit.
+TOO_LARGE = "body_too_large"
+# Longest part of a host or a path in a log line, in characters.
+MAX_LOGGED_LENGTH = 200
 
 
 class Application:
@@ -86,7 +90,7 @@
         metadata = self._header_codec.decode_metadata(scope["headers"])
         if isinstance(metadata, str) or not metadata.attempt_id:
             code = "bad_header" if isinstance(metadata, str) else "no_id"
-            refusal = events.Refuse(request_id, 400, code)
+            refusal = self._reject(request_id, 400, code, "", scope)
             await self._send_refusal(send, refusal, "")
             return
         if writer.connection is not None:
@@ -126,7 +130,9 @@
             return found
         limit = routes.document.limits.max_body_bytes
         if _find_length(scope) > limit:
-            return events.Refuse(request_id, 413, "body_too_large")
+            return self._reject(
+                request_id, 413, TOO_LARGE, metadata.attempt_id, scope
+            )
         if writer.connection is not None and writer.connection.in_body:
             self._process.apply(
                 events.RequestOpened(
@@ -140,6 +146,10 @@
         if body is None:
             return None
         if isinstance(body, events.Refuse):
+            if body.reason == TOO_LARGE:
+                self._reject(
+                    request_id, 413, TOO_LARGE, metadata.attempt_id, scope
+                )
             return body
         current = self._process.role.routes
         if current is not None and current is not routes:
@@ -193,9 +203,7 @@
         scope: Any,
     ) -> routes_module.RouteMatch | events.Refuse:
         """Returns the route of a request, or its refusal if it has none."""
-        path = scope["raw_path"].decode("latin-1")
-        host = _find_header(scope, b"host").decode("latin-1")
-        found = routes.find(host, path, metadata.key)
+        found = routes.find(_read_host(scope), _read_path(scope), metadata.key)
         match found:
             case routes_module.NoRoute():
                 status, code = 404, "no_route"
@@ -203,28 +211,29 @@
                 status, code = 401, "unknown_key"
             case routes_module.RouteMatch():
                 return found
-        return self._reject(request_id, status, code, metadata, host, path)
+        return self._reject(
+            request_id, status, code, metadata.attempt_id, scope
+        )
 
     def _reject(
         self,
         request_id: str,
         status: int,
         code: str,
-        metadata: model.RequestMetadata,
-        host: str,
-        path: str,
+        attempt_id: str,
+        scope: Any,
     ) -> events.Refuse:
-        """Returns a refusal that the configuration in force requires."""
+        """Returns a refusal that head or body require, and logs it."""
         document = self._process.role.document
         self._process.write_log(
             notes.Note(
                 "request_rejected",
                 request_id,
                 {
-                    "attempt_id": metadata.attempt_id,
+                    "attempt_id": attempt_id,
                     "code": code,
-                    "host": host,
-                    "path": path,
+                    "host": _read_host(scope)[:MAX_LOGGED_LENGTH],
+                    "path": _read_path(scope)[:MAX_LOGGED_LENGTH],
                     "configuration": document.version if document else 0,
                 },
             )
@@ -297,7 +306,7 @@
         body += message.get("body", b"")
         if len(body) > limit:
             # The rest of the body is not read, since it could be endless.
-            return events.Refuse("", 413, "body_too_large")
+            return events.Refuse("", 413, TOO_LARGE)
         if not message.get("more_body"):
             return bytes(body)
 
@@ -309,6 +318,15 @@
     return b""
 
 
+def _read_host(scope: Any) -> str:
+    return _find_header(scope, b"host").decode("latin-1")
+
+
+def _read_path(scope: Any) -> str:
+    path: str = scope["raw_path"].decode("latin-1")
+    return path
+
+
 def _find_length(scope: Any) -> int:
     """Returns the length of a body, in bytes; 0 if it is not known."""
     return int(_find_header(scope, b"content-length") or 0)
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -8,11 +8,13 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from hickorylead.draining import owed as owed_module
+from hickorylead.intake import members
 from hickorylead.runtime import (
     clock,
     connection_flags,
     fixed_responses,
     http_input,
+    intake,
 )
 
 if TYPE_CHECKING:
@@ -116,7 +118,7 @@
             b"content-type: text/plain; charset=utf-8\r\n"
             b"content-length: %d\r\nconnection: close\r\n\r\n%b"
             % (len(body), body),
-            "malformed_request",
+            intake.MALFORMED,
         )
 
     def _start_asgi_task(
@@ -226,12 +228,22 @@
         if self._current is not None:
             self._current.message_event.set()
 
+    def report_rejection(self, reason: str) -> None:
+        """Reports input that is rejected; a reason is a stable code."""
+        phase = members.Phase.BODY if self.in_body else members.Phase.HEAD
+        self.flags.intake.report_end(
+            self.number, phase, reason, self.attempt_id if self.in_body else ""
+        )
+
     def reject_long_head(self) -> None:
         """Rejects a head, or the framing of a body, that is too long."""
-        self.reject_input(fixed_responses.HEAD_TOO_LONG, "head_too_long")
+        self.reject_input(fixed_responses.HEAD_TOO_LONG, intake.HEAD_TOO_LONG)
 
     def reject_input(self, response: bytes, reason: str) -> None:
         """Rejects what the caller sends, after the responses that are owed."""
+        if self._ignores_input:
+            return
+        self.report_rejection(reason)
         current = self._current
         if current is None or current.response_complete:
             self.respond_and_close(response, reason)
--- a/src/hickorylead/runtime/intake.py
+++ b/src/hickorylead/runtime/intake.py
@@ -22,6 +22,12 @@
 SHARES = {CLIENTS: 0.8, READINESS: 0.1, METRICS: 0.1}
 # Time between two looks at what stands still or waits, in seconds.
 TICK_S = 0.25
+# Reason codes of connections whose input is rejected.
+MALFORMED, HEAD_TOO_LONG, HEAD_TIMEOUT = REJECTIONS = (
+    "malformed_request",
+    "head_too_long",
+    "head_timeout",
+)
 # Lines about ended connections in a second; the others are counted.
 MAX_LINES_PER_S = 10
 
@@ -117,7 +123,7 @@
             "client_held_bytes": self._account.held_bytes,
             **{
                 f"clients_ended_{reason}_total": self.end_counts[reason]
-                for reason in account_module.END_REASONS
+                for reason in (*account_module.END_REASONS, *REJECTIONS)
             },
         }
 
@@ -138,12 +144,26 @@
                     self.watch()
                 case account_module.Resume():
                     client.resume_input()
-                case account_module.End(_, _, reason):
-                    self.end_counts[reason] += 1
-                    self._log_end(decision, client.give_way(decision))
+                case account_module.End(number, phase, reason):
+                    attempt_id = client.give_way(decision)
+                    self.report_end(number, phase, reason, attempt_id)
+
+    def report_end(
+        self,
+        number: int,
+        phase: members_module.Phase,
+        reason: str,
+        attempt_id: str,
+    ) -> None:
+        """Writes a line about a connection that ends, or counts it.
 
-    def _log_end(self, end: account_module.End, attempt_id: str) -> None:
-        """Writes a line about an end, or counts it if there are many."""
+        Args:
+            number: The connection.
+            phase: What it was doing.
+            reason: Stable code.
+            attempt_id: The client's id of its request; empty if unknown.
+        """
+        self.end_counts[reason] += 1
         now = clock.read_boottime()
         if now - self._lines_since >= 1.0:
             if self._unwritten_count:
@@ -163,9 +183,9 @@
         self._write_log(
             notes.note(
                 "client_ended",
-                connection=end.number,
-                phase=end.phase.value,
-                why=end.reason,
+                connection=number,
+                phase=phase.value,
+                why=reason,
                 attempt_id=attempt_id,
             )
         )
--- a/src/hickorylead/runtime/limited_connection.py
+++ b/src/hickorylead/runtime/limited_connection.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from hickorylead.runtime import fixed_responses, http_connection
+from hickorylead.runtime import fixed_responses, http_connection, intake
 
 
 class LimitedConnection(http_connection.HttpConnection):
@@ -92,4 +92,5 @@
             self._head_timer = None
 
     def _reject_slow_head(self) -> None:
-        self.respond_and_close(fixed_responses.TIMEOUT, "head_timeout")
+        self.report_rejection(intake.HEAD_TIMEOUT)
+        self.respond_and_close(fixed_responses.TIMEOUT, intake.HEAD_TIMEOUT)
