Apply memory and descriptors of changed settings at a reload

Operators saw: a gateway or coordinator kept the limits of its start after a reload. Change: the account takes the new ones, for what is held from then on. Result: the new scenario passes.

--- a/src/hickorylead/intake/account.py
+++ b/src/hickorylead/intake/account.py
@@ -92,11 +92,8 @@
             limits: What they may make it hold.
             shares: Share of the connections of each port, by its name.
         """
-        self._limits = limits
-        self._most = {
-            port: max(1, int(share * limits.max_connections))
-            for port, share in shares.items()
-        }
+        self._shares = shares
+        self.set_limits(limits)
         self._members: dict[int, members_module.Member] = {}
         self._counts = dict.fromkeys(shares, 0)
         self._refuses_until = dict.fromkeys(shares, 0.0)
@@ -104,6 +101,14 @@
         self.held_bytes = 0
         self._large_bytes = 0
 
+    def set_limits(self, limits: limits_module.IntakeLimits) -> None:
+        """Replaces the limits; they apply to what is held from then on."""
+        self._limits = limits
+        self._most = {
+            port: max(1, int(share * limits.max_connections))
+            for port, share in self._shares.items()
+        }
+
     def count_connections(self) -> int:
         """Returns the number of open connections."""
         return sum(self._counts.values())
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -99,6 +99,9 @@
         self._log = log
         self._reload = reload
         self._make_app = make_app
+        self._intake = intake_module.Intake(
+            settings.memory_mb, settings.max_descriptors, log.write
+        )
         self._find_lane = find_lane
         self._rng = random.Random(f"{self._node} {clock.read_wall()}")
         self._stop = asyncio.Event()
@@ -170,17 +173,12 @@
             self._make_call_id,
             self._log.write,
         )
-        intake = intake_module.Intake(
-            self.settings.memory_mb,
-            self.settings.max_descriptors,
-            self._log.write,
-        )
         http = server_module.HttpServer(
             gate,
             self.settings.listen_ip,
             self.settings.control_port,
             report_failure=handler_failures.make_reporter(self._log),
-            intake=intake,
+            intake=self._intake,
         )
         tasks.report_unhandled(self._log)
         await self._peers.start()
@@ -191,7 +189,7 @@
             self.settings.listen_ip,
             self.settings.metrics_port,
             self._collect_gauges,
-            intake,
+            self._intake,
         )
         self._log.write(notes.note("started", node=self._node))
         self._tasks.keep_running(
@@ -378,6 +376,7 @@
             return
         self.settings = settings
         self.role.peers.seeds = settings.seeds
+        self._intake.set_limits(settings.memory_mb, settings.max_descriptors)
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
 
 
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -392,4 +392,5 @@
             return
         self.settings = settings
         self.role.set_seeds(settings.seeds)
+        self._intake.set_limits(settings.memory_mb, settings.max_descriptors)
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
--- a/src/hickorylead/runtime/intake.py
+++ b/src/hickorylead/runtime/intake.py
@@ -61,10 +61,9 @@
             max_descriptors: Descriptors that it may have open.
             write_log: Called with log lines.
         """
-        limits = limits_module.derive_limits(
-            memory_mb, min(max_descriptors, descriptors.read_limit())
+        self._account = account_module.Account(
+            _derive_limits(memory_mb, max_descriptors), SHARES
         )
-        self._account = account_module.Account(limits, SHARES)
         self._write_log = write_log
         self._clients: dict[int, Client] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -72,6 +71,10 @@
         self._line_count = self._unwritten_count = 0
         self.end_counts: collections.Counter[str] = collections.Counter()
 
+    def set_limits(self, memory_mb: int, max_descriptors: int) -> None:
+        """Replaces what the process may use, as in the constructor."""
+        self._account.set_limits(_derive_limits(memory_mb, max_descriptors))
+
     def has_room(self) -> bool:
         """Returns whether a connection may hold much more."""
         return self._account.has_room()
@@ -189,3 +192,11 @@
                 attempt_id=attempt_id,
             )
         )
+
+
+def _derive_limits(
+    memory_mb: int, max_descriptors: int
+) -> limits_module.IntakeLimits:
+    return limits_module.derive_limits(
+        memory_mb, min(max_descriptors, descriptors.read_limit())
+    )
--- a/tests/intake/account.feature
+++ b/tests/intake/account.feature
@@ -37,6 +37,13 @@
     Then connection 1 goes on
     And connection 3 waits
 
+  Scenario: Limits that are lowered apply to what comes next
+    Given 1 bodies of 4 MiB of which 3 MiB have arrived
+    When clients may make the process hold 4 MiB, 3 of them in large requests
+    And a body of 4 MiB arrives with 2 MiB
+    Then no connection ends
+    And connection 2 waits
+
   Scenario: A small request has room when large ones have taken all of theirs
     Given 3 bodies of 4 MiB of which 2.5 MiB arrive at once
     When a body of 0.03 MiB arrives with 0.02 MiB
--- a/tests/steps/intake_steps.py
+++ b/tests/steps/intake_steps.py
@@ -131,6 +131,14 @@
     open_connection(context)
 
 
+@when(
+    "clients may make the process hold {most:d} MiB, {large:d} of them in"
+    " large requests"
+)
+def _(context, most, large):
+    context.account.set_limits(limits.IntakeLimits(most * MIB, large * MIB, 8))
+
+
 @when("connection {number:d} closes")
 def _(context, number):
     context.decisions += context.account.close(
