Refuse numbers in headers that no request can mean

Callers saw: a Time-Budget of 400 digits ended the handler with a 500, and a negative number of tokens made a replica look free to other requests. Cause: numbers were taken as they came; the larger ones do not fit a float. Change: numbers above 2^53 and counts below 0 are malformed headers, refused with 400 as others are.

--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -56,6 +56,8 @@
 )
 # Statuses with which a replica may request a pause.
 _PAUSE_STATUSES = (429, 503)
+# Largest number in a header; larger ones are not exact as a float.
+MAX_NUMBER = 2**53
 # Upper limit of the pause that a replica can request, in seconds.
 MAX_PAUSE_S = 86400.0
 _NOT_RETURNED = frozenset(
@@ -89,12 +91,14 @@
             scheme, _, token = authorization.partition(" ")
             return model.RequestMetadata(
                 attempt_id=fields.get(_ATTEMPT, b"").decode("latin-1"),
-                budget_s=None if budget is None else int(budget) / 1000.0,
+                budget_s=(
+                    None if budget is None else _decode_number(budget) / 1000.0
+                ),
                 key=token.strip() if scheme.lower() == "token" else "",
                 model=fields.get(_MODEL, b"").decode("latin-1"),
                 prompt_tokens=prompt_tokens,
                 max_output_tokens=max_output_tokens,
-                last_event_id=int(fields.get(_LAST_EVENT, b"0")),
+                last_event_id=_decode_count(fields.get(_LAST_EVENT, b"0")),
                 prompt_parts=_decode_prompt_parts(
                     fields.get(_PROMPT_PARTS, b"")
                 ),
@@ -188,7 +192,21 @@
     if not value:
         return 0, 0
     first, _, second = value.partition(b",")
-    return int(first), int(second or b"0")
+    return _decode_count(first), _decode_count(second or b"0")
+
+
+def _decode_number(value: bytes) -> int:
+    number = int(value)
+    if abs(number) > MAX_NUMBER:
+        raise ValueError("the number is too large")
+    return number
+
+
+def _decode_count(value: bytes) -> int:
+    count = _decode_number(value)
+    if count < 0:
+        raise ValueError("the number is below 0")
+    return count
 
 
 def _decode_prompt_parts(value: bytes) -> tuple[str, ...]:
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -100,6 +100,19 @@
     Given a platform request with a forged workspace
     Then the replica receives workspace "crew" once and no key
 
+  Scenario Outline: A number that no request can mean is refused, and ends no handler
+    Then a request with "<field>" of <value> cannot be decoded
+
+    Examples:
+      | field         | value              |
+      | Time-Budget   | 400 nines          |
+      | Time-Budget   | 5000 nines         |
+      | Time-Budget   | soon               |
+      | Token-Count   | 400 nines          |
+      | Token-Count   | -5,3               |
+      | Last-Event-Id | 400 nines          |
+      | Last-Event-Id | -1                 |
+
   Scenario Outline: The shared parts of a prompt are read from any header
     A header that cannot be read in full is no reason to refuse a request.
     Then a request whose prompt parts are "<header>" shares "<parts>"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -675,3 +675,12 @@
 @then('it names the malformed header "{name}"')
 def _(context, name):
     assert context.head.malformed_headers == (name,), context.head
+
+
+@then('a request with "{field}" of {value} cannot be decoded')
+def _(_, field, value):
+    if value.endswith(" nines"):
+        value = "9" * int(value.split()[0])
+    fields = [(b"attempt-id", b"a"), (field.lower().encode(), value.encode())]
+    found = headers.PlatformHeaderCodec().decode_metadata(fields)
+    assert isinstance(found, str), found
