Keep sizes of prompts for known models only

Operators saw: each request for another model left an entry in the gateway's memory for ever; a prompt announced as 1,000,000,000 tokens raised the time after which a silent replica is left. Cause: the largest prompt was kept for any name that a caller sent, as announced. Change: it is kept for the models of the request's service, as no more than a replica can hold.

--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -252,11 +252,19 @@
         pending = state.make_pending(request, now)
         self._pending[request.request_id] = pending
         self._retries.record_request(request.service, now)
-        self._health.record_prompt(
-            request.metadata.model, request.metadata.prompt_tokens, now
-        )
+        self._record_prompt(request, now)
         return self._try_send(pending, now)
 
+    def _record_prompt(self, request: model.Request, now: float) -> None:
+        """Records the size of a prompt that its service can read."""
+        document = self.document
+        service = document.find_service(request.service) if document else None
+        engine = service.engine if service else None
+        name = request.metadata.model
+        if engine is not None and engine.find_model(name) is not None:
+            tokens = min(request.metadata.prompt_tokens, engine.kv_cache_tokens)
+            self._health.record_prompt(name, tokens, now)
+
     def _try_send(
         self, pending: state.PendingRequest, now: float
     ) -> list[events.Effect]:
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -149,6 +149,7 @@
         target: bytes = b"/x/",
         parts: tuple[str, ...] = (),
         service: str = "",
+        model_name: str = "large",
     ) -> str:
         """Sends a request to a service of its route; returns its id."""
         self.request_count += 1
@@ -162,7 +163,7 @@
                     metadata=model.RequestMetadata(
                         f"try-{name}",
                         budget_s=found.timeout_s,
-                        model="large" if found.has_prompts else "",
+                        model=model_name if found.has_prompts else "",
                         prompt_tokens=prompt,
                         prompt_parts=parts,
                     ),
