Use the terms of the field for clients that are evicted

Cause: the new modules spoke of members that stand still and give way. Change: connections have a usage, may be stalled and are evicted; the reason code of such refusals is memory_full; lines are client_rejected. Result: none for callers but the code in the body of a 503.

--- a/src/hickorylead/intake/__init__.py
+++ b/src/hickorylead/intake/__init__.py
@@ -1,1 +1,1 @@
-"""What clients make a process hold, and who gives way when it is too much."""
+"""Limits and accounting of what the connections of clients use."""
--- a/src/hickorylead/requests/outcomes.py
+++ b/src/hickorylead/requests/outcomes.py
@@ -71,13 +71,13 @@
     )
 
 
-def describe_no_room() -> model.Problem:
-    """Returns the problem of a request that there is no memory to receive."""
+def describe_memory_full() -> model.Problem:
+    """Returns the problem of a request that was evicted before its end."""
     return model.Problem(
         503,
-        "no_room",
+        "memory_full",
         Verdict.NOT_RUN,
-        "the entry has no room for this request; it was not run",
+        "the entry has no memory left for this request; it was not run",
         MIN_RETRY_AFTER_S,
     )
 
--- a/src/hickorylead/runtime/client_connection.py
+++ b/src/hickorylead/runtime/client_connection.py
@@ -1,10 +1,10 @@
-"""HTTP connection of a client, which the account of the process decides on."""
+"""HTTP connection whose use of memory is accounted for."""
 
 from __future__ import annotations
 
 from typing import Any
 
-from hickorylead.intake import account, members
+from hickorylead.intake import account, usage as usage_module
 from hickorylead.runtime import (
     clock,
     fixed_responses,
@@ -23,12 +23,12 @@
 
 
 class ClientConnection(limited_connection.LimitedConnection):
-    """A connection that tells what its client makes the process hold."""
+    """A connection that reports what it uses, and that can be evicted."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Makes the protocol of one connection."""
         super().__init__(*args, **kwargs)
-        self._member: members.Member | None = None
+        self._usage: usage_module.ConnectionUsage | None = None
         # What the present request holds, and the head of the queued one.
         self._request_bytes = 0
         self._queued_bytes = 0
@@ -36,18 +36,16 @@
         self._recorded_bytes = 0
 
     def connection_made(self, transport: Any) -> None:
-        """Records the transport and asks for a place."""
+        """Records the transport; the connection may be evicted at once."""
         super().connection_made(transport)
-        self._member = self.flags.intake.open(
-            self.number, self, self.flags.port
-        )
+        self._usage = self.flags.intake.open(self.number, self, self.flags.port)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
         super().connection_lost(exc)
-        if self._member is not None:
-            self.flags.intake.close(self._member)
-            self._member = None
+        if self._usage is not None:
+            self.flags.intake.close(self._usage)
+            self._usage = None
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes from the client."""
@@ -95,31 +93,31 @@
         self._response_bytes = waiting_bytes
         self._record()
 
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Returns whether much more may wait to be written."""
-        return self.flags.intake.has_room()
+        return self.flags.intake.has_capacity()
 
     # For the account.
 
     def pause_input(self) -> None:
         """Reads nothing more."""
-        self.flow.hold(http_input.Hold.ROOM)
+        self.flow.hold(http_input.Hold.MEMORY)
 
     def resume_input(self) -> None:
         """Reads again."""
-        self.flow.release(http_input.Hold.ROOM)
+        self.flow.release(http_input.Hold.MEMORY)
 
-    def give_way(self, end: account.End) -> str:
-        """Ends the connection; returns the client's id of its request."""
+    def evict(self, end: account.Evict) -> str:
+        """Evicts the connection; returns the client's id of its request."""
         attempt_id = self.attempt_id
         match end.phase:
-            case members.Phase.HEAD | members.Phase.BODY if (
+            case usage_module.Phase.HEAD | usage_module.Phase.BODY if (
                 end.reason != account.CONNECTIONS_FULL
             ):
                 response = (
                     fixed_responses.TIMEOUT
                     if end.reason == account.BODY_STALLED
-                    else self.flags.no_room_response
+                    else self.flags.memory_full_response
                 )
                 self.respond_and_close(response, end.reason)
             case _:
@@ -127,17 +125,17 @@
         return attempt_id
 
     def _record(self, input_bytes: int = 0) -> None:
-        member = self._member
-        if member is None or member.is_ended:
+        usage = self._usage
+        if usage is None or usage.is_evicted:
             return
         phase = self._find_phase()
-        if phase is not member.phase:
-            member.enter(phase, clock.read_boottime())
-            if phase is members.Phase.BODY:
-                member.timeout_s = self.limits.body_timeout_s
+        if phase is not usage.phase:
+            usage.enter(phase, clock.read_boottime())
+            if phase is usage_module.Phase.BODY:
+                usage.timeout_s = self.limits.body_timeout_s
                 self.flags.intake.watch()
-        elif input_bytes and phase is members.Phase.BODY:
-            member.record_input(input_bytes, clock.read_boottime())
+        elif input_bytes and phase is usage_module.Phase.BODY:
+            usage.record_input(input_bytes, clock.read_boottime())
         held_bytes = (
             self._request_bytes
             + self._queued_bytes
@@ -148,16 +146,20 @@
         if abs(held_bytes - self._recorded_bytes) < MIN_CHANGE_BYTES:
             return
         self._recorded_bytes = held_bytes
-        self.flags.intake.hold(member, held_bytes, self._find_missing())
+        self.flags.intake.update(usage, held_bytes, self._find_missing())
 
-    def _find_phase(self) -> members.Phase:
+    def _find_phase(self) -> usage_module.Phase:
         if self.flow.write_paused:
-            return members.Phase.UNREAD
+            return usage_module.Phase.UNREAD
         if self.is_idle:
-            return members.Phase.HEAD if self._in_head else members.Phase.IDLE
+            return (
+                usage_module.Phase.HEAD
+                if self._in_head
+                else usage_module.Phase.IDLE
+            )
         if self.in_body and self.is_unanswered:
-            return members.Phase.BODY
-        return members.Phase.BUSY
+            return usage_module.Phase.BODY
+        return usage_module.Phase.BUSY
 
     def _find_missing(self) -> int:
         """Returns what is missing of the present request, or may be."""
--- a/src/hickorylead/runtime/connection_flags.py
+++ b/src/hickorylead/runtime/connection_flags.py
@@ -22,16 +22,16 @@
         closes_after_response: Whether responses announce the end of their
             connection, because the process is stopping.
         report_failure: Called with a request whose handler failed, and why.
-        intake: What the clients of the process make it hold.
+        intake: Accounts for the clients of the process.
         port: Name of the port in it.
-        no_room_response: Complete response to a request for which there is no
-            room, which announces the end of the connection.
+        memory_full_response: Complete response to an evicted request, which
+            announces the end of the connection.
     """
 
     closes_after_response: bool = False
     intake: intake_module.Intake = attrs.field(factory=intake_module.Intake)
     port: str = intake_module.CLIENTS
-    no_room_response: bytes = fixed_responses.NO_ROOM
+    memory_full_response: bytes = fixed_responses.MEMORY_FULL
     report_failure: Callable[[owed_module.Owed, BaseException], None] = (
         lambda _owed, _error: None
     )
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -37,7 +37,7 @@
 # How long a stopping entry answers those who find its port open, in seconds:
 # callers that are refused with a response know that nothing was run.
 REFUSAL_S = 0.25
-_NO_ROOM = problems.render_refusal(outcomes.describe_no_room())
+_MEMORY_FULL = problems.render_refusal(outcomes.describe_memory_full())
 _REFUSAL = problems.render_refusal(outcomes.describe_stop(Verdict.NOT_RUN))
 
 
@@ -112,7 +112,7 @@
             self.settings["caller_port"],
             report_failure=handler_failures.make_reporter(self.log),
             intake=self.intake,
-            no_room_response=_NO_ROOM,
+            memory_full_response=_MEMORY_FULL,
         )
         tasks_module.report_unhandled(self.log)
         await self._peers.start()
--- a/src/hickorylead/runtime/fixed_responses.py
+++ b/src/hickorylead/runtime/fixed_responses.py
@@ -18,9 +18,9 @@
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"content-length: 0\r\nconnection: close\r\n\r\n"
 )
-NO_ROOM = (
+MEMORY_FULL = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
-    b"content-type: application/json\r\ncontent-length: 19\r\n"
+    b"content-type: application/json\r\ncontent-length: 23\r\n"
     b"retry-after: 0.5\r\nconnection: close\r\n\r\n"
-    b'{"error":"no_room"}'
+    b'{"error":"memory_full"}'
 )
--- a/src/hickorylead/runtime/http_connection.py
+++ b/src/hickorylead/runtime/http_connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 from hickorylead.draining import owed as owed_module
-from hickorylead.intake import members
+from hickorylead.intake import usage as usage_module
 from hickorylead.runtime import (
     clock,
     connection_flags,
@@ -218,8 +218,10 @@
 
     def report_rejection(self, reason: str) -> None:
         """Reports input that is rejected; a reason is a stable code."""
-        phase = members.Phase.BODY if self.in_body else members.Phase.HEAD
-        self.flags.intake.report_end(
+        phase = (
+            usage_module.Phase.BODY if self.in_body else usage_module.Phase.HEAD
+        )
+        self.flags.intake.report_rejection(
             self.number, phase, reason, self.attempt_id if self.in_body else ""
         )
 
--- a/src/hickorylead/runtime/http_input.py
+++ b/src/hickorylead/runtime/http_input.py
@@ -49,8 +49,8 @@
 
     # Enough has been read behind a queued request.
     AHEAD = enum.auto()
-    # The process has no room.
-    ROOM = enum.auto()
+    # The process has no memory left for it.
+    MEMORY = enum.auto()
 
 
 class _Flow(flow_control.FlowControl):
@@ -140,7 +140,7 @@
         """Reads on, and ignores what is read."""
         self._ignores_input = True
         self._ahead = b""
-        self.flow.release(Hold.AHEAD | Hold.ROOM)
+        self.flow.release(Hold.AHEAD | Hold.MEMORY)
         self.flow.resume_reading()
 
     def _parse(self, data: bytes) -> None:
--- a/src/hickorylead/runtime/http_state.py
+++ b/src/hickorylead/runtime/http_state.py
@@ -48,7 +48,7 @@
         """Whether the response to the request in hand has not begun."""
         return self._current is not None and not self._current.response_started
 
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Returns whether much more may wait to be written."""
         return True
 
--- a/src/hickorylead/runtime/intake.py
+++ b/src/hickorylead/runtime/intake.py
@@ -1,4 +1,4 @@
-"""Connects the connections of clients to the account of their process."""
+"""Carries out what the account of clients decides on their connections."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from hickorylead.intake import (
     account as account_module,
     limits as limits_module,
-    members as members_module,
+    usage as usage_module,
 )
 from hickorylead.runtime import clock, descriptors
 
@@ -20,7 +20,7 @@
 # Names of ports, and the share of the connections that each may have.
 CLIENTS, READINESS, METRICS = "clients", "readiness", "metrics"
 SHARES = {CLIENTS: 0.8, READINESS: 0.1, METRICS: 0.1}
-# Time between two looks at what stands still or waits, in seconds.
+# Interval of checks for stalled connections, in seconds.
 TICK_S = 0.25
 # Reason codes of connections whose input is rejected.
 MALFORMED, HEAD_TOO_LONG, HEAD_TIMEOUT = REJECTIONS = (
@@ -28,12 +28,12 @@
     "head_too_long",
     "head_timeout",
 )
-# Lines about ended connections in a second; the others are counted.
+# Most lines about rejected connections in a second; others are counted.
 MAX_LINES_PER_S = 10
 
 
 class Client(Protocol):
-    """The part of a connection that the account decides about."""
+    """What is done to a connection of a client."""
 
     def pause_input(self) -> None:
         """Reads nothing more."""
@@ -41,12 +41,12 @@
     def resume_input(self) -> None:
         """Reads again."""
 
-    def give_way(self, end: account_module.End) -> str:
-        """Ends the connection; returns the client's id of its request."""
+    def evict(self, end: account_module.Evict) -> str:
+        """Evicts the connection; returns the client's id of its request."""
 
 
 class Intake:
-    """What the clients of a process make it hold, on all of its ports."""
+    """The connections of clients on all ports of a process."""
 
     def __init__(
         self,
@@ -69,52 +69,52 @@
         self._timer: asyncio.TimerHandle | None = None
         self._lines_since = 0.0
         self._line_count = self._unwritten_count = 0
-        self.end_counts: collections.Counter[str] = collections.Counter()
+        self.rejection_counts: collections.Counter[str] = collections.Counter()
 
     def set_limits(self, memory_mb: int, max_descriptors: int) -> None:
         """Replaces what the process may use, as in the constructor."""
         self._account.set_limits(_derive_limits(memory_mb, max_descriptors))
 
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Returns whether a connection may hold much more."""
-        return self._account.has_room()
+        return self._account.has_capacity()
 
     def open(
         self, number: int, client: Client, port: str
-    ) -> members_module.Member:
-        """Adds a connection, which may be ended at once."""
+    ) -> usage_module.ConnectionUsage:
+        """Adds a connection, which may be evicted at once."""
         self._clients[number] = client
-        member, decisions = self._account.open(
+        usage, decisions = self._account.open(
             number, port, clock.read_boottime()
         )
         self._carry_out(decisions)
-        return member
+        return usage
 
-    def close(self, member: members_module.Member) -> None:
+    def close(self, usage: usage_module.ConnectionUsage) -> None:
         """Removes a connection."""
-        if self._clients.pop(member.number, None) is not None:
-            self._carry_out(self._account.close(member, clock.read_boottime()))
+        if self._clients.pop(usage.number, None) is not None:
+            self._carry_out(self._account.close(usage, clock.read_boottime()))
 
-    def hold(
+    def update(
         self,
-        member: members_module.Member,
+        usage: usage_module.ConnectionUsage,
         held_bytes: int,
         missing_bytes: int = 0,
     ) -> None:
         """Records what a connection makes the process hold.
 
         Args:
-            member: The connection.
+            usage: The connection.
             held_bytes: What it holds, in bytes.
             missing_bytes: What is missing of its body, or may be, in bytes.
         """
         now = clock.read_boottime()
         self._carry_out(
-            self._account.hold(member, held_bytes, missing_bytes, now)
+            self._account.update(usage, held_bytes, missing_bytes, now)
         )
 
     def watch(self) -> None:
-        """Looks at what stands still or waits, as long as anything may."""
+        """Starts to check for stalled connections, while there may be any."""
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(TICK_S, self._tick)
@@ -125,8 +125,10 @@
             "client_connections": self._account.count_connections(),
             "client_held_bytes": self._account.held_bytes,
             **{
-                f"clients_ended_{reason}_total": self.end_counts[reason]
-                for reason in (*account_module.END_REASONS, *REJECTIONS)
+                f"clients_rejected_{reason}_total": self.rejection_counts[
+                    reason
+                ]
+                for reason in (*account_module.EVICTION_REASONS, *REJECTIONS)
             },
         }
 
@@ -147,18 +149,18 @@
                     self.watch()
                 case account_module.Resume():
                     client.resume_input()
-                case account_module.End(number, phase, reason):
-                    attempt_id = client.give_way(decision)
-                    self.report_end(number, phase, reason, attempt_id)
+                case account_module.Evict(number, phase, reason):
+                    attempt_id = client.evict(decision)
+                    self.report_rejection(number, phase, reason, attempt_id)
 
-    def report_end(
+    def report_rejection(
         self,
         number: int,
-        phase: members_module.Phase,
+        phase: usage_module.Phase,
         reason: str,
         attempt_id: str,
     ) -> None:
-        """Writes a line about a connection that ends, or counts it.
+        """Writes a line about a rejected connection, or counts it.
 
         Args:
             number: The connection.
@@ -166,13 +168,13 @@
             reason: Stable code.
             attempt_id: The client's id of its request; empty if unknown.
         """
-        self.end_counts[reason] += 1
+        self.rejection_counts[reason] += 1
         now = clock.read_boottime()
         if now - self._lines_since >= 1.0:
             if self._unwritten_count:
                 self._write_log(
                     notes.note(
-                        "clients_ended",
+                        "clients_rejected",
                         level="warning",
                         count=self._unwritten_count,
                     )
@@ -185,7 +187,7 @@
             return
         self._write_log(
             notes.note(
-                "client_ended",
+                "client_rejected",
                 connection=number,
                 phase=phase.value,
                 why=reason,
--- a/src/hickorylead/runtime/listener.py
+++ b/src/hickorylead/runtime/listener.py
@@ -126,7 +126,7 @@
             listening_socket: Socket of its port, if it is already open.
             report_failure: Called with a request whose handler failed, and
                 why.
-            intake: What the clients of the process make it hold.
+            intake: Accounts for the clients of the process.
         """
         super().__init__(
             app,
--- a/src/hickorylead/runtime/response_writer.py
+++ b/src/hickorylead/runtime/response_writer.py
@@ -146,7 +146,7 @@
 
     def _find_limit(self) -> int:
         """Returns how much may wait for the caller, in bytes."""
-        if self.connection is None or self.connection.has_room():
+        if self.connection is None or self.connection.has_capacity():
             return MAX_WAITING_BYTES
         return MAX_WAITING_BYTES_WITHOUT_ROOM
 
--- a/src/hickorylead/runtime/scrape.py
+++ b/src/hickorylead/runtime/scrape.py
@@ -39,7 +39,7 @@
         ip: IP address.
         port: TCP port; 0 for none.
         collect_gauges: Returns the present values by name.
-        intake: What the clients of the process make it hold.
+        intake: Accounts for the clients of the process.
     """
     if not port:
         return None
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -59,7 +59,7 @@
         | None = None,
         intake: intake_module.Intake | None = None,
         port_name: str = intake_module.CLIENTS,
-        no_room_response: bytes = fixed_responses.NO_ROOM,
+        memory_full_response: bytes = fixed_responses.MEMORY_FULL,
         **options: Any,
     ) -> None:
         """Makes a server; `start` opens its port.
@@ -72,15 +72,15 @@
             listening_socket: Socket of its port, if it is already open.
             report_failure: Called with a request whose handler failed, and
                 why.
-            intake: What the clients of the process make it hold; by default
-                this server has a limit of its own.
+            intake: Accounts for the clients of the process; by default this
+                server has an account of its own.
             port_name: Name of its port there.
-            no_room_response: Complete response to a request for which there is
-                no room, which announces the end of the connection.
+            memory_full_response: Complete response to an evicted request, which
+                announces the end of the connection.
             options: Further options of the HTTP server.
         """
         self._flags = connection_flags.ConnectionFlags(
-            port=port_name, no_room_response=no_room_response
+            port=port_name, memory_full_response=memory_full_response
         )
         if intake is not None:
             self._flags.intake = intake
