Refuse a request that has a body and asks for an upgrade

Callers saw: such a request was forwarded without its body, and what looked like a request in the body was parsed as one. Cause: the parser takes what follows such a head for another protocol, and the server handled the connection as before. Change: a head with both is malformed; without a body the request is handled like any other. Result: two rows of the new scenario got 200 before and get 400 now.

--- a/src/hickorylead/runtime/http_input.py
+++ b/src/hickorylead/runtime/http_input.py
@@ -210,6 +210,14 @@
         if self.pipeline or self.parser.get_http_version() == "0.9":
             # Only a request without a version ends without an empty line.
             raise ValueError("the request has no version of HTTP")
+        has_body = any(
+            name == b"transfer-encoding"
+            or (name == b"content-length" and int(value))
+            for name, value in self.headers
+        )
+        if has_body and self.parser.should_upgrade():
+            # The parser would take the body for the next request.
+            raise ValueError("a request with an upgrade has a body")
         # This raises an error if the target is malformed.
         super().on_headers_complete()
         self._is_latest_open = True
--- a/tests/runtime/input.feature
+++ b/tests/runtime/input.feature
@@ -33,5 +33,16 @@
       | a trailer     | 431    |
       | a method      | 400    |
 
+  Scenario Outline: A request that asks for an upgrade is handled without one, or not at all
+    The parser takes what follows its head for the next request.
+    Then a head that asks for an upgrade, with <body>, gets status <status>
+
+    Examples:
+      | body                         | status |
+      | no body                      | 200    |
+      | a body of 0 bytes            | 200    |
+      | a body that looks like one   | 400    |
+      | chunks that look like one    | 400    |
+
   Scenario: A caller that closes behind a queued request is noticed
     Then a caller that sends two requests and leaves ends the first one
--- a/tests/steps/input_steps.py
+++ b/tests/steps/input_steps.py
@@ -249,6 +249,35 @@
     run(scenario)
 
 
+UPGRADE = (
+    b"POST /1 HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: x\r\n"
+)
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+UPGRADES = {
+    "no body": b"\r\n",
+    "a body of 0 bytes": b"Content-Length: 0\r\n\r\n",
+    "a body that looks like one": b"Content-Length: %d\r\n\r\n%b"
+    % (len(SMUGGLED), SMUGGLED),
+    "chunks that look like one": b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b"
+    b"\r\n0\r\n\r\n" % (len(SMUGGLED), SMUGGLED),
+}
+
+
+@then("a head that asks for an upgrade, with {body}, gets status {status:d}")
+def _(_, body, status):
+    async def scenario(opened, echo):
+        reader, writer = await asyncio.open_connection(*opened.get_address())
+        writer.write(UPGRADE + UPGRADES[body])
+        line = await reader.readline()
+        assert line.startswith(b"HTTP/1.1 %d " % status), line
+        writer.close()
+        await asyncio.sleep(0.05)
+        paths = [path for _, path, _ in echo.handled]
+        assert paths == (["/1"] if status == 200 else []), paths
+
+    run(scenario)
+
+
 @then("a caller that sends two requests and leaves ends the first one")
 def _(_):
     async def scenario(opened, echo):
