--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -56,47 +56,46 @@
 def start_gateway(context, max_descriptors: int) -> None:
     """Starts a gateway anew."""
     processes = get_processes(context)
-
-    async def start():
-        context.max_descriptors = max_descriptors
-        if not processes.is_cluster_started:
-            await processes.start_cluster()
-        context.process = await processes.start_gateway(max_descriptors)
-        context.meter = crowd_processes.Meter(
-            context.process, processes.get_address("callers")[0]
-        )
-
-    run(context, start())
+    start(
+        context,
+        "callers",
+        lambda: processes.start_gateway(max_descriptors),
+        max_descriptors=max_descriptors,
+    )
 
 
 @given("a coordinator in a cluster of real processes")
 def _(context):
-    processes = get_processes(context)
-
-    async def start():
-        if not processes.is_cluster_started:
-            await processes.start_cluster()
-        context.max_descriptors = crowd_processes.MAX_DESCRIPTORS
-        context.process = await processes.start_coordinator()
-        context.meter = crowd_processes.Meter(
-            context.process, processes.get_address("control")[0]
-        )
-
-    run(context, start())
+    start(context, "control", get_processes(context).start_coordinator)
 
 
 @given("an entry as a real process")
 def _(context):
     processes = get_processes(context)
+    start(context, "entry", processes.start_entry, needs_cluster=False)
+
+
+def start(
+    context,
+    port: str,
+    start_process,
+    *,
+    max_descriptors: int = crowd_processes.MAX_DESCRIPTORS,
+    needs_cluster: bool = True,
+) -> None:
+    """Starts the process to which the crowd will connect."""
+    processes = context.processes
 
-    async def start():
-        context.max_descriptors = crowd_processes.MAX_DESCRIPTORS
-        context.process = await processes.start_entry()
-        context.meter = crowd_processes.Meter(
-            context.process, processes.get_address("entry")[0]
-        )
+    async def start_all():
+        if needs_cluster and not processes.is_cluster_started:
+            await processes.start_cluster()
+        context.process = await start_process()
 
-    run(context, start())
+    run(context, start_all())
+    context.max_descriptors = max_descriptors
+    context.meter = crowd_processes.Meter(
+        context.process, processes.get_address(port)[0]
+    )
 
 
 def make_crowd(context, name, place, port) -> crowds.Crowd:
