--- a/src/hickorylead/runtime/response_writer.py
+++ b/src/hickorylead/runtime/response_writer.py
@@ -14,9 +14,9 @@
 
 # Size of the response waiting for a slow caller above which nothing more is
 # read from its replica, in bytes; reading goes on at half of it. The second one
-# applies while callers make the process hold much.
+# applies while the memory for clients is nearly used up.
 MAX_WAITING_BYTES = 1024 * 1024
-MAX_WAITING_BYTES_WITHOUT_ROOM = 64 * 1024
+MAX_WAITING_BYTES_WHEN_FULL = 64 * 1024
 
 
 class ResponseWriter:
@@ -148,7 +148,7 @@
         """Returns how much may wait for the caller, in bytes."""
         if self.connection is None or self.connection.has_capacity():
             return MAX_WAITING_BYTES
-        return MAX_WAITING_BYTES_WITHOUT_ROOM
+        return MAX_WAITING_BYTES_WHEN_FULL
 
     def _can_write_now(self) -> bool:
         return (
