Keep the listening queue as long as before

Cause: the queue of a port had become as short as the number of connections that are accepted in a turn, 16, until a second call on a copy of its socket raised it; a coordinator of a large fleet hears more servers than that at once.

--- a/src/hickorylead/runtime/intake.py
+++ b/src/hickorylead/runtime/intake.py
@@ -22,6 +22,8 @@
 SHARES = {CLIENTS: 0.8, READINESS: 0.1, METRICS: 0.1}
 # Interval of checks for stalled connections, in seconds.
 TICK_S = 0.25
+# Connections that are accepted at the same moment, as a share of the limit.
+ACCEPTED_SHARE = 1 / 4
 # Reason codes of connections whose input is rejected.
 MALFORMED, HEAD_TOO_LONG, HEAD_TIMEOUT = REJECTIONS = (
     "malformed_request",
@@ -61,9 +63,9 @@
             max_descriptors: Descriptors that it may have open.
             write_log: Called with log lines.
         """
-        self._account = account_module.Account(
-            _derive_limits(memory_mb, max_descriptors), SHARES
-        )
+        limits = _derive_limits(memory_mb, max_descriptors)
+        self._max_connections = limits.max_connections
+        self._account = account_module.Account(limits, SHARES)
         self._write_log = write_log
         self._clients: dict[int, Client] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -75,6 +77,10 @@
         """Replaces what the process may use, as in the constructor."""
         self._account.set_limits(_derive_limits(memory_mb, max_descriptors))
 
+    def count_acceptable(self) -> int:
+        """Returns how many connections may be accepted at the same moment."""
+        return max(1, int(ACCEPTED_SHARE * self._max_connections))
+
     def has_capacity(self) -> bool:
         """Returns whether a connection may hold much more."""
         return self._account.has_capacity()
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -98,8 +98,11 @@
             lifespan="off",
             log_config=None,
             access_log=False,
-            # The event loop accepts as many connections in one turn.
-            backlog=sockets_module.ACCEPT_COUNT,
+            # The event loop accepts as many connections in one turn, and all of
+            # them take a descriptor, also those that are closed at once.
+            backlog=min(
+                sockets_module.BACKLOG, self._flags.intake.count_acceptable()
+            ),
             **options,
         )
         self._listening_socket = listening_socket
--- a/src/hickorylead/runtime/sockets.py
+++ b/src/hickorylead/runtime/sockets.py
@@ -9,9 +9,6 @@
 # a power failure all callers of a zone connect within a second; the busiest
 # known deployments open about 30 connections a second at each gateway.
 BACKLOG = 512
-# Number of connections that are accepted before the event loop continues. All
-# of them take a descriptor, also those that are closed at once.
-ACCEPT_COUNT = 16
 # Size of what a connection may have received and not read, in bytes.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 
@@ -35,9 +32,8 @@
 
 
 def prepare(listening_socket: socket.socket) -> None:
-    """Sets the limits of a listening socket, which its connections inherit."""
+    """Limits what connections of a listening socket may have unread."""
     with contextlib.closing(listening_socket.dup()) as duplicate:
         duplicate.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
         )
-        duplicate.listen(BACKLOG)
