Read all connections into one buffer

Cause: connections to servers, relays and peers still had 256 KiB allocated for each read, and most of it returned to the operating system. Change: they read into the buffer that the connections of clients share, 64 KiB at most. The fields of a head are counted at its end, not one by one, and the addresses that proxies report, which nothing reads, are not looked up. Platform, draining and planned stops pass.

--- a/src/hickorylead/runtime/client_connection.py
+++ b/src/hickorylead/runtime/client_connection.py
@@ -62,17 +62,14 @@
         super().resume_writing()
         self._record()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Handles a header."""
-        super().on_header(name, value)
-        self._queued_bytes += HEADER_BYTES + len(name) + len(value)
-
     def on_headers_complete(self) -> None:
         """Handles the end of a head."""
+        head_bytes = self._measure_head()
         super().on_headers_complete()
         if self._current is self.cycle:
-            self._request_bytes += self._queued_bytes
-            self._queued_bytes = 0
+            self._request_bytes += head_bytes
+        else:
+            self._queued_bytes = head_bytes
 
     def on_body(self, body: bytes) -> None:
         """Handles a piece of a body."""
@@ -139,6 +136,7 @@
         held_bytes = (
             self._request_bytes
             + self._queued_bytes
+            + (self._measure_head() if self._in_head else 0)
             + self._response_bytes
             + len(self._ahead)
             + self.transport.get_write_buffer_size()
@@ -148,6 +146,10 @@
         self._recorded_bytes = held_bytes
         self.flags.intake.update(usage, held_bytes, self._find_missing())
 
+    def _measure_head(self) -> int:
+        """Returns what the fields of the latest head take, in bytes."""
+        return self._head_bytes + HEADER_BYTES * len(self.headers)
+
     def _find_phase(self) -> usage_module.Phase:
         if self.flow.write_paused:
             return usage_module.Phase.UNREAD
--- a/src/hickorylead/runtime/http_input.py
+++ b/src/hickorylead/runtime/http_input.py
@@ -10,10 +10,10 @@
 import httptools
 from uvicorn.protocols.http import flow_control, httptools_impl
 
-# Size of one read within a body with a length, and of all others, in bytes.
-# The others cost processor time by the piece: a client that sends many small
-# pieces takes its turn more often than that.
-LARGE_READ_BYTES = 64 * 1024
+from hickorylead.runtime import shared_buffer
+
+# Size of one read outside bodies with a length, in bytes. Such reads cost
+# processor time by the piece, so the other connections take their turn earlier.
 SMALL_READ_BYTES = 4 * 1024
 # Size of what is read ahead of a queued request, in bytes, after which reading
 # pauses. Until then the end of the connection is noticed.
@@ -23,8 +23,6 @@
 HEAD_OVERHEAD_BYTES = 512
 _HEAD_END = b"\r\n\r\n"
 
-_read_buffer = memoryview(bytearray(LARGE_READ_BYTES))
-
 
 @attrs.define
 class InputLimits:
@@ -77,7 +75,9 @@
             super().resume_reading()
 
 
-class HttpInput(httptools_impl.HttpToolsProtocol, asyncio.BufferedProtocol):
+class HttpInput(
+    httptools_impl.HttpToolsProtocol, shared_buffer.SharedBufferProtocol
+):
     """Passes input to the parser up to the end of one request at a time.
 
     The HTTP server keeps each request whose head is complete, and the parser
@@ -110,16 +110,11 @@
 
     # Reading.
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Returns the buffer for the next read, which all connections share."""
-        del sizehint
+    def get_read_bytes(self) -> int:
+        """Returns the size of the next read, in bytes."""
         if self._is_latest_open and self._missing_bytes:
-            return _read_buffer
-        return _read_buffer[:SMALL_READ_BYTES]
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Handles bytes that were read into the buffer."""
-        self.data_received(bytes(_read_buffer[:nbytes]))
+            return shared_buffer.READ_BYTES
+        return SMALL_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes from the client."""
@@ -210,26 +205,21 @@
         if self.pipeline or self.parser.get_http_version() == "0.9":
             # Only a request without a version ends without an empty line.
             raise ValueError("the request has no version of HTTP")
-        has_body = any(
-            name == b"transfer-encoding"
-            or (name == b"content-length" and int(value))
-            for name, value in self.headers
-        )
-        if has_body and self.parser.should_upgrade():
+        length = None
+        is_chunked = False
+        for name, value in self.headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == b"transfer-encoding":
+                is_chunked = True
+        if (length or is_chunked) and self.parser.should_upgrade():
             # The parser would take the body for the next request.
             raise ValueError("a request with an upgrade has a body")
         # This raises an error if the target is malformed.
         super().on_headers_complete()
         self._is_latest_open = True
         self._framing_bytes = 0
-        self._missing_bytes = next(
-            (
-                int(value)
-                for name, value in self.headers
-                if name == b"content-length"
-            ),
-            None,
-        )
+        self._missing_bytes = length
 
     def on_body(self, body: bytes) -> None:
         """Handles a piece of a body."""
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -15,7 +15,7 @@
 from returns import result
 
 from hickorylead.roles import urgency
-from hickorylead.runtime import clock, tasks, timeouts
+from hickorylead.runtime import clock, shared_buffer, tasks, timeouts
 from hickorylead.turns import work_queue
 from hickorylead.wire import codec, frame
 
@@ -122,7 +122,7 @@
     async def _run_connection(self) -> None:
         ip, port = split_address(self.address)
         async with timeouts.limit_time(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
+            reader, writer = await shared_buffer.open_connection(
                 ip, port, local_addr=self._bind
             )
         try:
@@ -268,7 +268,7 @@
     async def start(self) -> None:
         """Starts to receive messages."""
         ip, port = split_address(self._address)
-        self._server = await asyncio.start_server(
+        self._server = await shared_buffer.start_server(
             self._serve, self._bind_ip or ip, port, limit=_READ_BYTES
         )
 
--- a/src/hickorylead/runtime/relay_connections.py
+++ b/src/hickorylead/runtime/relay_connections.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Any
 
 from returns import result
 
 from hickorylead.relaying import messages
+from hickorylead.runtime import shared_buffer
 from hickorylead.wire import codec, frame
 
 if TYPE_CHECKING:
@@ -17,7 +17,7 @@
 MAX_DATA_BYTES = 256 * 1024
 
 
-class RelayProtocol(asyncio.Protocol):
+class RelayProtocol(shared_buffer.SharedBufferProtocol):
     """One end of a connection between a gateway and a relay."""
 
     def __init__(self, warn: Callable[..., None]) -> None:
--- a/src/hickorylead/runtime/server.py
+++ b/src/hickorylead/runtime/server.py
@@ -98,6 +98,8 @@
             lifespan="off",
             log_config=None,
             access_log=False,
+            # Nothing reads the addresses that proxies report.
+            proxy_headers=False,
             # The event loop accepts as many connections in one turn, and all of
             # them take a descriptor, also those that are closed at once.
             backlog=min(
--- a/src/hickorylead/runtime/upstream_connection.py
+++ b/src/hickorylead/runtime/upstream_connection.py
@@ -14,6 +14,7 @@
 import httptools
 
 from hickorylead import verdict as verdict_module
+from hickorylead.runtime import shared_buffer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -66,7 +67,7 @@
         """Reads again what is to be sent to the replica."""
 
 
-class Connection(asyncio.Protocol):
+class Connection(shared_buffer.SharedBufferProtocol):
     """One connection to a replica; one exchange at a time."""
 
     def __init__(self, release: Callable[[Connection], None]) -> None:
