Bound what a gateway buffers of responses

Cause: each response is kept until 512 KiB of it have arrived, so that its request can be sent again, whatever the others have taken; and each read from a server was 256 KiB. Change: buffers have an eighth of the memory for clients together. A response that does not fit starts early, and waits for its caller in the account. Responses of 16 KiB are always buffered.

--- a/src/hickorylead/forwarding/attempts.py
+++ b/src/hickorylead/forwarding/attempts.py
@@ -71,6 +71,14 @@
         self._retries = retries
         self._run_guard = run_guard
 
+    def count_buffered_bytes(self) -> int:
+        """Returns the size of all responses that are buffered."""
+        return sum(
+            len(attempt.body)
+            for pending in self._pending.values()
+            for attempt in pending.live_attempts
+        )
+
     def find(
         self, request_id: str, number: int
     ) -> tuple[state.PendingRequest, state.Attempt] | None:
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -192,6 +192,10 @@
                 effects = self._connections.handle_probe(event, now)
                 return [*effects, *self.dispatch_waiting(now)]
 
+    def set_buffer_limit(self, max_bytes: int) -> None:
+        """Sets the maximum size of all buffered responses, in bytes."""
+        self._responses.max_buffered_bytes = max_bytes
+
     def stop(self, ends_at: float) -> None:
         """Refuses from now on what cannot be finished by a given time."""
         self._admission.stop(ends_at)
--- a/src/hickorylead/forwarding/response_handler.py
+++ b/src/hickorylead/forwarding/response_handler.py
@@ -21,6 +21,10 @@
 # streams are not buffered. If a buffered response breaks off, its request can
 # be retried on another replica.
 MAX_BUFFERED_BYTES = 512 * 1024
+# Maximum size of all buffered responses, in bytes, if nothing else is set, and
+# size of a response that is buffered nevertheless.
+MAX_ALL_BUFFERED_BYTES = 16 * 1024 * 1024
+SMALL_RESPONSE_BYTES = 16 * 1024
 
 
 class FailAttempt(Protocol):
@@ -78,6 +82,7 @@
         self._run_guard = run_guard
         self._fail_attempt = fail_attempt
         self._finish = finish
+        self.max_buffered_bytes = MAX_ALL_BUFFERED_BYTES
 
     def handle_head(
         self, event: events.ResponseHeadArrived, now: float
@@ -113,7 +118,7 @@
         self._run_guard.record_output(attempt, now)
         if attempt.splitter is None:
             attempt.body += event.data
-            if len(attempt.body) <= MAX_BUFFERED_BYTES:
+            if self._may_buffer(attempt):
                 return []
             return [
                 *self._attempts.select(pending, attempt, now),
@@ -134,6 +139,15 @@
             )
         return effects
 
+    def _may_buffer(self, attempt: state.Attempt) -> bool:
+        size = len(attempt.body)
+        if size <= SMALL_RESPONSE_BYTES:
+            return True
+        return (
+            size <= MAX_BUFFERED_BYTES
+            and self._attempts.count_buffered_bytes() <= self.max_buffered_bytes
+        )
+
     def handle_completion(
         self, event: events.ResponseCompleted, now: float
     ) -> list[events.Effect]:
--- a/src/hickorylead/intake/limits.py
+++ b/src/hickorylead/intake/limits.py
@@ -17,6 +17,8 @@
 SMALL_SHARE = 1 / 4
 # Least memory for clients, in bytes.
 MIN_CLIENT_BYTES = 8 * MIB
+# Share of it that responses may take that are buffered until they are complete.
+BUFFERED_SHARE = 1 / 8
 # Descriptors that machines reserve for files outside the data folder.
 RESERVED_DESCRIPTORS = 200
 # Share of the other descriptors for connections of clients. The rest is for
@@ -39,6 +41,11 @@
     max_large_bytes: int
     max_connections: int
 
+    @property
+    def max_buffered_bytes(self) -> int:
+        """Memory of responses that are buffered, in bytes."""
+        return int(BUFFERED_SHARE * self.max_bytes)
+
 
 def derive_limits(memory_mb: int, max_descriptors: int) -> IntakeLimits:
     """Returns the limits of a process.
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -131,6 +131,10 @@
         """Replaces the seeds after a change of the settings."""
         self._parts.identity = attrs.evolve(self._parts.identity, seeds=seeds)
 
+    def set_buffer_limit(self, max_bytes: int) -> None:
+        """Sets the maximum size of all buffered responses, in bytes."""
+        self._forwarder.set_buffer_limit(max_bytes)
+
     def accept_connection(self, now: float) -> bool:
         """Returns whether to serve a caller's new connection.
 
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -122,6 +122,7 @@
             rng=self._rng,
             now=now,
         )
+        self.role.set_buffer_limit(self._intake.limits.max_buffered_bytes)
         self._peers = peers_module.Peers(
             node=node,
             address=f"{settings.ip}:{settings.peer_port}",
@@ -393,4 +394,5 @@
         self.settings = settings
         self.role.set_seeds(settings.seeds)
         self._intake.set_limits(settings.memory_mb, settings.max_descriptors)
+        self.role.set_buffer_limit(self._intake.limits.max_buffered_bytes)
         self._log.write(notes.note("reloaded", seeds=list(settings.seeds)))
--- a/src/hickorylead/runtime/intake.py
+++ b/src/hickorylead/runtime/intake.py
@@ -63,9 +63,8 @@
             max_descriptors: Descriptors that it may have open.
             write_log: Called with log lines.
         """
-        limits = _derive_limits(memory_mb, max_descriptors)
-        self._max_connections = limits.max_connections
-        self._account = account_module.Account(limits, SHARES)
+        self.limits = _derive_limits(memory_mb, max_descriptors)
+        self._account = account_module.Account(self.limits, SHARES)
         self._write_log = write_log
         self._clients: dict[int, Client] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -75,11 +74,12 @@
 
     def set_limits(self, memory_mb: int, max_descriptors: int) -> None:
         """Replaces what the process may use, as in the constructor."""
-        self._account.set_limits(_derive_limits(memory_mb, max_descriptors))
+        self.limits = _derive_limits(memory_mb, max_descriptors)
+        self._account.set_limits(self.limits)
 
     def count_acceptable(self) -> int:
         """Returns how many connections may be accepted at the same moment."""
-        return max(1, int(ACCEPTED_SHARE * self._max_connections))
+        return max(1, int(ACCEPTED_SHARE * self.limits.max_connections))
 
     def has_capacity(self) -> bool:
         """Returns whether a connection may hold much more."""
