Close an evicted connection whose caller takes nothing

Callers saw: nothing; an evicted connection whose caller does not read kept its place among the connections of its port for ever. Cause: reading on after a refusal ends once its bytes are sent, and a connection is evicted only once. Change: an evicted connection is closed after the time to read on. What a connection used is given back also if its end raises an exception. Result: the new scenario failed before. Two others, that an evicted caller reads its refusal and that nothing is used after eight kinds of ends, held already.

--- a/src/hickorylead/runtime/client_connection.py
+++ b/src/hickorylead/runtime/client_connection.py
@@ -42,10 +42,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handles the end of the connection."""
-        super().connection_lost(exc)
-        if self._usage is not None:
-            self.flags.intake.close(self._usage)
-            self._usage = None
+        try:
+            super().connection_lost(exc)
+        finally:
+            if self._usage is not None:
+                self.flags.intake.close(self._usage)
+                self._usage = None
 
     def data_received(self, data: bytes) -> None:
         """Handles bytes from the client."""
@@ -121,6 +123,13 @@
                 self.abort(end.reason)
         return attempt_id
 
+    def _end_linger(self, unsent: int) -> None:
+        """Closes the connection; one that is evicted does not wait longer."""
+        if self._usage is not None and self._usage.is_evicted:
+            self.transport.abort()
+        else:
+            super()._end_linger(unsent)
+
     def _record(self, input_bytes: int = 0) -> None:
         usage = self._usage
         if usage is None or usage.is_evicted:
