--- a/review/cluster_2.py
+++ b/review/cluster_2.py
@@ -265,6 +265,7 @@
         ends = time.monotonic() + limit_s
         controls = self.list_controls()
         number = 0
+        pause_s = 0.2
         while time.monotonic() < ends:
             control = controls[number % len(controls)]
             number += 1
@@ -279,7 +280,8 @@
             )
             if status == 200:
                 return
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2.0, 1.5 * pause_s)
         raise CannotRun("the configuration was not acknowledged")
 
     async def is_ready(self, name: str) -> bool:
--- a/review/replica_2.py
+++ b/review/replica_2.py
@@ -193,7 +193,7 @@
         path = target.partition("?")[0]
         if path == "/order":
             status = self.take_order(json.loads(body))
-            respond(writer, status, b"{}")
+            respond(writer, status, b"{}", self.say_leaving())
             return True
         if path == "/report":
             told = {
@@ -207,13 +207,14 @@
                 "Handles": 0,
                 **self.describe(),
             }
-            respond(writer, 200, json.dumps(told).encode())
+            respond(writer, 200, json.dumps(told).encode(), self.say_leaving())
             return True
         if path == "/health":
             respond(writer, 200, b"", {"Instance-Id": self.name})
             return True
         attempt = headers.get("attempt-id", "")
         echo = {"Attempt-Id": attempt} if attempt else {}
+        echo |= self.say_leaving()
         expected = headers.get("expect-instance", self.name)
         is_closed = bool(self.settings.get("domain")) and not (
             self.group.get("State") == "open" and self.group.get("rank") == 0
@@ -272,7 +273,11 @@
             )
             self.seal += 1
             echo["Server-Seal"] = f"{self.name}.{self.seal}"
-            if self.settings.get("events"):
+            every = self.settings.get("error_every", 0)
+            if every and self.seal % every == 0:
+                respond(writer, 500, b"failed", echo)
+                await writer.drain()
+            elif self.settings.get("events"):
                 await self.stream(headers, echo, writer)
             else:
                 await asyncio.sleep(self.settings["work_s"])
@@ -303,6 +308,10 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
+    def say_leaving(self) -> dict:
+        """Returns the field of all answers of a replica that leaves."""
+        return {"Server-Leaving": "1"} if self.has_left else {}
+
     # Orders.
 
     def take_order(self, order: dict) -> int:
