--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -26,14 +26,12 @@
 )
 from hickorylead.fleet import (
     announcements,
-    descriptions,
     divergence,
     events,
     full_sync,
     gateways as gateways_module,
     held_document,
     identity as identity_module,
-    instances,
     messages,
     orders,
     peer_directory as peer_directory_module,
@@ -50,7 +48,7 @@
     permit_broker,
 )
 from hickorylead.relaying import messages as relay_messages, relay_broker
-from hickorylead.roles import interface, nodes
+from hickorylead.roles import interface, nodes, server_reports
 from hickorylead.turns import own_pauses
 
 if TYPE_CHECKING:
@@ -175,9 +173,13 @@
         )
         self._next_hello = now
         self._next_alive = now
-        self._alive_sequences: dict[str, int] = {}
-        # Changed servers to send to gateways with the next tick, by name.
-        self._unreported: dict[str, instances.Instance] = {}
+        self._reports = server_reports.ServerReports(
+            identity.node,
+            registry=self.registry,
+            peers=self.peers,
+            gateways=self.gateways,
+            supervisor=self._supervisor,
+        )
         self.voter_monitor = voter_monitor.VoterMonitor(now)
         self._save_schedule = save_schedule.SaveSchedule(
             self.registry, self.crashes, now
@@ -248,9 +250,9 @@
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
             case events.HeartbeatArrived(instance):
-                return self._handle_heartbeat(instance, now)
+                return [*self._reports.handle_heartbeat(instance, now)]
             case events.InstanceLeft(name, born):
-                return self._handle_departure(name, born, now)
+                return [*self._reports.handle_departure(name, born, now)]
             case events.ReplaceRequested(token, version, content):
                 return self._convert_effects(
                     self._configuration_requests.replace(
@@ -271,7 +273,7 @@
                 )
             case orders.OrderAnswered():
                 return [
-                    *self._record_load(event, now),
+                    *self._reports.record_load(event, now),
                     *self._supervisor.handle_response(event),
                 ]
             case orders.ReportArrived():
@@ -281,9 +283,9 @@
                     self._supervisor.record_pause(
                         name, born, now + retry_after_s
                     )
-                return (
-                    self._record_draining(name, born, now) if is_leaving else []
-                )
+                if not is_leaving:
+                    return []
+                return [*self._reports.record_draining(name, born, now)]
 
     # Periodic work.
 
@@ -331,8 +333,8 @@
         effects = self._sync_coordinators(now)
         effects += self._send_alive(now)
         effects += self._supervisor.probe_silent(now)
-        effects += self._mark_lost(now)
-        effects += self._update_gateways(now)
+        effects += self._reports.mark_lost(now)
+        effects += self._reports.update_gateways(now)
         effects += self._update_blocks(now)
         effects += self._send_all(self._permit_broker.tick(now))
         effects += self._send_pauses(now)
@@ -397,13 +399,7 @@
         self._next_alive = now + peer_directory_module.HELLO_PERIOD_S
         self.registry.prune(now, INSTANCE_RETENTION_S)
         self._pause_relay.prune(now)
-        if not self._alive_sequences:
-            return []
-        alive = announcements.make_alive(
-            self._identity.node, self._alive_sequences, self.registry
-        )
-        self._alive_sequences = {}
-        return [interface.Send(n, alive) for n in self.peers.list_alive(now)]
+        return [*self._reports.send_alive(now)]
 
     def _bootstrap_cluster(self, now: float) -> list[CoordinatorEffect]:
         """Bootstraps the configuration log at the cluster's first start."""
@@ -447,9 +443,9 @@
             case messages.InstanceNews(_, received, is_full):
                 if is_full and received:
                     self._supervisor.record_full_sync(now)
-                return self._merge_instances(received, now)
+                return [*self._reports.merge_updates(received, now)]
             case messages.Alive():
-                return self._handle_alive(message, now)
+                return [*self._reports.handle_alive(message, now)]
             case messages.GatewayHello():
                 return self._handle_gateway_hello(message, now)
             case crash_messages.CrashNews():
@@ -459,7 +455,7 @@
             case notice_messages.LeaveNews(_, leaves):
                 effects = []
                 for leave in leaves:
-                    effects += self._record_draining(
+                    effects += self._reports.record_draining(
                         leave.server, leave.born, now
                     )
                 return effects
@@ -533,22 +529,6 @@
             )
         )
 
-    def _handle_alive(
-        self, alive: messages.Alive, now: float
-    ) -> list[CoordinatorEffect]:
-        recovered = []
-        for name, sequence, since, born in zip(
-            alive.names, alive.sequences, alive.since, alive.born, strict=False
-        ):
-            if self.registry.touch(name, sequence, since, now, born=born):
-                recovered.append(self.registry.instances[name])
-            if self.registry.find_start_time(name) == born:
-                self._supervisor.clear_suspicion(name)
-        if not recovered:
-            return []
-        self._add_unreported(recovered)
-        return [*self._supervisor.plan_soon(now)]
-
     def _handle_hello(
         self, hello: messages.CoordinatorHello, now: float
     ) -> list[CoordinatorEffect]:
@@ -638,139 +618,6 @@
 
     # Backend servers.
 
-    def _handle_heartbeat(
-        self, instance: instances.Instance, now: float
-    ) -> list[CoordinatorEffect]:
-        known = self.registry.instances.get(instance.name)
-        if known is not None and instance.born < known.born:
-            # A delayed heartbeat of a previous incarnation does not show that
-            # the present incarnation is alive.
-            return []
-        self._supervisor.clear_suspicion(instance.name)
-        if not self.registry.merge(instance, now):
-            self._alive_sequences[instance.name] = instance.sequence
-            return []
-        return self._send_changes([instance], known, now)
-
-    def _record_load(
-        self, answered: orders.OrderAnswered, now: float
-    ) -> list[CoordinatorEffect]:
-        """Records and sends to all nodes that a server loads a model.
-
-        The server's heartbeats do not report the load. Without this record, a
-        planner that restarts or takes over from another planner would start
-        more loads than the model store serves at full speed.
-        """
-        known = self.registry.instances.get(answered.name)
-        if (
-            known is None
-            or answered.status != 202
-            or not isinstance(answered.order, orders.Stage)
-        ):
-            return []
-        update = attrs.evolve(known, loading=answered.order.model)
-        if not self.registry.merge(update, now):
-            return []
-        return self._send_changes([update], known, now)
-
-    def _handle_departure(
-        self, name: str, born: int, now: float
-    ) -> list[CoordinatorEffect]:
-        known = self.registry.instances.get(name)
-        if known is None or known.phase == instances.PHASE_GONE:
-            return []
-        if born and born < known.born:
-            # This is a delayed report that a previous incarnation ended.
-            return []
-        gone = attrs.evolve(known, phase=instances.PHASE_GONE)
-        self.registry.merge(gone, now)
-        return self._send_changes([gone], known, now)
-
-    def _record_draining(
-        self, name: str, born: int, now: float
-    ) -> list[CoordinatorEffect]:
-        """Records that a server reported in a response that it is leaving.
-
-        The server's heartbeats may not report this, or may not arrive here.
-        """
-        known = self.registry.instances.get(name)
-        if (
-            known is None
-            or known.phase != instances.PHASE_READY
-            or known.born != born
-        ):
-            return []
-        update = attrs.evolve(known, phase=instances.PHASE_DRAINING)
-        if not self.registry.merge(update, now):
-            return []
-        return self._send_changes([update], known, now)
-
-    def _send_changes(
-        self,
-        changed: list[instances.Instance],
-        known: instances.Instance | None,
-        now: float,
-    ) -> list[CoordinatorEffect]:
-        """Sends to all nodes the changes that this node was first to receive.
-
-        Other coordinators forward the changes to the gateways whose home
-        coordinator they are. Sending to those gateways from here as well would
-        double the updates that each gateway receives.
-        """
-        update = messages.InstanceNews(self._identity.node, tuple(changed))
-        effects: list[CoordinatorEffect] = [
-            interface.Send(node, update) for node in self.peers.list_alive(now)
-        ]
-        for instance in changed:
-            effects.append(descriptions.describe_change(instance, known))
-        self._add_unreported(changed)
-        if any(instances.is_urgent(i, known) for i in changed):
-            effects += self._update_gateways(now)
-        return effects + self._supervisor.plan_soon(now)
-
-    def _add_unreported(self, changed: Iterable[instances.Instance]) -> None:
-        """Queues servers for the next update of the gateways.
-
-        The update contains the registry's state of each server: a server that
-        joined and left a group between two ticks still has that group's model,
-        which its last heartbeat does not report.
-        """
-        for instance in changed:
-            known = self.registry.instances[instance.name]
-            self._unreported[known.name] = known
-
-    def _update_gateways(self, now: float) -> list[CoordinatorEffect]:
-        """Sends queued changes to the gateways with this home coordinator."""
-        if not self._unreported:
-            return []
-        update = messages.InstanceNews(
-            self._identity.node, tuple(self._unreported.values())
-        )
-        self._unreported = {}
-        return [
-            interface.Send(n, update)
-            for n in self.gateways.list_home_gateways(now)
-        ]
-
-    def _merge_instances(
-        self, received: Sequence[instances.Instance], now: float
-    ) -> list[CoordinatorEffect]:
-        before = {
-            item.name: self.registry.instances.get(item.name)
-            for item in received
-        }
-        changed = registry_module.merge_updates(self.registry, received, now)
-        if not changed:
-            return []
-        for instance in changed:
-            if not instance.silent:
-                self._supervisor.clear_suspicion(instance.name)
-        self._add_unreported(changed)
-        effects: list[CoordinatorEffect] = []
-        if any(instances.is_urgent(i, before[i.name]) for i in changed):
-            effects += self._update_gateways(now)
-        return effects + self._supervisor.plan_soon(now)
-
     def _forward_stalls(
         self, update: messages.StallNews, now: float
     ) -> list[CoordinatorEffect]:
@@ -784,14 +631,6 @@
         forwarded = messages.StallNews(self._identity.node, update.heads)
         return [interface.Send(node, forwarded) for node in targets]
 
-    def _mark_lost(self, now: float) -> list[CoordinatorEffect]:
-        effects: list[CoordinatorEffect] = []
-        for instance in self._supervisor.list_newly_lost(now):
-            silent = attrs.evolve(instance, silent=True)
-            if self.registry.merge(silent, now):
-                effects += self._send_changes([silent], instance, now)
-        return effects
-
     # The configuration.
 
     def _convert_effects(
