Refuse reports with missing fields or numbers out of range

Change: one function checks counts (0 to 2^63-1) in reports; required fields, ports and ids are checked; a deregistration is decoded strictly. A response with status 421 no longer marks its server as leaving: another server sent it. The heartbeats that tests send are complete now.

--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -91,7 +91,9 @@
         self, request: starlette_requests.Request
     ) -> responses.Response:
         body = await _read_body(request, MAX_HEARTBEAT_BYTES)
-        match servers.decode_start_time(body or b""):
+        if body is None:
+            return _refuse(413, "the body is too large")
+        match servers.decode_start_time(body):
             case result.Success(born):
                 self._process.deregister(request.path_params["name"], born)
                 return _respond({})
--- a/src/hickorylead/platform/headers.py
+++ b/src/hickorylead/platform/headers.py
@@ -155,6 +155,7 @@
             is_signed=_SIGNATURE in fields,
             # Status 421 means that another server has the address now, or that
             # this server is not the head of its group.
+            # In both cases, the other headers may describe another server.
             not_run=_NOT_RUN in fields or status == 421,
             has_content_encoding=encoding not in (b"", b"identity"),
             load=_decode_header(_decode_load, fields, _LOAD, malformed),
@@ -166,7 +167,8 @@
             )
             if status in _PAUSE_STATUSES
             else None,
-            is_leaving=fields.get(_LEAVING, b"0") not in (b"", b"0"),
+            is_leaving=status != 421
+            and fields.get(_LEAVING, b"0") not in (b"", b"0"),
             malformed_headers=tuple(malformed),
             # Status 421 names the server that has the address now; that server
             # is not at fault.
--- a/src/hickorylead/platform/servers.py
+++ b/src/hickorylead/platform/servers.py
@@ -19,6 +19,7 @@
     "draining": instances.PHASE_DRAINING,
 }
 
+MAX_PORT = 65535
 
 _GROUP_STATES = frozenset(
     (
@@ -46,22 +47,25 @@
     """
     try:
         fields = values.expect_object(orjson.loads(body))
+        # The product does not use these fields.
+        values.expect_string(fields["Version"])
+        values.expect_number(fields["ColdLeftMs"])
         return result.Success(
             instances.Instance(
-                name=name,
+                name=_check_name(name),
                 service=values.expect_string(fields["Service"]),
                 address=_decode_address(fields["Address"]),
                 zone=values.expect_string(fields["Zone"]),
                 domain=values.expect_string(fields.get("Domain") or ""),
-                slots=max(1, values.expect_integer(fields.get("Slots", 1))),
+                slots=max(1, values.expect_count(fields["Slots"])),
                 phase=_PHASES[values.expect_string(fields["State"])],
                 # `Sequence` counts heartbeats in a heartbeat, and orders in a
                 # report.
-                sequence=values.expect_integer(fields["Sequence"]),
+                sequence=values.expect_count(fields["Sequence"]),
                 models=_decode_names(fields.get("Models")),
                 staged=_decode_names(fields.get("Staged")),
                 member=_decode_member(fields.get("group")),
-                born=values.expect_integer(fields.get("born", 0)),
+                born=values.expect_count(fields.get("born", 0)),
             )
         )
     except KeyError as error:
@@ -75,18 +79,32 @@
     if not body.strip():
         return result.Success(0)
     try:
-        fields = orjson.loads(body)
-        if not isinstance(fields, dict):
-            return result.Success(0)
-        return result.Success(values.expect_integer(fields.get("born", 0)))
-    except (orjson.JSONDecodeError, TypeError) as error:
+        fields = values.expect_object(orjson.loads(body))
+        return result.Success(values.expect_count(fields.get("born", 0)))
+    except (orjson.JSONDecodeError, ValueError, TypeError) as error:
         return result.Failure(f"cannot be decoded: {error}")
 
 
+def _check_name(name: str) -> str:
+    """Returns the name if it can be sent in a header.
+
+    Raises:
+        ValueError: It cannot.
+    """
+    if not name.isascii() or not name.isprintable() or " " in name:
+        raise ValueError(f"{name!r:.40} is not an id")
+    return name
+
+
 def _decode_address(value: Any) -> str:
     address = values.expect_string(value)
     ip, colon, port = address.rpartition(":")
-    if not colon or not ip or not port.isdigit():
+    if (
+        not colon
+        or not ip
+        or not port.isdecimal()
+        or not 0 < int(port) <= MAX_PORT
+    ):
         raise ValueError(f"{address!r:.40} is not ip:port")
     return address
 
@@ -115,8 +133,8 @@
         raise ValueError(f"{state!r:.40} is not a state of a group")
     return instances.Membership(
         group=values.expect_string(fields["Name"]),
-        epoch=values.expect_integer(fields["epoch"]),
-        rank=values.expect_integer(fields["rank"]),
+        epoch=values.expect_count(fields["epoch"]),
+        rank=values.expect_count(fields["rank"]),
         state=state,
     )
 
@@ -152,8 +170,8 @@
             return server_codec.ServerReport(
                 # In a report, `Sequence` is the number of accepted orders; in a
                 # heartbeat, it is the number of heartbeats.
-                accepted=values.expect_integer(fields["Sequence"]),
-                born=values.expect_integer(fields.get("born", 0)),
+                accepted=values.expect_count(fields["Sequence"]),
+                born=values.expect_count(fields.get("born", 0)),
                 member=_decode_member(fields.get("group")),
             )
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
--- a/src/hickorylead/platform/values.py
+++ b/src/hickorylead/platform/values.py
@@ -4,6 +4,9 @@
 
 from typing import Any
 
+# Largest integer in messages between nodes.
+MAX_INTEGER = 2**63 - 1
+
 
 def expect_object(value: Any) -> dict[str, Any]:
     """Returns the value if it is a JSON object.
@@ -38,6 +41,18 @@
     return value
 
 
+def expect_count(value: Any) -> int:
+    """Returns the value if it is an integer from 0 that nodes can send.
+
+    Raises:
+        TypeError: It is of another type.
+        ValueError: It is out of range.
+    """
+    if not 0 <= expect_integer(value) <= MAX_INTEGER:
+        raise ValueError(f"{value} is out of range")
+    return value
+
+
 def expect_number(value: Any) -> float:
     """Returns the value if it is an integer or another finite number.
 
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -88,6 +88,30 @@
       | a number as models     | is not a list     |
       | an unknown group state | not a state of a  |
       | a string as epoch      | is not an integer |
+      | no slots               | Slots             |
+      | no version             | Version           |
+      | a number as version    | is not a string   |
+      | no cold time           | ColdLeftMs        |
+      | a string as cold time  | is not a number   |
+      | slots below 0          | out of range      |
+      | slots of 64 bits       | out of range      |
+      | a sequence of 64 bits  | out of range      |
+      | an epoch of 64 bits    | out of range      |
+      | a rank of 64 bits      | out of range      |
+      | a start of 64 bits     | out of range      |
+      | port 0                 | is not ip:port    |
+      | port 65536             | is not ip:port    |
+      | an id of two lines     | is not an id      |
+
+  Scenario Outline: An invalid deregistration ends no server
+    Then decoding a deregistration with <body> fails with "<reason>"
+
+    Examples:
+      | body                | reason            |
+      | a list              | is not an object  |
+      | its end cut off     | cannot be decoded |
+      | a string as born    | is not an integer |
+      | a start of 64 bits  | out of range      |
 
   Scenario: A server's incarnation is decoded from each of its messages
     Given a server that started at 1784102400123
@@ -172,6 +196,7 @@
       | 503    | 1    | leaving     |
       | 500    | 1    | leaving     |
       | 200    | 0    | not leaving |
+      | 421    | 1    | not leaving |
 
   Scenario Outline: The server at fault is decoded from responses with status 503 only
     Status 421 names the server that has the address now, which is not at fault.
--- a/tests/steps/platform_fault_steps.py
+++ b/tests/steps/platform_fault_steps.py
@@ -50,7 +50,10 @@
             "Service": "models",
             "Address": server._address,
             "Zone": "z1",
+            "Version": "v1",
+            "Slots": 6,
             "State": "ready",
+            "ColdLeftMs": 0,
             "Sequence": 10_000,
         },
     )
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -21,6 +21,8 @@
 from hickorylead.platform import documents, headers, servers, settings
 from hickorylead.runtime import upstream
 
+# The smallest number that needs 64 bits without a sign.
+LARGE = 2**63
 GOLDEN = pathlib.Path(__file__).resolve().parent.parent / "golden/platform"
 
 
@@ -270,11 +272,42 @@
         "Service": "s",
         "Address": "127.0.0.1:80",
         "Zone": "z1",
+        "Version": "v1",
         "Slots": 2,
         "State": "ready",
+        "ColdLeftMs": 0,
         "Sequence": 3,
     }
+    context.server = "i-1"
     match change:
+        case "no slots":
+            del body["Slots"]
+        case "no version":
+            del body["Version"]
+        case "a number as version":
+            body["Version"] = 1
+        case "no cold time":
+            del body["ColdLeftMs"]
+        case "a string as cold time":
+            body["ColdLeftMs"] = "long"
+        case "slots below 0":
+            body["Slots"] = -1
+        case "slots of 64 bits":
+            body["Slots"] = LARGE
+        case "a sequence of 64 bits":
+            body["Sequence"] = LARGE
+        case "an epoch of 64 bits":
+            body["group"] = make_platform_group(epoch=LARGE)
+        case "a rank of 64 bits":
+            body["group"] = make_platform_group(rank=LARGE)
+        case "a start of 64 bits":
+            body["born"] = LARGE
+        case "port 0":
+            body["Address"] = "127.0.0.1:0"
+        case "port 65536":
+            body["Address"] = "127.0.0.1:65536"
+        case "an id of two lines":
+            context.server = "i-1\r\nx: y"
         case "no address":
             del body["Address"]
         case "a malformed address":
@@ -316,7 +349,10 @@
         "Service": "s",
         "Address": "127.0.0.1:80",
         "Zone": "z1",
+        "Version": "v1",
+        "Slots": 2,
         "State": "ready",
+        "ColdLeftMs": 0,
         "Sequence": 3,
         "born": context.born,
     }
@@ -336,7 +372,22 @@
 
 @then('decoding the heartbeat fails with "{reason}"')
 def _(context, reason):
-    match servers.decode_heartbeat("i-1", context.body):
+    match servers.decode_heartbeat(context.server, context.body):
+        case result.Failure(problem):
+            assert reason in problem, problem
+        case actual:
+            raise AssertionError(actual)
+
+
+@then('decoding a deregistration with {change} fails with "{reason}"')
+def _(_, change, reason):
+    body = {
+        "a list": b"[]",
+        "its end cut off": b'{"born":',
+        "a string as born": b'{"born": "yesterday"}',
+        "a start of 64 bits": b'{"born": %d}' % LARGE,
+    }[change]
+    match servers.decode_start_time(body):
         case result.Failure(problem):
             assert reason in problem, problem
         case actual:
