Let no report of another server end a server that runs

Cause: each report ended the other servers at its address whose heartbeat number was not lower, at each node, for good; a late first report of a crashed server did the same to the one at its address. Metric servers_unassigned, log line server_unassigned.

--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from hickorylead.fleet import instances
+from hickorylead.fleet import address_index, instances
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,6 +45,7 @@
         # When each server was restored from disk, for servers that have sent no
         # heartbeat since.
         self._restored: dict[str, float] = {}
+        self._addresses = address_index.AddressIndex()
         # Number of changes, so that users can detect a change cheaply.
         self.change_count = 0
         self._hashes: dict[str, int] = {}
@@ -94,8 +95,8 @@
             self.changed_sequences[update.name] = update.sequence
         self.instances[update.name] = update
         if changed:
+            self._addresses.record(update, known)
             self._record_change(update, now)
-            self._end_superseded(update, now)
         return changed
 
     def touch(
@@ -222,6 +223,49 @@
             > timeout_s
         ]
 
+    def list_superseded(
+        self, quiet_s: float, pauses: own_pauses.OwnPauses, now: float
+    ) -> list[instances.Instance]:
+        """Returns the servers that have ended and whose address is in use.
+
+        The end of an incarnation is final, so it takes more than a report of
+        another server with the same address: that report may be a late one.
+        Of two servers, the one that started earlier has ended, or the one that
+        sends no heartbeats while the other one does.
+
+        Args:
+            quiet_s: Time without a heartbeat that shows the end of a server, in
+                seconds. A server that runs is never quiet for so long.
+            pauses: Times at which this node did not handle heartbeats.
+            now: Present time.
+        """
+
+        def is_quiet(other: instances.Instance) -> bool:
+            if other.silent:
+                return not self.awaits_first_heartbeat(
+                    other.name, now, pauses=pauses
+                )
+            heard_at = self.last_update_at.get(other.name, now)
+            return pauses.measure_silence(heard_at, now) > quiet_s
+
+        superseded = []
+        for names in self._addresses.list_shared():
+            found = [self.instances[name] for name in names]
+            running = [i for i in found if not is_quiet(i)]
+            superseded += [
+                instance
+                for instance in found
+                if any(
+                    user.name != instance.name
+                    and not user.silent
+                    and (
+                        instance not in running or 0 < instance.born < user.born
+                    )
+                    for user in running
+                )
+            ]
+        return superseded
+
     def list_stale(self, timeout_s: float, now: float) -> frozenset[str]:
         """Returns the names of servers without updates for `timeout_s`."""
         return frozenset(
@@ -241,7 +285,7 @@
             ) or (instance.silent and age_s > timeout_s)
             if is_old:
                 dropped.append(name)
-                del self.instances[name]
+                self._addresses.remove(self.instances.pop(name))
                 self.last_update_at.pop(name, None)
                 self.changed_sequences.pop(name, None)
                 self._restored.pop(name, None)
@@ -250,36 +294,6 @@
                 self.change_count += 1
         return dropped
 
-    def _end_superseded(self, update: instances.Instance, now: float) -> None:
-        """Marks servers as gone whose address is used by a newer server.
-
-        An address may be reused by another service once its server is gone;
-        requests for the old server must not reach the new one.
-        """
-        if update.phase == instances.PHASE_GONE or update.silent:
-            return
-        for other in list(self.instances.values()):
-            if (
-                other.address == update.address
-                and other.name != update.name
-                and other.phase != instances.PHASE_GONE
-                and (other.silent or self._is_older(other, update))
-            ):
-                gone = attrs.evolve(other, phase=instances.PHASE_GONE)
-                self.instances[other.name] = gone
-                self.last_update_at[other.name] = now
-                self._record_change(gone, now)
-
-    def _is_older(
-        self, other: instances.Instance, update: instances.Instance
-    ) -> bool:
-        if other.born and update.born:
-            return other.born < update.born
-        # A new incarnation numbers its heartbeats from the start. A delayed
-        # heartbeat of an older incarnation has a number that is no lower than
-        # those of the incarnation that now uses its address.
-        return update.sequence <= other.sequence
-
     def _record_change(self, instance: instances.Instance, now: float) -> None:
         self.change_count += 1
         self._previous_digests.append((now, self._digest))
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -173,12 +173,14 @@
         )
         self._next_hello = now
         self._next_alive = now
-        self._reports = server_reports.ServerReports(
+        self.reports = server_reports.ServerReports(
             identity.node,
             registry=self.registry,
             peers=self.peers,
             gateways=self.gateways,
             supervisor=self._supervisor,
+            pauses=self._ordinary_pauses,
+            heartbeat_s=identity.heartbeat_s,
         )
         self.voter_monitor = voter_monitor.VoterMonitor(now)
         self._save_schedule = save_schedule.SaveSchedule(
@@ -250,9 +252,9 @@
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
             case events.HeartbeatArrived(instance):
-                return [*self._reports.handle_heartbeat(instance, now)]
+                return [*self.reports.handle_heartbeat(instance, now)]
             case events.InstanceLeft(name, born):
-                return [*self._reports.handle_departure(name, born, now)]
+                return [*self.reports.handle_departure(name, born, now)]
             case events.ReplaceRequested(token, version, content):
                 return self._convert_effects(
                     self._configuration_requests.replace(
@@ -273,7 +275,7 @@
                 )
             case orders.OrderAnswered():
                 return [
-                    *self._reports.record_load(event, now),
+                    *self.reports.record_load(event, now),
                     *self._supervisor.handle_response(event),
                 ]
             case orders.ReportArrived():
@@ -285,7 +287,7 @@
                     )
                 if not is_leaving:
                     return []
-                return [*self._reports.record_draining(name, born, now)]
+                return [*self.reports.record_draining(name, born, now)]
 
     # Periodic work.
 
@@ -333,8 +335,10 @@
         effects = self._sync_coordinators(now)
         effects += self._send_alive(now)
         effects += self._supervisor.probe_silent(now)
-        effects += self._reports.mark_lost(now)
-        effects += self._reports.update_gateways(now)
+        effects += self.reports.admit_named(now)
+        effects += self.reports.mark_lost(now)
+        effects += self.reports.end_superseded(now)
+        effects += self.reports.update_gateways(now)
         effects += self._update_blocks(now)
         effects += self._send_all(self._permit_broker.tick(now))
         effects += self._send_pauses(now)
@@ -399,7 +403,7 @@
         self._next_alive = now + peer_directory_module.HELLO_PERIOD_S
         self.registry.prune(now, INSTANCE_RETENTION_S)
         self._pause_relay.prune(now)
-        return [*self._reports.send_alive(now)]
+        return [*self.reports.send_alive(now)]
 
     def _bootstrap_cluster(self, now: float) -> list[CoordinatorEffect]:
         """Bootstraps the configuration log at the cluster's first start."""
@@ -443,9 +447,9 @@
             case messages.InstanceNews(_, received, is_full):
                 if is_full and received:
                     self._supervisor.record_full_sync(now)
-                return [*self._reports.merge_updates(received, now)]
+                return [*self.reports.merge_updates(received, now)]
             case messages.Alive():
-                return [*self._reports.handle_alive(message, now)]
+                return [*self.reports.handle_alive(message, now)]
             case messages.GatewayHello():
                 return self._handle_gateway_hello(message, now)
             case crash_messages.CrashNews():
@@ -455,7 +459,7 @@
             case notice_messages.LeaveNews(_, leaves):
                 effects = []
                 for leave in leaves:
-                    effects += self._reports.record_draining(
+                    effects += self.reports.record_draining(
                         leave.server, leave.born, now
                     )
                 return effects
@@ -695,13 +699,19 @@
                     "configuration_unreadable", level="error", why=problem
                 )
             ]
-        return [*self._supervisor.plan_soon(now)]
+        return [
+            *self.reports.admit_named(now),
+            *self._supervisor.plan_soon(now),
+        ]
 
     def _decode_document(self) -> str:
         """Decodes what is held; returns why it could not be decoded."""
         problem = self._held.decode()
         if self.document is not None:
             self._supervisor.services = self.document.services
+            self.reports.services = frozenset(
+                service.name for service in self.document.services
+            )
         return problem
 
     def _send_all(
--- a/src/hickorylead/roles/server_reports.py
+++ b/src/hickorylead/roles/server_reports.py
@@ -19,6 +19,8 @@
     messages,
     orders,
     registry as registry_module,
+    supervisor as supervisor_module,
+    unassigned as unassigned_module,
 )
 from hickorylead.roles import interface
 
@@ -28,8 +30,8 @@
     from hickorylead.fleet import (
         gateways as gateways_module,
         peer_directory as peer_directory_module,
-        supervisor as supervisor_module,
     )
+    from hickorylead.turns import own_pauses
 
 Effect: TypeAlias = (
     interface.Send | orders.SendOrder | orders.RequestReport | notes.Note
@@ -47,6 +49,8 @@
         peers: peer_directory_module.PeerDirectory,
         gateways: gateways_module.Gateways,
         supervisor: supervisor_module.Supervisor,
+        pauses: own_pauses.OwnPauses,
+        heartbeat_s: float,
     ) -> None:
         """Initializes the state without pending reports.
 
@@ -56,12 +60,19 @@
             peers: Coordinators known to it.
             gateways: Gateways known to it.
             supervisor: Detects failures and plans.
+            pauses: Times at which the coordinator did not handle heartbeats.
+            heartbeat_s: Heartbeat period, in seconds.
         """
         self._node = node
         self._registry = registry
         self._peers = peers
         self._gateways = gateways
         self._supervisor = supervisor
+        self._pauses = pauses
+        self._quiet_s = supervisor_module.STALE_PERIODS * heartbeat_s
+        self.unassigned = unassigned_module.UnassignedServers(heartbeat_s)
+        # Names of the services that the configuration in force has.
+        self.services: frozenset[str] = frozenset()
         # Numbers of heartbeats without a change, for the next `Alive`.
         self._heartbeats: dict[str, int] = {}
         # Changed servers to send to gateways with the next tick, by name.
@@ -95,8 +106,15 @@
     def handle_heartbeat(
         self, instance: instances.Instance, now: float
     ) -> list[Effect]:
-        """Records a heartbeat that a server sent to this coordinator."""
+        """Records a heartbeat that a server sent to this coordinator.
+
+        Coordinators alone decide whether a report is valid: what they send to
+        other nodes, or save, is not checked again.
+        """
         known = self._registry.instances.get(instance.name)
+        if not self._is_assigned(instance, known):
+            return self._retain(instance, now)
+        self.unassigned.remove(instance.name)
         if known is not None and instance.born < known.born:
             # A delayed heartbeat of a previous incarnation does not show that
             # the present incarnation is alive.
@@ -107,6 +125,52 @@
             return []
         return self._send_changes([instance], known, now)
 
+    def admit_named(self, now: float) -> list[Effect]:
+        """Admits servers whose service a new configuration names."""
+        effects: list[Effect] = []
+        if self.unassigned:
+            for instance in self.unassigned.take_named(self.services, now):
+                effects += self.handle_heartbeat(instance, now)
+        return effects
+
+    def end_superseded(self, now: float) -> list[Effect]:
+        """Ends the servers whose address another server uses now.
+
+        An address may be reused by another service once its server is gone;
+        requests for the old server must not reach the new one.
+        """
+        effects: list[Effect] = []
+        for instance in self._registry.list_superseded(
+            self._quiet_s, self._pauses, now
+        ):
+            effects += self.handle_departure(instance.name, instance.born, now)
+        return effects
+
+    def _is_assigned(
+        self,
+        instance: instances.Instance,
+        known: instances.Instance | None,
+    ) -> bool:
+        """Returns whether a configuration names a server's service, or did."""
+        return instance.service in self.services or (
+            known is not None
+            and known.phase != instances.PHASE_GONE
+            and (known.born, known.service) == (instance.born, instance.service)
+        )
+
+    def _retain(self, instance: instances.Instance, now: float) -> list[Effect]:
+        if not self.unassigned.add(instance, now):
+            return []
+        return [
+            notes.note(
+                "server_unassigned",
+                level="warning",
+                server=instance.name,
+                service=instance.service,
+                address=instance.address,
+            )
+        ]
+
     def record_load(
         self, answered: orders.OrderAnswered, now: float
     ) -> list[Effect]:
@@ -132,13 +196,19 @@
         self, name: str, born: int, now: float
     ) -> list[Effect]:
         """Records that a server reported the end of its incarnation."""
+        self.unassigned.remove(name)
         known = self._registry.instances.get(name)
-        if known is None or known.phase == instances.PHASE_GONE:
+        if known is None:
             return []
         if born and born < known.born:
             # This is a delayed report that a previous incarnation ended.
             return []
-        gone = attrs.evolve(known, phase=instances.PHASE_GONE)
+        if known.phase == instances.PHASE_GONE and born <= known.born:
+            return []
+        # The first heartbeat of a newer incarnation may still arrive.
+        gone = attrs.evolve(
+            known, phase=instances.PHASE_GONE, born=max(born, known.born)
+        )
         self._registry.merge(gone, now)
         return self._send_changes([gone], known, now)
 
--- a/src/hickorylead/runtime/coordinator_gauges.py
+++ b/src/hickorylead/runtime/coordinator_gauges.py
@@ -22,6 +22,7 @@
         "seconds_without_leader": role.voter_monitor.measure_leaderless(now),
         "instances": len(present),
         "instances_silent": sum(i.silent for i in present),
+        "servers_unassigned": len(role.reports.unassigned),
         "groups_open": len(serving),
         "blocked_contents": role.crashes.count_blocked(),
         "standbys": len(free),
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -115,19 +115,31 @@
 
 def encode_content(found: document.Document) -> bytes:
     """Returns content for `decode_content`, in a format of the tests only."""
-    names = json.dumps([w.keys for w in found.workspaces])
-    return document.compress_content(f"{found.version} {names}".encode())
+    fields = {
+        "keys": [w.keys for w in found.workspaces],
+        "plain": [s.name for s in found.services if s.engine is None],
+    }
+    return document.compress_content(
+        f"{found.version} {json.dumps(fields)}".encode()
+    )
 
 
 def decode_content(packed: bytes) -> result.Result[document.Document, str]:
     """Returns the configuration that `encode_content` has encoded."""
-    version, _, names = (
+    version, _, fields = (
         document.decompress_content(packed).decode().partition(" ")
     )
+    decoded = json.loads(fields)
     workspaces = tuple(
-        document.Workspace("crew", tuple(keys), 1) for keys in json.loads(names)
+        document.Workspace("crew", tuple(keys), 1) for keys in decoded["keys"]
+    )
+    services = (
+        document.Service("model", engine=ENGINE),
+        *(document.Service(name) for name in decoded["plain"]),
+    )
+    return result.Success(
+        make_document(int(version), workspaces=workspaces, services=services)
     )
-    return result.Success(make_document(int(version), workspaces=workspaces))
 
 
 @attrs.define
