Admit the servers of a new configuration together

Cause: servers whose service a new configuration names were admitted one by one, and a planning round followed the first. Change: they are merged at once, with one update and one planning round.

--- a/src/hickorylead/roles/server_reports.py
+++ b/src/hickorylead/roles/server_reports.py
@@ -126,12 +126,16 @@
         return self._send_changes([instance], known, now)
 
     def admit_named(self, now: float) -> list[Effect]:
-        """Admits servers whose service a new configuration names."""
-        effects: list[Effect] = []
-        if self.unassigned:
-            for instance in self.unassigned.take_named(self.services, now):
-                effects += self.handle_heartbeat(instance, now)
-        return effects
+        """Admits servers whose service a new configuration names.
+
+        All are admitted before the next planning round, which would otherwise
+        form groups of those that came first.
+        """
+        if not self.unassigned:
+            return []
+        named = self.unassigned.take_named(self.services, now)
+        admitted = [i for i in named if self._registry.merge(i, now)]
+        return self._send_changes(admitted, None, now) if admitted else []
 
     def end_superseded(self, now: float) -> list[Effect]:
         """Ends the servers whose address another server uses now.
--- a/tests/steps/fleet_steps.py
+++ b/tests/steps/fleet_steps.py
@@ -889,7 +889,9 @@
                 self.transferred_bytes[node] += size
         if isinstance(message, messages.InstanceNews):
             for item in message.news:
-                self.update_counts[target, item] += 1
+                self.update_counts[
+                    target, item.name, item.sequence, item.silent
+                ] += 1
 
 
 @when("10 seconds pass and a member is lost in each of the last 5")
--- a/tests/steps/load_steps.py
+++ b/tests/steps/load_steps.py
@@ -12,7 +12,6 @@
     instances,
     loads,
     orders,
-    peer_directory,
     planner,
 )
 
@@ -402,8 +401,6 @@
     simulation = context.simulation
     for role in simulation.coordinators.values():
         assert role.registry.instances["i1"].loading == "large"
-    # The coordinator that has restarted knows the others from their hellos.
-    simulation.run(peer_directory.HELLO_PERIOD_S)
     reported = attrs.evolve(context.server, sequence=9, staged=("large",))
     simulation.apply(
         simulation.coordinator_names[0], events.HeartbeatArrived(reported)
