Let no request stop the ticks of its gateway

Cause: four fields of a pending request could contradict each other. A request whose silent attempt was lost after its successor had been refused waited, and still sought a successor of an attempt; each tick failed there, and lost what it had decided for other requests. Change: the phase is one value, Waiting or Running with the attempt, those held beside it and whether a successor is sought. A request that cannot be handled ends, with a log line; the steps of a tick, the effects of an event and the messages of a connection no longer depend on each other. Records of the voter are still on disk before what follows is carried out. The forwarder's decisions about requests without an attempt are in a module of their own.

--- a/src/hickorylead/forwarding/attempts.py
+++ b/src/hickorylead/forwarding/attempts.py
@@ -106,8 +106,6 @@
         pending.attempt_count += 1
         if pending.first_sent_at is None:
             pending.first_sent_at = now
-        pending.phase = "running"
-        pending.was_sent = True
         attempt = state.Attempt(
             pending.attempt_count,
             replica,
@@ -123,7 +121,7 @@
             chosen.relay.requests += 1
         if request.is_stream:
             attempt.splitter = stream.EventSplitter(pending.last_event_id)
-        pending.attempt = pending.last_attempt = attempt
+        pending.add_attempt(attempt)
         stats = self._health.get(replica)
         attempt.choice = state.Choice(
             chosen.candidates,
@@ -158,11 +156,13 @@
         return effects
 
     def suspect(
-        self, pending: state.PendingRequest, reason: str, now: float
+        self,
+        pending: state.PendingRequest,
+        attempt: state.Attempt,
+        reason: str,
+        now: float,
     ) -> list[events.Effect]:
-        """Records that the current attempt is silent for too long."""
-        attempt = pending.attempt
-        assert attempt is not None
+        """Records that an attempt is silent for too long."""
         if attempt.suspicion:
             return []
         attempt.suspicion = reason
@@ -174,24 +174,10 @@
         pending.has_lost_connection = True
         return [descriptions.describe_suspicion(pending, attempt, now)]
 
-    def hold(self, pending: state.PendingRequest) -> None:
-        """Keeps the current attempt while another one is started."""
-        if pending.attempt is not None:
-            pending.held.append(pending.attempt)
-            pending.attempt = None
-
-    def restore(self, pending: state.PendingRequest) -> bool:
-        """Makes the latest held attempt the current one; returns if any."""
-        if pending.attempt is None and pending.held:
-            pending.attempt = pending.held.pop()
-            pending.phase = "running"
-        return pending.attempt is not None
-
     def select(
         self, pending: state.PendingRequest, attempt: state.Attempt, now: float
     ) -> list[events.Effect]:
         """Goes on with an attempt that has output, and cancels the others."""
-        pending.needs_successor = False
         if attempt.suspicion:
             attempt.suspicion = ""
             self._health.record_success(attempt.replica)
@@ -199,6 +185,7 @@
             self._run_guard.start_run(pending, attempt, now)
         others = [o for o in pending.live_attempts if o is not attempt]
         if not others:
+            pending.select_attempt(attempt)
             return []
         effects: list[events.Effect] = []
         for other in others:
@@ -216,9 +203,7 @@
                 )
             )
             pending.failures.append(reason)
-        pending.attempt = pending.last_attempt = attempt
-        pending.held.clear()
-        pending.phase = "running"
+        pending.select_attempt(attempt)
         return effects
 
     def fail(
@@ -302,10 +287,7 @@
         stats.own_requests -= 1
         if not attempt.has_output:
             stats.prefill_tokens -= pending.request.metadata.prompt_tokens
-        if pending.attempt is attempt:
-            pending.attempt = None
-        else:
-            pending.held.remove(attempt)
+        pending.remove_attempt(attempt)
 
     def _end(
         self,
--- a/src/hickorylead/forwarding/endings.py
+++ b/src/hickorylead/forwarding/endings.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hickorylead import isolation, verdict as verdict_module
 from hickorylead.forwarding import descriptions, events, refusals
 
 if TYPE_CHECKING:
@@ -15,6 +16,9 @@
         state,
     )
 
+# Reason code of a request that could not be handled because of a fault here.
+FAILED_REASON = "internal_error"
+
 
 class Endings:
     """Ends requests, each with one final effect and one log line."""
@@ -54,6 +58,25 @@
             pending, refusals.refuse_after_failure(pending, reason), now
         )
 
+    def end_failed(
+        self, pending: state.PendingRequest, error: Exception, now: float
+    ) -> list[events.Effect]:
+        """Ends a request that could not be handled, with a log line."""
+        request_id = pending.request.request_id
+        failure = isolation.describe_failure(
+            "request", error, request_id=request_id
+        )
+        if self._pending.get(request_id) is not pending:
+            # It has its final effect already.
+            return [failure]
+        if pending.was_sent:
+            pending.verdict = verdict_module.Verdict.MAY_HAVE_RUN
+        return [
+            failure,
+            *self._attempts.cancel_all(pending, now),
+            *self.fail(pending, FAILED_REASON, now),
+        ]
+
     def expire(
         self, pending: state.PendingRequest, now: float
     ) -> list[events.Effect]:
--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
-from hickorylead import verdict as verdict_module
+from hickorylead import isolation, verdict as verdict_module
 from hickorylead.crashes import crash_guard as crash_guard_module
 from hickorylead.draining import admission as admission_module
 from hickorylead.forwarding import (
@@ -21,8 +22,8 @@
     events,
     model,
     ranks,
-    refusals,
     request_mover,
+    request_sender,
     response_handler,
     response_heads,
     run_guard,
@@ -34,6 +35,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import health as health_module
     from hickorylead.notices import notice_store as notice_store_module
@@ -42,14 +45,6 @@
 
 Verdict = verdict_module.Verdict
 
-# Number of retries that the budget must cover before a request may be sent as a
-# probe to a server whose pause has ended and that may refuse it: one retry for
-# this request, and one for another request that needs it.
-PROBE_RETRIES = 2
-# Retry time for a request that is suspected to end servers, in seconds. After
-# this time, the current run of the request has sent its first event or has
-# ended its server.
-SUSPECTED_RETRY_AFTER_S = 1.0
 # Maximum time between two checks of the pending requests, in seconds. A replica
 # may count as stalled earlier than expected, because of reports by other
 # gateways.
@@ -119,6 +114,16 @@
             arrivals=self._arrivals,
             selector=self._selector,
         )
+        self._sender = request_sender.RequestSender(
+            attempts=self._attempts,
+            endings=self._endings,
+            selector=self._selector,
+            run_guard=self._run_guard,
+            permits=permits,
+            relays=relays,
+            retries=limits.retries,
+            admission=self._admission,
+        )
         self._responses = response_handler.ResponseHandler(
             attempts=self._attempts,
             heads=self._heads,
@@ -159,7 +164,28 @@
         return len(self._pending)
 
     def handle(self, event: events.Event, now: float) -> list[events.Effect]:
-        """Handles one event."""
+        """Handles one event.
+
+        A request whose event cannot be handled ends with a log line.
+        """
+        try:
+            return self._handle(event, now)
+        except Exception as error:
+            pending = self._find_pending(event)
+            if pending is None:
+                raise
+            return self._endings.end_failed(pending, error, now)
+
+    def _find_pending(self, event: events.Event) -> state.PendingRequest | None:
+        match event:
+            case events.ServerProbed() | events.RequestOpened():
+                return None
+            case events.RequestArrived(request):
+                return self._pending.get(request.request_id)
+            case _:
+                return self._pending.get(event.request_id)
+
+    def _handle(self, event: events.Event, now: float) -> list[events.Effect]:
         match event:
             case events.ChunkArrived():
                 return self._responses.handle_chunk(event, now)
@@ -208,16 +234,52 @@
             late_s: How much later than planned this is called, in seconds. All
                 input of the process up to the planned time has been handled.
         """
-        effects = [*self._connections.tick(now), *self._arrivals.check(now)]
+        return isolation.collect_effects(
+            {
+                "check of connections": lambda: self._connections.tick(now),
+                "check of arrivals": lambda: self._arrivals.check(now),
+                "check of requests": lambda: self._check_pending(late_s, now),
+                "dispatch": lambda: self.dispatch_waiting(now),
+                "check of stalls": lambda: self.mover.check_stalls(late_s, now),
+            }
+        )
+
+    def _check_pending(self, late_s: float, now: float) -> list[events.Effect]:
+        """Handles deadlines and silent attempts."""
+        effects: list[events.Effect] = []
         for pending in list(self._pending.values()):
-            if now >= pending.ends_at:
-                effects += self._endings.expire(pending, now)
-            elif stalls.is_overdue(pending, now - late_s):
-                effects += self.mover.handle_overdue(pending, now)
-            elif pending.needs_successor:
-                effects += self.mover.replace_successor(pending, now)
-        effects += self.dispatch_waiting(now)
-        return effects + self.mover.check_stalls(late_s, now)
+            effects += self._isolate(
+                pending,
+                functools.partial(self._check, pending, late_s, now),
+                now,
+            )
+        return effects
+
+    def _check(
+        self, pending: state.PendingRequest, late_s: float, now: float
+    ) -> list[events.Effect]:
+        if now >= pending.ends_at:
+            return self._endings.expire(pending, now)
+        match pending.phase:
+            case state.Running(attempt) if stalls.is_overdue(
+                pending, now - late_s
+            ):
+                return self.mover.handle_overdue(pending, attempt, now)
+            case state.Running(attempt, needs_successor=True):
+                return self.mover.replace_successor(pending, attempt, now)
+        return []
+
+    def _isolate(
+        self,
+        pending: state.PendingRequest,
+        work: Callable[[], list[events.Effect]],
+        now: float,
+    ) -> list[events.Effect]:
+        """Returns the effects of work on a request, which ends if it fails."""
+        try:
+            return work()
+        except Exception as error:  # noqa: BLE001 - logged, with its place
+            return self._endings.end_failed(pending, error, now)
 
     def pop_faulty_servers(self) -> tuple[str, ...]:
         """Returns and clears the servers that refusals named as at fault."""
@@ -225,11 +287,17 @@
 
     def dispatch_waiting(self, now: float) -> list[events.Effect]:
         """Tries to send the waiting requests, the most urgent first."""
-        waiting = [o for o in self._pending.values() if o.phase == "waiting"]
+        waiting = [o for o in self._pending.values() if o.is_waiting]
         waiting.sort(key=lambda o: (ranks.find_rank(o), o.arrived_at))
         effects: list[events.Effect] = []
         for pending in waiting:
-            effects += self._try_send(pending, now)
+            effects += self._isolate(
+                pending,
+                functools.partial(
+                    self._sender.send, pending, now, has_waited=True
+                ),
+                now,
+            )
         return effects
 
     def find_next_wakeup(self, now: float) -> float:
@@ -240,11 +308,15 @@
         """
         due = now + MAX_WAKEUP_DELAY_S
         for pending in self._pending.values():
-            if pending.phase == "waiting" or pending.needs_successor:
-                return now
+            match pending.phase:
+                case state.Waiting() | state.Running(needs_successor=True):
+                    return now
+                case state.Running(attempt) if not pending.request.is_stream:
+                    overdue_at = stalls.find_overdue_at(
+                        pending.request, attempt
+                    )
+                    due = min(due, overdue_at)
             due = min(due, pending.ends_at)
-            if pending.attempt is not None and not pending.request.is_stream:
-                due = min(due, stalls.find_overdue_at(pending))
         return self._stall_monitor.find_next_check(now, due) + CHECK_DELAY_S
 
     # Arrival and choice.
@@ -257,7 +329,7 @@
         self._pending[request.request_id] = pending
         self._retries.record_request(request.service, now)
         self._record_prompt(request, now)
-        return self._try_send(pending, now)
+        return self._sender.send(pending, now)
 
     def _record_prompt(self, request: model.Request, now: float) -> None:
         """Records the size of a prompt that its service can read."""
@@ -269,86 +341,6 @@
             tokens = min(request.metadata.prompt_tokens, engine.kv_cache_tokens)
             self._health.record_prompt(name, tokens, now)
 
-    def _try_send(
-        self, pending: state.PendingRequest, now: float
-    ) -> list[events.Effect]:
-        request = pending.request
-        if pending.ends_at - now < state.MIN_TIME_LEFT_S:
-            return self._endings.expire(pending, now)
-        # Arrivals, retries and waiting requests all pass through this method.
-        if not self._may_finish(pending, now):
-            return self._endings.refuse(
-                pending, refusals.refuse_stopping(pending), now
-            )
-        blocked_s = self._run_guard.find_block_remaining_s(pending, now)
-        if blocked_s is not None:
-            return self._endings.refuse_blocked(pending, blocked_s, now)
-        if self._run_guard.must_defer(pending, now):
-            if refusals.may_wait(pending, now) and not pending.runs:
-                pending.phase = "waiting"
-                return []
-            return self._endings.refuse_blocked(
-                pending, SUSPECTED_RETRY_AFTER_S, now
-            )
-        if pending.was_received and not self._may_repeat(pending, now):
-            if pending.started and pending.phase == "waiting":
-                return []
-            return self._endings.fail(pending, "retry_budget_spent", now)
-        balance = self._retries.get_balance(request.service, now)
-        chosen = self._selector.choose(
-            pending,
-            avoid=pending.failed_replicas,
-            may_probe=balance >= PROBE_RETRIES,
-            now=now,
-        )
-        match chosen:
-            case choice_module.Choice(withheld=withheld):
-                if withheld is not None:
-                    self._permits.request_permit(
-                        withheld, is_needed=False, now=now
-                    )
-                return self._attempts.start(pending, chosen, now)
-            case choice_module.NoChoice(withheld=withheld, wait_s=wait_s):
-                if withheld is not None:
-                    self._permits.request_permit(
-                        withheld, is_needed=True, now=now
-                    )
-                if chosen.unreachable_count:
-                    self._relays.record_need(is_lacking=True, now=now)
-                if self._may_wait(pending, chosen, now + wait_s):
-                    pending.phase = "waiting"
-                    return []
-                return self._endings.refuse(
-                    pending,
-                    refusals.refuse_without_choice(pending, chosen),
-                    now,
-                )
-
-    def _may_finish(self, pending: state.PendingRequest, now: float) -> bool:
-        """Returns whether a request can still end before the process does.
-
-        One that may have run is sent again: refusing it would help nobody.
-        """
-        if pending.started or pending.verdict is not Verdict.NOT_RUN:
-            return True
-        return self._admission.may_finish(
-            pending.request.route.name, pending.ends_at - now, now
-        )
-
-    def _may_repeat(self, pending: state.PendingRequest, now: float) -> bool:
-        """Returns whether the budget covers a retry of a request."""
-        return self._retries.may_retry(pending.request.service, now)
-
-    def _may_wait(
-        self,
-        pending: state.PendingRequest,
-        chosen: choice_module.NoChoice,
-        now: float,
-    ) -> bool:
-        if chosen.is_unreachable and not pending.started:
-            return self._relays.may_get_offers(now)
-        return refusals.may_wait(pending, now)
-
     # Failures.
 
     def _fail_attempt(
@@ -361,13 +353,13 @@
     ) -> list[events.Effect]:
         is_current = attempt is pending.attempt
         effects = self._attempts.fail(pending, attempt, verdict, reason, now)
-        if not pending.live_attempts:
-            return effects + self._retry(pending, reason, now)
-        if is_current:
-            # The previous attempt is still there, though silent.
-            self._attempts.restore(pending)
-            pending.needs_successor = True
-            effects += self.mover.replace_successor(pending, now)
+        match pending.phase:
+            case state.Waiting():
+                effects += self._retry(pending, reason, now)
+            case state.Running(previous) as phase if is_current:
+                # The previous attempt is still there, though silent.
+                phase.needs_successor = True
+                effects += self.mover.replace_successor(pending, previous, now)
         return effects
 
     def _retry(
@@ -375,4 +367,4 @@
     ) -> list[events.Effect]:
         if not (pending.may_send_again(now)):
             return self._endings.fail(pending, reason, now)
-        return self._try_send(pending, now)
+        return self._sender.send(pending, now)
--- a/src/hickorylead/forwarding/request_mover.py
+++ b/src/hickorylead/forwarding/request_mover.py
@@ -107,16 +107,19 @@
         return None
 
     def handle_overdue(
-        self, pending: state.PendingRequest, now: float
+        self,
+        pending: state.PendingRequest,
+        attempt: state.Attempt,
+        now: float,
     ) -> list[events.Effect]:
         """Handles a call that has waited too long for its response."""
-        attempt = pending.attempt
-        assert attempt is not None
         effects: list[events.Effect] = []
         if not attempt.was_probed and attempt.relay is None:
             attempt.was_probed = True
             effects.append(events.ProbeServer(attempt.replica))
-        return effects + self._start_successor(pending, "no_answer", now)
+        return effects + self._start_successor(
+            pending, attempt, "no_answer", now
+        )
 
     def move_streams(
         self, stall: stalls.Stall, now: float
@@ -124,17 +127,14 @@
         """Moves streams from a stalled replica to others where possible."""
         replica = stall.replica
         streams = [
-            pending
+            (pending, attempt)
             for pending in self._pending.values()
-            if pending.attempt is not None
-            and pending.attempt.replica.name == replica.name
+            if (attempt := pending.attempt) is not None
+            and attempt.replica.name == replica.name
             and pending.request.is_stream
         ]
         # Streams through a relay may have stopped because of the relay.
-        is_direct = any(
-            pending.attempt is not None and pending.attempt.relay is None
-            for pending in streams
-        )
+        is_direct = any(attempt.relay is None for _, attempt in streams)
         is_confirmed = is_direct and stall.basis is stalls.Basis.RUNNING
         self._health.mark_stalled(replica, now, is_confirmed=is_confirmed)
         effects: list[events.Effect] = [
@@ -144,20 +144,25 @@
         ]
         if is_direct and stall.basis is not stalls.Basis.REPORTED:
             effects.append(events.ProbeServer(replica))
-        for pending in streams:
-            effects += self._start_successor(pending, "stalled", now)
+        for pending, attempt in streams:
+            effects += self._start_successor(pending, attempt, "stalled", now)
         return effects
 
     def replace_successor(
-        self, pending: state.PendingRequest, now: float
+        self,
+        pending: state.PendingRequest,
+        attempt: state.Attempt,
+        now: float,
     ) -> list[events.Effect]:
         """Sends a request whose successor failed to another replica."""
-        attempt = pending.attempt
-        assert attempt is not None
-        return self._start_successor(pending, attempt.suspicion, now)
+        return self._start_successor(pending, attempt, attempt.suspicion, now)
 
     def _start_successor(
-        self, pending: state.PendingRequest, reason: str, now: float
+        self,
+        pending: state.PendingRequest,
+        attempt: state.Attempt,
+        reason: str,
+        now: float,
     ) -> list[events.Effect]:
         """Sends a request to one more replica and keeps its current attempt.
 
@@ -179,9 +184,7 @@
         )
         if not isinstance(chosen, choice_module.Choice):
             return []
-        effects = self._attempts.suspect(pending, reason, now)
+        effects = self._attempts.suspect(pending, attempt, reason, now)
         if self._run_guard.is_withheld(pending, now):
             return effects
-        self._attempts.hold(pending)
-        pending.needs_successor = False
         return effects + self._attempts.start(pending, chosen, now)
--- a/src/hickorylead/forwarding/stalls.py
+++ b/src/hickorylead/forwarding/stalls.py
@@ -92,15 +92,13 @@
         attempt is not None
         and not pending.request.is_stream
         and attempt.head is None
-        and now > find_overdue_at(pending)
+        and now > find_overdue_at(pending.request, attempt)
     )
 
 
-def find_overdue_at(pending: state.PendingRequest) -> float:
-    """Returns when a call in flight will have waited too long."""
-    assert pending.attempt is not None
-    objective_s = pending.request.route.objective_s
-    return pending.attempt.sent_at + OVERDUE_OBJECTIVES * objective_s
+def find_overdue_at(request: model.Request, attempt: state.Attempt) -> float:
+    """Returns when the attempt of a call will have waited too long."""
+    return attempt.sent_at + OVERDUE_OBJECTIVES * request.route.objective_s
 
 
 def find_startup_factor(started_at: float, now: float) -> float:
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import TypeAlias
 
 import attrs
 
@@ -23,8 +23,6 @@
 # a connection fails. Each may take as long as a connection timeout.
 MAX_SLOW_FAILURES = 6
 
-Phase = Literal["waiting", "running"]
-
 
 @attrs.frozen
 class Choice:
@@ -87,6 +85,30 @@
     suspicion: str = ""
 
 
+@attrs.frozen
+class Waiting:
+    """Phase of a request without an attempt, which waits for a replica."""
+
+
+@attrs.define
+class Running:
+    """Phase of a request that was sent to a replica.
+
+    Attributes:
+        attempt: The current attempt.
+        held: Previous attempts that are silent but may still go on.
+        needs_successor: Whether the current attempt is silent and the next one
+            has failed, so that another replica is sought.
+    """
+
+    attempt: Attempt
+    held: list[Attempt] = attrs.field(factory=list)
+    needs_successor: bool = False
+
+
+Phase: TypeAlias = Waiting | Running
+
+
 @attrs.define
 class PendingRequest:
     """A request whose response has not ended.
@@ -96,10 +118,6 @@
         arrived_at: When it arrived.
         ends_at: Deadline set by its caller or its route.
         phase: Whether it waits for a replica or runs.
-        attempt: The current attempt.
-        held: Previous attempts that are silent but may still go on.
-        needs_successor: Whether its current attempt is silent and the next one
-            has failed, so that another replica is sought.
         attempt_count: Number of attempts so far.
         unsent_count: Number of these that ended before the request was sent.
         slow_failure_count: Number of the latter that waited for a connection.
@@ -111,7 +129,6 @@
         has_sent_body: Whether the caller has a part of a body that is no stream
             of events. No other replica can continue it.
         last_event_id: Id of the last event that the caller has.
-        was_sent: Whether it was ever sent to a replica.
         last_attempt: The latest attempt, for the log.
         first_event_s: Time to the first event, in seconds; None if none
             arrived.
@@ -129,10 +146,7 @@
     request: model.Request
     arrived_at: float
     ends_at: float
-    phase: Phase = "waiting"
-    attempt: Attempt | None = None
-    held: list[Attempt] = attrs.field(factory=list)
-    needs_successor: bool = False
+    phase: Phase = Waiting()
     attempt_count: int = 0
     unsent_count: int = 0
     slow_failure_count: int = 0
@@ -143,7 +157,6 @@
     started: bool = False
     has_sent_body: bool = False
     last_event_id: int = 0
-    was_sent: bool = False
     last_attempt: Attempt | None = None
     first_event_s: float | None = None
     first_sent_at: float | None = None
@@ -159,17 +172,64 @@
         """The request hash, then the hashes of its shared prompt parts."""
         return (self.request_hash, *self.part_hashes)
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it waits for a replica."""
+        return isinstance(self.phase, Waiting)
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether it was ever sent to a replica."""
+        return self.last_attempt is not None
+
+    @property
+    def attempt(self) -> Attempt | None:
+        """The current attempt; None while it waits."""
+        match self.phase:
+            case Running(attempt):
+                return attempt
+            case _:
+                return None
+
     @property
     def live_attempts(self) -> list[Attempt]:
         """The attempts that have not ended, the current one last."""
-        current = [] if self.attempt is None else [self.attempt]
-        return [*self.held, *current]
+        match self.phase:
+            case Running(attempt, held):
+                return [*held, attempt]
+            case _:
+                return []
 
     @property
     def run_count(self) -> int:
         """Number of attempts that may have run or may still run."""
         return self.runs + len(self.live_attempts)
 
+    def add_attempt(self, attempt: Attempt) -> None:
+        """Makes an attempt the current one; live ones are held beside it."""
+        self.phase = Running(attempt, self.live_attempts)
+        self.last_attempt = attempt
+
+    def select_attempt(self, attempt: Attempt) -> None:
+        """Makes an attempt the only one."""
+        self.phase = Running(attempt)
+        self.last_attempt = attempt
+
+    def remove_attempt(self, attempt: Attempt) -> None:
+        """Removes an attempt that has ended.
+
+        The latest held one becomes the current one. Without any, the request
+        waits.
+        """
+        live = [other for other in self.live_attempts if other is not attempt]
+        match self.phase:
+            case Running(current, held) if attempt is not current:
+                held.remove(attempt)
+            case _ if live:
+                self.phase = Running(live[-1], live[:-1])
+            case _:
+                self.phase = Waiting()
+
     def record_events(self, now: float) -> None:
         """Records that events are sent to the caller."""
         if self.first_event_s is None:
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -11,7 +11,7 @@
 import attrs
 from returns import result
 
-from hickorylead import notes
+from hickorylead import isolation, notes
 from hickorylead.consensus import (
     configuration_requests,
     messages as consensus_messages,
@@ -306,20 +306,32 @@
 
     def _tick_urgent(self, now: float) -> list[CoordinatorEffect]:
         """Does what others judge this coordinator by."""
-        effects: list[CoordinatorEffect] = []
-        self.voter.set_peers(self.peers.heard_at)
-        effects += self._convert_effects(self.voter.tick(now), now)
-        effects += self.voter_monitor.observe(
-            self.voter, self.peers.heard_at, now
+        return isolation.collect_effects(
+            {
+                "voter": lambda: self._tick_voter(now),
+                "watch over the voter": lambda: self.voter_monitor.observe(
+                    self.voter, self.peers.heard_at, now
+                ),
+                "requests of operators": lambda: self._convert_effects(
+                    self._configuration_requests.tick(now), now
+                ),
+                "changes of peers": lambda: self.peers.report_changes(now),
+                "hellos": lambda: self._announce(now),
+                "gateways": lambda: self._tick_gateways(now),
+            }
         )
-        effects += self._convert_effects(
-            self._configuration_requests.tick(now), now
-        )
-        effects += self.peers.report_changes(now)
-        if now >= self._next_hello:
-            self._next_hello = now + peer_directory_module.HELLO_PERIOD_S
-            effects += self._send_hellos(now)
-            effects += self._bootstrap_cluster(now)
+
+    def _tick_voter(self, now: float) -> list[CoordinatorEffect]:
+        self.voter.set_peers(self.peers.heard_at)
+        return self._convert_effects(self.voter.tick(now), now)
+
+    def _announce(self, now: float) -> list[CoordinatorEffect]:
+        if now < self._next_hello:
+            return []
+        self._next_hello = now + peer_directory_module.HELLO_PERIOD_S
+        return [*self._send_hellos(now), *self._bootstrap_cluster(now)]
+
+    def _tick_gateways(self, now: float) -> list[CoordinatorEffect]:
         sent = self.gateways.tick(
             is_fresh=self.is_fresh(now),
             other_gateways=self.peers.count_gateways(now),
@@ -327,24 +339,36 @@
             voters=self.voter.voters,
             now=now,
         )
-        effects += self.gateways.save(self._identity.node, now)
-        return [*effects, *self._send_all(sent)]
+        return [
+            *self.gateways.save(self._identity.node, now),
+            *self._send_all(sent),
+        ]
 
     def _tick_ordinary(self, now: float) -> list[CoordinatorEffect]:
         self._ordinary_pauses.record_listening(now)
-        effects = self._sync_coordinators(now)
-        effects += self._send_alive(now)
-        effects += self._supervisor.probe_silent(now)
-        effects += self.reports.admit_named(now)
-        effects += self.reports.mark_lost(now)
-        effects += self.reports.end_superseded(now)
-        effects += self.reports.update_gateways(now)
-        effects += self._update_blocks(now)
-        effects += self._send_all(self._permit_broker.tick(now))
-        effects += self._send_pauses(now)
-        if not self._defers_work and self._supervisor.is_due(now):
-            effects += self._supervisor.plan(now)
-        return [*effects, *self._save_schedule.tick(now)]
+        return isolation.collect_effects(
+            {
+                "sync of coordinators": lambda: self._sync_coordinators(now),
+                "heartbeats": lambda: self._send_alive(now),
+                "probes": lambda: self._supervisor.probe_silent(now),
+                "new services": lambda: self.reports.admit_named(now),
+                "lost servers": lambda: self.reports.mark_lost(now),
+                "reused addresses": lambda: self.reports.end_superseded(now),
+                "changed servers": lambda: self.reports.update_gateways(now),
+                "blocks": lambda: self._update_blocks(now),
+                "permits": lambda: self._send_all(
+                    self._permit_broker.tick(now)
+                ),
+                "pauses": lambda: self._send_pauses(now),
+                "planning": lambda: self._plan_if_due(now),
+                "saving": lambda: self._save_schedule.tick(now),
+            }
+        )
+
+    def _plan_if_due(self, now: float) -> list[CoordinatorEffect]:
+        if self._defers_work or not self._supervisor.is_due(now):
+            return []
+        return [*self._supervisor.plan(now)]
 
     # Requests under which servers end.
 
--- a/src/hickorylead/roles/entry.py
+++ b/src/hickorylead/roles/entry.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from hickorylead import isolation
 from hickorylead.claims import messages as claim_messages
 from hickorylead.configuration import (
     follower as follower_module,
@@ -192,9 +193,25 @@
                 return effects + self._check_stopped()
 
     def _tick(self, now: float) -> list[interface.EntryEffect]:
-        effects = _convert_effects(self._follower.collect_messages(now))
+        return isolation.collect_effects(
+            {
+                "configuration": lambda: _convert_effects(
+                    self._follower.collect_messages(now)
+                ),
+                "announcements": lambda: self._tick_announcements(now),
+                "refresh": lambda: self._refresh_if_due(now),
+                "blocks": lambda: self._update_blocks(now),
+                "requests": lambda: _convert_effects(
+                    self._dispatcher.tick(now)
+                ),
+                "operations": lambda: self._operations.tick(now),
+                "stop": self._check_stopped,
+            }
+        )
+
+    def _tick_announcements(self, now: float) -> list[interface.EntryEffect]:
         own = self._table.zones.get(self._zone)
-        effects += _convert_effects(
+        return _convert_effects(
             self._announcement_receiver.tick(
                 now,
                 configuration=self._follower.version,
@@ -202,13 +219,12 @@
                 holder=self._holder,
             )
         )
-        if now >= self._next_refresh:
-            self._next_refresh = now + REFRESH_PERIOD_S
-            effects += self._refresh(now)
-        effects += self._update_blocks(now)
-        effects += _convert_effects(self._dispatcher.tick(now))
-        effects += self._operations.tick(now)
-        return effects + self._check_stopped()
+
+    def _refresh_if_due(self, now: float) -> list[interface.EntryEffect]:
+        if now < self._next_refresh:
+            return []
+        self._next_refresh = now + REFRESH_PERIOD_S
+        return self._refresh(now)
 
     def _update_blocks(self, now: float) -> list[interface.EntryEffect]:
         """Updates the blocked requests, those that ended too many replicas."""
--- a/src/hickorylead/roles/gateway.py
+++ b/src/hickorylead/roles/gateway.py
@@ -11,7 +11,7 @@
 import attrs
 from returns import result
 
-from hickorylead import notes
+from hickorylead import isolation, notes
 from hickorylead.forwarding import (
     events,
     model,
@@ -246,11 +246,17 @@
 
     def _tick(self, late_s: float, now: float) -> list[GatewayEffect]:
         self._parts.pauses.record_listening(now)
-        effects: list[GatewayEffect] = [
-            *self._news.apply_document(now),
-            *self._forwarder.tick(now, late_s),
-            *self._reports.tick(now),
-        ]
+        return isolation.collect_effects(
+            {
+                "configuration": lambda: self._news.apply_document(now),
+                "requests": lambda: self._forwarder.tick(now, late_s),
+                "reports": lambda: self._reports.tick(now),
+                "cleanup": lambda: self._clean_up(now),
+            }
+        )
+
+    def _clean_up(self, now: float) -> list[GatewayEffect]:
+        """Removes state that is not needed any more."""
         if now >= self._next_cleanup:
             self._next_cleanup = now + CLEANUP_PERIOD_S
             self._registry.prune(now, INSTANCE_RETENTION_S)
@@ -259,7 +265,7 @@
             self._permits.prune(now)
             self._relays.prune(now)
             self._parts.notices.prune(now)
-        return effects
+        return []
 
     def _handle_probe(
         self, event: events.ServerProbed, now: float
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -8,7 +8,7 @@
 import signal
 from typing import TYPE_CHECKING, Any
 
-from hickorylead import errors, notes
+from hickorylead import errors, isolation, notes
 from hickorylead.consensus import (
     messages as consensus_messages,
     options,
@@ -268,7 +268,15 @@
         try:
             for effect in effects:
                 began = clock.read_monotonic()
-                self._carry_out(effect)
+                match effect:
+                    case consensus_messages.Persist(record):
+                        # What follows may rely on the record.
+                        if not self._disk.has_failed:
+                            self._disk.folder.persist(record)
+                    case _:
+                        isolation.carry_out_all(
+                            [effect], self._carry_out, self._log.write
+                        )
                 self._costs.record(
                     _name_work(effect), clock.read_monotonic() - began
                 )
@@ -294,9 +302,6 @@
                 ):
                     return
                 self._peers.send(node, message)
-            case consensus_messages.Persist(record):
-                if not self._disk.has_failed:
-                    self._disk.folder.persist(record)
             case (
                 events.SaveInstances()
                 | events.SaveCrashes()
--- a/src/hickorylead/runtime/entry.py
+++ b/src/hickorylead/runtime/entry.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from hickorylead import notes, verdict as verdict_module
+from hickorylead import isolation, notes, verdict as verdict_module
 from hickorylead.draining import drain as drain_module, owed as owed_module
 from hickorylead.requests import events, outcomes
 from hickorylead.roles import entry as entry_role, interface, nodes
@@ -196,8 +196,11 @@
 
     def apply(self, event: interface.EntryEvent) -> None:
         """Passes an event to the reducer and carries out its effects."""
-        for effect in self.role.reduce(event, clock.read_monotonic()):
-            self._carry_out(effect)
+        isolation.carry_out_all(
+            self.role.reduce(event, clock.read_monotonic()),
+            self._carry_out,
+            self.log.write,
+        )
 
     def _receive(self, sender: str, message: interface.Message) -> None:
         self.apply(interface.MessageArrived(sender, message, clock.read_wall()))
--- a/src/hickorylead/runtime/gateway.py
+++ b/src/hickorylead/runtime/gateway.py
@@ -8,7 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-from hickorylead import notes
+from hickorylead import isolation, notes
 from hickorylead.draining import (
     descriptions as owed_descriptions,
     drain as drain_module,
@@ -280,8 +280,9 @@
     def apply(self, event: gateway_role.GatewayEvent) -> None:
         """Passes an event to the reducer and carries out its effects."""
         now = clock.read_boottime()
-        for effect in self.role.reduce(event, now):
-            self._carry_out(effect)
+        isolation.carry_out_all(
+            self.role.reduce(event, now), self._carry_out, self._log.write
+        )
 
     def _carry_out(self, effect: gateway_role.GatewayEffect) -> None:
         match effect:
--- a/src/hickorylead/runtime/peers.py
+++ b/src/hickorylead/runtime/peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import contextlib
+import traceback
 from typing import TYPE_CHECKING
 
 from returns import result
@@ -368,6 +369,18 @@
             case result.Success(envelope):
                 if envelope.sender not in self._configured_nodes:
                     self._addresses[envelope.sender] = envelope.address
-                self._deliver(envelope.sender, envelope.message)
+                try:
+                    self._deliver(envelope.sender, envelope.message)
+                except Exception as error:  # noqa: BLE001 - logged
+                    # The messages behind it on this connection are delivered.
+                    self._log.warn(
+                        "message failed",
+                        sender=envelope.sender,
+                        kind=type(envelope.message).__name__,
+                        why=repr(error),
+                        place="".join(
+                            traceback.format_exception(error, limit=-4)
+                        ),
+                    )
             case result.Failure(problem):
                 self._log.warn("bad message", detail=problem)
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -15,6 +15,7 @@
 import attrs
 from returns import result
 
+from hickorylead import notes
 from hickorylead.admission import budget
 from hickorylead.configuration import document
 from hickorylead.consensus import (
@@ -193,6 +194,8 @@
         # Accepted joins that removed a server from a group with an open head.
         self.conflicting_joins: list[str] = []
         self.outcomes: dict[str, Any] = {}
+        # Whether the test makes work fail.
+        self.may_fail = False
         self.notes: list[tuple[float, str, Any]] = []
         self.gateway_effects: list[tuple[float, str, Any]] = []
         # Called with sender, target and message for each message sent.
@@ -360,6 +363,8 @@
 
     def _carry_out(self, node: str, effect: Any) -> None:
         match effect:
+            case notes.Note("work_failed") if not self.may_fail:
+                raise AssertionError(f"{node}: {effect}")
             case interface.Send(target, message):
                 # As on real connections, a name can be sent to only after a
                 # message from that node arrived; "@" precedes an address.
--- a/tests/support/forwarder_harness.py
+++ b/tests/support/forwarder_harness.py
@@ -102,6 +102,8 @@
         directory.set_document(self.forwarder.document)
         self.effects: list[tuple[float, events.Effect]] = []
         self.request_count = 0
+        # Whether the test makes work fail.
+        self.may_fail = False
         # Deadlines by request.
         self.ends_at: dict[str, float] = {}
         # Servers to which connections fail.
@@ -134,6 +136,8 @@
     def _handle(self, effects) -> None:
         for effect in effects:
             self.effects.append((self.now, effect))
+            if getattr(effect, "event", "") == "work_failed":
+                assert self.may_fail, effect
             if isinstance(effect, events.ProbeServer):
                 is_lost = effect.replica.name in self.unreachable
                 failure = model.CONNECT_TIMEOUT if is_lost else ""
