Write the departure of a server to the disk before its acknowledgement

Cause: the acknowledgement promised only that one process knew. Servers are saved once a second and restored as ready; the save left out those that are gone. Change: departures are appended to a file, several in one sync, before the acknowledgement; as many other coordinators as disks may be lost confirm theirs, for 0.3 s at most; a departure that no disk has gets 503. Saves contain servers that are gone, and those are restored as such. A deregistration of a server that the coordinator does not know is kept and sent on.

--- a/src/hickorylead/fleet/events.py
+++ b/src/hickorylead/fleet/events.py
@@ -10,9 +10,15 @@
 
 @attrs.frozen
 class HeartbeatArrived:
-    """Event: a backend server sent a heartbeat."""
+    """Event: a backend server sent a heartbeat.
+
+    Attributes:
+        instance: What it reports.
+        token: Identifies the call if its acknowledgement is awaited.
+    """
 
     instance: instances.Instance
+    token: str = ""
 
 
 @attrs.frozen
@@ -23,10 +29,25 @@
         name: The server.
         born: Start time of the incarnation that is leaving; 0 if the server
             does not report one.
+        token: Identifies the call if its acknowledgement is awaited.
     """
 
     name: str
     born: int = 0
+    token: str = ""
+
+
+@attrs.frozen
+class DeparturesSaved:
+    """Event: departures are on disk, or could not be written.
+
+    Attributes:
+        effect: What was to be saved.
+        is_saved: Whether it is on disk.
+    """
+
+    effect: SaveDepartures
+    is_saved: bool
 
 
 @attrs.frozen
@@ -82,6 +103,32 @@
     known: tuple[instances.Instance, ...]
 
 
+@attrs.frozen
+class SaveDepartures:
+    """Effect: persist servers that are leaving or gone, then tell the reducer.
+
+    Attributes:
+        servers: Their state.
+        origin: Coordinator that was first to receive it; empty if this one.
+    """
+
+    servers: tuple[instances.Instance, ...]
+    origin: str = ""
+
+
+@attrs.frozen
+class AnswerReport:
+    """Effect: respond to a server's report that it leaves.
+
+    Attributes:
+        token: Identifies the call.
+        accepted: Whether the departure is certain to outlast a restart.
+    """
+
+    token: str
+    accepted: bool
+
+
 @attrs.frozen
 class SaveCrashes:
     """Effect: persist the known lost runs, to restore after a restart.
--- a/src/hickorylead/fleet/identity.py
+++ b/src/hickorylead/fleet/identity.py
@@ -19,6 +19,7 @@
         may_bootstrap: Whether this is the first start of the cluster.
         heartbeat_s: Heartbeat period of backend servers, in seconds.
         zones: All availability zones.
+        max_lost_disks: Number of disks that may be lost together.
     """
 
     node: str
@@ -28,6 +29,7 @@
     may_bootstrap: bool
     heartbeat_s: float
     zones: tuple[str, ...]
+    max_lost_disks: int = 1
 
 
 def number_node(node: str) -> int:
--- a/src/hickorylead/fleet/messages.py
+++ b/src/hickorylead/fleet/messages.py
@@ -45,6 +45,19 @@
     born: tuple[int, ...] = ()
 
 
+@attrs.frozen
+class DeparturesKept:
+    """A coordinator has departures on disk that another one received first.
+
+    Attributes:
+        sender: The coordinator.
+        names: The servers.
+    """
+
+    sender: str
+    names: tuple[str, ...]
+
+
 @attrs.frozen
 class HeadLoad:
     """Number of requests that run on a replica, from one or more gateways."""
@@ -288,6 +301,7 @@
 Message: TypeAlias = (
     InstanceNews
     | Alive
+    | DeparturesKept
     | GatewayHello
     | StallNews
     | ZoneLoads
--- a/src/hickorylead/fleet/registry.py
+++ b/src/hickorylead/fleet/registry.py
@@ -138,10 +138,12 @@
         Without this, after a power loss of all nodes, gateways would refuse
         all requests until the last server of each group had sent a heartbeat.
         Restored servers may be used, but count as silent, and any later update
-        of their state counts as newer.
+        of their state counts as newer. Servers that were gone stay so: other
+        nodes may have restored them as ready.
         """
         for instance in stored:
             if instance.phase == instances.PHASE_GONE:
+                self.merge(instance, now)
                 continue
             old = attrs.evolve(
                 instance, silent=True, sequence=instance.sequence - 1
--- a/src/hickorylead/fleet/save_schedule.py
+++ b/src/hickorylead/fleet/save_schedule.py
@@ -46,7 +46,7 @@
         effects: list[events.SaveInstances | events.SaveCrashes] = []
         if self._registry.change_count != self._saved_changes:
             self._saved_changes = self._registry.change_count
-            known = tuple(self._registry.list_present())
+            known = tuple(self._registry.instances.values())
             effects.append(events.SaveInstances(known))
         if self._crashes.digest != self._saved_crash_digest:
             self._saved_crash_digest = self._crashes.digest
--- a/src/hickorylead/platform/control.py
+++ b/src/hickorylead/platform/control.py
@@ -81,8 +81,10 @@
             return _refuse(413, "the body is too large")
         match servers.decode_heartbeat(request.path_params["name"], body):
             case result.Success(instance):
-                self._process.receive_heartbeat(instance)
-                return _respond({})
+                is_accepted = await self._process.reports.receive_heartbeat(
+                    instance, call_id=request.scope[stop_gate.CALL_ID_KEY]
+                )
+                return _respond_to_report(is_accepted)
             case result.Failure(problem):
                 return _refuse(400, problem)
         raise AssertionError("a result is a success or a failure")
@@ -95,8 +97,12 @@
             return _refuse(413, "the body is too large")
         match servers.decode_start_time(body):
             case result.Success(born):
-                self._process.deregister(request.path_params["name"], born)
-                return _respond({})
+                is_accepted = await self._process.reports.deregister(
+                    request.path_params["name"],
+                    born,
+                    call_id=request.scope[stop_gate.CALL_ID_KEY],
+                )
+                return _respond_to_report(is_accepted)
             case result.Failure(problem):
                 return _refuse(400, problem)
         raise AssertionError("a result is a success or a failure")
@@ -159,6 +165,12 @@
     return responses.Response(orjson.dumps(body), media_type="application/json")
 
 
+def _respond_to_report(is_accepted: bool) -> responses.Response:
+    if is_accepted:
+        return _respond({})
+    return _refuse(503, "not known whether it will last: send it again")
+
+
 def _refuse(status: int, problem: str) -> responses.Response:
     body = orjson.dumps({"error": problem})
     fields = {"Retry-After": RETRY_AFTER} if status == 503 else {}
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -70,6 +70,7 @@
     | events.ConfigurationDue
     | events.HeartbeatArrived
     | events.InstanceLeft
+    | events.DeparturesSaved
     | events.ReplaceRequested
     | events.ReadRequested
     | orders.OrderAnswered
@@ -82,6 +83,8 @@
     | events.AnswerReplace
     | events.AnswerRead
     | events.SaveInstances
+    | events.SaveDepartures
+    | events.AnswerReport
     | events.SaveCrashes
     | events.SaveGatewayRecord
     | orders.SendOrder
@@ -181,6 +184,7 @@
             supervisor=self._supervisor,
             pauses=self._ordinary_pauses,
             heartbeat_s=identity.heartbeat_s,
+            max_lost_disks=identity.max_lost_disks,
         )
         self.voter_monitor = voter_monitor.VoterMonitor(now)
         self._save_schedule = save_schedule.SaveSchedule(
@@ -251,10 +255,16 @@
                 return self._apply_configuration(now)
             case interface.MessageArrived(sender, message):
                 return self._receive(sender, message, now)
-            case events.HeartbeatArrived(instance):
-                return [*self.reports.handle_heartbeat(instance, now)]
-            case events.InstanceLeft(name, born):
-                return [*self.reports.handle_departure(name, born, now)]
+            case events.HeartbeatArrived(instance, token):
+                return [
+                    *self.reports.handle_heartbeat(instance, now, token=token)
+                ]
+            case events.InstanceLeft(name, born, token):
+                return [
+                    *self.reports.handle_departure(name, born, now, token=token)
+                ]
+            case events.DeparturesSaved():
+                return [*self.reports.handle_saved(event)]
             case events.ReplaceRequested(token, version, content):
                 return self._convert_effects(
                     self._configuration_requests.replace(
@@ -351,6 +361,7 @@
                 "sync of coordinators": lambda: self._sync_coordinators(now),
                 "heartbeats": lambda: self._send_alive(now),
                 "probes": lambda: self._supervisor.probe_silent(now),
+                "departures": lambda: self.reports.departures.tick(now),
                 "new services": lambda: self.reports.admit_named(now),
                 "lost servers": lambda: self.reports.mark_lost(now),
                 "reused addresses": lambda: self.reports.end_superseded(now),
@@ -471,7 +482,11 @@
             case messages.InstanceNews(_, received, is_full):
                 if is_full and received:
                     self._supervisor.record_full_sync(now)
-                return [*self.reports.merge_updates(received, now)]
+                return [*self.reports.merge_updates(sender, received, now)]
+            case messages.DeparturesKept(node, names):
+                return [
+                    *self.reports.departures.handle_confirmation(node, names)
+                ]
             case messages.Alive():
                 return [*self.reports.handle_alive(message, now)]
             case messages.GatewayHello():
--- a/src/hickorylead/roles/server_reports.py
+++ b/src/hickorylead/roles/server_reports.py
@@ -14,7 +14,9 @@
 from hickorylead import notes
 from hickorylead.fleet import (
     announcements,
+    departures as departures_module,
     descriptions,
+    events,
     instances,
     messages,
     orders,
@@ -34,7 +36,12 @@
     from hickorylead.turns import own_pauses
 
 Effect: TypeAlias = (
-    interface.Send | orders.SendOrder | orders.RequestReport | notes.Note
+    interface.Send
+    | events.SaveDepartures
+    | events.AnswerReport
+    | orders.SendOrder
+    | orders.RequestReport
+    | notes.Note
 )
 
 
@@ -51,6 +58,7 @@
         supervisor: supervisor_module.Supervisor,
         pauses: own_pauses.OwnPauses,
         heartbeat_s: float,
+        max_lost_disks: int,
     ) -> None:
         """Initializes the state without pending reports.
 
@@ -62,8 +70,10 @@
             supervisor: Detects failures and plans.
             pauses: Times at which the coordinator did not handle heartbeats.
             heartbeat_s: Heartbeat period, in seconds.
+            max_lost_disks: Number of disks that may be lost together.
         """
         self._node = node
+        self.departures = departures_module.Departures(max_lost_disks)
         self._registry = registry
         self._peers = peers
         self._gateways = gateways
@@ -104,13 +114,21 @@
         return [*self._supervisor.plan_soon(now)]
 
     def handle_heartbeat(
-        self, instance: instances.Instance, now: float
+        self, instance: instances.Instance, now: float, *, token: str = ""
     ) -> list[Effect]:
         """Records a heartbeat that a server sent to this coordinator.
 
         Coordinators alone decide whether a report is valid: what they send to
         other nodes, or save, is not checked again.
         """
+        return [
+            *self._apply_heartbeat(instance, now),
+            *self.departures.acknowledge(instance.name, token),
+        ]
+
+    def _apply_heartbeat(
+        self, instance: instances.Instance, now: float
+    ) -> list[Effect]:
         known = self._registry.instances.get(instance.name)
         if not self._is_assigned(instance, known):
             return self._retain(instance, now)
@@ -147,7 +165,7 @@
         for instance in self._registry.list_superseded(
             self._quiet_s, self._pauses, now
         ):
-            effects += self.handle_departure(instance.name, instance.born, now)
+            effects += self._end(instance.name, instance.born, now)
         return effects
 
     def _is_assigned(
@@ -175,6 +193,19 @@
             )
         ]
 
+    def handle_saved(self, event: events.DeparturesSaved) -> list[Effect]:
+        """Records whether departures are on this node's disk."""
+        effect = event.effect
+        names = tuple(instance.name for instance in effect.servers)
+        if not effect.origin:
+            return [
+                *self.departures.handle_saved(names, is_saved=event.is_saved)
+            ]
+        if not event.is_saved:
+            return []
+        kept = messages.DeparturesKept(self._node, names)
+        return [interface.Send(effect.origin, kept)]
+
     def record_load(
         self, answered: orders.OrderAnswered, now: float
     ) -> list[Effect]:
@@ -197,13 +228,20 @@
         return self._send_changes([update], known, now)
 
     def handle_departure(
-        self, name: str, born: int, now: float
+        self, name: str, born: int, now: float, *, token: str = ""
     ) -> list[Effect]:
         """Records that a server reported the end of its incarnation."""
+        return [
+            *self._end(name, born, now),
+            *self.departures.acknowledge(name, token),
+        ]
+
+    def _end(self, name: str, born: int, now: float) -> list[Effect]:
         self.unassigned.remove(name)
         known = self._registry.instances.get(name)
         if known is None:
-            return []
+            # Other nodes may know it, and its last heartbeat may be late.
+            known = instances.Instance(name, "", "", "", born=born)
         if born and born < known.born:
             # This is a delayed report that a previous incarnation ended.
             return []
@@ -213,7 +251,8 @@
         gone = attrs.evolve(
             known, phase=instances.PHASE_GONE, born=max(born, known.born)
         )
-        self._registry.merge(gone, now)
+        if not self._registry.merge(gone, now):
+            return []
         return self._send_changes([gone], known, now)
 
     def record_draining(self, name: str, born: int, now: float) -> list[Effect]:
@@ -246,9 +285,13 @@
         double the updates that each gateway receives.
         """
         update = messages.InstanceNews(self._node, tuple(changed))
-        effects: list[Effect] = [
-            interface.Send(node, update) for node in self._peers.list_alive(now)
-        ]
+        peers = self._peers.list_alive(now)
+        effects: list[Effect] = [interface.Send(n, update) for n in peers]
+        departed = departures_module.find_departed(
+            [self._registry.instances[i.name] for i in changed],
+            {i.name: known for i in changed},
+        )
+        effects += self.departures.record(departed, peers=len(peers), now=now)
         for instance in changed:
             effects.append(descriptions.describe_change(instance, known))
         self._add_unreported(changed)
@@ -281,7 +324,7 @@
         ]
 
     def merge_updates(
-        self, received: Sequence[instances.Instance], now: float
+        self, sender: str, received: Sequence[instances.Instance], now: float
     ) -> list[Effect]:
         """Merges changes that another coordinator sent."""
         before = {
@@ -295,7 +338,12 @@
             if not instance.silent:
                 self._supervisor.clear_suspicion(instance.name)
         self._add_unreported(changed)
+        departed = departures_module.find_departed(
+            [self._registry.instances[i.name] for i in changed], before
+        )
         effects: list[Effect] = []
+        if departed:
+            effects.append(events.SaveDepartures(departed, sender))
         if any(instances.is_urgent(i, before[i.name]) for i in changed):
             effects += self.update_gateways(now)
         return effects + self._supervisor.plan_soon(now)
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -17,7 +17,6 @@
     events,
     group_builder as group_builder_module,
     identity,
-    instances,
     orders,
 )
 from hickorylead.roles import coordinator as coordinator_role, interface, nodes
@@ -26,11 +25,13 @@
     coordinator_disk,
     coordinator_gauges,
     coordinator_stop,
+    departure_log,
     handler_failures,
     intake as intake_module,
     operator_calls,
     peers as peers_module,
     reload_signal,
+    report_calls,
     scrape,
     server as server_module,
     server_calls,
@@ -110,6 +111,7 @@
         )
         self._tasks = tasks.TaskSet(log)
         self._calls = operator_calls.OperatorCalls(log)
+        self.reports = report_calls.ReportCalls(self._calls, self.apply)
         self._call_count = 0
         self._costs = turn_costs.TurnCosts(clock.read_monotonic())
         self._turns = turns.Turns(log, self._costs)
@@ -132,6 +134,7 @@
                 may_bootstrap=settings.may_bootstrap,
                 heartbeat_s=settings.heartbeat_s,
                 zones=settings.zones,
+                max_lost_disks=settings.max_lost_disks,
             ),
             decode_document=decode_document,
             policy=group_builder_module.StandbyPolicy(),
@@ -142,6 +145,11 @@
             defers_work=True,
         )
         self._disk.restore(self.role, clock.read_boottime())
+        self._departure_log = departure_log.DepartureLog(
+            self._disk.departures,
+            deliver=self.apply,
+            write_log=log.write,
+        )
         self._server_calls = server_calls.ServerCalls(
             pool=self._pool,
             codec=server_codec,
@@ -208,19 +216,12 @@
         await asyncio.gather(*(server.close() for server in servers))
         await self._peers.close()
         self._pool.close()
+        self._departure_log.close()
         self._disk.folder.close()
         self._log.write(notes.note("stopped"))
         self._log.flush()
 
-    # For the API of backend servers and operators.
-
-    def receive_heartbeat(self, instance: instances.Instance) -> None:
-        """Handles a heartbeat of a backend server."""
-        self.apply(events.HeartbeatArrived(instance))
-
-    def deregister(self, name: str, born: int) -> None:
-        """Records that a backend server has left for good."""
-        self.apply(events.InstanceLeft(name, born))
+    # For the API of operators.
 
     async def replace_configuration(
         self, version: int, content: bytes, *, call_id: str
@@ -308,6 +309,10 @@
                 | events.SaveGatewayRecord()
             ):
                 self._disk.save(effect)
+            case events.SaveDepartures():
+                self._departure_log.add(effect)
+            case events.AnswerReport(token, accepted):
+                self._calls.complete(token, accepted)
             case events.AnswerReplace(token, accepted):
                 self._calls.complete(
                     token, accepted and not self._disk.has_failed
--- a/src/hickorylead/runtime/coordinator_disk.py
+++ b/src/hickorylead/runtime/coordinator_disk.py
@@ -10,6 +10,7 @@
 from hickorylead import errors, notes
 from hickorylead.crashes import messages as crash_messages
 from hickorylead.fleet import events, messages as fleet_messages
+from hickorylead.runtime import saved_departures
 from hickorylead.storage import folder as folder_module, saved_value
 from hickorylead.wire import codec
 
@@ -50,6 +51,9 @@
         self._servers = saved_value.SavedValue(self._path, "servers")
         self._crashes = saved_value.SavedValue(self._path, "crashes")
         self._gateways = saved_value.SavedValue(self._path, "gateways")
+        self.departures = saved_departures.SavedDepartures(
+            self._path / "departures", node
+        )
 
     @property
     def has_failed(self) -> bool:
@@ -65,6 +69,12 @@
         servers = self._load(self._servers)
         if isinstance(servers, fleet_messages.InstanceNews):
             role.registry.restore(servers.news, now)
+        departed, problems = self.departures.load()
+        role.registry.restore(departed, now)
+        for problem in problems:
+            self._log.write(
+                notes.note("departures_unreadable", level="error", why=problem)
+            )
         crashes = self._load(self._crashes)
         if isinstance(crashes, crash_messages.CrashNews):
             role.crashes.restore(crashes, now)
@@ -82,7 +92,8 @@
         match effect:
             case events.SaveInstances(known):
                 update = fleet_messages.InstanceNews(self._node, known)
-                self._save(self._servers, update)
+                if self._save(self._servers, update):
+                    self._clear_departures()
             case events.SaveCrashes(known):
                 self._save(self._crashes, known)
             case events.SaveGatewayRecord(record):
@@ -125,9 +136,18 @@
                 self._log.write(notes.note("memo_unreadable", why=problem))
         return None
 
+    def _clear_departures(self) -> None:
+        """Removes the departures that the saved servers contain."""
+        try:
+            self.departures.clear()
+        except OSError as error:
+            # They are restored once more, to the same effect.
+            self._log.write(notes.note("departures_kept", why=str(error)))
+
     def _save(
         self, target: saved_value.SavedValue, message: interface.Message
-    ) -> None:
+    ) -> bool:
+        """Saves a message; returns whether it is on disk."""
         value = codec.encode_envelope(codec.Envelope(self._node, "", message))
         try:
             target.save(value)
@@ -135,3 +155,5 @@
             # The saved value is only used after a restart; by then the state is
             # reported anew.
             self._log.write(notes.note("memo_not_saved", why=str(error)))
+            return False
+        return True
--- a/src/hickorylead/runtime/coordinator_gauges.py
+++ b/src/hickorylead/runtime/coordinator_gauges.py
@@ -23,6 +23,7 @@
         "instances": len(present),
         "instances_silent": sum(i.silent for i in present),
         "servers_unassigned": len(role.reports.unassigned),
+        "departures_unconfirmed": len(role.reports.departures),
         "groups_open": len(serving),
         "blocked_contents": role.crashes.count_blocked(),
         "standbys": len(free),
--- a/src/hickorylead/storage/saved_value.py
+++ b/src/hickorylead/storage/saved_value.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 import zlib
 
+from hickorylead.storage import journal
+
 if TYPE_CHECKING:
     import pathlib
 
@@ -41,10 +43,14 @@
         """
         number = self._number + 1
         body = _HEADER.pack(zlib.crc32(value), number, len(value)) + value
-        with open(self._paths[number % 2], "wb") as file:
+        path = self._paths[number % 2]
+        is_new = not path.exists()
+        with open(path, "wb") as file:
             file.write(body)
             file.flush()
             os.fsync(file.fileno())
+        if is_new:
+            journal.sync_folder(path.parent)
         self._number = number
 
 
--- a/src/hickorylead/wire/catalogue.py
+++ b/src/hickorylead/wire/catalogue.py
@@ -113,6 +113,7 @@
     Variant(_RELAYING, "RelayFinished"),
     Variant(_FLEET, "GatewayRecord"),
     Variant(_FLEET, "RetryLoan"),
+    Variant(_FLEET, "DeparturesKept"),
 )
 
 RECORDS: tuple[Variant, ...] = (
--- a/src/hickorylead/wire/messages.capnp
+++ b/src/hickorylead/wire/messages.capnp
@@ -205,6 +205,11 @@
   name @0 :Text;
 }
 
+struct DeparturesKept {
+  sender @0 :Text;
+  names @1 :List(Text);
+}
+
 struct Digest {
   entry @0 :Text;
   count @1 :Int64;
@@ -494,6 +499,7 @@
     relayFinished @57 :RelayFinished;
     gatewayRecord @58 :GatewayRecord;
     retryLoan @59 :RetryLoan;
+    departuresKept @60 :DeparturesKept;
   }
 }
 
--- a/tests/fleet/server_reports.feature
+++ b/tests/fleet/server_reports.feature
@@ -24,7 +24,7 @@
       | reports                          | state   |
       | that it is ready                 | ready   |
       | that it is ready, then older     | ready   |
-      | that it is ready, then it leaves | unknown |
+      | that it is ready, then it leaves | gone    |
 
   Scenario: A server is not used before its service is named
     Given three coordinators with gateways
--- a/tests/steps/server_report_steps.py
+++ b/tests/steps/server_report_steps.py
@@ -155,8 +155,8 @@
 def _(context, state):
     for node, registry in list_registries(context).items():
         known = registry.instances.get("later")
-        if state == "unknown":
-            assert known is None, (node, known)
+        if state == "gone":
+            assert known.phase == instances.PHASE_GONE, (node, known)
             continue
         assert known is not None, node
         assert known.phase == state, (node, known)
--- a/tests/support/fleet_simulation.py
+++ b/tests/support/fleet_simulation.py
@@ -150,6 +150,7 @@
     incarnation: str
     records: list[consensus_messages.Record] = attrs.field(factory=list)
     servers: tuple[instances.Instance, ...] = ()
+    departures: list[instances.Instance] = attrs.field(factory=list)
     crashes: crash_messages.CrashNews | None = None
     gateways: fleet_messages.GatewayRecord | None = None
 
@@ -194,6 +195,10 @@
         # Accepted joins that removed a server from a group with an open head.
         self.conflicting_joins: list[str] = []
         self.outcomes: dict[str, Any] = {}
+        # Time that a sync takes, in seconds.
+        self.disk_delay_s = 0.002
+        # Coordinators whose disk accepts no departures.
+        self.failed_disks: set[str] = set()
         # Whether the test makes work fail.
         self.may_fail = False
         self.notes: list[tuple[float, str, Any]] = []
@@ -253,6 +258,7 @@
         )
         role = self.coordinators[node]
         role.registry.restore(disk.servers, self.now)
+        role.registry.restore(disk.departures, self.now)
         if disk.crashes is not None:
             role.crashes.restore(disk.crashes, self.now)
         if disk.gateways is not None:
@@ -388,6 +394,14 @@
                 self.disks[node].records.append(record)
             case events.SaveInstances(known):
                 self.disks[node].servers = known
+                self.disks[node].departures.clear()
+            case events.SaveDepartures():
+                self.call_at(
+                    self.disk_delay_s,
+                    lambda: self._save_departures(node, effect),
+                )
+            case events.AnswerReport(token, accepted):
+                self.outcomes[token] = accepted
             case events.SaveCrashes(known):
                 self.disks[node].crashes = known
             case events.SaveGatewayRecord(record):
@@ -407,6 +421,16 @@
             case _:
                 self.notes.append((self.now, node, effect))
 
+    def _save_departures(
+        self, node: str, effect: events.SaveDepartures
+    ) -> None:
+        if node not in self.coordinators:
+            return
+        is_saved = node not in self.failed_disks
+        if is_saved:
+            self.disks[node].departures += effect.servers
+        self.apply(node, events.DeparturesSaved(effect, is_saved))
+
     def _arrive(self, target: str, arrived: interface.MessageArrived) -> None:
         if self._find_role(target) is not None and target not in self.frozen:
             self.known_senders.setdefault(target, set()).add(arrived.sender)
