Fail an attempt of an entry whose stream sends a line without end

Callers saw: nothing; their request waited for its deadline. Cause: the HTTP client raises an error of its own for a line over 2 MiB, which ended the task of the attempt without an event. Change: such an attempt fails as bad_answer. Result: two rows of entry_responses.feature had no end before; 19 of 19 pass.

--- a/src/hickorylead/runtime/backends.py
+++ b/src/hickorylead/runtime/backends.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any, cast
 
 import aiohttp
-from aiohttp import client_proto
+from aiohttp import client_proto, http_exceptions
 import orjson
 
 from hickorylead import http_status, verdict as verdict_module
@@ -149,6 +149,9 @@
             event = _fail(attempt, Verdict.MAY_HAVE_RUN, reason)
         except (orjson.JSONDecodeError, ValueError, KeyError, TypeError):
             event = _fail(attempt, Verdict.MAY_HAVE_RUN, "bad_answer")
+        except http_exceptions.HttpProcessingError:
+            # A line without end, among others.
+            event = _fail(attempt, Verdict.MAY_HAVE_RUN, "bad_answer")
         finally:
             span.end()
         if event is not None:
