Let events without end share the memory for buffered responses

Cause: each stream could keep 1 MiB of an event that is not complete, beside the limit for all responses; an event id of over 4,300 digits failed its handler. Change: incomplete events over 16 KiB count towards that limit, and the attempt that exceeds it fails as event_too_long; 18 digits of an id are read.

--- a/src/hickorylead/forwarding/attempts.py
+++ b/src/hickorylead/forwarding/attempts.py
@@ -75,6 +75,7 @@
         """Returns the size of all responses that are buffered."""
         return sum(
             len(attempt.body)
+            + (attempt.splitter.buffered_bytes if attempt.splitter else 0)
             for pending in self._pending.values()
             for attempt in pending.live_attempts
         )
--- a/src/hickorylead/forwarding/response_handler.py
+++ b/src/hickorylead/forwarding/response_handler.py
@@ -133,19 +133,24 @@
             effects += responses.start_stream(pending, attempt, self._health)
             effects.append(events.WriteChunk(event.request_id, result.data))
             pending.last_event_id = attempt.splitter.last_event_id
-        if result.problem:
+        problem = result.problem
+        if not problem and not self._has_room(attempt.splitter.buffered_bytes):
+            # Others need the memory; no caller gets a part of an event.
+            problem = "event_too_long"
+        if problem:
             effects += self._fail_attempt(
-                pending, attempt, Verdict.MAY_HAVE_RUN, result.problem, now
+                pending, attempt, Verdict.MAY_HAVE_RUN, problem, now
             )
         return effects
 
     def _may_buffer(self, attempt: state.Attempt) -> bool:
         size = len(attempt.body)
-        if size <= SMALL_RESPONSE_BYTES:
-            return True
-        return (
-            size <= MAX_BUFFERED_BYTES
-            and self._attempts.count_buffered_bytes() <= self.max_buffered_bytes
+        return size <= MAX_BUFFERED_BYTES and self._has_room(size)
+
+    def _has_room(self, size: int) -> bool:
+        """Returns whether a response may keep so many bytes buffered."""
+        return size <= SMALL_RESPONSE_BYTES or (
+            self._attempts.count_buffered_bytes() <= self.max_buffered_bytes
         )
 
     def handle_completion(
--- a/src/hickorylead/forwarding/stream.py
+++ b/src/hickorylead/forwarding/stream.py
@@ -13,6 +13,8 @@
 # not exhaust the gateway's memory. Events of known deployments have some 100
 # bytes.
 MAX_EVENT_BYTES = 1024 * 1024
+# Digits of an event id that are read; a longer one follows no other id.
+MAX_ID_DIGITS = 18
 
 
 @attrs.frozen
@@ -42,6 +44,11 @@
         self.last_event_id = last_event_id
         self._rest = b""
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the event that is not complete yet, in bytes."""
+        return len(self._rest)
+
     @property
     def is_at_boundary(self) -> bool:
         """Whether the data so far ends between two events."""
@@ -80,5 +87,5 @@
         name, colon, value = line.partition(b":")
         if colon and name == b"id":
             text = value.strip()
-            return int(text) if text.isdigit() else None
+            return int(text[:MAX_ID_DIGITS]) if text.isdigit() else None
     return None
