--- a/check.py
+++ b/check.py
@@ -16,9 +16,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent
 ENVIRONMENT = ROOT / ".venv"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Number of failed scenarios that the check of the tests may pass over. Entries
+# of checks that are run by hand do not count.
 MAX_KNOWN_RED = 3
-# Last fields of entries that do not count towards this maximum.
-UNCAPPED_ISSUES = ("issue 65",)
 
 
 def set_up(checks: list[str]) -> None:
@@ -62,15 +62,17 @@
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    entries = [
-        [field.strip() for field in line.split("|")]
-        for line in lines
-        if line.strip()
-    ]
-    capped = [entry for entry in entries if entry[-1] not in UNCAPPED_ISSUES]
-    if len(capped) > MAX_KNOWN_RED:
-        raise SystemExit(f"{KNOWN_RED.name} has more than {MAX_KNOWN_RED}")
-    return {entry[0] for entry in entries}
+    return {line.split("|")[0].strip() for line in lines if line.strip()}
+
+
+def may_pass(failed: list[str], known: set[str]) -> bool:
+    """Returns whether the tests may pass although some scenarios failed.
+
+    Args:
+        failed: Names of the failed scenarios.
+        known: Names in the list of known failures.
+    """
+    return set(failed) <= known and len(failed) <= MAX_KNOWN_RED
 
 
 def check_tests() -> bool:
@@ -97,7 +99,7 @@
     print(  # noqa: T201
         f"scenarios: {len(passed)} passed, {len(failed)} failed", flush=True
     )
-    return bool(passed) and set(failed) <= known
+    return bool(passed) and may_pass(failed, known)
 
 
 CHECKS = {
