--- a/tests/crowds/crowds.feature
+++ b/tests/crowds/crowds.feature
@@ -8,6 +8,7 @@
     When a crowd sends <shape> to <place>, at the port for callers
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
     Examples:
       | shape                                      | place          |
@@ -36,6 +37,7 @@
     When a crowd sends <shape> to a route, at the port for callers
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
     Examples:
       | shape                                    |
@@ -50,6 +52,7 @@
     When a crowd sends <shape> to <place>, at the port for <port>
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
     Examples:
       | port    | place           | shape                                      |
@@ -77,11 +80,16 @@
     And an ordinary configuration is acknowledged
 
     Examples:
-      | shape                                     |
-      | bodies in one piece, short of their end   |
-      | heads with a value without end            |
-      | short requests without a route sent ahead |
-      | connections that send nothing             |
+      | shape                                      |
+      | bodies in one piece, short of their end    |
+      | bodies in small chunks, short of their end |
+      | bodies that come very slowly               |
+      | trailers without end                       |
+      | heads with a value without end             |
+      | heads of many fields, without bodies       |
+      | requests sent ahead                        |
+      | short requests without a route sent ahead  |
+      | connections that send nothing              |
 
   Scenario Outline: An entry outlives a crowd that sends <shape>
     Given an entry as a real process
@@ -92,8 +100,10 @@
     Examples:
       | shape                                      |
       | bodies in one piece, short of their end    |
+      | bodies in small pieces, short of their end |
       | bodies in small chunks, short of their end |
       | bodies far over the limit, with a length   |
+      | bodies far over the limit, in chunks       |
       | bodies that come very slowly               |
       | trailers without end                       |
       | heads with a value without end             |
@@ -103,11 +113,27 @@
       | short requests without a route sent ahead  |
       | connections that send nothing              |
 
+  Scenario Outline: A gateway with little memory serves one large request, <how>
+    Given a gateway in a cluster of real processes
+    When one request of <size> bytes is sent <how>
+    Then it is answered with status 200
+    And it lives, within the memory and the descriptors of its machine
+
+    Examples:
+      | size    | how                      |
+      | 4194304 | in one piece             |
+      | 4194304 | in pieces of 1000 bytes  |
+      | 20000   | in pieces of 1 byte      |
+      | 4194304 | in chunks of 32 bytes    |
+      | 4194304 | after 100 Continue       |
+      | 4194304 | behind another request   |
+
   Scenario Outline: The third crowd that sends <shape> adds nothing to the first
     Given a gateway in a cluster of real processes
     When three crowds, one after another, send <shape>
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
     Examples:
       | shape                                      |
@@ -120,12 +146,14 @@
     When one crowd sends bodies in one piece, short of their end while another one sends requests sent ahead
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
   Scenario: A gateway outlives a crowd while the limits change
     Given a gateway in a cluster of real processes
     When a crowd sends bodies in one piece, short of their end while the limits change
     Then it lives, within the memory and the descriptors of its machine
     And an ordinary request is answered, at each of its ports
+    And nothing is kept for the clients that have left
 
   Scenario Outline: A gateway stops in time beside a crowd that sends <shape>
     Given a gateway in a cluster of real processes
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -19,7 +19,7 @@
     sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "src")]
 
 import attrs  # noqa: E402
-from support import crowd_processes, crowds  # noqa: E402
+from support import crowd_processes, crowds, process_meter  # noqa: E402
 
 MIB = 1024 * 1024
 CALL_PERIOD_S = 0.1
@@ -67,7 +67,7 @@
     """Returns a line about one crowd, which stays for some time."""
     process = await processes.start_gateway()
     address = processes.get_address("callers")
-    meter = crowd_processes.Meter(process, address[0])
+    meter = process_meter.Meter(process, address[0])
     began_s = meter.read_processor_s()
     seen = Seen()
     crowd = crowds.Crowd(shape, crowd_processes.PLACES["a route"], address)
--- a/tests/steps/crowd_steps.py
+++ b/tests/steps/crowd_steps.py
@@ -10,7 +10,12 @@
 from behave import given, then, when
 from soak import nodes
 from steps import soak_steps
-from support import crowd_processes, crowds
+from support import (
+    crowd_processes,
+    crowds,
+    process_meter,
+    single_requests,
+)
 
 MIB = 1024 * 1024
 # Requests of ordinary callers beside a planned stop.
@@ -93,7 +98,7 @@
 
     run(context, start_all())
     context.max_descriptors = max_descriptors
-    context.meter = crowd_processes.Meter(
+    context.meter = process_meter.Meter(
         context.process, processes.get_address(port)[0]
     )
 
@@ -195,6 +200,29 @@
     return context.process.poll() is not None
 
 
+@when("one request of {size:d} bytes is sent {how}")
+def _(context, size, how):
+    async def send():
+        measuring = asyncio.ensure_future(context.meter.run())
+        try:
+            context.status = await single_requests.send(
+                crowd_processes.PLACES["a route"],
+                context.processes.get_address("callers"),
+                size,
+                how,
+            )
+            context.meter.measure()
+        finally:
+            measuring.cancel()
+
+    run(context, send())
+
+
+@then("it is answered with status {status:d}")
+def _(context, status):
+    assert context.status == status, context.status
+
+
 @then("it lives, within the memory and the descriptors of its machine")
 def _(context):
     code = context.process.poll()
@@ -222,6 +250,11 @@
     run(context, check())
 
 
+@then("nothing is kept for the clients that have left")
+def _(context):
+    run(context, check_answers(context.processes.has_released))
+
+
 @then("an ordinary configuration is acknowledged")
 def _(context):
     run(context, check_answers(context.processes.configure))
--- a/tests/support/crowd_processes.py
+++ b/tests/support/crowd_processes.py
@@ -5,15 +5,16 @@
 import asyncio
 import os
 import pathlib
+import re
 import resource
 import subprocess
 import sys
 import time
 
-import attrs
 import orjson
 from soak import callers, fleet, nodes
 
+from hickorylead.intake import account
 from hickorylead_standins import platform
 from support import crowds
 
@@ -32,7 +33,6 @@
 REQUEST_LIMIT_S = 30.0
 CALL_TIMEOUT_S = 5.0
 POLL_S = 0.02
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 FIELDS = (
     "Host: host.example",
@@ -89,75 +89,6 @@
     )
 
 
-@attrs.define
-class Usage:
-    """The most that a process has used.
-
-    Attributes:
-        memory_bytes: Resident memory, and what its sockets hold unread.
-        descriptors: Open descriptors.
-    """
-
-    memory_bytes: int = 0
-    descriptors: int = 0
-
-
-class Meter:
-    """Measures one process while a crowd is connected to it."""
-
-    def __init__(self, process: subprocess.Popen, ip: str) -> None:
-        """Makes a meter.
-
-        Args:
-            process: The process.
-            ip: Its IP address.
-        """
-        self._folder = pathlib.Path(f"/proc/{process.pid}")
-        self._ip = "".join(f"{int(part):02X}" for part in ip.split(".")[::-1])
-        self.usage = Usage()
-
-    async def run(self) -> None:
-        """Measures until it is cancelled."""
-        while True:
-            self.measure()
-            await asyncio.sleep(POLL_S)
-
-    def measure(self) -> None:
-        """Records what the process uses now."""
-        try:
-            status = (self._folder / "status").read_text(encoding="ascii")
-            descriptors = len(os.listdir(self._folder / "fd"))
-        except OSError:
-            # The process has ended; the scenario notices.
-            return
-        fields = dict(
-            line.split(":", 1) for line in status.splitlines() if ":" in line
-        )
-        if "VmHWM" not in fields:
-            return
-        peak, present = (
-            1024 * int(fields[name].split()[0]) for name in ("VmHWM", "VmRSS")
-        )
-        self.usage.memory_bytes = max(
-            self.usage.memory_bytes, peak, present + self._count_unread()
-        )
-        self.usage.descriptors = max(self.usage.descriptors, descriptors)
-
-    def read_processor_s(self) -> float:
-        """Returns the processor time of the process, in seconds."""
-        text = (self._folder / "stat").read_text(encoding="ascii")
-        user, system = text.rpartition(")")[2].split()[11:13]
-        return (int(user) + int(system)) / TICKS_PER_S
-
-    def _count_unread(self) -> int:
-        lines = pathlib.Path("/proc/net/tcp").read_text(encoding="ascii")
-        return sum(
-            int(columns[4].split(":")[1], 16)
-            for columns in map(str.split, lines.splitlines()[1:])
-            if columns[1].startswith(self._ip)
-        )
-
-
 class Processes:
     """One coordinator and one gateway with servers, and an entry alone."""
 
@@ -302,6 +233,21 @@
         request = PLACES["the metrics"].make_head(method="GET")
         return await fetch_status(self.get_address("metrics"), request) == 200
 
+    async def has_released(self) -> bool:
+        """Returns whether only the connection that asks uses memory."""
+        request = PLACES["the metrics"].make_head(method="GET")
+        text = await fetch(self.get_address("metrics"), request)
+        used = {
+            name: float(value)
+            for name, value in re.findall(
+                r"(client_\w+) ([0-9.]+)$", text, re.M
+            )
+        }
+        return (
+            used.get("client_connections") == 1
+            and used.get("client_held_bytes") == account.CONNECTION_BYTES
+        )
+
     async def is_entry_serving(self) -> bool:
         """Returns whether the entry responds."""
         request = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -368,8 +314,21 @@
             await asyncio.sleep(POLL_S)
 
 
+async def fetch(address: tuple[str, int], request: bytes) -> str:
+    """Returns the body of the response to a request; empty without one."""
+    response = await _exchange(address, request)
+    return response.body.decode()
+
+
 async def fetch_status(address: tuple[str, int], request: bytes) -> int:
     """Returns the status of the response to a request; 0 without one."""
+    response = await _exchange(address, request)
+    return response.status if response.is_complete else 0
+
+
+async def _exchange(
+    address: tuple[str, int], request: bytes
+) -> callers._Response:
     response = callers._Response()
     try:
         async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -379,13 +338,14 @@
                 while not response.is_complete:
                     data = await reader.read(65536)
                     if not data:
-                        return 0
+                        break
                     response.parser.feed_data(data)
             finally:
                 writer.close()
     except (OSError, TimeoutError):
-        return 0
-    return response.status
+        # The caller sees no complete response, and sends again.
+        pass
+    return response
 
 
 async def answers(check) -> bool:
