Move the configuration of a coordinator to a module of its own

Change: roles/coordinator_configuration.py holds them, unchanged but for names; effects and their order are the same.

--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -8,12 +8,10 @@
 
 from typing import TYPE_CHECKING, TypeAlias
 
-import attrs
 from returns import result
 
 from hickorylead import isolation, notes
 from hickorylead.consensus import (
-    configuration_requests,
     messages as consensus_messages,
     options,
     voter as voter_module,
@@ -30,7 +28,6 @@
     events,
     full_sync,
     gateways as gateways_module,
-    held_document,
     identity as identity_module,
     messages,
     orders,
@@ -48,7 +45,12 @@
     permit_broker,
 )
 from hickorylead.relaying import messages as relay_messages, relay_broker
-from hickorylead.roles import interface, nodes, server_reports
+from hickorylead.roles import (
+    coordinator_configuration as configuration_module,
+    interface,
+    nodes,
+    server_reports,
+)
 from hickorylead.turns import own_pauses
 
 if TYPE_CHECKING:
@@ -126,10 +128,8 @@
                 `list_due_work` names.
         """
         self._defers_work = defers_work
-        self._has_unapplied = False
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
-        self._held = held_document.HeldDocument(decode_document)
         self.registry = registry_module.Registry()
         self._full_sync = full_sync.FullSync(identity.node, self.registry)
         self._listed = messages.KnownCoordinators(identity.node, (), ())
@@ -190,46 +190,34 @@
         self._save_schedule = save_schedule.SaveSchedule(
             self.registry, self.crashes, now
         )
-        self.restart_voter(records, rng, now, voter_options)
-
-    def restart_voter(
-        self,
-        records: Sequence[consensus_messages.Record],
-        rng: random.Random,
-        now: float,
-        voter_options: options.VoterOptions,
-    ) -> None:
-        """Restores the voter from the disk, after a start or a disk fault."""
-        self.voter = voter_module.Voter(
-            node=self._identity.node,
-            incarnation=self._identity.incarnation,
-            peers=tuple(self.peers.known),
+        self.configuration = configuration_module.CoordinatorConfiguration(
+            identity,
+            decode_document=decode_document,
+            peers=self.peers,
+            gateways=self.gateways,
+            pauses=self._urgent_pauses,
+            use_document=self._use_document,
+            handle_commit=self._handle_commit,
+            records=records,
             rng=rng,
             now=now,
-            options=attrs.evolve(voter_options, zones=self._identity.zones),
-            is_founder=self._identity.may_bootstrap,
-            pauses=self._urgent_pauses,
+            voter_options=voter_options,
         )
-        self.voter.restore(records)
-        self._configuration_requests = (
-            configuration_requests.ConfigurationRequests(
-                node=self._identity.node,
-                start_id=f"{rng.getrandbits(32):08x}",
-                voter=self.voter,
-            )
-        )
-        self._held.load(self.voter.configuration)
-        self._decode_document()
+
+    @property
+    def voter(self) -> voter_module.Voter:
+        """Its voter, which is another one after a disk fault."""
+        return self.configuration.voter
 
     @property
     def version(self) -> int:
         """Operators' version of the configuration that this node holds."""
-        return self._held.version
+        return self.configuration.version
 
     @property
     def document(self) -> document_module.Document | None:
         """The configuration that this node has applied."""
-        return self._held.document
+        return self.configuration.document
 
     def is_fresh(self, now: float) -> bool:
         """Returns whether this node's configuration is certain to be recent."""
@@ -266,23 +254,11 @@
             case events.DeparturesSaved():
                 return [*self.reports.handle_saved(event)]
             case events.ReplaceRequested(token, version, content):
-                return self._convert_effects(
-                    self._configuration_requests.replace(
-                        token,
-                        version=version,
-                        content=content,
-                        requester="",
-                        now=now,
-                    ),
-                    now,
-                )
+                return [
+                    *self.configuration.replace(token, version, content, now)
+                ]
             case events.ReadRequested(token):
-                return self._convert_effects(
-                    self._configuration_requests.read(
-                        token, requester="", held_version=0, now=now
-                    ),
-                    now,
-                )
+                return [*self.configuration.read(token, now)]
             case orders.OrderAnswered():
                 return [
                     *self.reports.record_load(event, now),
@@ -308,7 +284,7 @@
         if not self._defers_work:
             return []
         due: list[events.ConfigurationDue | events.PlanningDue] = []
-        if self._has_unapplied:
+        if self.configuration.has_unapplied:
             due.append(events.ConfigurationDue())
         if self._supervisor.is_due(now):
             due.append(events.PlanningDue())
@@ -318,12 +294,12 @@
         """Does what others judge this coordinator by."""
         return isolation.collect_effects(
             {
-                "voter": lambda: self._tick_voter(now),
+                "voter": lambda: self.configuration.tick_voter(now),
                 "watch over the voter": lambda: self.voter_monitor.observe(
                     self.voter, self.peers.heard_at, now
                 ),
-                "requests of operators": lambda: self._convert_effects(
-                    self._configuration_requests.tick(now), now
+                "requests of operators": lambda: (
+                    self.configuration.tick_requests(now)
                 ),
                 "changes of peers": lambda: self.peers.report_changes(now),
                 "hellos": lambda: self._announce(now),
@@ -331,10 +307,6 @@
             }
         )
 
-    def _tick_voter(self, now: float) -> list[CoordinatorEffect]:
-        self.voter.set_peers(self.peers.heard_at)
-        return self._convert_effects(self.voter.tick(now), now)
-
     def _announce(self, now: float) -> list[CoordinatorEffect]:
         if now < self._next_hello:
             return []
@@ -451,7 +423,7 @@
             f"cluster-{self.voter.member}", tuple(sorted(members))
         )
         return [
-            *self._convert_effects(effects, now),
+            *self.configuration.convert_effects(effects, now),
             notes.note("cluster_founded", voters=members),
         ]
 
@@ -469,14 +441,7 @@
                 | consensus_messages.SnapshotRequest()
                 | consensus_messages.JoinRequest()
             ):
-                effects = self._convert_effects(
-                    self.voter.receive(message, now), now
-                )
-                if isinstance(message, consensus_messages.AppendReply):
-                    effects += self._convert_effects(
-                        self._configuration_requests.tick(now), now
-                    )
-                return effects
+                return [*self.configuration.receive(message, now)]
             case messages.CoordinatorHello():
                 return self._handle_hello(message, now)
             case messages.InstanceNews(_, received, is_full):
@@ -496,12 +461,12 @@
             case notice_messages.PauseNews():
                 return self._handle_pause_update(message, now)
             case notice_messages.LeaveNews(_, leaves):
-                effects = []
+                left: list[CoordinatorEffect] = []
                 for leave in leaves:
-                    effects += self.reports.record_draining(
+                    left += self.reports.record_draining(
                         leave.server, leave.born, now
                     )
-                return effects
+                return left
             case limit_messages.LimitNews():
                 return self._send_all(
                     self._permit_broker.merge_limits(message, now)
@@ -532,27 +497,19 @@
                     effects += self._supervisor.suspect_group(head, sender, now)
                 return effects
             case messages.ReplaceRequest(node, token, version, content):
-                return self._convert_effects(
-                    self._configuration_requests.replace(
-                        token,
-                        version=version,
-                        content=content,
-                        requester=node,
-                        now=now,
-                    ),
-                    now,
-                )
+                return [
+                    *self.configuration.replace(
+                        token, version, content, now, requester=node
+                    )
+                ]
             case messages.ReadRequest(node, token, version):
-                return self._convert_effects(
-                    self._configuration_requests.read(
-                        token, requester=node, held_version=version, now=now
-                    ),
-                    now,
-                )
+                return [
+                    *self.configuration.read(
+                        token, now, held_version=version, requester=node
+                    )
+                ]
             case messages.ReplaceReply() | messages.ReadReply():
-                return self._convert_effects(
-                    self._configuration_requests.receive(message, now), now
-                )
+                return [*self.configuration.receive_reply(message, now)]
             case _:
                 return []
 
@@ -640,9 +597,10 @@
             self._supervisor.record_output(
                 progress.name, now - progress.age_ms / 1000.0
             )
-        size = self._held.size_bytes
+        size = self.configuration.size_bytes
         if self.gateways.needs_document(hello.node, self.version, size, now):
-            effects.append(interface.Send(hello.node, self._make_update(now)))
+            update = self.configuration.make_update(now)
+            effects.append(interface.Send(hello.node, update))
         return [*effects, *self.gateways.report_outdated(hello.node, now)]
 
     def _list_coordinators(self, now: float) -> messages.KnownCoordinators:
@@ -654,11 +612,6 @@
             self._listed = listed
         return self._listed
 
-    def _make_update(self, now: float) -> messages.DocumentUpdate:
-        return self._held.make_update(
-            self._identity.node, is_fresh=self.is_fresh(now)
-        )
-
     # Backend servers.
 
     def _forward_stalls(
@@ -676,82 +629,25 @@
 
     # The configuration.
 
-    def _convert_effects(
-        self, effects: Iterable[configuration_requests.Effect], now: float
-    ) -> list[CoordinatorEffect]:
-        wrapped: list[CoordinatorEffect] = []
-        for effect in effects:
-            match effect:
-                case consensus_messages.Send(node, message):
-                    wrapped.append(interface.Send(node, message))
-                case configuration_requests.SendTo(node, message):
-                    wrapped.append(interface.Send(node, message))
-                case consensus_messages.Answer(outcome):
-                    wrapped += self._convert_effects(
-                        self._configuration_requests.handle_committed(
-                            outcome.change_id, now
-                        ),
-                        now,
-                    )
-                case consensus_messages.Abandon(change_id):
-                    self._configuration_requests.handle_abandoned(change_id)
-                case consensus_messages.Apply():
-                    wrapped += self._publish_configuration(now)
-                    if not self._defers_work:
-                        wrapped += self._apply_configuration(now)
-                case _:
-                    wrapped.append(effect)
-        return wrapped
-
-    def _publish_configuration(self, now: float) -> list[CoordinatorEffect]:
-        """Sends a new configuration to the gateways, as it was committed."""
-        before = self.version
-        if not self._held.load(self.voter.configuration):
-            return []
-        self._has_unapplied = True
-        update = self._make_update(now)
-        own = self.gateways.list_home_gateways(now)
-        self.gateways.record_document_sent(own, now)
-        effects: list[CoordinatorEffect] = [
-            interface.Send(node, update) for node in own
-        ]
-        effects.append(
-            notes.note(
-                "configuration_applied",
-                version_before=before,
-                outside_version=self.version,
-                leader=self.voter.leader,
-                is_fresh=self.is_fresh(now),
-            )
-        )
-        return effects
+    def _handle_commit(self, now: float) -> list[CoordinatorEffect]:
+        """Applies a committed configuration, unless that is put off."""
+        return [] if self._defers_work else self._apply_configuration(now)
 
     def _apply_configuration(self, now: float) -> list[CoordinatorEffect]:
         """Decodes a new configuration, and plans by it."""
-        if not self._has_unapplied:
+        if not self.configuration.has_unapplied:
             return []
-        self._has_unapplied = False
-        problem = self._decode_document()
-        if problem:
-            return [
-                notes.note(
-                    "configuration_unreadable", level="error", why=problem
-                )
-            ]
+        problems = self.configuration.apply()
+        if problems:
+            return [*problems]
         return [
             *self.reports.admit_named(now),
             *self._supervisor.plan_soon(now),
         ]
 
-    def _decode_document(self) -> str:
-        """Decodes what is held; returns why it could not be decoded."""
-        problem = self._held.decode()
-        if self.document is not None:
-            self._supervisor.services = self.document.services
-            self.reports.services = frozenset(
-                service.name for service in self.document.services
-            )
-        return problem
+    def _use_document(self, document: document_module.Document) -> None:
+        self._supervisor.services = document.services
+        self.reports.services = frozenset(s.name for s in document.services)
 
     def _send_all(
         self, sent: Iterable[tuple[str, interface.Message]]
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -365,7 +365,7 @@
     def _retry_disk(self) -> None:
         now = clock.read_boottime()
         if self._disk.try_again(now):
-            self.role.restart_voter(
+            self.role.configuration.restart_voter(
                 self._disk.folder.records, self._rng, now, self._voter_options
             )
             self._log.write(notes.note("disk_regained"))
--- a/tests/steps/configuration_promise_steps.py
+++ b/tests/steps/configuration_promise_steps.py
@@ -283,7 +283,7 @@
     fleet_steps.replace_until_acknowledged(simulation, names[0], 7)
     simulation.run(1.0)
     simulation.partition(node, leader)
-    role.restart_voter(
+    role.configuration.restart_voter(
         records,
         random.Random(1),
         simulation.now,
