--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -170,7 +170,7 @@
         """
         try:
             return self._handle(event, now)
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001 - logged, with its place
             pending = self._find_pending(event)
             if pending is None:
                 raise
--- a/src/hickorylead/roles/coordinator.py
+++ b/src/hickorylead/roles/coordinator.py
@@ -18,15 +18,12 @@
     voter_monitor,
 )
 from hickorylead.crashes import (
-    crash_history as crash_history_module,
     crash_tracker as crash_tracker_module,
     messages as crash_messages,
 )
 from hickorylead.fleet import (
     announcements,
-    divergence,
     events,
-    full_sync,
     gateways as gateways_module,
     identity as identity_module,
     messages,
@@ -48,6 +45,7 @@
 from hickorylead.roles import (
     coordinator_configuration as configuration_module,
     interface,
+    node_exchange,
     nodes,
     server_reports,
 )
@@ -131,8 +129,6 @@
         self._identity = identity
         self._zone = nodes.get_zone(identity.node)
         self.registry = registry_module.Registry()
-        self._full_sync = full_sync.FullSync(identity.node, self.registry)
-        self._listed = messages.KnownCoordinators(identity.node, (), ())
         # Urgent messages are handled before others, so that each lane of the
         # process has pauses of its own.
         self._urgent_pauses = own_pauses.OwnPauses(now)
@@ -142,15 +138,11 @@
             seeds=identity.seeds,
             pauses=self._urgent_pauses,
         )
-        # Hellos whose state is still to be compared, and whether their sender
-        # was lost before, by node.
-        self._unsynced: dict[str, tuple[messages.CoordinatorHello, bool]] = {}
         self.gateways = gateways_module.Gateways(
             zone=self._zone,
             is_first_start=identity.may_bootstrap,
             pauses=self._ordinary_pauses,
         )
-        self._divergence = divergence.DivergenceDetector(self._ordinary_pauses)
         # Public like the registry, as the process restores both from the disk.
         self.crashes = crash_tracker_module.CrashTracker(
             identity.node, self._ordinary_pauses
@@ -203,6 +195,18 @@
             now=now,
             voter_options=voter_options,
         )
+        self._exchange = node_exchange.NodeExchange(
+            identity,
+            registry=self.registry,
+            peers=self.peers,
+            gateways=self.gateways,
+            crashes=self.crashes,
+            supervisor=self._supervisor,
+            permits=self._permit_broker,
+            pause_relay=self._pause_relay,
+            configuration=self.configuration,
+            pauses=self._ordinary_pauses,
+        )
 
     @property
     def voter(self) -> voter_module.Voter:
@@ -311,7 +315,7 @@
         if now < self._next_hello:
             return []
         self._next_hello = now + peer_directory_module.HELLO_PERIOD_S
-        return [*self._send_hellos(now), *self._bootstrap_cluster(now)]
+        return [*self._exchange.send_hellos(now), *self._bootstrap_cluster(now)]
 
     def _tick_gateways(self, now: float) -> list[CoordinatorEffect]:
         sent = self.gateways.tick(
@@ -330,7 +334,9 @@
         self._ordinary_pauses.record_listening(now)
         return isolation.collect_effects(
             {
-                "sync of coordinators": lambda: self._sync_coordinators(now),
+                "sync of coordinators": lambda: (
+                    self._exchange.sync_coordinators(now)
+                ),
                 "heartbeats": lambda: self._send_alive(now),
                 "probes": lambda: self._supervisor.probe_silent(now),
                 "departures": lambda: self.reports.departures.tick(now),
@@ -338,11 +344,11 @@
                 "lost servers": lambda: self.reports.mark_lost(now),
                 "reused addresses": lambda: self.reports.end_superseded(now),
                 "changed servers": lambda: self.reports.update_gateways(now),
-                "blocks": lambda: self._update_blocks(now),
+                "blocks": lambda: self._exchange.update_blocks(now),
                 "permits": lambda: self._send_all(
                     self._permit_broker.tick(now)
                 ),
-                "pauses": lambda: self._send_pauses(now),
+                "pauses": lambda: self._exchange.send_pauses(now),
                 "planning": lambda: self._plan_if_due(now),
                 "saving": lambda: self._save_schedule.tick(now),
             }
@@ -353,56 +359,6 @@
             return []
         return [*self._supervisor.plan(now)]
 
-    # Requests under which servers end.
-
-    def _handle_crash_update(
-        self, update: crash_messages.CrashNews, now: float
-    ) -> list[CoordinatorEffect]:
-        # A gateway that has just chosen this home coordinator may report before
-        # its hello arrives, so any sender that is not a known peer counts as a
-        # gateway.
-        is_forwarded = update.sender in self.peers.known
-        others = [] if is_forwarded else self.peers.list_alive(now)
-        # Each lost run is reported twice, and again to a new home coordinator.
-        # The server is probed only after the first report of a run: a server
-        # that replied to that probe is alive, and a repeated report needs no
-        # further probe.
-        losses = self.crashes.find_new_losses(update, now)
-        effects = self._send_all(self.crashes.merge(update, others, now))
-        return [*effects, *self._supervisor.suspect_servers(losses, now)]
-
-    def _update_blocks(self, now: float) -> list[CoordinatorEffect]:
-        def has_ended(incarnation: crash_history_module.Incarnation) -> bool:
-            return self.registry.has_ended(
-                incarnation.server, incarnation.born, now
-            )
-
-        sent, written = self.crashes.tick(
-            has_ended,
-            self.gateways.list_home_gateways(now),
-            now,
-            other_home_coordinators=self.peers.list_home_coordinators(now),
-        )
-        return [*self._send_all(sent), *written]
-
-    def _send_hellos(self, now: float) -> list[CoordinatorEffect]:
-        self.peers.prune(now)
-        hello = announcements.make_hello(
-            self._identity,
-            voter=self.voter,
-            peers=self.peers,
-            registry=self.registry,
-            gateways=len(self.gateways.list_home_gateways(now)),
-            has_traffic=self._supervisor.has_traffic,
-            crashes=self.crashes.digest,
-        )
-        targets = self.peers.list_hello_targets()
-        return [
-            interface.Send(node, hello)
-            for node in targets
-            if node != f"@{self._identity.address}"
-        ]
-
     def _send_alive(self, now: float) -> list[CoordinatorEffect]:
         """Sends which servers sent heartbeats, as often as hellos are sent."""
         if now < self._next_alive:
@@ -443,7 +399,7 @@
             ):
                 return [*self.configuration.receive(message, now)]
             case messages.CoordinatorHello():
-                return self._handle_hello(message, now)
+                return [*self._exchange.handle_hello(message, now)]
             case messages.InstanceNews(_, received, is_full):
                 if is_full and received:
                     self._supervisor.record_full_sync(now)
@@ -455,11 +411,11 @@
             case messages.Alive():
                 return [*self.reports.handle_alive(message, now)]
             case messages.GatewayHello():
-                return self._handle_gateway_hello(message, now)
+                return [*self._exchange.handle_gateway_hello(message, now)]
             case crash_messages.CrashNews():
-                return self._handle_crash_update(message, now)
+                return [*self._exchange.handle_crash_update(message, now)]
             case notice_messages.PauseNews():
-                return self._handle_pause_update(message, now)
+                return [*self._exchange.handle_pause_update(message, now)]
             case notice_messages.LeaveNews(_, leaves):
                 left: list[CoordinatorEffect] = []
                 for leave in leaves:
@@ -492,10 +448,10 @@
                 self._relay_broker.record_offer(message, now)
                 return [interface.Send(origin, message)]
             case messages.StallNews(sender, heads):
-                effects = self._forward_stalls(message, now)
+                stalls = self._exchange.forward_stalls(message, now)
                 for head in heads:
-                    effects += self._supervisor.suspect_group(head, sender, now)
-                return effects
+                    stalls += self._supervisor.suspect_group(head, sender, now)
+                return [*stalls]
             case messages.ReplaceRequest(node, token, version, content):
                 return [
                     *self.configuration.replace(
@@ -513,120 +469,6 @@
             case _:
                 return []
 
-    def _handle_pause_update(
-        self, update: notice_messages.PauseNews, now: float
-    ) -> list[CoordinatorEffect]:
-        is_forwarded = update.sender in self.peers.known
-        self._pause_relay.merge(update, is_forwarded=is_forwarded, now=now)
-        return self._send_pauses(now)
-
-    def _send_pauses(self, now: float) -> list[CoordinatorEffect]:
-        return self._send_all(
-            self._pause_relay.collect_messages(
-                gateways=self.gateways.list_home_gateways(now),
-                coordinators=self.peers.list_alive(now),
-                now=now,
-            )
-        )
-
-    def _handle_hello(
-        self, hello: messages.CoordinatorHello, now: float
-    ) -> list[CoordinatorEffect]:
-        _, was_new = self._unsynced.get(hello.node, (hello, False))
-        is_new = was_new or hello.node not in self.peers.list_alive(now)
-        self.peers.handle_hello(hello, now)
-        self._unsynced[hello.node] = hello, is_new
-        if hello.has_traffic:
-            # Gateways report requests only to their home coordinator, which
-            # reports them in its hellos.
-            self._supervisor.record_traffic()
-        return []
-
-    def _sync_coordinators(self, now: float) -> list[CoordinatorEffect]:
-        """Sends other coordinators what their last hellos show them to lack."""
-        effects: list[CoordinatorEffect] = []
-        unsynced, self._unsynced = self._unsynced, {}
-        for hello, is_new in unsynced.values():
-            differs = self._divergence.needs_full_sync(
-                hello.node, hello.check, self.registry.digest, now
-            )
-            effects += self._send_all(
-                self.crashes.sync_coordinator(
-                    hello.node, hello.crashes, is_new=is_new, now=now
-                )
-            )
-            if is_new or differs:
-                update = self._full_sync.make(
-                    is_full=self._supervisor.has_full_view(now)
-                )
-                effects.append(interface.Send(hello.node, update))
-        return effects
-
-    def _handle_gateway_hello(
-        self, hello: messages.GatewayHello, now: float
-    ) -> list[CoordinatorEffect]:
-        if hello.loads:
-            self._supervisor.record_traffic()
-        is_new = hello.is_home and not self.gateways.is_home_coordinator_of(
-            hello.node, hello.boot
-        )
-        effects = self._send_all(
-            self.crashes.sync_gateway(
-                hello.node, hello.blocked, is_new=is_new, now=now
-            )
-        )
-        if is_new:
-            effects += self._send_all(
-                self._permit_broker.make_initial_update(hello.node, now)
-            )
-            effects += self._send_all(
-                self._pause_relay.make_initial_update(hello.node, now)
-            )
-        sent = self.gateways.handle_hello(
-            hello,
-            registry=self.registry,
-            known=self._list_coordinators(now),
-            full_sync=self._full_sync,
-            now=now,
-        )
-        effects += self.gateways.save(self._identity.node, now)
-        effects += self._send_all(sent)
-        for name in hello.stalled:
-            effects += self._supervisor.suspect_group(name, hello.node, now)
-        for progress in hello.flowing:
-            self._supervisor.record_output(
-                progress.name, now - progress.age_ms / 1000.0
-            )
-        size = self.configuration.size_bytes
-        if self.gateways.needs_document(hello.node, self.version, size, now):
-            update = self.configuration.make_update(now)
-            effects.append(interface.Send(hello.node, update))
-        return [*effects, *self.gateways.report_outdated(hello.node, now)]
-
-    def _list_coordinators(self, now: float) -> messages.KnownCoordinators:
-        """Returns the list for gateways, the same message while it is equal."""
-        listed = announcements.list_coordinators(
-            self._identity, self.peers, is_fresh=self.is_fresh(now)
-        )
-        if listed != self._listed:
-            self._listed = listed
-        return self._listed
-
-    # Backend servers.
-
-    def _forward_stalls(
-        self, update: messages.StallNews, now: float
-    ) -> list[CoordinatorEffect]:
-        """Forwards stalls that one gateway observed to the other gateways."""
-        own = self.gateways.list_home_gateways(now)
-        targets = [node for node in own if node != update.sender]
-        if update.sender in own:
-            # The update is from a gateway with this home coordinator: the other
-            # coordinators have not received it.
-            targets += self.peers.list_alive(now)
-        forwarded = messages.StallNews(self._identity.node, update.heads)
-        return [interface.Send(node, forwarded) for node in targets]
-
     # The configuration.
 
     def _handle_commit(self, now: float) -> list[CoordinatorEffect]:
--- a/src/hickorylead/runtime/coordinator.py
+++ b/src/hickorylead/runtime/coordinator.py
@@ -53,13 +53,10 @@
     from hickorylead.fleet import server_codec as server_codec_module
     from hickorylead.runtime import coordinator_settings
 
-
 _TICKS: dict[work_queue.Lane, events.UrgentTick | events.OrdinaryTick] = {
     work_queue.Lane.URGENT: events.UrgentTick(),
     work_queue.Lane.ORDINARY: events.OrdinaryTick(),
 }
-
-
 _LANES: dict[type, work_queue.Lane] = {
     events.ConfigurationDue: work_queue.Lane.ORDINARY,
     events.PlanningDue: work_queue.Lane.BACKGROUND,
--- a/tests/steps/failing_work_steps.py
+++ b/tests/steps/failing_work_steps.py
@@ -176,7 +176,7 @@
 STEPS = {
     "heartbeats": lambda role: (role.reports, "send_alive"),
     "probes": lambda role: (role._supervisor, "probe_silent"),
-    "hellos": lambda role: (role, "_send_hellos"),
+    "hellos": lambda role: (role._exchange, "send_hellos"),
     "reports": lambda role: (role._reports, "tick"),
     "cleanup": lambda role: (role, "_clean_up"),
 }
