Check the pending requests of a gateway as fast as before

Cause: the phases and the isolation of requests made a check of 40 pending requests take 188 instead of 48 us, a chunk for each of them 182 instead of 152 us, and the search for the next check 178 instead of 127 us. Change: a phase has its attempt as an attribute, with None while it waits, and loops catch the error of one request themselves. Nothing is decided otherwise.

--- a/src/hickorylead/forwarding/forwarder.py
+++ b/src/hickorylead/forwarding/forwarder.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING
 
 from hickorylead import isolation, verdict as verdict_module
@@ -35,8 +34,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from hickorylead.configuration import document as document_module
     from hickorylead.forwarding import health as health_module
     from hickorylead.notices import notice_store as notice_store_module
@@ -248,11 +245,10 @@
         """Handles deadlines and silent attempts."""
         effects: list[events.Effect] = []
         for pending in list(self._pending.values()):
-            effects += self._isolate(
-                pending,
-                functools.partial(self._check, pending, late_s, now),
-                now,
-            )
+            try:
+                effects += self._check(pending, late_s, now)
+            except Exception as error:  # noqa: BLE001 - logged, with its place
+                effects += self._endings.end_failed(pending, error, now)
         return effects
 
     def _check(
@@ -260,27 +256,15 @@
     ) -> list[events.Effect]:
         if now >= pending.ends_at:
             return self._endings.expire(pending, now)
-        match pending.phase:
-            case state.Running(attempt) if stalls.is_overdue(
-                pending, now - late_s
-            ):
-                return self.mover.handle_overdue(pending, attempt, now)
-            case state.Running(attempt, needs_successor=True):
-                return self.mover.replace_successor(pending, attempt, now)
+        phase = pending.phase
+        if not phase.attempt:
+            return []
+        if stalls.is_overdue(pending, now - late_s):
+            return self.mover.handle_overdue(pending, phase.attempt, now)
+        if phase.needs_successor:
+            return self.mover.replace_successor(pending, phase.attempt, now)
         return []
 
-    def _isolate(
-        self,
-        pending: state.PendingRequest,
-        work: Callable[[], list[events.Effect]],
-        now: float,
-    ) -> list[events.Effect]:
-        """Returns the effects of work on a request, which ends if it fails."""
-        try:
-            return work()
-        except Exception as error:  # noqa: BLE001 - logged, with its place
-            return self._endings.end_failed(pending, error, now)
-
     def pop_faulty_servers(self) -> tuple[str, ...]:
         """Returns and clears the servers that refusals named as at fault."""
         return self._heads.pop_faulty_servers()
@@ -291,13 +275,10 @@
         waiting.sort(key=lambda o: (ranks.find_rank(o), o.arrived_at))
         effects: list[events.Effect] = []
         for pending in waiting:
-            effects += self._isolate(
-                pending,
-                functools.partial(
-                    self._sender.send, pending, now, has_waited=True
-                ),
-                now,
-            )
+            try:
+                effects += self._sender.send(pending, now, has_waited=True)
+            except Exception as error:  # noqa: BLE001 - logged, with its place
+                effects += self._endings.end_failed(pending, error, now)
         return effects
 
     def find_next_wakeup(self, now: float) -> float:
@@ -308,14 +289,14 @@
         """
         due = now + MAX_WAKEUP_DELAY_S
         for pending in self._pending.values():
-            match pending.phase:
-                case state.Waiting() | state.Running(needs_successor=True):
-                    return now
-                case state.Running(attempt) if not pending.request.is_stream:
-                    overdue_at = stalls.find_overdue_at(
-                        pending.request, attempt
-                    )
-                    due = min(due, overdue_at)
+            phase = pending.phase
+            if not phase.attempt or phase.needs_successor:
+                return now
+            if not pending.request.is_stream:
+                overdue_at = stalls.find_overdue_at(
+                    pending.request, phase.attempt
+                )
+                due = min(due, overdue_at)
             due = min(due, pending.ends_at)
         return self._stall_monitor.find_next_check(now, due) + CHECK_DELAY_S
 
--- a/src/hickorylead/forwarding/state.py
+++ b/src/hickorylead/forwarding/state.py
@@ -89,6 +89,8 @@
 class Waiting:
     """Phase of a request without an attempt, which waits for a replica."""
 
+    attempt: None = attrs.field(default=None, init=False)
+
 
 @attrs.define
 class Running:
@@ -185,20 +187,13 @@
     @property
     def attempt(self) -> Attempt | None:
         """The current attempt; None while it waits."""
-        match self.phase:
-            case Running(attempt):
-                return attempt
-            case _:
-                return None
+        return self.phase.attempt
 
     @property
     def live_attempts(self) -> list[Attempt]:
         """The attempts that have not ended, the current one last."""
-        match self.phase:
-            case Running(attempt, held):
-                return [*held, attempt]
-            case _:
-                return []
+        phase = self.phase
+        return [*phase.held, phase.attempt] if phase.attempt else []
 
     @property
     def run_count(self) -> int:
